Turns are placed by what each running one adds

Engines read prompts one after another, so that each running turn slows all. Ruled out: the store (no call of it was slow then) and the daemons' processors (0.1 of a core).

Now each running turn counts for 30 ms, choices made at the same moment are spread by a jitter, and what a turn takes under load is not learned as the speed of its engine. Instances are given 40 ms less than we wait, so that their word that a request did not run still arrives.

--- a/src/woadrun/decisions/routing.py
+++ b/src/woadrun/decisions/routing.py
@@ -24,7 +24,9 @@
   `running` and `waiting` count calls, own permits since the last report
   included.  `seconds` is the time that calls take there now, learned from
   outcomes: it grows where an upstream is slow.  `cached` is the part of
-  the call's prompt that the upstream's cache holds, in tokens.
+  the call's prompt that the upstream's cache holds, in tokens.  `added` is
+  the time that each running call adds to another, where an upstream works
+  on all of them together.
   """
 
   name: str
@@ -34,6 +36,7 @@
   seconds: float
   cached: int = 0
   is_near: bool = True
+  added: float = 0.0
 
 
 def estimate_wait(candidate: Candidate) -> float:
@@ -55,7 +58,8 @@
   """
   recompute = max(0, prompt - candidate.cached) / prefill_rate
   distance = 0.0 if candidate.is_near else DISTANCE_SECONDS
-  service = recompute + candidate.seconds
+  shared = candidate.running * candidate.added
+  service = recompute + candidate.seconds + shared
   return estimate_wait(candidate) + service + distance
 
 
--- a/src/woadrun/platform/wire.py
+++ b/src/woadrun/platform/wire.py
@@ -49,6 +49,9 @@
 )
 # Statuses by which an answer promises that the request has not run.
 _PROMISES = frozenset((408, 421, 429, 503))
+# An instance stops so long before we do, in seconds, so that its word on
+# whether the request has run still arrives.
+_WORD_SECONDS = 0.04
 # The most urgent and the least urgent of requests at an engine.
 _LEAST_URGENT = 9
 
@@ -109,7 +112,8 @@
 def encode_headers(sending: exchange.Sending) -> list[tuple[str, str]]:
   """Returns the headers of a request to an instance."""
   headers = list(sending.request.headers)
-  headers.append((DEADLINE, str(max(1, int(sending.seconds * 1000)))))
+  seconds = max(sending.seconds - _WORD_SECONDS, sending.seconds / 2)
+  headers.append((DEADLINE, str(int(seconds * 1000))))
   headers.append((EXPECTED_INSTANCE, sending.instance.id))
   if sending.urgency is not None:
     urgency = min(_LEAST_URGENT, max(0, sending.urgency))
--- a/src/woadrun/process/loads.py
+++ b/src/woadrun/process/loads.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterator
 import contextlib
 import dataclasses
+import random
 import time
 
 from woadrun.decisions import retry_after
@@ -17,8 +18,9 @@
 from woadrun.process import fleet
 from woadrun.version import instances
 
-# Weight of the newest request in the learned time of an instance.
-LEARN_WEIGHT = 0.2
+# Weight of the newest request in the learned time of an instance: requests
+# differ by a factor of ten, so that few of them tell little.
+LEARN_WEIGHT = 0.05
 # What a request is taken to last before one was seen, in seconds.
 FIRST_SECONDS = 0.2
 # An instance that could not be reached is passed over for so long, in
@@ -26,8 +28,16 @@
 PASSED_OVER_SECONDS = 1.0
 # A peer's counts are forgotten after so long, in seconds.
 COUNTS_SECONDS = 1.5
-# Prompt tokens that an engine reads in a second, until it is measured.
+# Prompt tokens that an engine reads in a second: the order of size of those
+# served today.
 PREFILL_RATE = 40_000.0
+# What a turn that runs adds to another one at the same engine, in seconds:
+# about a thousand tokens of its prompt are read at the rate above, and its
+# own tokens slow each step.
+TURN_SECONDS = 0.03
+# Daemons that choose at the same moment should not all choose the same
+# instance; in seconds, less than one turn adds.
+JITTER_SECONDS = 0.02
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -101,7 +111,12 @@
     fresh = [id for id in by_id if self._get(id).passed_over_until <= now]
     counts = self._sum_counts(now)
     candidates = [
-      self._make_candidate(by_id[id], counts, cached_by_id or {})
+      self._make_candidate(
+        by_id[id],
+        counts,
+        cached=(cached_by_id or {}).get(id, 0),
+        added=TURN_SECONDS if prompt else 0.0,
+      )
       for id in fresh or by_id
     ]
     chosen = routing.choose(
@@ -138,15 +153,21 @@
     self,
     item: instances.Instance,
     counts: dict[str, int],
-    cached_by_id: dict[str, int],
+    *,
+    cached: int,
+    added: float,
   ) -> routing.Candidate:
     load = self._get(item.id)
+    # What a turn takes depends on the load of its engine, which counts by
+    # itself here.
+    seconds = FIRST_SECONDS if added else load.seconds
     return routing.Candidate(
       name=item.id,
       slots=item.slots,
       running=load.running + counts.get(item.id, 0),
       waiting=0,
-      seconds=load.seconds,
-      cached=cached_by_id.get(item.id, 0),
+      seconds=seconds + random.uniform(0, JITTER_SECONDS),
+      cached=cached,
       is_near=item.domain == self._domain,
+      added=added,
     )
--- /dev/null
+++ b/tests/test_loads.py
@@ -0,0 +1,61 @@
+"""Placement of requests by the load of all daemons."""
+
+from woadrun.process import fleet
+from woadrun.process import loads
+from woadrun.version import instances
+
+
+def make_instance(id, *, domain='north-1', slots=64):
+  return instances.Instance(
+    id=id, service='models', address='127.0.0.1:1', domain=domain, slots=slots
+  )
+
+
+def make_beat(running, *, name='other'):
+  return fleet.Beat(
+    name=name, address='127.0.0.1:2', domain='north-1', running=running
+  )
+
+
+def test_turns_leave_a_busy_engine_long_before_its_slots_are_full():
+  load = loads.Loads(domain='north-1')
+  load.take_beat(make_beat({'near': 20}))
+  found = [make_instance('near'), make_instance('far', domain='north-2')]
+  chosen = load.choose(found, tried=(), prompt=4000)
+  assert chosen.id == 'far'
+
+
+def test_a_kept_prompt_outweighs_a_few_running_turns_but_not_many():
+  load = loads.Loads(domain='north-1')
+  found = [make_instance('holder'), make_instance('free')]
+  cached = {'holder': 8000}
+  load.take_beat(make_beat({'holder': 3}))
+  few = load.choose(found, tried=(), prompt=8000, cached_by_id=cached)
+  load.take_beat(make_beat({'holder': 30}))
+  many = load.choose(found, tried=(), prompt=8000, cached_by_id=cached)
+  assert (few.id, many.id) == ('holder', 'free')
+
+
+def test_counts_of_all_peers_add_up():
+  load = loads.Loads(domain='north-1')
+  found = [make_instance('a', slots=4), make_instance('b', slots=4)]
+  for name in ('one', 'two', 'three'):
+    load.take_beat(make_beat({'a': 2}, name=name))
+  assert load.choose(found, tried=()).id == 'b'
+
+
+def test_an_unreachable_instance_is_passed_over_while_there_are_others():
+  load = loads.Loads(domain='north-1')
+  found = [make_instance('a'), make_instance('b')]
+  load.note_unreachable('a')
+  assert load.choose(found, tried=()).id == 'b'
+  assert load.choose(found[:1], tried=()).id == 'a'
+  assert load.choose(found, tried=('a', 'b')) is None
+
+
+def test_the_time_to_return_grows_with_what_waits():
+  load = loads.Loads(domain='north-1')
+  found = [make_instance('a', slots=4)]
+  free = load.estimate_return(found)
+  load.take_beat(make_beat({'a': 40}))
+  assert load.estimate_return(found) > free
