Turns are kept where a domain is cut off; the platform's settings checked lightly

The domain's own owner and the daemon keep it until the store is back.

Tests for history, budgets, outages, sending again, framing and the store's calls, on stand-ins.

--- a/src/woadrun/connection/turn_messages.py
+++ b/src/woadrun/connection/turn_messages.py
@@ -58,7 +58,8 @@
   """Tells how a turn ended; answered by `Closed`.
 
   `tokens` is what the caller was given.  `turn` is there when the answer
-  is whole; `is_saved` says that the row store has it.
+  is whole; `is_saved` says that the row store has it.  With `is_away` the
+  program's own domain cannot be reached, nor can the store.
   """
 
   program: str
@@ -66,6 +67,7 @@
   tokens: int
   turn: Turn | None = None
   is_saved: bool = True
+  is_away: bool = False
 
 
 class Closed(msgspec.Struct, frozen=True):
--- a/src/woadrun/platform/program.py
+++ b/src/woadrun/platform/program.py
@@ -90,18 +90,7 @@
 async def _listen(
   config: node.NodeSettings, entry: ingress.Ingress
 ) -> list[web.ServerRunner]:
-  callers = web.ServerRunner(
-    web.Server(
-      entry.answer,
-      access_log=None,
-      request_factory=_make_request,
-      handler_cancellation=True,
-      keepalive_timeout=KEEP_ALIVE_SECONDS,
-      max_line_size=HEAD_BYTES,
-      max_field_size=HEAD_BYTES,
-    ),
-    shutdown_timeout=0.2,
-  )
+  callers = web.ServerRunner(make_server(entry), shutdown_timeout=0.2)
   ready = web.ServerRunner(
     web.Server(entry.answer_ready, access_log=None), shutdown_timeout=0.2
   )
@@ -114,6 +103,19 @@
   return [callers, ready]
 
 
+def make_server(entry: ingress.Ingress) -> web.Server:
+  """Returns the server of callers."""
+  return web.Server(
+    entry.answer,
+    access_log=None,
+    request_factory=_make_request,
+    handler_cancellation=True,
+    keepalive_timeout=KEEP_ALIVE_SECONDS,
+    max_line_size=HEAD_BYTES,
+    max_field_size=HEAD_BYTES,
+  )
+
+
 def _make_request(*parts: Any) -> web.BaseRequest:
   # The library's own factory, with our bound of a body.
   message, payload, protocol, writer, task = parts
--- a/src/woadrun/platform/settings.py
+++ b/src/woadrun/platform/settings.py
@@ -1,69 +1,72 @@
-"""The settings file as the platform lays it, checked and decoded."""
+"""The settings file as the platform lays it, checked and decoded.
+
+It is checked by `msgspec`, since the library that checks our own settings
+would cost each daemon some eight megabytes that it needs for nothing else.
+"""
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 import pathlib
+from typing import Annotated
+from typing import Any
+from typing import get_type_hints
 
-import pydantic
+import msgspec
 
 from woadrun import errors
-from woadrun import settings
 from woadrun.process import node
 
 # The variable that holds the path of the settings file.
 PATH_VARIABLE = 'WOADRUN_CONFIG'
 
-
-class _Part(pydantic.BaseModel):
-  """The base of all parts: what is not known is ignored."""
-
-  model_config = pydantic.ConfigDict(extra='ignore', frozen=True)
+_Text = Annotated[str, msgspec.Meta(min_length=1)]
+_Ip = Annotated[str, msgspec.Meta(pattern=r'^\d{1,3}(\.\d{1,3}){3}$')]
+_Address = Annotated[
+  str, msgspec.Meta(pattern=r'^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$')
+]
+_Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
 
 
-class _Addresses(_Part):
+class _Addresses(msgspec.Struct, kw_only=True):
   """`front` is for callers, `ready` for the balancer's question."""
 
-  front: settings.Address
-  ready: settings.Address
+  front: _Address
+  ready: _Address
 
 
-class _Bounds(_Part):
-  grace_s: float = pydantic.Field(8.0, gt=0)
+class _Bounds(msgspec.Struct, kw_only=True):
+  """`grace_s` is the time from SIGTERM to SIGKILL."""
 
+  grace_s: Annotated[float, msgspec.Meta(gt=0)] = 8.0
 
-class _Store(_Part):
+
+class _Store(msgspec.Struct, kw_only=True):
   """The metadata store; `row_bytes` is the largest value of a row."""
 
-  address: settings.Address
-  row_bytes: int = pydantic.Field(65_536, ge=1024)
+  address: _Address
+  row_bytes: Annotated[int, msgspec.Meta(ge=1024)] = 65_536
+
 
+class _File(msgspec.Struct, kw_only=True):
+  """The file; `zone` is a failure domain in our words.
 
-class _File(_Part):
-  """The file; `zone` is a failure domain in our words."""
+  `internal_port_range` holds the first and the last port between daemons.
+  Fields that are not named here are ignored.
+  """
 
-  node_name: str
-  ip: str
-  zone: str
+  node_name: _Text
+  ip: _Ip
+  zone: _Text
   listen_addrs: _Addresses
-  internal_port_range: tuple[int, int]
-  bounds: _Bounds = _Bounds()
+  internal_port_range: tuple[_Port, _Port]
   platform: _Store
+  bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
 
 def load(path: str | pathlib.Path) -> node.NodeSettings:
   """Returns the settings in a file, or raises all findings together."""
-  try:
-    data = pathlib.Path(path).read_bytes()
-    found = _File.model_validate_json(data)
-  except OSError as error:
-    reason = error.strerror or str(error)
-    raise errors.FindingsError(
-      [errors.Finding(file=str(path), key='(file)', reason=reason)]
-    ) from None
-  except pydantic.ValidationError as error:
-    raise errors.FindingsError(
-      settings.get_findings(error, file=str(path))
-    ) from None
+  found = _decode(pathlib.Path(path))
   return node.NodeSettings(
     name=found.node_name,
     domain=found.zone,
@@ -74,3 +77,40 @@
     row_bytes=found.platform.row_bytes,
     grace=found.bounds.grace_s,
   )
+
+
+def _decode(path: pathlib.Path) -> _File:
+  try:
+    data = msgspec.json.decode(path.read_bytes(), type=dict[str, Any])
+  except OSError as error:
+    raise _fail(path, '(file)', error.strerror or str(error)) from None
+  except msgspec.MsgspecError as error:
+    raise _fail(path, '(syntax)', str(error)) from None
+  findings = list(_check(data, path))
+  if findings:
+    raise errors.FindingsError(findings)
+  return msgspec.convert(data, _File)
+
+
+def _check(
+  data: dict[str, Any], path: pathlib.Path
+) -> Iterator[errors.Finding]:
+  types = get_type_hints(_File, include_extras=True)
+  for field in msgspec.structs.fields(_File):
+    name = field.name
+    if name not in data:
+      if field.required:
+        yield errors.Finding(file=str(path), key=name, reason='is missing')
+      continue
+    try:
+      msgspec.convert(data[name], types[name])
+    except msgspec.ValidationError as error:
+      reason, _, place = str(error).partition(' - at ')
+      key = name + place.strip('`').removeprefix('$')
+      yield errors.Finding(file=str(path), key=key, reason=reason)
+
+
+def _fail(path: pathlib.Path, key: str, reason: str) -> errors.FindingsError:
+  return errors.FindingsError(
+    [errors.Finding(file=str(path), key=key, reason=reason)]
+  )
--- a/src/woadrun/process/logs.py
+++ b/src/woadrun/process/logs.py
@@ -5,8 +5,11 @@
 import json
 import logging
 import sys
+from typing import TYPE_CHECKING
 
-from woadrun import settings
+if TYPE_CHECKING:
+  # The library that checks settings stays out of daemons that do not use it.
+  from woadrun import settings
 
 TEXT_FORMAT = '%(asctime)s %(levelname)-7s %(name)s: %(message)s'
 
--- a/src/woadrun/process/programs.py
+++ b/src/woadrun/process/programs.py
@@ -120,12 +120,9 @@
     A turn that the store does not have counts once the standby has it.
     """
     entry = self.entry_by_program.get(done.program)
-    if done.turn is not None:
-      self.cache.put(done.turn)
-      if not done.is_saved:
-        self.unsaved[done.request] = done.turn
+    self.keep(done)
     if entry is None:
-      if done.turn is None or done.is_saved:
+      if done.turn is None or done.is_saved or done.is_away:
         return turn_messages.Closed()
       raise errors.WoadrunError(
         errors.Code.NOT_OWNER, 'This daemon does not know the program.'
@@ -141,6 +138,14 @@
       await self._copy(entry, turns)
     return turn_messages.Closed()
 
+  def keep(self, done: turn_messages.CloseTurn) -> None:
+    """Keeps a whole turn, and brings it to the store if that lacks it."""
+    if done.turn is None:
+      return
+    self.cache.put(done.turn)
+    if not done.is_saved:
+      self.unsaved[done.request] = done.turn
+
   async def _load(self, ask: turn_messages.OpenTurn, *, is_new: bool) -> Entry:
     entry = self.entry_by_program.get(ask.program)
     if entry is None:
--- /dev/null
+++ b/tests/nodes.py
@@ -0,0 +1,257 @@
+"""Daemons in one process, on one row store in memory, for tests."""
+
+import asyncio
+import contextlib
+import socket
+import time
+
+import aiohttp
+import msgspec
+
+from woadrun import errors
+from woadrun.connection import rows
+from woadrun.platform import discovery
+from woadrun.platform import operator
+from woadrun.process import node
+from woadrun.request import exchange
+from woadrun.standins import rows as standin
+
+CONFIG = {
+  'version': 1,
+  'routes': [
+    {
+      'name': 'chat',
+      'host': 'h',
+      'path_prefix': '/chat/',
+      'kind': 'stream',
+      'service': 'models',
+      'timeout_ms': 5000,
+      'max_attempts': 2,
+      'retain_history': True,
+      'retention_s': 60.0,
+    },
+    {
+      'name': 'act',
+      'host': 'h',
+      'path_prefix': '/act/',
+      'kind': 'non_idempotent',
+      'service': 'tools',
+      'max_attempts': 2,
+    },
+    {
+      'name': 'look',
+      'host': 'h',
+      'path_prefix': '/look/',
+      'kind': 'idempotent',
+      'service': 'tools',
+      'max_attempts': 2,
+    },
+  ],
+  'services': [{'name': 'models', 'engine': {'tokens_per_event': 3}}],
+}
+
+
+class View:
+  """One daemon's view of the store, which can be cut by itself."""
+
+  def __init__(self, shared):
+    self.shared = shared
+    self.is_cut = False
+
+  async def change(self, **options):
+    self._check()
+    return await self.shared.change(**options)
+
+  async def read(self, *parts, **options):
+    self._check()
+    return await self.shared.read(*parts, **options)
+
+  async def follow(self, *parts, **options):
+    self._check()
+    return await self.shared.follow(*parts, **options)
+
+  def _check(self):
+    if self.is_cut:
+      raise errors.WoadrunError(
+        errors.Code.PLATFORM_UNAVAILABLE, 'This VM is turned away.'
+      )
+
+
+class Engines:
+  """Instances that answer each turn with its number, and keep what came."""
+
+  def __init__(self):
+    self.sent = []
+    self.events = 2
+    self.faults = []
+
+  @contextlib.asynccontextmanager
+  async def send(self, sending):
+    self.sent.append(sending)
+    if self.faults:
+      fault = self.faults.pop(0)
+      if isinstance(fault, Exception):
+        raise fault
+      yield fault
+      return
+    yield exchange.Reply(
+      status=200,
+      headers=[],
+      has_run=True,
+      is_genuine=True,
+      chunks=self._stream(sending.request.id),
+    )
+
+  async def _stream(self, id):
+    for number in range(self.events):
+      await asyncio.sleep(0)
+      yield f'id: {number}\ndata: {id}-{number}\n\n'.encode()
+
+
+def make_reply(*, status=200, has_run=True, is_genuine=True):
+  async def stream():
+    yield b'body'
+
+  return exchange.Reply(
+    status=status,
+    headers=[],
+    has_run=has_run,
+    is_genuine=is_genuine,
+    chunks=stream(),
+  )
+
+
+def find_port():
+  with socket.socket() as probe:
+    probe.bind(('127.0.0.1', 0))
+    return probe.getsockname()[1]
+
+
+class Nodes:
+  """Daemons by name; `n1` and so on in `north`, `s1` in `south`."""
+
+  def __init__(self):
+    self.shared = standin.MemoryRows()
+    self.engines = Engines()
+    self.view_by_name = {}
+    self.by_name = {}
+    self._stack = contextlib.AsyncExitStack()
+
+  async def __aenter__(self):
+    await self.shared.change(
+      writes=[
+        (rows.Key('op', '', 'config'), msgspec.json.encode(CONFIG)),
+        *(
+          (rows.Key('servers', '', id), msgspec.json.encode(entry))
+          for id, entry in (
+            ('e1', _entry('models')),
+            ('e2', _entry('models')),
+            ('t1', _entry('tools')),
+            ('t2', _entry('tools')),
+          )
+        ),
+      ]
+    )
+    return self
+
+  async def __aexit__(self, *_):
+    await self._stack.aclose()
+
+  async def start(self, *names):
+    for name in names:
+      await self._start(name)
+    await self.wait_for_all()
+
+  async def _start(self, name):
+    session = await self._stack.enter_async_context(aiohttp.ClientSession())
+    view = self.view_by_name.setdefault(name, View(self.shared))
+    config = node.NodeSettings(
+      name=name,
+      domain='north' if name.startswith('n') else 'south',
+      callers_address='127.0.0.1:1',
+      ready_address='127.0.0.1:1',
+      peers_address=f'127.0.0.1:{find_port()}',
+      store_address='127.0.0.1:1',
+      row_bytes=2048,
+      grace=3.0,
+    )
+    started = node.Node(
+      config=config,
+      session=session,
+      binding=node.Binding(
+        store=view,
+        upstreams=self.engines,
+        table_key=rows.Key('op', '', 'config'),
+        instance_table='servers',
+        decode_table=operator.decode,
+        decode_instance=discovery.decode,
+        grace=0.5,
+      ),
+    )
+    self.by_name[name] = started
+    await started.start()
+    self._stack.push_async_callback(started.stop)
+
+  async def stop(self, name):
+    """Ends a daemon without a word to the others."""
+    await self.by_name.pop(name).stop()
+
+  async def wait_for_all(self):
+    await wait_until(
+      lambda: all(
+        item.is_ready()
+        and item.store.is_direct
+        and len(item.fleet.heard_by_name) == len(self.by_name) - 1
+        and item.catalogue.directory.find('models')
+        for item in self.by_name.values()
+      )
+    )
+
+  async def ask(self, name, request):
+    """Returns status and body of a request's answer at a daemon."""
+    service = self.by_name[name].serving
+    async with service.answer(request) as answer:
+      body = b''.join([chunk async for chunk in answer.chunks])
+      return answer.status, body
+
+  async def turn(
+    self, name, id, *, parent='', program='p', most=10, budget=1000
+  ):
+    return await self.ask(
+      name,
+      make_request(
+        id,
+        path='/chat/',
+        turn=exchange.TurnInfo(
+          program=program, parent=parent, most=most, budget=budget, prompt=9
+        ),
+      ),
+    )
+
+  def get_body(self, id):
+    """Returns what an engine received for a request."""
+    found = [item.body for item in self.engines.sent if item.request.id == id]
+    return found[-1] if found else None
+
+
+def make_request(id, *, path, turn=None, seconds=3.0):
+  return exchange.Request(
+    id=id,
+    method='POST',
+    host='h',
+    target=f'{path}x',
+    headers=[],
+    body=f'<{id}>'.encode(),
+    deadline=time.monotonic() + seconds,
+    turn=turn,
+  )
+
+
+async def wait_until(is_true, *, seconds=20.0):
+  async with asyncio.timeout(seconds):
+    while not is_true():
+      await asyncio.sleep(0.02)
+
+
+def _entry(service):
+  return {'service': service, 'address': '127.0.0.1:9', 'slots': 8}
--- /dev/null
+++ b/tests/test_attempts.py
@@ -0,0 +1,70 @@
+"""What is sent again, and what a refusal says."""
+
+import nodes
+import pytest
+
+from woadrun import errors
+from woadrun.request import exchange
+
+
+async def ask(fleet, path, *faults):
+  fleet.engines.faults.extend(faults)
+  return await fleet.ask('n1', nodes.make_request('r', path=path))
+
+
+@pytest.mark.parametrize(
+  'fault',
+  [
+    exchange.NotSent('refused'),
+    nodes.make_reply(status=503, has_run=False),
+    nodes.make_reply(status=421, has_run=False),
+  ],
+  ids=['not sent', 'full', 'another instance'],
+)
+async def test_what_did_not_run_is_sent_to_another_instance(fault):
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1')
+    assert (await ask(fleet, '/act/', fault))[0] == 200
+    first, second = (item.instance.id for item in fleet.engines.sent)
+    assert first != second
+
+
+@pytest.mark.parametrize(
+  'fault',
+  [exchange.Lost('reset'), nodes.make_reply(is_genuine=False)],
+  ids=['no answer', 'another answer'],
+)
+async def test_what_may_have_run_once_is_not_sent_again(fault):
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1')
+    with pytest.raises(errors.WoadrunError) as caught:
+      await ask(fleet, '/act/', fault)
+    assert len(fleet.engines.sent) == 1
+    assert caught.value.ran is errors.Ran.UNKNOWN
+    assert caught.value.status == 502
+
+
+async def test_what_may_be_repeated_is_sent_again_after_a_lost_answer():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1')
+    assert (await ask(fleet, '/look/', exchange.Lost('reset')))[0] == 200
+
+
+async def test_a_refusal_of_all_instances_is_a_promise_with_a_time():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1')
+    full = [nodes.make_reply(status=503, has_run=False) for _ in range(2)]
+    with pytest.raises(errors.WoadrunError) as caught:
+      await ask(fleet, '/act/', *full)
+    assert caught.value.status == 503
+    assert caught.value.ran is errors.Ran.NOT_RUN
+    assert caught.value.retry_after > 0
+    assert len(fleet.engines.sent) == 2
+
+
+async def test_a_path_without_a_route_is_not_found():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1')
+    with pytest.raises(errors.WoadrunError) as caught:
+      await ask(fleet, '/none/')
+    assert caught.value.status == 404
--- /dev/null
+++ b/tests/test_ingress.py
@@ -0,0 +1,167 @@
+"""What callers send and get, byte by byte."""
+
+import asyncio
+import contextlib
+
+from aiohttp import web
+import nodes
+import pytest
+
+from woadrun.platform import ingress
+from woadrun.platform import program
+from woadrun.platform import wire
+from woadrun.request import exchange
+from woadrun.version import instances
+
+
+@contextlib.asynccontextmanager
+async def serve(fleet):
+  await fleet.start('n1')
+  served = fleet.by_name['n1']
+  entry = ingress.Ingress(
+    service=served.serving,
+    is_ready=served.is_ready,
+    is_leaving=lambda: served.is_leaving,
+  )
+  runner = web.ServerRunner(program.make_server(entry))
+  await runner.setup()
+  port = nodes.find_port()
+  await web.TCPSite(runner, '127.0.0.1', port).start()
+  yield port
+  await runner.cleanup()
+
+
+async def talk(port, data):
+  """Returns all bytes that come back until the connection ends."""
+  reader, writer = await asyncio.open_connection('127.0.0.1', port)
+  writer.write(data)
+  async with asyncio.timeout(5):
+    found = await reader.read()
+  writer.close()
+  return found
+
+
+def make_head(*lines, path='/look/x', method='GET'):
+  head = [f'{method} {path} HTTP/1.1', 'Host: h', 'Request-Id: r']
+  return '\r\n'.join([*head, *lines, 'Connection: close', '', '']).encode()
+
+
+async def test_path_query_and_body_pass_byte_for_byte():
+  async with nodes.Nodes() as fleet, serve(fleet) as port:
+    path = '/look/%7e//../x%2F?a=%20+&b'
+    data = (
+      make_head('Content-Length: 4', path=path, method='PUT') + b'\0\xff\r\n'
+    )
+    assert (await talk(port, data)).startswith(b'HTTP/1.1 200 ')
+    sent = fleet.engines.sent[0].request
+    assert (sent.target, sent.body) == (path, b'\0\xff\r\n')
+
+
+async def test_headers_that_only_we_set_are_not_passed_on():
+  async with nodes.Nodes() as fleet, serve(fleet) as port:
+    data = make_head(
+      'Expect-Instance: x',
+      'Kv-From: 1.2.3.4:5/x',
+      'Pin-Ms: 100',
+      'Hold: h',
+      'Request-Priority: 0',
+      'Connection: X-Mine',
+      'X-Mine: 1',
+      'X-Other: 2',
+      'Deadline-Ms: 900',
+    )
+    await talk(port, data)
+    names = {name for name, _ in fleet.engines.sent[0].request.headers}
+    assert names == {'Host', 'Request-Id', 'X-Other'}
+    assert fleet.engines.sent[0].seconds <= 0.9
+
+
+@pytest.mark.parametrize(
+  'data',
+  [
+    b'GET /look/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\n'
+    b'Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
+    b'GET /look/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\n'
+    b'Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd',
+    b'GET /look/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\n'
+    b'Content-Length: +3\r\n\r\nabc',
+    b'GET /look/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\n'
+    b'Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n',
+    b'GET /look/x HTTP/1.1\r\nHost: h\r\nRequest-Id : r\r\n\r\n',
+    b'POST /act/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\n'
+    b'Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n',
+  ],
+  ids=['two framings', 'two lengths', 'sign', 'coding', 'space', 'chunk'],
+)
+async def test_what_is_framed_in_two_ways_reaches_no_instance(data):
+  async with nodes.Nodes() as fleet, serve(fleet) as port:
+    found = await talk(port, data)
+    assert not found.startswith(b'HTTP/1.1 200')
+    assert fleet.engines.sent == []
+
+
+async def test_a_body_that_breaks_off_reaches_no_instance():
+  async with nodes.Nodes() as fleet, serve(fleet) as port:
+    _, writer = await asyncio.open_connection('127.0.0.1', port)
+    head = make_head('Content-Length: 100', path='/act/x', method='POST')
+    writer.write(head + b'half')
+    await writer.drain()
+    writer.close()
+    await asyncio.sleep(0.1)
+    assert fleet.engines.sent == []
+
+
+async def test_a_torn_answer_does_not_look_complete():
+  async with nodes.Nodes() as fleet, serve(fleet) as port:
+
+    async def tear():
+      yield b'half'
+      raise exchange.Lost('reset')
+
+    reply = nodes.make_reply()
+    reply.chunks = tear()
+    fleet.engines.faults.append(reply)
+    found = await talk(port, make_head())
+    assert not found.endswith(b'0\r\n\r\n')
+
+
+async def test_a_caller_that_leaves_ends_the_work_at_the_instance():
+  async with nodes.Nodes() as fleet, serve(fleet) as port:
+    ended = asyncio.Event()
+
+    async def hang():
+      try:
+        yield b'begun'
+        await asyncio.sleep(30)
+      finally:
+        ended.set()
+
+    reply = nodes.make_reply()
+    reply.chunks = hang()
+    fleet.engines.faults.append(reply)
+    reader, writer = await asyncio.open_connection('127.0.0.1', port)
+    writer.write(make_head())
+    await reader.readuntil(b'begun')
+    writer.close()
+    async with asyncio.timeout(2):
+      await ended.wait()
+
+
+async def test_a_request_without_an_id_is_refused_with_the_place():
+  async with nodes.Nodes() as fleet, serve(fleet) as port:
+    data = b'GET /look/x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n'
+    assert (await talk(port, data)).startswith(b'HTTP/1.1 400 ')
+
+
+def test_an_instance_is_told_its_own_id_and_less_time_than_there_is():
+  request = nodes.make_request('r', path='/look/')
+  instance = instances.Instance(
+    id='i-1', service='s', address='127.0.0.1:1', domain='d'
+  )
+  sending = exchange.Sending(
+    request=request, instance=instance, body=b'', seconds=1.0, urgency=3
+  )
+  headers = dict(wire.encode_headers(sending))
+  assert headers['Expect-Instance'] == 'i-1'
+  assert 900 <= int(headers['Deadline-Ms']) < 1000
+  assert headers['Request-Priority'] == '3'
--- /dev/null
+++ b/tests/test_ledger.py
@@ -0,0 +1,78 @@
+"""Budgets under several writers: no tokens are lost, none counted twice."""
+
+import hypothesis
+from hypothesis import strategies as st
+
+from woadrun.version import ledger
+
+STEPS = st.lists(
+  st.tuples(
+    st.integers(0, 2),  # which owner
+    st.sampled_from(['reserve', 'settle', 'save']),
+    st.integers(0, 5),  # which turn
+    st.integers(0, 9),  # tokens
+  ),
+  max_size=60,
+)
+
+
+class Shared:
+  """The row as the store has it, changed under a condition."""
+
+  def __init__(self):
+    self.row = ledger.LedgerRow(home='north-1')
+    self.version = 0
+
+  def save(self, held):
+    row = held.make_row('')
+    if held.version == self.version:
+      self.version += 1
+      self.row = row
+      held.note_saved(row, self.version)
+      return True
+    held.rebase(self.row, self.version)
+    return False
+
+
+@hypothesis.settings(derandomize=True, max_examples=300, deadline=None)
+@hypothesis.given(STEPS)
+def test_owners_that_save_in_any_order_agree_with_one_that_does_all(steps):
+  shared = Shared()
+  owners = [ledger.Ledger(saved=shared.row, version=0) for _ in range(3)]
+  expected = {}
+  for number, (index, action, turn, tokens) in enumerate(steps):
+    held = owners[index]
+    # Each owner has turns of its own.
+    request = f'{index}/{turn}'
+    if action == 'reserve':
+      request = f'{request}/{number}'
+      held.reserve(request, tokens)
+      expected[request] = tokens
+    elif action == 'settle':
+      mine = [r for r in held.reserved if r.startswith(f'{index}/{turn}/')]
+      for request in mine:
+        held.settle(request, 1)
+        expected[request] = 1
+    else:
+      shared.save(held)
+  for held in owners:
+    while held.is_dirty and not shared.save(held):
+      pass
+  final = ledger.Ledger(saved=shared.row, version=shared.version)
+  assert final.spent == sum(expected.values())
+
+
+def test_a_turn_reserved_or_settled_twice_counts_once():
+  held = ledger.Ledger(saved=ledger.LedgerRow(home='a'), version=0)
+  held.reserve('r', 10)
+  held.reserve('r', 10)
+  assert held.spent == 10
+  held.settle('r', 4)
+  held.settle('r', 4)
+  assert held.spent == 4
+
+
+def test_a_row_of_another_writer_keeps_its_bound_for_other_domains():
+  held = ledger.Ledger(saved=ledger.LedgerRow(home='a'), version=0)
+  held.rebase(ledger.LedgerRow(home='b', settled=5, away_most=50), 3)
+  assert (held.home, held.away_most, held.spent) == ('b', 50, 5)
--- /dev/null
+++ b/tests/test_platform_settings.py
@@ -0,0 +1,72 @@
+"""The platform's settings file: all findings at once, with their place."""
+
+import json
+import subprocess
+import sys
+
+import pytest
+
+from woadrun import errors
+from woadrun.platform import settings
+
+GOOD = {
+  'node_name': 'front-1',
+  'role': 'daemon',
+  'ip': '10.1.0.38',
+  'zone': 'hall',
+  'listen_addrs': {'front': '10.1.0.38:8149', 'ready': '10.1.0.38:8141'},
+  'internal_port_range': [7380, 7395],
+  'bounds': {'grace_s': 8, 'drain_ms': 2000},
+  'platform': {'address': '10.200.1.7:8142', 'row_bytes': 65536},
+  'data_dir': None,
+}
+
+
+def load(tmp_path, data):
+  path = tmp_path / 'settings.json'
+  path.write_text(data if isinstance(data, str) else json.dumps(data))
+  return settings.load(path)
+
+
+def test_a_file_is_decoded_and_unknown_fields_are_ignored(tmp_path):
+  found = load(tmp_path, GOOD)
+  assert found.peers_address == '10.1.0.38:7380'
+  assert (found.domain, found.grace) == ('hall', 8.0)
+
+
+def test_all_findings_come_together_with_their_places(tmp_path):
+  bad = {
+    **GOOD,
+    'ip': 'localhost',
+    'platform': {'address': 'nowhere'},
+    'internal_port_range': [0, 7395],
+  }
+  del bad['zone']
+  with pytest.raises(errors.FindingsError) as caught:
+    load(tmp_path, bad)
+  keys = [finding.key for finding in caught.value.findings]
+  assert keys == ['ip', 'zone', 'internal_port_range[0]', 'platform.address']
+
+
+@pytest.mark.parametrize('text', ['{', '[]', ''])
+def test_what_is_no_table_is_a_finding(tmp_path, text):
+  with pytest.raises(errors.FindingsError) as caught:
+    load(tmp_path, text)
+  assert caught.value.findings[0].key == '(syntax)'
+
+
+def test_a_missing_file_is_a_finding(tmp_path):
+  with pytest.raises(errors.FindingsError) as caught:
+    settings.load(tmp_path / 'none.json')
+  assert caught.value.findings[0].key == '(file)'
+
+
+def test_the_daemon_does_not_load_what_only_other_commands_need():
+  code = (
+    'import sys, woadrun.platform.program; '
+    'print([m for m in ("pydantic", "cyclopts") if m in sys.modules])'
+  )
+  found = subprocess.run(
+    [sys.executable, '-c', code], capture_output=True, text=True, check=True
+  )
+  assert found.stdout.strip() == '[]'
--- /dev/null
+++ b/tests/test_turns.py
@@ -0,0 +1,207 @@
+"""Turns of programs: history, budget, and what outlasts which loss."""
+
+import asyncio
+
+import nodes
+import pytest
+
+from woadrun import errors
+from woadrun.request import exchange
+
+
+def owner_of(fleet, program, domain='north'):
+  """Returns the names of a program's owner and standby."""
+  some = next(iter(fleet.by_name.values()))
+  return [m.name for m in some.fleet.rank(program, domain)[:2]]
+
+
+async def test_a_turn_gets_its_line_and_nothing_else():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1', 'n2', 's1')
+    await fleet.turn('n1', 'a')
+    await fleet.turn('n2', 'b', parent='a')
+    await fleet.turn('n1', 'c', parent='a')
+    await fleet.turn('s1', 'd', parent='b')
+    assert fleet.get_body('c') == b'<a>a-0\na-1\n<c>'
+    assert fleet.get_body('d') == b'<a>a-0\na-1\n<b>b-0\nb-1\n<d>'
+
+
+async def test_another_program_continues_after_all_daemons_were_lost():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1', 'n2')
+    await fleet.turn('n1', 'a')
+    await fleet.turn('n1', 'b', parent='a')
+    await fleet.stop('n1')
+    await fleet.stop('n2')
+    await fleet.start('n3')
+    await fleet.turn('n3', 'c', parent='b', program='q')
+    assert fleet.get_body('c') == b'<a>a-0\na-1\n<b>b-0\nb-1\n<c>'
+
+
+async def test_a_turn_larger_than_a_row_is_kept_whole():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1')
+    fleet.engines.events = 500
+    _, body = await fleet.turn('n1', 'a', most=5000, budget=10**6)
+    await fleet.stop('n1')
+    await fleet.start('n2')
+    await fleet.turn('n2', 'b', parent='a', budget=10**6)
+    assert fleet.get_body('b').count(b'\n') == body.count(b'data:') == 500
+
+
+async def test_an_unknown_turn_is_refused_and_not_run():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1')
+    with pytest.raises(errors.WoadrunError) as caught:
+      await fleet.turn('n1', 'b', parent='nobody')
+    assert caught.value.status == 503
+    assert caught.value.ran is errors.Ran.NOT_RUN
+    assert fleet.engines.sent == []
+
+
+async def test_the_budget_holds_through_all_daemons_at_once():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1', 'n2', 's1')
+    names = ['n1', 'n2', 's1'] * 4
+    results = await asyncio.gather(
+      *(
+        fleet.turn(name, f'r{number}', most=10, budget=30)
+        for number, name in enumerate(names)
+      ),
+      return_exceptions=True,
+    )
+    # Each turn is given 6 tokens of the 10 set aside for it.
+    given = sum(6 for result in results if isinstance(result, tuple))
+    assert 0 < given <= 30
+    for result in results:
+      if isinstance(result, errors.WoadrunError):
+        assert result.ran is errors.Ran.NOT_RUN
+
+
+async def test_a_spent_budget_is_said_so_after_a_loss_of_all_daemons():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1')
+    for id in ('a', 'b'):
+      await fleet.turn('n1', id, most=10, budget=18)
+    await fleet.stop('n1')
+    await fleet.start('n2')
+    with pytest.raises(errors.WoadrunError) as caught:
+      await fleet.turn('n2', 'd', most=10, budget=18)
+    assert caught.value.status == 402
+
+
+async def test_programs_go_on_while_the_store_is_out_and_it_learns_of_it():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1', 'n2')
+    await fleet.turn('n1', 'a')
+    fleet.shared.is_out = True
+    await fleet.turn('n2', 'b', parent='a')
+    await fleet.turn('n1', 'c', parent='b')
+    await fleet.turn('n1', 'new', program='q')
+    fleet.shared.is_out = False
+    await nodes.wait_until(
+      lambda: not any(n.programs.unsaved for n in fleet.by_name.values())
+    )
+    await nodes.wait_until(
+      lambda: (
+        not any(
+          entry.needs_flush
+          for item in fleet.by_name.values()
+          for entry in item.programs.entry_by_program.values()
+        )
+      )
+    )
+    await fleet.stop('n1')
+    await fleet.stop('n2')
+    await fleet.start('n3')
+    await fleet.turn('n3', 'd', parent='c')
+    assert fleet.get_body('d').startswith(b'<a>a-0\na-1\n<b>')
+    spent = fleet.by_name['n3'].programs.entry_by_program['p'].ledger.spent
+    assert spent == 4 * 6
+
+
+async def test_the_standby_goes_on_when_the_owner_dies_in_an_outage():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1', 'n2', 'n3')
+    await fleet.turn('n1', 'a')
+    fleet.shared.is_out = True
+    await fleet.turn('n1', 'b', parent='a')
+    owner, standby = owner_of(fleet, 'p')
+    await fleet.stop(owner)
+    await fleet.turn(standby, 'c', parent='b')
+    assert fleet.get_body('c') == b'<a>a-0\na-1\n<b>b-0\nb-1\n<c>'
+
+
+async def test_half_of_the_budget_is_left_to_other_domains_in_an_outage():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1', 'n2')
+    await fleet.turn('n1', 'a', most=10, budget=86)
+    fleet.shared.is_out = True
+    done = 0
+    with pytest.raises(errors.WoadrunError) as caught:
+      for number in range(20):
+        await fleet.turn('n1', f'r{number}', most=10, budget=86)
+        done += 1
+    assert caught.value.status == 503
+    assert done * 6 <= (86 - 6) / 2
+
+
+async def test_a_daemon_that_the_store_turns_away_goes_through_a_peer():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1', 's1')
+    fleet.view_by_name['s1'].is_cut = True
+    await fleet.turn('s1', 'a', program='q')
+    await fleet.turn('s1', 'b', program='q', parent='a')
+    assert fleet.get_body('b') == b'<a>a-0\na-1\n<b>'
+    assert not fleet.by_name['s1'].programs.unsaved
+
+
+async def test_an_answer_of_the_store_that_is_lost_does_not_count_twice():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1')
+    await fleet.turn('n1', 'a', most=10, budget=100)
+    fleet.shared.loses_answers = True
+    await fleet.turn('n1', 'b', most=10, budget=100)
+    fleet.shared.loses_answers = False
+    await fleet.turn('n1', 'c', most=10, budget=100)
+    entry = fleet.by_name['n1'].programs.entry_by_program['p']
+    assert entry.ledger.spent == 18
+
+
+async def test_a_torn_stream_is_no_turn_and_costs_what_was_given():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1')
+
+    async def tear():
+      yield b'data: x\n\n'
+      raise exchange.Lost('reset')
+
+    reply = nodes.make_reply()
+    reply.chunks = tear()
+    fleet.engines.faults.append(reply)
+    with pytest.raises(exchange.Lost):
+      await fleet.turn('n1', 'a', most=10)
+    with pytest.raises(errors.WoadrunError):
+      await fleet.turn('n1', 'b', parent='a', most=10)
+    entry = fleet.by_name['n1'].programs.entry_by_program['p']
+    await nodes.wait_until(lambda: entry.ledger.spent == 3)
+
+
+async def test_a_domain_cut_off_delivers_what_runs_and_the_store_gets_it():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1', 's1')
+    await fleet.turn('n1', 'a')
+    south = fleet.by_name['s1']
+    task = asyncio.ensure_future(fleet.turn('s1', 'b', parent='a'))
+    await nodes.wait_until(lambda: fleet.get_body('b'))
+    # The cut: no word to the other domain, none to the store.
+    fleet.view_by_name['s1'].is_cut = True
+    south.store.is_direct = False
+    south.fleet.member_by_name.pop('n1')
+    south.fleet.heard_by_name.clear()
+    status, body = await task
+    assert (status, body.count(b'data:')) == (200, 2)
+    fleet.view_by_name['s1'].is_cut = False
+    await nodes.wait_until(lambda: not south.programs.unsaved)
+    await fleet.turn('n1', 'c', parent='b')
+    assert fleet.get_body('c') == b'<a>a-0\na-1\n<b>b-0\nb-1\n<c>'
