--- a/src/woadrun/process/node.py
+++ b/src/woadrun/process/node.py
@@ -43,9 +43,9 @@
 # A connection to an upstream that rested so long is not used again, in
 # seconds: one that the upstream is just closing loses a request.
 REUSE_SECONDS = 4.0
-# Until a call of the store counts as lost, in seconds: a slow store takes
-# half a second.
-STORE_SECONDS = 1.2
+# Until a call of the store counts as lost, in seconds.  A store that takes
+# longer than this is of less use to a turn than the standby's word.
+STORE_SECONDS = 0.8
 # The balancer asks every second and takes a daemon out after two misses.
 UNREADY_SECONDS = 2.5
 # Before the platform kills the process, in seconds.
@@ -251,6 +251,7 @@
     deadline = started + self.config.grace - KILL_MARGIN_SECONDS
     log.info('Leaving with %d requests running.', self.serving.active)
     self.fleet.send_beats()
+    await self.programs.hand_over()
     while time.monotonic() < deadline:
       is_out = time.monotonic() - started > UNREADY_SECONDS
       if is_out and not self.serving.active and not self.programs.unsaved:
--- a/src/woadrun/process/programs.py
+++ b/src/woadrun/process/programs.py
@@ -46,6 +46,9 @@
 # When a caller of a turn that is not found may come back, in seconds.
 RETRY_SECONDS = 0.3
 PARALLEL_FLUSHES = 16
+# A program without a call for so long is not handed over at a planned stop,
+# in seconds: its pauses are shorter.
+IN_USE_SECONDS = 15.0
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -216,7 +219,7 @@
     if len(turns) < len(found):
       raise errors.WoadrunError(
         errors.Code.UNKNOWN_PROGRAM,
-        'A turn of the history is not found.',
+        f'A turn of the history is not found: {" ".join(names)}.',
         retry_after=RETRY_SECONDS,
       )
     return turns
@@ -462,6 +465,7 @@
     elif copy.version >= entry.ledger.version and not entry.lock.locked():
       entry.ledger = held
       entry.used_at = time.monotonic()
+    self.entry_by_program[copy.program].needs_flush = held.is_dirty
     return turn_messages.Closed()
 
   # --- Behind ---------------------------------------------------------------
@@ -498,11 +502,9 @@
     log.info('%d turns brought to the store.', len(turns) - len(failures))
 
   async def _flush_ledgers(self) -> None:
-    me = self._members.me
     due = [e for e in self.entry_by_program.values() if e.needs_flush]
     for entry in due:
-      if self._members.rank(entry.program, me.domain)[0] != me:
-        entry.needs_flush = False
+      if not self._is_first(entry.program):
         continue
       try:
         async with entry.lock:
@@ -510,10 +512,39 @@
             await self._save(entry)
           else:
             entry.needs_flush = False
+        self._copy_behind(entry, ())
       except errors.WoadrunError as error:
         log.info('A budget is not stored yet: %s', error.message)
         return
 
+  def _is_first(self, program: str) -> bool:
+    me = self._members.me
+    ranked = self._members.rank(program, me.domain)
+    return not ranked or ranked[0] == me
+
+  # --- A planned stop -------------------------------------------------------
+
+  async def hand_over(self) -> None:
+    """Brings what is in use to those who look after it from now on.
+
+    The store has it as well, unless it is out; but the next outage may
+    come before a program's next call.
+    """
+    turns_by_program: dict[str, list[turn_messages.Turn]] = {}
+    for turn in self.cache.get_all():
+      turns_by_program.setdefault(turn.program, []).append(turn)
+    limit = time.monotonic() - IN_USE_SECONDS
+    entries = [e for e in self.entry_by_program.values() if e.used_at > limit]
+    slots = asyncio.Semaphore(PARALLEL_FLUSHES)
+
+    async def hand(entry: Entry) -> None:
+      async with slots:
+        turns = tuple(turns_by_program.get(entry.program, ()))
+        await self._try_copy(entry, turns)
+
+    await asyncio.gather(*(hand(entry) for entry in entries))
+    log.info('%d programs are handed over.', len(entries))
+
   @mode.Service.task
   async def _expire_often(self) -> None:
     while not self.should_stop:
@@ -523,7 +554,8 @@
       idle = [
         program
         for program, entry in self.entry_by_program.items()
-        if entry.used_at < limit and not entry.needs_flush
+        if entry.used_at < limit
+        and not (entry.needs_flush and self._is_first(program))
       ]
       for program in idle:
         del self.entry_by_program[program]
--- a/src/woadrun/process/store_access.py
+++ b/src/woadrun/process/store_access.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Sequence
@@ -27,6 +28,9 @@
 
 # Between looks whether the store serves this VM again, in seconds.
 PROBE_SECONDS = 0.3
+# Until a look counts as failed, in seconds: a store that answers more slowly
+# would hold up each turn for longer than a turn takes.
+PROBE_TIMEOUT_SECONDS = 0.6
 # Peers asked for one call.
 MOST_RELAYS = 2
 # How much longer a relayed call may take than the peer's own, in seconds.
@@ -48,6 +52,7 @@
     self._timeout = timeout
     self._fleet: fleet.Fleet | None = None
     self.is_direct = False
+    self._lost = asyncio.Event()
     self.reached_at = float('-inf')
 
   def use_fleet(self, members: fleet.Fleet) -> None:
@@ -137,10 +142,14 @@
     call: Callable[[], Awaitable[T]],
     relay: Callable[[fleet.Member], Awaitable[T]],
   ) -> T:
-    failure: errors.WoadrunError | None = None
-    if self.is_direct or not self._find_relays():
+    failure = errors.WoadrunError(
+      errors.Code.PLATFORM_UNAVAILABLE, 'No way to the store.', retry_after=1.0
+    )
+    # Without a way nothing is tried: a call that waits for its timeout would
+    # hold its caller up, and the probe finds out when the store is back.
+    if self.is_direct:
       try:
-        result = await call()
+        result = await self._call(call)
         self._note(None)
         return result
       except errors.WoadrunError as error:
@@ -153,9 +162,25 @@
         return result
       except errors.WoadrunError as error:
         failure = error
-    raise failure or errors.WoadrunError(
-      errors.Code.PLATFORM_UNAVAILABLE, 'No way to the store.', retry_after=1.0
-    )
+    raise failure
+
+  async def _call(self, call: Callable[[], Awaitable[T]]) -> T:
+    """Returns what a call gives, unless another one finds the store lost."""
+    task = asyncio.ensure_future(call())
+    loss = asyncio.ensure_future(self._lost.wait())
+    try:
+      await asyncio.wait({task, loss}, return_when=asyncio.FIRST_COMPLETED)
+      if task.done():
+        return task.result()
+      raise errors.WoadrunError(
+        errors.Code.PLATFORM_UNAVAILABLE,
+        'The store was lost while it was asked.',
+        ran=errors.Ran.UNKNOWN,
+        retry_after=1.0,
+      )
+    finally:
+      loss.cancel()
+      task.cancel()
 
   def _find_relays(self) -> list[fleet.Member]:
     return self._fleet.find_with_store() if self._fleet else []
@@ -176,22 +201,27 @@
       self.reached_at = time.monotonic()
       if not self.is_direct:
         log.info('The store serves this VM.')
+        self._lost = asyncio.Event()
       self.is_direct = True
     elif self.is_direct:
       log.warning('The store does not serve this VM: %s', error.message)
       self.is_direct = False
+      self._lost.set()
 
   @mode.Service.task
   async def _probe(self) -> None:
     while not self.should_stop:
+      if not self.is_direct:
+        await self._look()
       await self.sleep(PROBE_SECONDS)
-      if self.is_direct:
-        continue
-      try:
+
+  async def _look(self) -> None:
+    try:
+      async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
         await self.direct.read(fleet.TABLE, '', first='~')
-        self._note(None)
-      except errors.WoadrunError as error:
-        log.debug('Still without the store: %s', error.message)
+      self._note(None)
+    except (errors.WoadrunError, TimeoutError) as error:
+      log.debug('Still without the store: %s', error)
 
 
 # --- For peers that the store turns away -------------------------------------
--- a/src/woadrun/process/turn_store.py
+++ b/src/woadrun/process/turn_store.py
@@ -78,6 +78,10 @@
     """Returns a turn that is kept."""
     return self._turn_by_request.get(request)
 
+  def get_all(self) -> list[turn_messages.Turn]:
+    """Returns all turns that are kept."""
+    return list(self._turn_by_request.values())
+
   def put(self, turn: turn_messages.Turn) -> None:
     """Keeps a turn."""
     self._turn_by_request[turn.request] = turn
--- a/src/woadrun/request/turn_leave.py
+++ b/src/woadrun/request/turn_leave.py
@@ -71,7 +71,12 @@
       budget=turn.budget,
     )
     mine = self._members.me.domain
-    opened = await self._open_in(mine, ask)
+    try:
+      opened = await self._open_in(mine, ask)
+    except errors.WoadrunError as error:
+      if error.code not in UNSURE:
+        raise
+      return await self._open_anywhere(ask, error)
     if not opened.home:
       return opened
     try:
@@ -87,7 +92,12 @@
         ask.program,
         error.message,
       )
-    return await self._open_in(mine, msgspec.structs.replace(ask, is_away=True))
+    try:
+      return await self._open_in(
+        mine, msgspec.structs.replace(ask, is_away=True)
+      )
+    except errors.WoadrunError as error:
+      raise self._refuse(error) from error
 
   async def _open_in(
     self, domain: str, ask: turn_messages.OpenTurn
@@ -103,10 +113,31 @@
         # That a turn is not found says more than that nobody knows.
         if failure is None or failure.code is not errors.Code.UNKNOWN_PROGRAM:
           failure = error
-    is_own = domain == self._members.me.domain
-    if is_own and asked and not ask.parent and _may_be_new(failure):
-      return await self._open_at(asked[0], ask, is_new=True)
-    raise self._refuse(domain, failure)
+    raise failure or errors.WoadrunError(
+      errors.Code.OWNER_UNAVAILABLE, f'No member of {domain} is alive.'
+    )
+
+  async def _open_anywhere(
+    self, ask: turn_messages.OpenTurn, failure: errors.WoadrunError
+  ) -> turn_messages.OpenedTurn:
+    # Without the store only the home domain itself knows what is its own.
+    mine = self._members.me.domain
+    domains = {m.domain for m in self._members.member_by_name.values()}
+    others = sorted(domains - {mine})
+    results = await asyncio.gather(
+      *(self._open_in(domain, ask) for domain in others),
+      return_exceptions=True,
+    )
+    for domain, result in zip(others, results, strict=True):
+      if isinstance(result, turn_messages.OpenedTurn) and not result.home:
+        return msgspec.structs.replace(result, home=domain)
+    for result in results:
+      if isinstance(result, errors.WoadrunError) and result.code not in UNSURE:
+        raise result
+    owners = self._members.rank(ask.program, mine)
+    if owners and not ask.parent and failure.code is errors.Code.NOT_OWNER:
+      return await self._open_at(owners[0], ask, is_new=True)
+    raise self._refuse(failure)
 
   async def _open_at(
     self,
@@ -120,20 +151,14 @@
     path = 'program/open-new' if is_new else 'program/open'
     return await self._post(member, path, ask, turn_messages.OpenedTurn)
 
-  def _refuse(
-    self, domain: str, failure: errors.WoadrunError | None
-  ) -> errors.WoadrunError:
-    # What was asked for is not sent to an upstream: it has not run.
-    if failure is not None and failure.code is errors.Code.UNKNOWN_PROGRAM:
-      # Another domain, or a member that is silent, may still have the turn.
-      code = errors.Code.OWNER_UNAVAILABLE
-      return errors.WoadrunError(
-        code, failure.message, retry_after=RETRY_SECONDS
-      )
-    reason = failure.message if failure else 'No member is alive.'
+  def _refuse(self, failure: errors.WoadrunError) -> errors.WoadrunError:
+    if failure.code not in UNSURE:
+      return failure
+    # Nothing was sent to an upstream: it has not run.  That a turn is not
+    # found is not certain either: a member that is silent may have it.
     return errors.WoadrunError(
       errors.Code.OWNER_UNAVAILABLE,
-      f'Nobody in {domain} can tell: {reason}',
+      f'No member can tell: {failure.message}',
       retry_after=RETRY_SECONDS,
     )
 
@@ -160,7 +185,27 @@
         raise failure
       log.info('End of turn %s: %s', done.request, failure.message)
     if stored is not None:
-      await self._close_in(home, msgspec.structs.replace(done, is_saved=False))
+      await self._close_without_store(done, home)
+
+  async def _close_without_store(
+    self, done: turn_messages.CloseTurn, home: str
+  ) -> None:
+    unsaved = msgspec.structs.replace(done, is_saved=False)
+    try:
+      await self._close_in(home, unsaved)
+    except errors.WoadrunError as error:
+      # This domain is cut off from store and home.  The turn is kept by its
+      # own owner here and by this daemon, until the store is back.
+      log.warning(
+        'Turn %s of %s is kept away from its home %s: %s',
+        done.request,
+        done.program,
+        home,
+        error.message,
+      )
+      self._local.keep(unsaved)
+      mine = self._members.me.domain
+      await self._close_in(mine, msgspec.structs.replace(unsaved, is_away=True))
 
   async def _close_in(self, domain: str, done: turn_messages.CloseTurn) -> None:
     failure: errors.WoadrunError | None = None
@@ -201,7 +246,3 @@
       raise
     finally:
       task.cancel()
-
-
-def _may_be_new(failure: errors.WoadrunError | None) -> bool:
-  return failure is not None and failure.code is errors.Code.NOT_OWNER
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -205,3 +205,59 @@
     await nodes.wait_until(lambda: not south.programs.unsaved)
     await fleet.turn('n1', 'c', parent='b')
     assert fleet.get_body('c') == b'<a>a-0\na-1\n<b>b-0\nb-1\n<c>'
+
+
+async def test_a_store_that_is_silent_holds_up_the_first_turn_only():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1', 'n2')
+    await fleet.turn('n1', 'a')
+    asked = []
+
+    async def hang(*_, **__):
+      asked.append(1)
+      await asyncio.sleep(0.3)
+      raise errors.WoadrunError(
+        errors.Code.PLATFORM_UNAVAILABLE, 'no answer in time'
+      )
+
+    for view in fleet.view_by_name.values():
+      view.change = view.read = view.follow = hang
+    await fleet.turn('n1', 'b', parent='a')
+    await nodes.wait_until(
+      lambda: not any(n.store.is_direct for n in fleet.by_name.values())
+    )
+    for item in fleet.by_name.values():
+      item.store.direct = None
+    await fleet.turn('n1', 'c', parent='b')
+    assert fleet.get_body('c').endswith(b'<c>')
+
+
+async def test_other_domains_find_the_home_while_the_store_is_out():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1', 'n2', 's1')
+    await fleet.turn('n1', 'a')
+    fleet.shared.is_out = True
+    await fleet.turn('s1', 'b', parent='a')
+    assert fleet.get_body('b') == b'<a>a-0\na-1\n<b>'
+    # Its budget is counted in one place.
+    counts = [
+      item.programs.entry_by_program['p'].ledger.spent
+      for item in fleet.by_name.values()
+      if 'p' in item.programs.entry_by_program
+    ]
+    assert max(counts) == 12
+
+
+async def test_a_planned_stop_hands_programs_over_for_the_next_outage():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1', 'n2')
+    for id, parent in (('a', ''), ('b', 'a')):
+      await fleet.turn('n1', id, parent=parent)
+    # A daemon that is new knows nothing of the program.
+    await fleet.start('n3')
+    await asyncio.gather(*(fleet.by_name[n].leave() for n in ('n1', 'n2')))
+    fleet.shared.is_out = True
+    await fleet.stop('n1')
+    await fleet.stop('n2')
+    await fleet.turn('n3', 'c', parent='b')
+    assert fleet.get_body('c') == b'<a>a-0\na-1\n<b>b-0\nb-1\n<c>'
