--- a/src/woadrun/process/fleet.py
+++ b/src/woadrun/process/fleet.py
@@ -120,6 +120,12 @@
     heard = self.heard_by_name.get(name)
     return heard is None or now - heard.at < SUSPECT_SECONDS
 
+  def is_silent(self, domain: str) -> bool:
+    """Returns whether all known members of another domain are silent."""
+    names = [m.name for m in self.member_by_name.values() if m.domain == domain]
+    heard = [name for name in names if name in self.heard_by_name]
+    return bool(heard) and not any(self.is_alive(name) for name in names)
+
   def note_failure(self, name: str) -> None:
     """Leaves a member aside for a while: a message to it failed."""
     self._failed_until[name] = time.monotonic() + FAILED_SECONDS
--- a/src/woadrun/process/loads.py
+++ b/src/woadrun/process/loads.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterator
 import contextlib
@@ -52,8 +53,14 @@
 class Loads:
   """The load of all instances."""
 
-  def __init__(self, *, domain: str) -> None:
+  def __init__(
+    self,
+    *,
+    domain: str,
+    is_silent: Callable[[str], bool] = lambda domain: False,
+  ) -> None:
     self._domain = domain
+    self._is_silent = is_silent
     self._load_by_id: dict[str, Load] = {}
     self._counts_by_peer: dict[str, tuple[float, dict[str, int]]] = {}
 
@@ -108,7 +115,14 @@
     """Returns the instance with the shortest expected time, if any."""
     by_id = {item.id: item for item in found if item.id not in tried}
     now = time.monotonic()
-    fresh = [id for id in by_id if self._get(id).passed_over_until <= now]
+    # A request to a domain that is cut off waits for its deadline: what was
+    # sent may have run there and is not sent again.
+    silent = {d for d in self._get_domains(by_id) if self._is_silent(d)}
+    fresh = [
+      id
+      for id, item in by_id.items()
+      if self._get(id).passed_over_until <= now and item.domain not in silent
+    ]
     counts = self._sum_counts(now)
     candidates = [
       self._make_candidate(
@@ -140,6 +154,9 @@
   def _get(self, id: str) -> Load:
     return self._load_by_id.get(id) or Load()
 
+  def _get_domains(self, by_id: dict[str, instances.Instance]) -> set[str]:
+    return {item.domain for item in by_id.values()}
+
   def _sum_counts(self, now: float) -> dict[str, int]:
     total: dict[str, int] = {}
     for at, counts in self._counts_by_peer.values():
--- a/src/woadrun/process/node.py
+++ b/src/woadrun/process/node.py
@@ -117,7 +117,10 @@
       decode_instance=binding.decode_instance,
       grace=binding.grace,
     )
-    self.loads = loads.Loads(domain=config.domain)
+    self.loads = loads.Loads(
+      domain=config.domain,
+      is_silent=lambda domain: self.fleet.is_silent(domain),
+    )
     me = fleet.Member(
       name=config.name, address=config.peers_address, domain=config.domain
     )
--- a/tests/test_loads.py
+++ b/tests/test_loads.py
@@ -59,3 +59,13 @@
   free = load.estimate_return(found)
   load.take_beat(make_beat({'a': 40}))
   assert load.estimate_return(found) > free
+
+
+def test_instances_of_a_domain_that_is_cut_off_are_passed_over():
+  load = loads.Loads(
+    domain='north-1', is_silent=lambda domain: domain == 'north-2'
+  )
+  found = [make_instance('near'), make_instance('far', domain='north-2')]
+  load.take_beat(make_beat({'near': 60}))
+  assert load.choose(found, tried=(), prompt=4000).id == 'near'
+  assert load.choose(found[1:], tried=(), prompt=4000).id == 'far'
