A reservation that lost against another daemon is checked again

Ruled out: the halves of an outage (the domain that spent reached the store). The test fails before and passes now.

--- a/src/woadrun/process/programs.py
+++ b/src/woadrun/process/programs.py
@@ -238,7 +238,9 @@
       except errors.WoadrunError as error:
         await self._reserve_without_store(entry, ask, budget, error)
         return
-    entry.ledger.reserved.pop(ask.request, None)
+      # Another daemon changed the row: what fitted before may not fit now.
+      if ask.request not in entry.ledger.saved.reserved:
+        entry.ledger.reserved.pop(ask.request, None)
     raise errors.WoadrunError(
       errors.Code.NOT_COMMITTED,
       'Too many daemons write to the program.',
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import msgspec
 import nodes
 import pytest
 
@@ -261,3 +262,21 @@
     await fleet.stop('n2')
     await fleet.turn('n3', 'c', parent='b')
     assert fleet.get_body('c') == b'<a>a-0\na-1\n<b>b-0\nb-1\n<c>'
+
+
+async def test_a_row_that_another_daemon_wrote_is_checked_before_it_is_used():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1')
+    await fleet.turn('n1', 'a', most=10, budget=100)
+    key, row = next(
+      (key, row)
+      for key, row in fleet.shared.row_by_key.items()
+      if key.table == 'programs'
+    )
+    stored = msgspec.json.decode(row.value)
+    spent = msgspec.json.encode({**stored, 'settled': 95, 'reserved': {}})
+    await fleet.shared.change(writes=[(key, spent)])
+    with pytest.raises(errors.WoadrunError) as caught:
+      await fleet.turn('n1', 'b', most=10, budget=100)
+    assert caught.value.status == 402
+    assert fleet.get_body('b') is None
