Planned stops answer what comes late; a removal after an outage is believed in time

The listener now closes first and waits for what runs.

Also: logs of a bounded rate that never block, counters and latencies in Prometheus' format at a port of the deploy file, and a sweeper that removes turns and programs whose time is over. A feed whose history is always gone no longer spins: found by a test that hung.

--- a/src/woadrun/platform/ingress.py
+++ b/src/woadrun/platform/ingress.py
@@ -30,8 +30,10 @@
     service: serving.Serving,
     is_ready: Callable[[], bool],
     is_leaving: Callable[[], bool],
+    read_metrics: Callable[[], bytes],
   ) -> None:
     self._service = service
+    self._read_metrics = read_metrics
     self._is_ready = is_ready
     self._is_leaving = is_leaving
 
@@ -39,6 +41,10 @@
     """Returns 200 while new connections are welcome, else 503."""
     return web.Response(status=200 if self._is_ready() else 503)
 
+  async def answer_metrics(self, _: web.BaseRequest) -> web.StreamResponse:
+    """Returns the daemon's figures as text."""
+    return web.Response(body=self._read_metrics(), content_type='text/plain')
+
   async def answer(self, http: web.BaseRequest) -> web.StreamResponse:
     """Returns the answer to a caller's request, written as it comes."""
     id = http.headers.get(wire.REQUEST_ID, '')
--- a/src/woadrun/platform/program.py
+++ b/src/woadrun/platform/program.py
@@ -17,13 +17,15 @@
 from woadrun.platform import settings
 from woadrun.platform import store
 from woadrun.platform import upstream
-from woadrun.process import logs
+from woadrun.process import event_log
 from woadrun.process import node
 
 # The largest request head and body that are read, in bytes; the operator's
 # limits are below.
 HEAD_BYTES = 65_536
 BODY_BYTES = 16 * 1024 * 1024
+# Where the daemon tells its figures; the deploy file names the same port.
+METRICS_PORT = 9102
 # A connection of a caller may rest so long, in seconds: longer than callers
 # let theirs rest, so that none is closed as a request comes.
 KEEP_ALIVE_SECONDS = 60.0
@@ -32,7 +34,7 @@
 async def run() -> None:
   """Serves until SIGTERM, then finishes what runs."""
   config = settings.load(os.environ[settings.PATH_VARIABLE])
-  logs.configure_events(name=config.name)
+  event_log.configure()
   connector = aiohttp.TCPConnector(
     limit=node.MOST_CONNECTIONS, keepalive_timeout=node.REUSE_SECONDS
   )
@@ -52,6 +54,7 @@
   )
   entry = ingress.Ingress(
     service=service.serving,
+    read_metrics=service.counters.encode,
     is_ready=service.is_ready,
     is_leaving=lambda: service.is_leaving,
   )
@@ -63,8 +66,10 @@
   runners = await _listen(config, entry)
   await stopped.wait()
   await service.leave()
+  # Closes connections that rest, and waits for the requests that run.
   for runner in runners:
     await runner.cleanup()
+  await service.finish()
   await service.stop()
 
 
@@ -90,22 +95,32 @@
 async def _listen(
   config: node.NodeSettings, entry: ingress.Ingress
 ) -> list[web.ServerRunner]:
-  callers = web.ServerRunner(make_server(entry), shutdown_timeout=0.2)
+  callers = make_callers_runner(entry, finish=node.get_finish_seconds(config))
   ready = web.ServerRunner(
     web.Server(entry.answer_ready, access_log=None), shutdown_timeout=0.2
   )
+  metrics = web.ServerRunner(
+    web.Server(entry.answer_metrics, access_log=None), shutdown_timeout=0.2
+  )
+  host, _, _ = config.peers_address.rpartition(':')
   for runner, address in (
     (callers, config.callers_address),
     (ready, config.ready_address),
+    (metrics, f'{host}:{METRICS_PORT}'),
   ):
     await runner.setup()
     await node.listen(runner, address)
-  return [callers, ready]
+  return [callers, ready, metrics]
+
 
+def make_callers_runner(
+  entry: ingress.Ingress, *, finish: float
+) -> web.ServerRunner:
+  """Returns the listener of callers.
 
-def make_server(entry: ingress.Ingress) -> web.Server:
-  """Returns the server of callers."""
-  return web.Server(
+  At its cleanup, what runs has `finish` seconds to end.
+  """
+  server = web.Server(
     entry.answer,
     access_log=None,
     request_factory=_make_request,
@@ -114,6 +129,7 @@
     max_line_size=HEAD_BYTES,
     max_field_size=HEAD_BYTES,
   )
+  return web.ServerRunner(server, shutdown_timeout=finish)
 
 
 def _make_request(*parts: Any) -> web.BaseRequest:
--- a/src/woadrun/process/feed.py
+++ b/src/woadrun/process/feed.py
@@ -16,6 +16,7 @@
 # How long the store may hold an answer back while nothing changes, in
 # seconds.  A connection that went silent is found out that much later.
 WAIT_SECONDS = 2.0
+FIRST_WAIT_SECONDS = 0.05
 # Between tries while the store is out, in seconds.
 RETRY_SECONDS = 0.2
 
@@ -63,33 +64,38 @@
   async def _follow(self) -> None:
     needs_list = True
     while not self.should_stop:
+      began = time.monotonic()
       try:
         if needs_list:
           await self.read()
           needs_list = False
         else:
           await self._follow_once()
-        self._note_contact()
+        self._note_contact(began)
       except rows.HistoryGone:
         log.info('History of %s is gone: reading it whole.', self.table)
         needs_list = True
+        await self.sleep(RETRY_SECONDS)
       except errors.WoadrunError as error:
         self._note_loss(error)
         await self.sleep(RETRY_SECONDS)
 
   async def _follow_once(self) -> None:
     known = self.version or 0
-    page = await self._store.follow(self.table, after=known, wait=WAIT_SECONDS)
+    # After a loss the first answer should not wait for a change: it tells
+    # from when on a removed row is no lapse any more.
+    wait = FIRST_WAIT_SECONDS if self.is_lost else WAIT_SECONDS
+    page = await self._store.follow(self.table, after=known, wait=wait)
     for row in page.rows:
       if row.version > known:
         self._on_row(row)
     self.version = max(known, page.version)
 
-  def _note_contact(self) -> None:
+  def _note_contact(self, began: float) -> None:
     if self.is_lost:
       log.info('Following %s at version %s.', self.table, self.version)
       self.is_lost = False
-      self.regained_at = time.monotonic()
+      self.regained_at = began
 
   def _note_loss(self, error: errors.WoadrunError) -> None:
     if not self.is_lost:
--- a/src/woadrun/process/fleet.py
+++ b/src/woadrun/process/fleet.py
@@ -145,6 +145,11 @@
     ]
     return sorted(alive, key=lambda m: _weigh(m.name, key), reverse=True)
 
+  def is_first_of_all(self, key: str) -> bool:
+    """Returns whether this daemon has the first claim in all domains."""
+    alive = [name for name in self.member_by_name if self.is_alive(name)]
+    return max(alive, key=lambda name: _weigh(name, key)) == self.me.name
+
   def find_with_store(self) -> list[Member]:
     """Returns live peers that reach the store, those of our domain first."""
     found = [
--- a/src/woadrun/process/logs.py
+++ b/src/woadrun/process/logs.py
@@ -44,13 +44,3 @@
   # Services of `mode` log each start and stop under their module's name.
   for package in ('woadrun.process', 'woadrun.request'):
     logging.getLogger(package).setLevel(logging.WARNING)
-
-
-def configure_events(*, name: str) -> None:
-  """Sets up one JSON line for each event on the standard output stream."""
-  handler = logging.StreamHandler(sys.stdout)
-  handler.setFormatter(JsonFormatter())
-  root = logging.getLogger()
-  root.handlers[:] = [handler]
-  root.setLevel(logging.WARNING)
-  logging.getLogger('woadrun').setLevel(logging.INFO)
--- a/src/woadrun/process/node.py
+++ b/src/woadrun/process/node.py
@@ -24,10 +24,12 @@
 from woadrun.connection import rows
 from woadrun.connection import turn_messages
 from woadrun.process import catalogue
+from woadrun.process import counters
 from woadrun.process import fleet
 from woadrun.process import loads
 from woadrun.process import programs
 from woadrun.process import store_access
+from woadrun.process import sweeper
 from woadrun.process import turn_store
 from woadrun.request import attempts
 from woadrun.request import exchange
@@ -49,7 +51,9 @@
 # The balancer asks every second and takes a daemon out after two misses.
 UNREADY_SECONDS = 2.5
 # Before the platform kills the process, in seconds.
-KILL_MARGIN_SECONDS = 0.6
+KILL_MARGIN_SECONDS = 0.3
+# For what the store lacks at the end of a planned stop, in seconds.
+FLUSH_SECONDS = 0.5
 POLL_SECONDS = 0.05
 PEER_SECONDS = 1.0
 # Largest message between daemons, in bytes: a long history.
@@ -104,6 +108,7 @@
     super().__init__()
     self.config = config
     self.is_leaving = False
+    self.counters = counters.Counters()
     self.links = peers.Peers(session=session, key='')
     self.store = store_access.StoreAccess(
       direct=binding.store, links=self.links, timeout=STORE_SECONDS
@@ -148,14 +153,23 @@
         turns=turns,
       ),
       domain=config.domain,
+      counts=self.counters,
     )
+    self.sweeper = sweeper.Sweeper(store=self.store, members=self.fleet)
+    self.counters.add_gauges(self._read_gauges)
     self._table_source: fleet.Member | None = None
     self._runner: web.AppRunner | None = None
 
   async def on_start(self) -> None:
     """Listens to peers and begins to follow the platform."""
     await self._listen()
-    for part in (self.store, self.fleet, self.catalogue, self.programs):
+    for part in (
+      self.store,
+      self.fleet,
+      self.catalogue,
+      self.programs,
+      self.sweeper,
+    ):
       await self.add_runtime_dependency(part)
     log.info('Started %s in %s.', self.config.name, self.config.domain)
 
@@ -168,6 +182,20 @@
     """Returns whether new callers are welcome."""
     return self.catalogue.table is not None and not self.is_leaving
 
+  def _read_gauges(self) -> dict[str, float]:
+    return {
+      'requests_running': self.serving.active,
+      'programs_known': len(self.programs.entry_by_program),
+      'turns_kept': len(self.programs.cache),
+      'turns_unsaved': len(self.programs.unsaved),
+      'members_known': len(self.fleet.member_by_name),
+      'instances_known': len(self.catalogue.directory.by_id),
+      'table_version': self.catalogue.version,
+      'store_is_direct': self.store.is_direct,
+      'peer_messages': self.links.messages,
+      'rows_swept': self.sweeper.removed,
+    }
+
   # --- Datagrams between daemons --------------------------------------------
 
   def _make_beat(self) -> fleet.Beat:
@@ -248,24 +276,31 @@
   # --- Stopping -------------------------------------------------------------
 
   async def leave(self) -> None:
-    """Returns once all requests are finished, or no time is left."""
+    """Returns once no new callers come: listeners may close then."""
     self.is_leaving = True
     started = time.monotonic()
-    deadline = started + self.config.grace - KILL_MARGIN_SECONDS
     log.info('Leaving with %d requests running.', self.serving.active)
     self.fleet.send_beats()
     await self.programs.hand_over()
-    while time.monotonic() < deadline:
-      is_out = time.monotonic() - started > UNREADY_SECONDS
-      if is_out and not self.serving.active and not self.programs.unsaved:
-        break
-      await asyncio.sleep(POLL_SECONDS)
-    await self.programs.flush()
     try:
       await self.fleet.unregister()
     except errors.WoadrunError as error:
       log.warning('Still registered: %s', error.message)
-    log.info('Left with %d requests running.', self.serving.active)
+    rest = started + UNREADY_SECONDS - time.monotonic()
+    await asyncio.sleep(max(0.0, rest))
+
+  async def finish(self) -> None:
+    """Brings to the store what it lacks, after the last request."""
+    deadline = time.monotonic() + FLUSH_SECONDS
+    while not await self.programs.flush() and time.monotonic() < deadline:
+      await asyncio.sleep(POLL_SECONDS)
+    log.info('Left with %d turns unsaved.', len(self.programs.unsaved))
+
+
+def get_finish_seconds(config: NodeSettings) -> float:
+  """Returns how long running requests may take at a planned stop."""
+  used = UNREADY_SECONDS + FLUSH_SECONDS + KILL_MARGIN_SECONDS
+  return max(0.0, config.grace - used)
 
 
 async def listen(runner: web.BaseRunner, address: str) -> None:
--- a/src/woadrun/process/programs.py
+++ b/src/woadrun/process/programs.py
@@ -300,7 +300,7 @@
     """Returns whether the row is written; else it was changed meanwhile."""
     held = entry.ledger
     write = secrets.token_hex(4)
-    row = held.make_row(write)
+    row = held.make_row(write, now=time.time())
     key = _get_key(entry.program)
     entry.attempts.add(write)
     outcome = await self._store.change(
--- a/src/woadrun/process/turn_store.py
+++ b/src/woadrun/process/turn_store.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable
 import hashlib
 import logging
+import struct
 import time
 
 import msgspec
@@ -20,15 +21,26 @@
 log = logging.getLogger('woadrun.turns')
 
 TABLE = 'turns'
+# Parts of a table, which spread the writes; their names have two digits.
+PARTS = 256
 # Reads of one history under way at a time.
 PARALLEL_READS = 8
+# The first piece of a row begins so: when the turn's time is over, in
+# seconds of the time of day, so that nobody has to decode the rest.
+_HEAD = struct.Struct('>d')
 
 
 def get_part(name: str) -> str:
-  """Returns the part of a row: 256 parts spread the writes."""
+  """Returns the part of a row."""
   return hashlib.blake2b(name.encode(), digest_size=1).hexdigest()
 
 
+def is_over(piece: bytes, *, now: float) -> bool:
+  """Returns whether the turn that begins so may be forgotten."""
+  (until,) = _HEAD.unpack_from(piece)
+  return bool(until < now)
+
+
 class TurnStore:
   """Turns by request id, in the row store.
 
@@ -41,7 +53,8 @@
 
   async def write(self, turn: turn_messages.Turn) -> None:
     """Stores a turn; a second time changes nothing."""
-    data = msgspec.msgpack.encode(turn)
+    head = _HEAD.pack(turn.ended_at + turn.retention)
+    data = head + msgspec.msgpack.encode(turn)
     part = get_part(turn.request)
     size = self._row_bytes
     pieces = [data[at : at + size] for at in range(0, len(data), size)]
@@ -61,7 +74,7 @@
       return None
     found = sorted(page.rows, key=lambda row: _get_number(row.key.name))
     data = b''.join(row.value for row in found)
-    return msgspec.msgpack.decode(data, type=turn_messages.Turn)
+    return msgspec.msgpack.decode(data[_HEAD.size :], type=turn_messages.Turn)
 
 
 class TurnCache:
--- a/src/woadrun/request/serving.py
+++ b/src/woadrun/request/serving.py
@@ -14,6 +14,7 @@
 from woadrun import errors
 from woadrun.connection import turn_messages
 from woadrun.process import catalogue
+from woadrun.process import counters
 from woadrun.request import attempts
 from woadrun.request import events
 from woadrun.request import exchange
@@ -39,7 +40,9 @@
     send: attempts.Attempts,
     leave: turn_leave.TurnLeave,
     domain: str,
+    counts: counters.Counters,
   ) -> None:
+    self._counts = counts
     self._known = known
     self._send = send
     self._leave = leave
@@ -56,8 +59,11 @@
     Raises the error that stands for the answer where there is none.
     """
     self.active += 1
+    started = time.monotonic()
+    kind, outcome = 'unknown', 'broken_off'
     try:
       route = self._match(request)
+      kind = route.kind.value
       deadline = _get_deadline(request, route)
       if route.keeps_history and request.turn is not None:
         context = self._answer_turn(request, route, request.turn, deadline)
@@ -65,8 +71,13 @@
         context = self._answer_plain(request, route, deadline)
       async with context as answer:
         yield answer
+        outcome = f'{answer.status // 100}xx'
+    except errors.WoadrunError as error:
+      outcome = error.code.value
+      raise
     finally:
       self.active -= 1
+      self._counts.note_answer(kind, outcome, started)
 
   def get_route(self, request: exchange.Request) -> routes.Route | None:
     """Returns the route of a request, if the table in force has one."""
--- a/src/woadrun/standins/rows.py
+++ b/src/woadrun/standins/rows.py
@@ -90,6 +90,19 @@
       found = self._find_changes(table, after)
     return rows.Page(rows=tuple(found), version=self.version)
 
+  def wake_followers(self) -> None:
+    """Wakes all that follow, so that they notice what is different."""
+    self._changed.set()
+    self._changed = asyncio.Event()
+
+  def remove_in_outage(self, key: rows.Key) -> None:
+    """Removes a row while the store answers nobody."""
+    self.version += 1
+    del self.row_by_key[key]
+    self._history.append(
+      rows.Row(key=key, version=self.version, is_removed=True)
+    )
+
   def _find_changes(self, table: str, after: int) -> list[rows.Row]:
     return [
       row
--- a/src/woadrun/version/ledger.py
+++ b/src/woadrun/version/ledger.py
@@ -16,7 +16,7 @@
   the failure domain that serves the program while the store is out.
   `away_most` bounds what other domains may spend while they cannot reach
   it.  `write` is the id of the last change, by which a writer whose answer
-  was lost knows its own.
+  was lost knows its own; `written_at` is its time of day, in seconds.
   """
 
   home: str
@@ -24,6 +24,7 @@
   reserved: dict[str, int] = {}
   away_most: int | None = None
   write: str = ''
+  written_at: float = 0.0
 
 
 class Ledger:
@@ -68,14 +69,15 @@
     if self.reserved.pop(request, None) is not None:
       self.settled += tokens
 
-  def make_row(self, write: str) -> LedgerRow:
-    """Returns the row that the store should have."""
+  def make_row(self, write: str, *, now: float = 0.0) -> LedgerRow:
+    """Returns the row that the store should have, written at `now`."""
     return LedgerRow(
       home=self.home,
       settled=self.settled,
       reserved=dict(self.reserved),
       away_most=self.away_most,
       write=write,
+      written_at=now,
     )
 
   def note_saved(self, row: LedgerRow, version: int) -> None:
--- /dev/null
+++ b/tests/test_catalogue.py
@@ -0,0 +1,106 @@
+"""What a daemon believes of routes and instances, by feeds with gaps."""
+
+import asyncio
+import contextlib
+
+import msgspec
+import nodes
+
+from woadrun.connection import rows
+from woadrun.platform import discovery
+from woadrun.platform import operator
+from woadrun.process import catalogue
+from woadrun.standins import rows as memory
+
+TABLE_KEY = rows.Key('op', '', 'config')
+
+
+def server_key(id):
+  return rows.Key('servers', '', id)
+
+
+@contextlib.asynccontextmanager
+async def follow(*, grace=0.4):
+  kept = memory.MemoryRows()
+  entry = {'service': 'models', 'address': '127.0.0.1:9'}
+  await kept.change(
+    writes=[
+      (TABLE_KEY, msgspec.json.encode(nodes.CONFIG)),
+      *((server_key(id), msgspec.json.encode(entry)) for id in ('e1', 'e2')),
+    ]
+  )
+  known = catalogue.Catalogue(
+    store=kept,
+    table_key=TABLE_KEY,
+    instance_table='servers',
+    decode_table=operator.decode,
+    decode_instance=discovery.decode,
+    grace=grace,
+  )
+  await known.start()
+  await nodes.wait_until(lambda: known.table and known.directory.by_id)
+  yield known, kept
+  await known.stop()
+
+
+async def test_a_removed_instance_gets_nothing_new_at_once():
+  async with follow(grace=30.0) as (known, kept):
+    # As long after the start as the feed takes for its first answer.
+    await asyncio.sleep(0.1)
+    known._listed.regained_at -= 60.0
+    await kept.change(removes=[server_key('e1')])
+    await nodes.wait_until(lambda: 'e1' not in known.directory.by_id)
+
+
+async def test_a_removal_long_after_an_outage_is_no_lapse():
+  async with follow(grace=1.0) as (known, kept):
+    kept.is_out = True
+    kept.wake_followers()
+    await nodes.wait_until(lambda: known._listed.is_lost)
+    kept.is_out = False
+    await nodes.wait_until(lambda: not known._listed.is_lost)
+    # The feed said so at once, although nothing had changed.
+    await asyncio.sleep(1.0)
+    await kept.change(removes=[server_key('e1')])
+    async with asyncio.timeout(0.8):
+      while 'e1' in known.directory.by_id:
+        await asyncio.sleep(0.01)
+
+
+async def test_an_entry_that_lapsed_in_an_outage_is_kept_for_a_while():
+  async with follow(grace=0.6) as (known, kept):
+    kept.is_out = True
+    kept.wake_followers()
+    await nodes.wait_until(lambda: known._listed.is_lost)
+    kept.remove_in_outage(server_key('e1'))
+    kept.is_out = False
+    await nodes.wait_until(lambda: not known._listed.is_lost)
+    assert 'e1' in known.directory.by_id
+    await nodes.wait_until(lambda: 'e1' not in known.directory.by_id)
+    assert 'e2' in known.directory.by_id
+
+
+async def test_an_older_routing_table_is_never_taken():
+  async with follow() as (known, _):
+    newer = msgspec.json.encode({**nodes.CONFIG, 'version': 9, 'routes': []})
+    known.take_table(newer, source='a peer')
+    known.take_table(msgspec.json.encode(nodes.CONFIG), source='a peer')
+    assert known.version == 9
+    assert known.table.match('h', '/chat/x') is None
+
+
+async def test_a_gap_in_the_history_is_closed_by_a_whole_list():
+  async with follow() as (known, kept):
+    kept.history_from = kept.version + 10
+    kept.row_by_key.pop(server_key('e1'))
+    kept.wake_followers()
+    await nodes.wait_until(lambda: 'e1' not in known.directory.by_id)
+
+
+async def test_what_cannot_be_read_is_left_out_and_the_rest_goes_on():
+  async with follow() as (known, kept):
+    await kept.change(writes=[(server_key('bad'), b'{')])
+    entry = {'service': 'models', 'address': '127.0.0.1:9'}
+    await kept.change(writes=[(server_key('e3'), msgspec.json.encode(entry))])
+    await nodes.wait_until(lambda: 'e3' in known.directory.by_id)
+    assert 'bad' not in known.directory.by_id
--- /dev/null
+++ b/tests/test_event_log.py
@@ -0,0 +1,76 @@
+"""Logs are bounded and never block; figures are told as text."""
+
+import json
+import logging
+import os
+import time
+
+import pytest
+
+from woadrun.process import counters
+from woadrun.process import event_log
+from woadrun.process import logs
+
+
+def make_record(number, level=logging.INFO):
+  return logging.makeLogRecord(
+    {'name': 'woadrun.x', 'levelno': level, 'msg': f'event {number}'}
+  )
+
+
+@pytest.fixture
+def pipe():
+  ends = os.pipe()
+  yield ends
+  for end in ends:
+    os.close(end)
+
+
+def make_handler(pipe):
+  handler = event_log.EventHandler(descriptor=pipe[1])
+  handler.setFormatter(logs.JsonFormatter())
+  return handler
+
+
+def test_each_event_is_one_line_of_json(pipe):
+  handler = make_handler(pipe)
+  handler.emit(make_record(1))
+  handler.emit(make_record(2))
+  lines = os.read(pipe[0], 65_536).splitlines()
+  assert [json.loads(line)['message'] for line in lines] == [
+    'event 1',
+    'event 2',
+  ]
+
+
+def test_too_many_lines_are_dropped_and_told(pipe):
+  handler = make_handler(pipe)
+  handler._allowed = 1.0
+  for number in range(50):
+    handler.emit(make_record(number))
+  handler._allowed = 10.0
+  handler.emit(make_record('last'))
+  text = os.read(pipe[0], 65_536).decode()
+  assert handler.dropped_total > 0
+  assert f'{handler.dropped_total} lines were dropped' in text
+  assert 'event last' in text
+
+
+def test_a_reader_that_stopped_holds_nothing_up(pipe):
+  handler = make_handler(pipe)
+  handler._allowed = 1e9
+  for number in range(20_000):
+    handler._allowed = 1e9
+    handler.emit(make_record(number, logging.WARNING))
+  assert handler.dropped_total > 0
+  assert len(handler._rest) < 2 * event_log.BUFFER_BYTES
+
+
+def test_answers_are_counted_by_kind_and_outcome():
+  counts = counters.Counters()
+  counts.note_answer('stream', '2xx', time.monotonic())
+  counts.add_gauges(lambda: {'turns_kept': 7})
+  text = counts.encode().decode()
+  assert 'woadrun_answers_total{kind="stream",outcome="2xx"} 1.0' in text
+  assert 'woadrun_answer_seconds_bucket{kind="stream",le="0.01"} 1.0' in text
+  assert 'woadrun_turns_kept 7.0' in text
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -22,8 +22,9 @@
     service=served.serving,
     is_ready=served.is_ready,
     is_leaving=lambda: served.is_leaving,
+    read_metrics=served.counters.encode,
   )
-  runner = web.ServerRunner(program.make_server(entry))
+  runner = program.make_callers_runner(entry, finish=2.0)
   await runner.setup()
   port = nodes.find_port()
   await web.TCPSite(runner, '127.0.0.1', port).start()
@@ -165,3 +166,21 @@
   assert headers['Expect-Instance'] == 'i-1'
   assert 900 <= int(headers['Deadline-Ms']) < 1000
   assert headers['Request-Priority'] == '3'
+
+
+async def test_a_request_that_runs_as_the_listener_closes_is_answered():
+  async with nodes.Nodes() as fleet:
+    gate = asyncio.Event()
+
+    async def wait():
+      await gate.wait()
+      yield b'whole'
+
+    reply = nodes.make_reply()
+    reply.chunks = wait()
+    fleet.engines.faults.append(reply)
+    async with serve(fleet) as port:
+      task = asyncio.ensure_future(talk(port, make_head()))
+      await nodes.wait_until(lambda: fleet.engines.sent)
+      asyncio.get_running_loop().call_later(0.5, gate.set)
+    assert (await task).endswith(b'whole\r\n0\r\n\r\n')
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -1,6 +1,7 @@
 """Turns of programs: history, budget, and what outlasts which loss."""
 
 import asyncio
+import time
 
 import msgspec
 import nodes
@@ -9,6 +10,9 @@
 from woadrun import errors
 from woadrun.request import exchange
 
+# The tables of what lasts for a while only.
+KEPT_TABLES = ('turns', 'programs')
+
 
 def owner_of(fleet, program, domain='north'):
   """Returns the names of a program's owner and standby."""
@@ -280,3 +284,20 @@
       await fleet.turn('n1', 'b', most=10, budget=100)
     assert caught.value.status == 402
     assert fleet.get_body('b') is None
+
+
+async def test_turns_and_programs_whose_time_is_over_leave_the_store():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1')
+    fleet.engines.events = 600
+    await fleet.turn('n1', 'a', most=9000, budget=10**6)
+    keys = [k for k in fleet.shared.row_by_key if k.table in KEPT_TABLES]
+    # The turn lies in two pieces.
+    assert len(keys) == 3
+    sweeper = fleet.by_name['n1'].sweeper
+    now = time.time()
+    for at, left in ((now + 100, 3), (now + 200, 1), (now + 4000, 0)):
+      for key in keys:
+        await sweeper.sweep(key.table, key.part, now=at)
+      rows_left = [k for k in fleet.shared.row_by_key if k.table in KEPT_TABLES]
+      assert len(rows_left) == left
