--- /dev/null
+++ b/src/woadrun/process/histories.py
@@ -0,0 +1,54 @@
+"""What was said before a turn, put together from the turns of its line."""
+
+from __future__ import annotations
+
+from woadrun import errors
+from woadrun.connection import turn_messages
+from woadrun.process import turn_store
+
+# When a caller of a turn that is not found may come back, in seconds.
+RETRY_SECONDS = 0.3
+
+
+async def find(
+  parent: str, *, cache: turn_store.TurnCache, store: turn_store.TurnStore
+) -> turn_messages.OpenedTurn:
+  """Returns the line and the history that end with a turn.
+
+  Raises `unknown_program` where a turn of them is not found, `not_owner`
+  where that cannot be known without the store.
+  """
+  if not parent:
+    return turn_messages.OpenedTurn()
+  try:
+    last = (await _gather((parent,), cache, store))[0]
+    turns = [*await _gather(last.line, cache, store), last]
+  except errors.WoadrunError as error:
+    if error.code is not errors.Code.PLATFORM_UNAVAILABLE:
+      raise
+    raise errors.WoadrunError(
+      errors.Code.NOT_OWNER,
+      f'The history is not known here: {error.message}',
+      retry_after=RETRY_SECONDS,
+    ) from error
+  return turn_messages.OpenedTurn(
+    line=tuple(turn.request for turn in turns),
+    history=b''.join(turn.input + turn.output for turn in turns),
+    instance=last.instance,
+  )
+
+
+async def _gather(
+  names: tuple[str, ...],
+  cache: turn_store.TurnCache,
+  store: turn_store.TurnStore,
+) -> list[turn_messages.Turn]:
+  found = await turn_store.gather(names, cache=cache, store=store)
+  turns = [turn for turn in found if turn is not None]
+  if len(turns) < len(found):
+    raise errors.WoadrunError(
+      errors.Code.UNKNOWN_PROGRAM,
+      f'A turn of the history is not found: {" ".join(names)}.',
+      retry_after=RETRY_SECONDS,
+    )
+  return turns
--- /dev/null
+++ b/src/woadrun/process/program_copies.py
@@ -0,0 +1,102 @@
+"""Copies of programs at their standbys."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Container
+import logging
+
+from woadrun import errors
+from woadrun.connection import peers
+from woadrun.connection import turn_messages
+from woadrun.process import fleet
+from woadrun.process import program_rows
+
+log = logging.getLogger('woadrun.programs')
+
+# Until a standby that does not acknowledge is passed over, in seconds.
+COPY_SECONDS = 0.6
+# Copies under way that nobody waits for; more are dropped, since the store
+# has what they hold.
+MOST_COPIES = 256
+
+
+class Copies:
+  """Sends programs to the next member in the order of their claim.
+
+  `unsaved` has the ids of turns that the store lacks.
+  """
+
+  def __init__(
+    self,
+    *,
+    members: fleet.Fleet,
+    links: peers.Peers,
+    unsaved: Container[str],
+  ) -> None:
+    self._members = members
+    self._links = links
+    self._unsaved = unsaved
+    self._running: set[asyncio.Task[None]] = set()
+
+  async def send(
+    self, entry: program_rows.Entry, turns: tuple[turn_messages.Turn, ...]
+  ) -> None:
+    """Brings a program to its standby, unless no other member is alive."""
+    message = self._make_copy(entry, turns)
+    me = self._members.me
+    failure: errors.WoadrunError | None = None
+    for member in self._members.rank(entry.program, me.domain):
+      if member.name == me.name:
+        continue
+      try:
+        await self._links.post(
+          member.address,
+          'program/copy',
+          message,
+          type=turn_messages.Closed,
+          timeout=COPY_SECONDS,
+        )
+        return
+      except errors.WoadrunError as error:
+        self._members.note_failure(member.name)
+        failure = error
+    if failure is not None:
+      raise failure
+
+  def send_behind(
+    self, entry: program_rows.Entry, turns: tuple[turn_messages.Turn, ...]
+  ) -> None:
+    """Sends a copy that nobody waits for."""
+    if len(self._running) >= MOST_COPIES:
+      log.warning('A copy of %s is left out: too many.', entry.program)
+      return
+    task = asyncio.ensure_future(self.try_send(entry, turns))
+    self._running.add(task)
+    task.add_done_callback(self._running.discard)
+
+  async def try_send(
+    self, entry: program_rows.Entry, turns: tuple[turn_messages.Turn, ...]
+  ) -> None:
+    """Sends a copy; a failure is only logged."""
+    try:
+      await self.send(entry, turns)
+    except errors.WoadrunError as error:
+      log.info('No copy of %s: %s', entry.program, error.message)
+
+  def _make_copy(
+    self, entry: program_rows.Entry, turns: tuple[turn_messages.Turn, ...]
+  ) -> turn_messages.LedgerCopy:
+    held = entry.ledger
+    unsaved = tuple(t.request for t in turns if t.request in self._unsaved)
+    return turn_messages.LedgerCopy(
+      program=entry.program,
+      home=held.home,
+      settled=held.settled,
+      reserved=dict(held.reserved),
+      saved_settled=held.saved.settled,
+      saved_reserved=dict(held.saved.reserved),
+      version=held.version,
+      turns=turns,
+      unsaved=unsaved,
+    )
--- /dev/null
+++ b/src/woadrun/process/program_rows.py
@@ -0,0 +1,150 @@
+"""Programs as the row store has them, and as a daemon holds them."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import logging
+import secrets
+import time
+
+import msgspec
+
+from woadrun import errors
+from woadrun.connection import rows
+from woadrun.process import store_access
+from woadrun.process import turn_store
+from woadrun.version import ledger
+
+log = logging.getLogger('woadrun.programs')
+
+TABLE = 'programs'
+
+
+@dataclasses.dataclass(kw_only=True)
+class Entry:
+  """A program in memory.
+
+  `attempts` are the ids of writes that may have been done although no
+  answer came.  `offline_most` bounds the budget while the store is out.
+  `needs_flush` says that the row should not wait for the next call.
+  """
+
+  program: str
+  ledger: ledger.Ledger
+  lock: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
+  attempts: set[str] = dataclasses.field(default_factory=set)
+  offline_most: float | None = None
+  needs_flush: bool = False
+  used_at: float = dataclasses.field(default_factory=time.monotonic)
+
+
+class ProgramRows:
+  """Reads and writes the rows of programs.
+
+  `domain` becomes the home of a program that the store does not have.
+  """
+
+  def __init__(
+    self,
+    *,
+    store: store_access.StoreAccess,
+    turns: turn_store.TurnStore,
+    cache: turn_store.TurnCache,
+    domain: str,
+  ) -> None:
+    self._store = store
+    self._turns = turns
+    self._cache = cache
+    self._domain = domain
+
+  def make(self) -> ledger.Ledger:
+    """Returns the budget of a program that begins here."""
+    row = ledger.LedgerRow(home=self._domain)
+    return ledger.Ledger(saved=row, version=0)
+
+  async def read(self, program: str) -> ledger.Ledger:
+    """Returns a program's budget as the store has it."""
+    key = _get_key(program)
+    page = await self._store.read(
+      TABLE, key.part, first=program, end=f'{program}\0'
+    )
+    if not page.rows:
+      return self.make()
+    row = _decode(page.rows[0].value)
+    found = ledger.Ledger(saved=row, version=page.rows[0].version)
+    await self._resolve(found)
+    return found
+
+  async def _resolve(self, found: ledger.Ledger) -> None:
+    # The owner before may have ended before it settled what had run whole.
+    names = list(found.reserved)
+    turns = await turn_store.gather(names, cache=self._cache, store=self._turns)
+    for turn in turns:
+      if turn is not None:
+        found.settle(turn.request, turn.tokens)
+
+  async def refresh(self, entry: Entry) -> None:
+    """Brings an entry up to what the store has, if that can be reached."""
+    try:
+      found = await self.read(entry.program)
+    except errors.WoadrunError as error:
+      log.info('A budget was not read anew: %s', error.message)
+      return
+    if found.version > entry.ledger.version:
+      entry.ledger.rebase(found.saved, found.version)
+    for request in found.saved.reserved:
+      turn = self._cache.get(request)
+      if turn is not None:
+        entry.ledger.settle(request, turn.tokens)
+
+  async def save(self, entry: Entry) -> bool:
+    """Returns whether the row is written; else it was changed meanwhile."""
+    held = entry.ledger
+    write = secrets.token_hex(4)
+    row = held.make_row(write, now=time.time())
+    key = _get_key(entry.program)
+    entry.attempts.add(write)
+    outcome = await self._store.change(
+      writes=[(key, msgspec.json.encode(row))],
+      conditions=[(key, held.version)],
+    )
+    if outcome.is_done:
+      held.note_saved(row, outcome.version)
+      self._note_saved(entry)
+      return True
+    self._take_conflict(entry, outcome)
+    return not held.is_dirty
+
+  def _note_saved(self, entry: Entry) -> None:
+    entry.attempts.clear()
+    entry.offline_most = None
+    entry.needs_flush = False
+
+  def _take_conflict(self, entry: Entry, outcome: rows.Outcome) -> None:
+    current = outcome.rows[0] if outcome.rows else None
+    if current is None or not current.version:
+      # The row is not there, although it was: it counts as new.
+      row = ledger.LedgerRow(home=entry.ledger.home)
+      entry.ledger.rebase(row, 0)
+      return
+    row = _decode(current.value)
+    if row.write in entry.attempts:
+      entry.ledger.note_saved(row, current.version)
+      self._note_saved(entry)
+      return
+    log.info(
+      'Program %s was changed by another daemon: row %d, known %d.',
+      entry.program,
+      current.version,
+      entry.ledger.version,
+    )
+    entry.ledger.rebase(row, current.version)
+
+
+def _get_key(program: str) -> rows.Key:
+  return rows.Key(TABLE, turn_store.get_part(program), program)
+
+
+def _decode(value: bytes) -> ledger.LedgerRow:
+  return msgspec.json.decode(value, type=ledger.LedgerRow)
--- a/src/woadrun/process/sweeper.py
+++ b/src/woadrun/process/sweeper.py
@@ -17,7 +17,7 @@
 from woadrun.connection import rows
 from woadrun.process import feed
 from woadrun.process import fleet
-from woadrun.process import programs
+from woadrun.process import program_rows
 from woadrun.process import turn_store
 from woadrun.version import ledger
 
@@ -59,7 +59,7 @@
       part = f'{number:02x}'
       if self._members.is_first_of_all(part):
         yield turn_store.TABLE, part
-        yield programs.TABLE, part
+        yield program_rows.TABLE, part
     # So that a daemon with no part of its own does not look again at once.
     yield turn_store.TABLE, '00'
 
