--- a/src/woadrun/connection/turn_messages.py
+++ b/src/woadrun/connection/turn_messages.py
@@ -92,6 +92,21 @@
   unsaved: tuple[str, ...] = ()
 
 
+class AskProgram(msgspec.Struct, frozen=True, kw_only=True):
+  """Asks what a member has of a program that the store lacks.
+
+  Answered by `KnownProgram`.
+  """
+
+  program: str
+
+
+class KnownProgram(msgspec.Struct, frozen=True, kw_only=True):
+  """The copy of a program, where the member has changes that are unsaved."""
+
+  copy: LedgerCopy | None = None
+
+
 class StoreRow(msgspec.Struct, frozen=True, kw_only=True):
   """A row, as peers hand it on."""
 
--- a/src/woadrun/process/node.py
+++ b/src/woadrun/process/node.py
@@ -257,6 +257,7 @@
       ('program/open-new', turn_messages.OpenTurn, self._open_new),
       ('program/close', turn_messages.CloseTurn, self.programs.close),
       ('program/copy', turn_messages.LedgerCopy, self.programs.take_copy),
+      ('program/ask', turn_messages.AskProgram, self.programs.tell),
       ('store/change', turn_messages.StoreChange, self.relay.change),
       ('store/read', turn_messages.StoreRead, self.relay.read),
       ('store/follow', turn_messages.StoreFollow, self.relay.follow),
--- a/src/woadrun/process/program_copies.py
+++ b/src/woadrun/process/program_copies.py
@@ -19,6 +19,9 @@
 # Copies under way that nobody waits for; more are dropped, since the store
 # has what they hold.
 MOST_COPIES = 256
+# Members that are asked about a program that is new to this one: owner and
+# standby before the last change of members.
+MOST_ASKED = 3
 
 
 class Copies:
@@ -64,6 +67,35 @@
     if failure is not None:
       raise failure
 
+  async def ask(self, program: str) -> list[turn_messages.LedgerCopy]:
+    """Returns what other members have of a program that the store lacks."""
+    me = self._members.me
+    ranked = self._members.rank(program, me.domain)[:MOST_ASKED]
+    results = await asyncio.gather(
+      *(self._ask_at(m, program) for m in ranked if m.name != me.name)
+    )
+    return [copy for copy in results if copy is not None]
+
+  async def _ask_at(
+    self, member: fleet.Member, program: str
+  ) -> turn_messages.LedgerCopy | None:
+    try:
+      known = await self._links.post(
+        member.address,
+        'program/ask',
+        turn_messages.AskProgram(program=program),
+        type=turn_messages.KnownProgram,
+        timeout=COPY_SECONDS,
+      )
+    except errors.WoadrunError as error:
+      log.info('%s does not tell of %s: %s', member.name, program, error)
+      return None
+    return known.copy
+
+  def make(self, entry: program_rows.Entry) -> turn_messages.LedgerCopy:
+    """Returns the copy of a program without its turns."""
+    return self._make_copy(entry, ())
+
   def send_behind(
     self, entry: program_rows.Entry, turns: tuple[turn_messages.Turn, ...]
   ) -> None:
--- a/src/woadrun/process/programs.py
+++ b/src/woadrun/process/programs.py
@@ -141,23 +141,53 @@
   ) -> program_rows.Entry:
     entry = self.entry_by_program.get(ask.program)
     if entry is None:
-      try:
-        found = await self._rows.read(ask.program)
-      except errors.WoadrunError as error:
-        if not is_new:
-          raise errors.WoadrunError(
-            errors.Code.NOT_OWNER,
-            f'The program is not known here: {error.message}',
-            retry_after=RETRY_SECONDS,
-          ) from error
-        found = self._rows.make()
-      # Another call may have loaded it meanwhile.
-      entry = self.entry_by_program.setdefault(
-        ask.program, program_rows.Entry(program=ask.program, ledger=found)
+      found = await self._find_ledger(ask.program, is_new=is_new)
+      loaded = program_rows.Entry(
+        program=ask.program, ledger=found, needs_flush=found.is_dirty
       )
+      # Another call may have loaded it meanwhile.
+      entry = self.entry_by_program.setdefault(ask.program, loaded)
     entry.used_at = time.monotonic()
     return entry
 
+  async def _find_ledger(self, program: str, *, is_new: bool) -> ledger.Ledger:
+    # Who had the program before may hold what it spent in an outage, which
+    # the store does not have yet: without it a budget was exceeded.
+    row, copies = await asyncio.gather(
+      self._rows.read(program),
+      self._copies.ask(program),
+      return_exceptions=True,
+    )
+    if isinstance(copies, BaseException):
+      raise copies
+    held = [_get_ledger(copy) for copy in copies]
+    best = max(held, key=lambda found: found.spent, default=None)
+    if isinstance(row, ledger.Ledger):
+      if best is None or best.version > row.version:
+        return best or row
+      best.rebase(row.saved, row.version)
+      return best
+    if best is not None:
+      return best
+    if is_new and isinstance(row, errors.WoadrunError):
+      return self._rows.make()
+    if not isinstance(row, errors.WoadrunError):
+      raise row
+    raise errors.WoadrunError(
+      errors.Code.NOT_OWNER,
+      f'The program is not known here: {row.message}',
+      retry_after=RETRY_SECONDS,
+    ) from row
+
+  async def tell(
+    self, ask: turn_messages.AskProgram
+  ) -> turn_messages.KnownProgram:
+    """Returns what this daemon has of a program that the store lacks."""
+    entry = self.entry_by_program.get(ask.program)
+    if entry is None or not (entry.needs_flush and entry.ledger.is_dirty):
+      return turn_messages.KnownProgram()
+    return turn_messages.KnownProgram(copy=self._copies.make(entry))
+
   # --- Reserving ------------------------------------------------------------
 
   async def _reserve(
@@ -282,14 +312,7 @@
       self.cache.put(turn)
       if turn.request in copy.unsaved:
         self.unsaved[turn.request] = turn
-    saved = ledger.LedgerRow(
-      home=copy.home,
-      settled=copy.saved_settled,
-      reserved=copy.saved_reserved,
-    )
-    held = ledger.Ledger(saved=saved, version=copy.version)
-    held.settled = copy.settled
-    held.reserved = dict(copy.reserved)
+    held = _get_ledger(copy)
     entry = self.entry_by_program.get(copy.program)
     if entry is None:
       self.entry_by_program[copy.program] = program_rows.Entry(
@@ -399,3 +422,15 @@
       ]
       for program in idle:
         del self.entry_by_program[program]
+
+
+def _get_ledger(copy: turn_messages.LedgerCopy) -> ledger.Ledger:
+  saved = ledger.LedgerRow(
+    home=copy.home,
+    settled=copy.saved_settled,
+    reserved=copy.saved_reserved,
+  )
+  found = ledger.Ledger(saved=saved, version=copy.version)
+  found.settled = copy.settled
+  found.reserved = dict(copy.reserved)
+  return found
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -8,6 +8,7 @@
 import pytest
 
 from woadrun import errors
+from woadrun.connection import turn_messages
 from woadrun.request import exchange
 
 # The tables of what lasts for a while only.
@@ -331,3 +332,22 @@
     await fleet.turn('n3', 'd', parent='c')
     entry = fleet.by_name['n3'].programs.entry_by_program['p']
     assert entry.ledger.spent == 4 * 6
+
+
+async def test_a_new_owner_learns_what_was_spent_in_an_outage():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1')
+    await fleet.turn('n1', 'a', most=10, budget=100)
+    fleet.shared.is_out = True
+    for id in ('b', 'c', 'd'):
+      await fleet.turn('n1', id, most=10, budget=100)
+    # A daemon that starts now, and has the first claim on the program, finds
+    # only one turn in the store.
+    old = fleet.by_name['n1'].programs
+    old._is_first = lambda program: False
+    fleet.shared.is_out = False
+    await fleet.start('n2')
+    ask = turn_messages.OpenTurn(program='p', request='e', most=10, budget=100)
+    new = fleet.by_name['n2'].programs
+    await new.open(ask)
+    assert new.entry_by_program['p'].ledger.spent == 4 * 6 + 10
