--- a/src/woadrun/process/store_access.py
+++ b/src/woadrun/process/store_access.py
@@ -61,7 +61,6 @@
     self._fleet: fleet.Fleet | None = None
     self.is_direct = False
     self._lost = asyncio.Event()
-    self.reached_at = float('-inf')
     self._begun: dict[object, float] = {}
     self._seconds = 0.0
 
@@ -188,9 +187,7 @@
         failure = error
     for peer in self._find_relays()[:MOST_RELAYS]:
       try:
-        result = await relay(peer)
-        self.reached_at = time.monotonic()
-        return result
+        return await relay(peer)
       except errors.WoadrunError as error:
         failure = error
     raise failure
@@ -229,7 +226,6 @@
 
   def _note(self, error: errors.WoadrunError | None) -> None:
     if error is None:
-      self.reached_at = time.monotonic()
       if not self.is_direct:
         log.info('The store serves this VM.')
         self._lost = asyncio.Event()
--- a/src/woadrun/process/turn_store.py
+++ b/src/woadrun/process/turn_store.py
@@ -9,7 +9,6 @@
 import asyncio
 from collections.abc import Iterable
 import hashlib
-import logging
 import struct
 import time
 
@@ -18,8 +17,6 @@
 from woadrun.connection import rows
 from woadrun.connection import turn_messages
 
-log = logging.getLogger('woadrun.turns')
-
 TABLE = 'turns'
 # Parts of a table, which spread the writes; their names have two digits.
 PARTS = 256
