Callers come back after as long as an outage has lasted

An outage is now taken to last as long again as it has lasted, between 0.5 and 2 s. Ruled out: holding them (a refusal is immediate), a fixed longer time (most outages of a single daemon last less).

--- a/src/woadrun/decisions/retry_after.py
+++ b/src/woadrun/decisions/retry_after.py
@@ -6,6 +6,9 @@
 # meets the same state, in seconds.
 LEAST_SECONDS = 0.1
 MOST_SECONDS = 2.0
+# The shortest time after which an outage that has just begun is worth another
+# try, in seconds: less than a lost datagram takes to show.
+LEAST_OUTAGE_SECONDS = 0.5
 
 
 def estimate(*, running: int, slots: int, seconds: float) -> float:
@@ -18,3 +21,13 @@
     return MOST_SECONDS
   ahead = max(0, running - slots) + 1
   return min(MOST_SECONDS, max(LEAST_SECONDS, ahead / slots * seconds))
+
+
+def estimate_outage(lasted: float) -> float:
+  """Returns the seconds until an outage should be over.
+
+  Nothing tells how long an outage lasts but how long it has lasted, in
+  seconds: it is taken to last as long again.  A caller that comes back
+  sooner spends its few tries while nobody can serve it.
+  """
+  return min(MOST_SECONDS, max(LEAST_OUTAGE_SECONDS, lasted))
--- a/src/woadrun/process/fleet.py
+++ b/src/woadrun/process/fleet.py
@@ -12,6 +12,7 @@
 import dataclasses
 import hashlib
 import logging
+import math
 import time
 
 import mode
@@ -134,6 +135,24 @@
     names = [m.name for m in self.member_by_name.values() if m.domain == domain]
     return bool(names) and not any(self.is_alive(name) for name in names)
 
+  def get_silence(self) -> float:
+    """Returns for how long a whole domain has been silent, in seconds.
+
+    It is 0 where none is, and the longest time where several are.
+    """
+    now = time.monotonic()
+    heard_by_domain: dict[str, float] = {}
+    for heard in self.heard_by_name.values():
+      domain = heard.beat.domain
+      last = heard_by_domain.get(domain, -math.inf)
+      heard_by_domain[domain] = max(last, heard.at)
+    lasting = (
+      now - last
+      for domain, last in heard_by_domain.items()
+      if domain != self.me.domain and self.is_silent(domain)
+    )
+    return max(lasting, default=0.0)
+
   def note_failure(self, name: str) -> None:
     """Leaves a member aside for a while: a message to it failed."""
     self._failed_until[name] = time.monotonic() + FAILED_SECONDS
--- a/src/woadrun/process/node.py
+++ b/src/woadrun/process/node.py
@@ -151,6 +151,7 @@
         local=self.programs,
         links=self.links,
         turns=turns,
+        get_outage=self._get_outage,
       ),
       domain=config.domain,
       counts=self.counters,
@@ -182,6 +183,9 @@
     """Returns whether new callers are welcome."""
     return self.catalogue.table is not None and not self.is_leaving
 
+  def _get_outage(self) -> float:
+    return max(self.store.outage, self.fleet.get_silence())
+
   def _read_gauges(self) -> dict[str, float]:
     return {
       'requests_running': self.serving.active,
--- a/src/woadrun/process/programs.py
+++ b/src/woadrun/process/programs.py
@@ -19,6 +19,7 @@
 from woadrun import errors
 from woadrun.connection import peers
 from woadrun.connection import turn_messages
+from woadrun.decisions import retry_after
 from woadrun.process import fleet
 from woadrun.process import histories
 from woadrun.process import program_copies
@@ -299,7 +300,7 @@
         errors.Code.PLATFORM_UNAVAILABLE,
         'The store is out, and the part of the budget that needs none is '
         'spent.',
-        retry_after=1.0,
+        retry_after=retry_after.estimate_outage(self._store.outage),
       )
 
   # --- Copies ---------------------------------------------------------------
--- a/src/woadrun/process/store_access.py
+++ b/src/woadrun/process/store_access.py
@@ -63,6 +63,7 @@
     self._lost = asyncio.Event()
     self._begun: dict[object, float] = {}
     self._seconds = 0.0
+    self._no_way_since: float | None = None
 
   def use_fleet(self, members: fleet.Fleet) -> None:
     """Tells whose help can be asked for."""
@@ -73,6 +74,13 @@
     """Whether a call now has a way to the store."""
     return self.is_direct or bool(self._find_relays())
 
+  @property
+  def outage(self) -> float:
+    """For how long there has been no way to the store, in seconds."""
+    if self._no_way_since is None or self.is_reached:
+      return 0.0
+    return time.monotonic() - self._no_way_since
+
   @property
   def is_slow(self) -> bool:
     """Whether a write now would hold a turn up."""
@@ -238,6 +246,10 @@
   @mode.Service.task
   async def _probe(self) -> None:
     while not self.should_stop:
+      if self.is_reached:
+        self._no_way_since = None
+      elif self._no_way_since is None:
+        self._no_way_since = time.monotonic()
       if not self.is_direct:
         await self._look()
       await self.sleep(PROBE_SECONDS)
--- a/src/woadrun/request/turn_leave.py
+++ b/src/woadrun/request/turn_leave.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 import logging
 from typing import TypeVar
 
@@ -15,6 +16,7 @@
 from woadrun import errors
 from woadrun.connection import peers
 from woadrun.connection import turn_messages
+from woadrun.decisions import retry_after
 from woadrun.process import fleet
 from woadrun.process import programs
 from woadrun.process import turn_store
@@ -32,7 +34,6 @@
 # An owner waits for the store at most so long, in seconds; the way and its
 # standby come on top.
 ASK_SECONDS = 3.0
-RETRY_SECONDS = 0.5
 # What another member may know although this one does not.
 UNSURE = (
   errors.Code.NOT_OWNER,
@@ -42,7 +43,11 @@
 
 
 class TurnLeave:
-  """The way from a daemon to the owners of programs."""
+  """The way from a daemon to the owners of programs.
+
+  `get_outage` tells for how long a part of the system has been out of
+  reach, in seconds.
+  """
 
   def __init__(
     self,
@@ -51,11 +56,13 @@
     local: programs.Programs,
     links: peers.Peers,
     turns: turn_store.TurnStore,
+    get_outage: Callable[[], float],
   ) -> None:
     self._members = members
     self._local = local
     self._links = links
     self._turns = turns
+    self._get_outage = get_outage
 
   # --- Before a turn --------------------------------------------------------
 
@@ -159,7 +166,7 @@
     return errors.WoadrunError(
       errors.Code.OWNER_UNAVAILABLE,
       f'No member can tell: {failure.message}',
-      retry_after=RETRY_SECONDS,
+      retry_after=retry_after.estimate_outage(self._get_outage()),
     )
 
   # --- After a turn ---------------------------------------------------------
--- /dev/null
+++ b/tests/test_retry_after.py
@@ -0,0 +1,29 @@
+"""Refused callers are told when to come back, by what is known of the cause."""
+
+import nodes
+import pytest
+
+from woadrun import errors
+from woadrun.decisions import retry_after
+
+
+def test_an_outage_is_expected_to_last_as_long_again():
+  found = [retry_after.estimate_outage(s) for s in (0.0, 0.3, 1.2, 9.0)]
+  assert found == [0.5, 0.5, 1.2, 2.0]
+
+
+async def test_callers_come_back_later_the_longer_a_domain_was_silent():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1', 's1')
+    await fleet.turn('n1', 'a')
+    fleet.shared.is_out = True
+    south = fleet.by_name['s1']
+    south.store.is_direct = False
+    await nodes.wait_until(lambda: not south.store.is_reached)
+    await fleet.stop('n1')
+    # The home of the program is silent, and so is the store.
+    await nodes.wait_until(lambda: south.fleet.get_silence() > 1.3)
+    with pytest.raises(errors.WoadrunError) as caught:
+      await fleet.turn('s1', 'b', parent='a')
+    assert caught.value.status == 503
+    assert 1.3 < caught.value.retry_after < 2.0
