--- a/src/woadrun/connection/turn_messages.py
+++ b/src/woadrun/connection/turn_messages.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from woadrun.version import instances
+
 
 class Turn(msgspec.Struct, frozen=True, kw_only=True):
   """One finished turn, as it is kept and as it travels.
@@ -156,11 +158,15 @@
   is_history_gone: bool = False
 
 
-class AskTable(msgspec.Struct, frozen=True):
-  """Asks for the routing table in force; answered by `TableValue`."""
+class AskCatalogue(msgspec.Struct, frozen=True):
+  """Asks for what the platform told a daemon; answered by `CatalogueCopy`."""
 
 
-class TableValue(msgspec.Struct, frozen=True, kw_only=True):
-  """A routing table as the operator wrote it; empty without one."""
+class CatalogueCopy(msgspec.Struct, frozen=True, kw_only=True):
+  """A routing table as the operator wrote it, and the instances known.
 
-  value: bytes = b''
+  `table` is empty where the daemon has none in force.
+  """
+
+  table: bytes = b''
+  instances: tuple[instances.Instance, ...] = ()
--- a/src/woadrun/process/catalogue.py
+++ b/src/woadrun/process/catalogue.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Sequence
 import logging
 import time
 
@@ -50,6 +51,7 @@
     self.table: routes.RoutingTable | None = None
     self.table_value = b''
     self.directory = instances.Directory(grace=grace)
+    self._is_told_by_peer = False
     self._tables = feed.Feed(
       store=store,
       table=table_key.table,
@@ -103,11 +105,34 @@
 
   # --- Instances ------------------------------------------------------------
 
+  @property
+  def is_listed(self) -> bool:
+    """Whether the store or a peer has told the instances yet."""
+    return self._listed.version is not None or self._is_told_by_peer
+
+  def take_instances(
+    self, found: Sequence[instances.Instance], *, source: str
+  ) -> None:
+    """Takes a peer's list of instances, where the store has told none yet.
+
+    A daemon that starts while the store is out has no other way to know
+    them: it refused every request until the store was back.
+    """
+    if self.is_listed or not found:
+      return
+    for instance in found:
+      self.directory.put(instance)
+    self._is_told_by_peer = True
+    log.info('%d instances listed by %s.', len(found), source)
+
   def _take_instances(self, found: tuple[rows.Row, ...]) -> None:
     decoded = (self._decode(row) for row in found)
     listed = [instance for instance in decoded if instance is not None]
     # What a list lacks may have lapsed in the outage before it, if any.
-    self.directory.replace(listed, now=self._listed.regained_at)
+    since = self._listed.regained_at
+    if self._is_told_by_peer and self._listed.version is None:
+      since = time.monotonic()
+    self.directory.replace(listed, now=since)
     log.info('%d instances listed.', len(listed))
 
   def _take_instance(self, row: rows.Row) -> None:
--- a/src/woadrun/process/node.py
+++ b/src/woadrun/process/node.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 import dataclasses
 import logging
+import random
 import secrets
 import time
 from typing import Any
@@ -181,7 +182,8 @@
 
   def is_ready(self) -> bool:
     """Returns whether new callers are welcome."""
-    return self.catalogue.table is not None and not self.is_leaving
+    is_told = self.catalogue.table is not None and self.catalogue.is_listed
+    return is_told and not self.is_leaving
 
   def _get_outage(self) -> float:
     return max(self.store.outage, self.fleet.get_silence())
@@ -224,23 +226,30 @@
       await self.sleep(LOOK_SECONDS)
       self.loads.forget(self.catalogue.directory.by_id.keys())
       source, self._table_source = self._table_source, None
+      if source is None and not self.catalogue.is_listed:
+        source = self._find_peer()
       if source is not None:
-        await self._ask_table(source)
+        await self._ask_catalogue(source)
 
-  async def _ask_table(self, source: fleet.Member) -> None:
+  def _find_peer(self) -> fleet.Member | None:
+    names = [n for n in self.fleet.heard_by_name if self.fleet.is_alive(n)]
+    return self.fleet.member_by_name[random.choice(names)] if names else None
+
+  async def _ask_catalogue(self, source: fleet.Member) -> None:
     try:
       found = await self.links.post(
         source.address,
-        'table',
-        turn_messages.AskTable(),
-        type=turn_messages.TableValue,
+        'catalogue',
+        turn_messages.AskCatalogue(),
+        type=turn_messages.CatalogueCopy,
         timeout=PEER_SECONDS,
       )
     except errors.WoadrunError as error:
-      log.info('No routing table from %s: %s', source.name, error.message)
+      log.info('No catalogue from %s: %s', source.name, error.message)
       return
-    if found.value:
-      self.catalogue.take_table(found.value, source=source.name)
+    if found.table:
+      self.catalogue.take_table(found.table, source=source.name)
+    self.catalogue.take_instances(found.instances, source=source.name)
 
   # --- Messages of peers ----------------------------------------------------
 
@@ -265,7 +274,7 @@
       ('store/change', turn_messages.StoreChange, self.relay.change),
       ('store/read', turn_messages.StoreRead, self.relay.read),
       ('store/follow', turn_messages.StoreFollow, self.relay.follow),
-      ('table', turn_messages.AskTable, self._answer_table),
+      ('catalogue', turn_messages.AskCatalogue, self._answer_catalogue),
     ]
 
   async def _open_new(
@@ -273,10 +282,13 @@
   ) -> turn_messages.OpenedTurn:
     return await self.programs.open(ask, is_new=True)
 
-  async def _answer_table(
-    self, _: turn_messages.AskTable
-  ) -> turn_messages.TableValue:
-    return turn_messages.TableValue(value=self.catalogue.table_value)
+  async def _answer_catalogue(
+    self, _: turn_messages.AskCatalogue
+  ) -> turn_messages.CatalogueCopy:
+    return turn_messages.CatalogueCopy(
+      table=self.catalogue.table_value,
+      instances=tuple(self.catalogue.directory.by_id.values()),
+    )
 
   # --- Stopping -------------------------------------------------------------
 
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -162,7 +162,12 @@
       await self._start(name)
     await self.wait_for_all()
 
-  async def _start(self, name):
+  async def start_alone(self, name, *, address=None):
+    """Returns a daemon that was started; waits for nothing it may lack."""
+    await self._start(name, address=address)
+    return self.by_name[name]
+
+  async def _start(self, name, *, address=None):
     session = await self._stack.enter_async_context(aiohttp.ClientSession())
     view = self.view_by_name.setdefault(name, View(self.shared))
     config = node.NodeSettings(
@@ -170,7 +175,7 @@
       domain='north' if name.startswith('n') else 'south',
       callers_address='127.0.0.1:1',
       ready_address='127.0.0.1:1',
-      peers_address=f'127.0.0.1:{find_port()}',
+      peers_address=address or f'127.0.0.1:{find_port()}',
       store_address='127.0.0.1:1',
       row_bytes=2048,
       grace=3.0,
--- a/tests/test_catalogue.py
+++ b/tests/test_catalogue.py
@@ -117,3 +117,21 @@
     await kept.change(writes=[(server_key('e3'), msgspec.json.encode(entry))])
     await nodes.wait_until(lambda: 'e3' in known.directory.by_id)
     assert 'bad' not in known.directory.by_id
+
+
+async def test_a_daemon_that_starts_without_the_store_learns_from_a_peer():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1', 'n2')
+    await fleet.stop('n2')
+    fleet.shared.is_out = True
+    # Its row is still listed: the peer's datagrams find it.
+    peer = fleet.by_name['n1']
+    address = peer.fleet.member_by_name['n2'].address
+    late = await fleet.start_alone('n2', address=address)
+    await nodes.wait_until(lambda: late.catalogue.directory.find('models'))
+    status, _ = await fleet.turn('n2', 'a')
+    assert status == 200
+    fleet.shared.is_out = False
+    # What the store lists counts from then on.
+    await fleet.shared.change(removes=[rows.Key('servers', '', 'e2')])
+    await nodes.wait_until(lambda: 'e2' not in late.catalogue.directory.by_id)
