--- a/src/woadrun/process/programs.py
+++ b/src/woadrun/process/programs.py
@@ -11,7 +11,6 @@
 
 import asyncio
 import logging
-import math
 import time
 
 import mode
@@ -19,26 +18,21 @@
 from woadrun import errors
 from woadrun.connection import peers
 from woadrun.connection import turn_messages
-from woadrun.decisions import retry_after
 from woadrun.process import fleet
 from woadrun.process import histories
 from woadrun.process import program_copies
 from woadrun.process import program_rows
+from woadrun.process import reservations
 from woadrun.process import store_access
 from woadrun.process import turn_store
 from woadrun.version import ledger
 
 log = logging.getLogger('woadrun.programs')
 
-# Conflicts of one reservation before it is refused; each means that another
-# daemon wrote the same row.
-MOST_CONFLICTS = 6
 # Between looks for what the store lacks, in seconds.
 FLUSH_SECONDS = 0.1
 # A program without a call for so long leaves the memory, in seconds.
 IDLE_SECONDS = 60.0
-# When a caller may come back where nobody can tell yet, in seconds.
-RETRY_SECONDS = 0.3
 PARALLEL_FLUSHES = 16
 # A program without a call for so long is not handed over at a planned stop,
 # in seconds: its pauses are shorter.
@@ -69,6 +63,12 @@
     self._copies = program_copies.Copies(
       members=members, links=links, unsaved=self.unsaved
     )
+    self._reservations = reservations.Reservations(
+      domain=members.me.domain,
+      store=store,
+      rows=self._rows,
+      copies=self._copies,
+    )
 
   # --- The owner's part -----------------------------------------------------
 
@@ -92,10 +92,10 @@
       # The standby's word comes a hundred times sooner than a slow write,
       # which held up each turn by half a second; the store gets it behind.
       # The end of a turn still waits for the store.
-      await self._reserve_behind(entry, ask)
+      await self._reservations.reserve_behind(entry, ask)
     else:
       async with entry.lock:
-        await self._reserve(entry, ask)
+        await self._reservations.reserve(entry, ask)
     log.debug(
       'Turn %s of %s may run: %d spent with it, row %d.',
       ask.request,
@@ -177,7 +177,6 @@
     raise errors.WoadrunError(
       errors.Code.NOT_OWNER,
       f'The program is not known here: {row.message}',
-      retry_after=RETRY_SECONDS,
     ) from row
 
   async def tell(
@@ -189,120 +188,6 @@
       return turn_messages.KnownProgram()
     return turn_messages.KnownProgram(copy=self._copies.make(entry))
 
-  # --- Reserving ------------------------------------------------------------
-
-  async def _reserve(
-    self, entry: program_rows.Entry, ask: turn_messages.OpenTurn
-  ) -> None:
-    budget = math.inf if ask.budget is None else ask.budget
-    for _ in range(MOST_CONFLICTS):
-      await self._check_budget(entry, ask, budget)
-      entry.ledger.reserve(ask.request, ask.most)
-      try:
-        if await self._rows.save(entry):
-          self._copies.send_behind(entry, ())
-          return
-      except errors.WoadrunError as error:
-        await self._reserve_without_store(entry, ask, budget, error)
-        return
-      # Another daemon changed the row: what fitted before may not fit now.
-      if ask.request not in entry.ledger.saved.reserved:
-        entry.ledger.reserved.pop(ask.request, None)
-    raise errors.WoadrunError(
-      errors.Code.NOT_COMMITTED,
-      'Too many daemons write to the program.',
-      retry_after=RETRY_SECONDS,
-    )
-
-  async def _reserve_behind(
-    self, entry: program_rows.Entry, ask: turn_messages.OpenTurn
-  ) -> None:
-    budget = math.inf if ask.budget is None else ask.budget
-    await self._check_budget(entry, ask, budget)
-    entry.ledger.reserve(ask.request, ask.most)
-    reason = errors.WoadrunError(
-      errors.Code.PLATFORM_UNAVAILABLE, 'the store is slow', retry_after=1.0
-    )
-    await self._reserve_without_store(entry, ask, budget, reason)
-
-  async def _check_budget(
-    self, entry: program_rows.Entry, ask: turn_messages.OpenTurn, budget: float
-  ) -> None:
-    held = entry.ledger
-    if ask.request in held.reserved:
-      return
-    if ask.is_away and held.home != self._members.me.domain:
-      self._check_away(entry, ask, budget)
-    if held.can_reserve(ask.most, most=budget):
-      return
-    if self._store.is_reached:
-      await self._rows.refresh(entry)
-      if held.can_reserve(ask.most, most=budget):
-        return
-    raise errors.WoadrunError(
-      errors.Code.BUDGET_EXCEEDED,
-      f'The budget of {budget:.0f} tokens does not hold {ask.most} more '
-      f'after {held.spent}.',
-    )
-
-  def _check_away(
-    self, entry: program_rows.Entry, ask: turn_messages.OpenTurn, budget: float
-  ) -> None:
-    # The home domain may be spending the other half without the store.
-    held = entry.ledger
-    if held.away_most is None and budget < math.inf:
-      held.away_most = held.spent + int((budget - held.spent) / 2)
-    if held.away_most is None:
-      return
-    if not held.can_reserve(ask.most, most=held.away_most):
-      raise errors.WoadrunError(
-        errors.Code.OWNER_UNAVAILABLE,
-        f'The domain {held.home}, which has the budget, is out of reach.',
-        retry_after=RETRY_SECONDS,
-      )
-
-  async def _reserve_without_store(
-    self,
-    entry: program_rows.Entry,
-    ask: turn_messages.OpenTurn,
-    budget: float,
-    error: errors.WoadrunError,
-  ) -> None:
-    held = entry.ledger
-    try:
-      if ask.is_away:
-        raise error
-      self._check_offline(entry, ask, budget)
-      await self._copies.send(entry, ())
-    except errors.WoadrunError:
-      held.reserved.pop(ask.request, None)
-      raise
-    entry.needs_flush = True
-    log.info(
-      'Turn %s of %s may run without the store: %d spent, row %d (%s).',
-      ask.request,
-      ask.program,
-      held.spent,
-      held.version,
-      error.message,
-    )
-
-  def _check_offline(
-    self, entry: program_rows.Entry, ask: turn_messages.OpenTurn, budget: float
-  ) -> None:
-    # Other domains may be spending the other half through the store.
-    held = entry.ledger
-    if entry.offline_most is None:
-      before = held.spent - held.reserved.get(ask.request, 0)
-      entry.offline_most = before + (budget - before) / 2
-    if held.spent > max(entry.offline_most, ask.most):
-      raise errors.WoadrunError(
-        errors.Code.PLATFORM_UNAVAILABLE,
-        'The store is out, and the part of the budget that needs none is '
-        'spent.',
-        retry_after=retry_after.estimate_outage(self._store.outage),
-      )
-
   # --- Copies ---------------------------------------------------------------
 
   async def take_copy(
--- /dev/null
+++ b/src/woadrun/process/reservations.py
@@ -0,0 +1,161 @@
+"""Reserves the tokens of a turn against the budget of its program.
+
+With the store in reach each reservation is a conditional write of one row.
+Without it a part of what is left may be spent on the standby's word; the
+rest is kept for the domains that may reach the store meanwhile.
+"""
+
+from __future__ import annotations
+
+import logging
+import math
+
+from woadrun import errors
+from woadrun.connection import turn_messages
+from woadrun.decisions import retry_after
+from woadrun.process import program_copies
+from woadrun.process import program_rows
+from woadrun.process import store_access
+
+log = logging.getLogger('woadrun.programs')
+
+# Conflicts of one reservation before it is refused; each means that another
+# daemon wrote the same row.
+MOST_CONFLICTS = 6
+# When a caller may come back where nobody can tell yet, in seconds.
+RETRY_SECONDS = 0.3
+
+
+class Reservations:
+  """The budgets of programs in one daemon of the failure domain `domain`."""
+
+  def __init__(
+    self,
+    *,
+    domain: str,
+    store: store_access.StoreAccess,
+    rows: program_rows.ProgramRows,
+    copies: program_copies.Copies,
+  ) -> None:
+    self._domain = domain
+    self._store = store
+    self._rows = rows
+    self._copies = copies
+
+  async def reserve(
+    self, entry: program_rows.Entry, ask: turn_messages.OpenTurn
+  ) -> None:
+    """Sets a turn's tokens aside; the caller holds the entry's lock.
+
+    Raises `budget_exceeded` where they do not fit, and what keeps this
+    daemon from knowing that.
+    """
+    budget = math.inf if ask.budget is None else ask.budget
+    for _ in range(MOST_CONFLICTS):
+      await self._check_budget(entry, ask, budget)
+      entry.ledger.reserve(ask.request, ask.most)
+      try:
+        if await self._rows.save(entry):
+          self._copies.send_behind(entry, ())
+          return
+      except errors.WoadrunError as error:
+        await self._reserve_without_store(entry, ask, budget, error)
+        return
+      # Another daemon changed the row: what fitted before may not fit now.
+      if ask.request not in entry.ledger.saved.reserved:
+        entry.ledger.reserved.pop(ask.request, None)
+    raise errors.WoadrunError(
+      errors.Code.NOT_COMMITTED,
+      'Too many daemons write to the program.',
+      retry_after=RETRY_SECONDS,
+    )
+
+  async def reserve_behind(
+    self, entry: program_rows.Entry, ask: turn_messages.OpenTurn
+  ) -> None:
+    """Sets a turn's tokens aside at the standby; the store gets it later."""
+    budget = math.inf if ask.budget is None else ask.budget
+    await self._check_budget(entry, ask, budget)
+    entry.ledger.reserve(ask.request, ask.most)
+    reason = errors.WoadrunError(
+      errors.Code.PLATFORM_UNAVAILABLE, 'the store is slow', retry_after=1.0
+    )
+    await self._reserve_without_store(entry, ask, budget, reason)
+
+  async def _check_budget(
+    self, entry: program_rows.Entry, ask: turn_messages.OpenTurn, budget: float
+  ) -> None:
+    held = entry.ledger
+    if ask.request in held.reserved:
+      return
+    if ask.is_away and held.home != self._domain:
+      self._check_away(entry, ask, budget)
+    if held.can_reserve(ask.most, most=budget):
+      return
+    if self._store.is_reached:
+      await self._rows.refresh(entry)
+      if held.can_reserve(ask.most, most=budget):
+        return
+    raise errors.WoadrunError(
+      errors.Code.BUDGET_EXCEEDED,
+      f'The budget of {budget:.0f} tokens does not hold {ask.most} more '
+      f'after {held.spent}.',
+    )
+
+  def _check_away(
+    self, entry: program_rows.Entry, ask: turn_messages.OpenTurn, budget: float
+  ) -> None:
+    # The home domain may be spending the other half without the store.
+    held = entry.ledger
+    if held.away_most is None and budget < math.inf:
+      held.away_most = held.spent + int((budget - held.spent) / 2)
+    if held.away_most is None:
+      return
+    if not held.can_reserve(ask.most, most=held.away_most):
+      raise errors.WoadrunError(
+        errors.Code.OWNER_UNAVAILABLE,
+        f'The domain {held.home}, which has the budget, is out of reach.',
+        retry_after=RETRY_SECONDS,
+      )
+
+  async def _reserve_without_store(
+    self,
+    entry: program_rows.Entry,
+    ask: turn_messages.OpenTurn,
+    budget: float,
+    error: errors.WoadrunError,
+  ) -> None:
+    held = entry.ledger
+    try:
+      if ask.is_away:
+        raise error
+      self._check_offline(entry, ask, budget)
+      await self._copies.send(entry, ())
+    except errors.WoadrunError:
+      held.reserved.pop(ask.request, None)
+      raise
+    entry.needs_flush = True
+    log.info(
+      'Turn %s of %s may run without the store: %d spent, row %d (%s).',
+      ask.request,
+      ask.program,
+      held.spent,
+      held.version,
+      error.message,
+    )
+
+  def _check_offline(
+    self, entry: program_rows.Entry, ask: turn_messages.OpenTurn, budget: float
+  ) -> None:
+    # Other domains may be spending the other half through the store.
+    held = entry.ledger
+    if entry.offline_most is None:
+      before = held.spent - held.reserved.get(ask.request, 0)
+      entry.offline_most = before + (budget - before) / 2
+    if held.spent > max(entry.offline_most, ask.most):
+      raise errors.WoadrunError(
+        errors.Code.PLATFORM_UNAVAILABLE,
+        'The store is out, and the part of the budget that needs none is '
+        'spent.',
+        retry_after=retry_after.estimate_outage(self._store.outage),
+      )
