A domain that is cut off goes on with programs of other domains

Each finished turn now also goes to one member of each other domain of the region, and each side of a cut spends only its part of what is left of a budget (decisions/shares.py, checked over all divisions of up to eight domains). A daemon that hears no other member of its domain decides nothing: it had gone on with half of a budget while the others spent all of it.

--- /dev/null
+++ b/src/woadrun/decisions/shares.py
@@ -0,0 +1,35 @@
+"""Which part of a budget each side may spend while they are cut off.
+
+Failure domains that cannot reach each other may all go on with one program.
+Each then spends a part of what was left when it noticed; the parts together
+are never more than the whole.
+"""
+
+from __future__ import annotations
+
+# The home domain's part while it has no store; the other half is for those
+# that may reach the store meanwhile.
+HOME_SHARE = 0.5
+
+
+def get_lone_share(domains: int) -> float:
+  """Returns the part of a domain without the store and away from home.
+
+  `domains` counts all domains that may serve the program.
+  """
+  return (1 - HOME_SHARE) / max(1, domains - 1)
+
+
+def get_share(
+  *, is_home: bool, has_store: bool, domains: int, unsettled: int
+) -> float:
+  """Returns the part of what is left that one domain may spend.
+
+  `unsettled` counts the other domains, the home left out, that may be
+  spending where this one does not see it.
+  """
+  alone = get_lone_share(domains)
+  if has_store:
+    whole = 1.0 if is_home else 1 - HOME_SHARE
+    return max(0.0, whole - unsettled * alone)
+  return HOME_SHARE if is_home else alone
--- a/src/woadrun/process/fleet.py
+++ b/src/woadrun/process/fleet.py
@@ -64,7 +64,9 @@
 class Beat(msgspec.Struct, kw_only=True, omit_defaults=True):
   """What a daemon says of itself in a datagram.
 
-  `running` counts the requests that it has at each instance.
+  `running` counts the requests that it has at each instance, `silent` names
+  the domains that it hears nothing of.  `is_owing` says that it has spent of
+  other domains' programs what the store does not have yet.
   """
 
   name: str
@@ -74,6 +76,8 @@
   table_version: int = -1
   is_leaving: bool = False
   running: dict[str, int] = {}
+  silent: tuple[str, ...] = ()
+  is_owing: bool = False
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -108,6 +112,7 @@
     self._known_since: dict[str, float] = {}
     self._suspects: set[str] = set()
     self._version_by_name: dict[str, int] = {}
+    self.is_leaving = False
     self._transport: asyncio.DatagramTransport | None = None
     self._feed = feed.Feed(
       store=store, table=TABLE, on_list=self._take_list, on_row=self._take_row
@@ -135,6 +140,40 @@
     names = [m.name for m in self.member_by_name.values() if m.domain == domain]
     return bool(names) and not any(self.is_alive(name) for name in names)
 
+  @property
+  def domains(self) -> set[str]:
+    """All failure domains with a member."""
+    return {member.domain for member in self.member_by_name.values()}
+
+  @property
+  def is_isolated(self) -> bool:
+    """Whether no other member of the own domain is heard, though listed."""
+    others = [
+      name
+      for name, member in self.member_by_name.items()
+      if member.domain == self.me.domain and name != self.me.name
+    ]
+    return bool(others) and not any(self.is_alive(name) for name in others)
+
+  def find_silent(self) -> list[str]:
+    """Returns the other domains of which nothing is heard."""
+    others = sorted(self.domains - {self.me.domain})
+    return [domain for domain in others if self.is_silent(domain)]
+
+  def find_unsettled(self) -> set[str]:
+    """Returns the other domains that may spend without the store.
+
+    Those are the silent ones, those that do not hear this domain, and those
+    that have not yet told the store what they spent.
+    """
+    return set(self.find_silent()) | {
+      heard.beat.domain
+      for name, heard in self.heard_by_name.items()
+      if heard.beat.domain != self.me.domain
+      and (heard.beat.is_owing or self.me.domain in heard.beat.silent)
+      and self.is_alive(name)
+    }
+
   def get_silence(self) -> float:
     """Returns for how long a whole domain has been silent, in seconds.
 
@@ -190,7 +229,7 @@
 
   def _is_leaving(self, name: str) -> bool:
     if name == self.me.name:
-      return self._make_beat().is_leaving
+      return self.is_leaving
     heard = self.heard_by_name.get(name)
     return heard is not None and heard.beat.is_leaving
 
@@ -229,10 +268,7 @@
   @mode.Service.task
   async def _stay_registered(self) -> None:
     while not self.should_stop:
-      if (
-        self.me.name not in self._version_by_name
-        and not self._make_beat().is_leaving
-      ):
+      if self.me.name not in self._version_by_name and not self.is_leaving:
         await self._try(self.register())
       await self._remove_gone()
       await self.sleep(1.0)
--- a/src/woadrun/process/node.py
+++ b/src/woadrun/process/node.py
@@ -108,7 +108,6 @@
   ) -> None:
     super().__init__()
     self.config = config
-    self.is_leaving = False
     self.counters = counters.Counters()
     self.links = peers.Peers(session=session, key='')
     self.store = store_access.StoreAccess(
@@ -180,6 +179,11 @@
     if self._runner is not None:
       await self._runner.cleanup()
 
+  @property
+  def is_leaving(self) -> bool:
+    """Whether a planned stop has begun."""
+    return self.fleet.is_leaving
+
   def is_ready(self) -> bool:
     """Returns whether new callers are welcome."""
     is_told = self.catalogue.table is not None and self.catalogue.is_listed
@@ -213,6 +217,8 @@
       table_version=self.catalogue.version,
       is_leaving=self.is_leaving,
       running=self.loads.get_running(),
+      silent=tuple(self.fleet.find_silent()),
+      is_owing=self.programs.is_owing,
     )
 
   def _take_beat(self, beat: fleet.Beat) -> None:
@@ -270,6 +276,7 @@
       ('program/open-new', turn_messages.OpenTurn, self._open_new),
       ('program/close', turn_messages.CloseTurn, self.programs.close),
       ('program/copy', turn_messages.LedgerCopy, self.programs.take_copy),
+      ('program/far', turn_messages.LedgerCopy, self.programs.take_far_copy),
       ('program/ask', turn_messages.AskProgram, self.programs.tell),
       ('store/change', turn_messages.StoreChange, self.relay.change),
       ('store/read', turn_messages.StoreRead, self.relay.read),
@@ -294,7 +301,7 @@
 
   async def leave(self) -> None:
     """Returns once no new callers come: listeners may close then."""
-    self.is_leaving = True
+    self.fleet.is_leaving = True
     started = time.monotonic()
     log.info('Leaving with %d requests running.', self.serving.active)
     self.fleet.send_beats()
--- a/src/woadrun/process/program_copies.py
+++ b/src/woadrun/process/program_copies.py
@@ -1,9 +1,10 @@
-"""Copies of programs at their standbys."""
+"""Copies of programs: at their standbys, and in the other domains."""
 
 from __future__ import annotations
 
 import asyncio
 from collections.abc import Container
+from collections.abc import Coroutine
 import logging
 
 from woadrun import errors
@@ -22,6 +23,9 @@
 # Members that are asked about a program that is new to this one: owner and
 # standby before the last change of members.
 MOST_ASKED = 3
+# Other domains that get a copy of each turn.  Regions have two to four
+# others; the bytes between domains stay bounded in larger ones.
+MOST_DOMAINS = 4
 
 
 class Copies:
@@ -53,13 +57,7 @@
       if member.name == me.name:
         continue
       try:
-        await self._links.post(
-          member.address,
-          'program/copy',
-          message,
-          type=turn_messages.Closed,
-          timeout=COPY_SECONDS,
-        )
+        await self._post(member, 'program/copy', message)
         return
       except errors.WoadrunError as error:
         self._members.note_failure(member.name)
@@ -67,6 +65,20 @@
     if failure is not None:
       raise failure
 
+  def send_far_behind(
+    self, entry: program_rows.Entry, turn: turn_messages.Turn
+  ) -> None:
+    """Sends a finished turn to each other domain; nobody waits for it.
+
+    A domain that is cut off goes on with the programs whose callers it has:
+    a fifth of all turns come in through another domain than the one before.
+    """
+    message = self._make_copy(entry, (turn,))
+    domains = sorted(self._members.domains - {self._members.me.domain})
+    for domain in domains[:MOST_DOMAINS]:
+      for member in self._members.rank(entry.program, domain)[:1]:
+        self._run(self._try_post(member, 'program/far', message))
+
   async def ask(self, program: str) -> list[turn_messages.LedgerCopy]:
     """Returns what other members have of a program that the store lacks."""
     me = self._members.me
@@ -100,13 +112,36 @@
     self, entry: program_rows.Entry, turns: tuple[turn_messages.Turn, ...]
   ) -> None:
     """Sends a copy that nobody waits for."""
+    self._run(self.try_send(entry, turns))
+
+  def _run(self, sending: Coroutine[None, None, None]) -> None:
     if len(self._running) >= MOST_COPIES:
-      log.warning('A copy of %s is left out: too many.', entry.program)
+      log.warning('A copy is left out: %d are under way.', len(self._running))
+      sending.close()
       return
-    task = asyncio.ensure_future(self.try_send(entry, turns))
+    task = asyncio.ensure_future(sending)
     self._running.add(task)
     task.add_done_callback(self._running.discard)
 
+  async def _try_post(
+    self, member: fleet.Member, path: str, message: turn_messages.LedgerCopy
+  ) -> None:
+    try:
+      await self._post(member, path, message)
+    except errors.WoadrunError as error:
+      log.info('No copy of %s: %s', message.program, error.message)
+
+  async def _post(
+    self, member: fleet.Member, path: str, message: turn_messages.LedgerCopy
+  ) -> None:
+    await self._links.post(
+      member.address,
+      path,
+      message,
+      type=turn_messages.Closed,
+      timeout=COPY_SECONDS,
+    )
+
   async def try_send(
     self, entry: program_rows.Entry, turns: tuple[turn_messages.Turn, ...]
   ) -> None:
--- a/src/woadrun/process/program_rows.py
+++ b/src/woadrun/process/program_rows.py
@@ -26,7 +26,8 @@
   """A program in memory.
 
   `attempts` are the ids of writes that may have been done although no
-  answer came.  `offline_most` bounds the budget while the store is out.
+  answer came.  `offline_most` bounds the budget while the store is out,
+  `guarded_most` while another domain may spend without it.
   `needs_flush` says that the row should not wait for the next call.
   """
 
@@ -35,6 +36,7 @@
   lock: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
   attempts: set[str] = dataclasses.field(default_factory=set)
   offline_most: float | None = None
+  guarded_most: float | None = None
   needs_flush: bool = False
   used_at: float = dataclasses.field(default_factory=time.monotonic)
 
--- a/src/woadrun/process/programs.py
+++ b/src/woadrun/process/programs.py
@@ -64,7 +64,7 @@
       members=members, links=links, unsaved=self.unsaved
     )
     self._reservations = reservations.Reservations(
-      domain=members.me.domain,
+      members=members,
       store=store,
       rows=self._rows,
       copies=self._copies,
@@ -125,6 +125,8 @@
     turns = () if done.turn is None else (done.turn,)
     if done.is_saved:
       self._copies.send_behind(entry, turns)
+      if done.turn is not None and entry.ledger.home == self._members.me.domain:
+        self._copies.send_far_behind(entry, done.turn)
     else:
       await self._copies.send(entry, turns)
     return turn_messages.Closed()
@@ -210,6 +212,41 @@
     self.entry_by_program[copy.program].needs_flush = held.is_dirty
     return turn_messages.Closed()
 
+  async def take_far_copy(
+    self, copy: turn_messages.LedgerCopy
+  ) -> turn_messages.Closed:
+    """Keeps what the owner in another domain sent.
+
+    What is spent here counts on top of it.  The row in the store is the
+    home's: a change of ours is brought onto it by a failed condition.
+    """
+    for turn in copy.turns:
+      self.cache.put(turn)
+    entry = self.entry_by_program.get(copy.program)
+    if entry is not None and (entry.needs_flush or entry.lock.locked()):
+      return turn_messages.Closed()
+    row = ledger.LedgerRow(
+      home=copy.home, settled=copy.settled, reserved=copy.reserved
+    )
+    held = ledger.Ledger(saved=row, version=0)
+    if entry is None:
+      self.entry_by_program[copy.program] = program_rows.Entry(
+        program=copy.program, ledger=held
+      )
+    else:
+      entry.ledger = held
+      entry.used_at = time.monotonic()
+    return turn_messages.Closed()
+
+  @property
+  def is_owing(self) -> bool:
+    """Whether the store lacks what was spent of other domains' programs."""
+    mine = self._members.me.domain
+    return any(
+      entry.needs_flush and entry.ledger.home != mine
+      for entry in self.entry_by_program.values()
+    )
+
   # --- Behind ---------------------------------------------------------------
 
   @mode.Service.task
--- a/src/woadrun/process/reservations.py
+++ b/src/woadrun/process/reservations.py
@@ -13,9 +13,12 @@
 from woadrun import errors
 from woadrun.connection import turn_messages
 from woadrun.decisions import retry_after
+from woadrun.decisions import shares
+from woadrun.process import fleet
 from woadrun.process import program_copies
 from woadrun.process import program_rows
 from woadrun.process import store_access
+from woadrun.version import ledger
 
 log = logging.getLogger('woadrun.programs')
 
@@ -27,17 +30,17 @@
 
 
 class Reservations:
-  """The budgets of programs in one daemon of the failure domain `domain`."""
+  """The budgets of programs, as one daemon reserves of them."""
 
   def __init__(
     self,
     *,
-    domain: str,
+    members: fleet.Fleet,
     store: store_access.StoreAccess,
     rows: program_rows.ProgramRows,
     copies: program_copies.Copies,
   ) -> None:
-    self._domain = domain
+    self._members = members
     self._store = store
     self._rows = rows
     self._copies = copies
@@ -88,7 +91,9 @@
     held = entry.ledger
     if ask.request in held.reserved:
       return
-    if ask.is_away and held.home != self._domain:
+    if held.home == self._members.me.domain:
+      self._check_guarded(entry, ask, budget)
+    elif ask.is_away and self._store.is_reached:
       self._check_away(entry, ask, budget)
     if held.can_reserve(ask.most, most=budget):
       return
@@ -108,7 +113,8 @@
     # The home domain may be spending the other half without the store.
     held = entry.ledger
     if held.away_most is None and budget < math.inf:
-      held.away_most = held.spent + int((budget - held.spent) / 2)
+      part = self._get_share(held.home, has_store=True)
+      held.away_most = held.spent + int((budget - held.spent) * part)
     if held.away_most is None:
       return
     if not held.can_reserve(ask.most, most=held.away_most):
@@ -118,6 +124,32 @@
         retry_after=RETRY_SECONDS,
       )
 
+  def _check_guarded(
+    self, entry: program_rows.Entry, ask: turn_messages.OpenTurn, budget: float
+  ) -> None:
+    # A domain that is cut off may be spending what its own part allows.
+    held = entry.ledger
+    if not self._members.find_unsettled():
+      entry.guarded_most = None
+      return
+    if entry.guarded_most is None:
+      part = self._get_share(held.home, has_store=True)
+      entry.guarded_most = held.spent + (budget - held.spent) * part
+    if not held.can_reserve(ask.most, most=entry.guarded_most):
+      raise errors.WoadrunError(
+        errors.Code.OWNER_UNAVAILABLE,
+        'A domain that is cut off may be spending the rest of the budget.',
+        retry_after=retry_after.estimate_outage(self._members.get_silence()),
+      )
+
+  def _get_share(self, home: str, *, has_store: bool) -> float:
+    return shares.get_share(
+      is_home=home == self._members.me.domain,
+      has_store=has_store,
+      domains=len(self._members.domains),
+      unsettled=len(self._members.find_unsettled() - {home}),
+    )
+
   async def _reserve_without_store(
     self,
     entry: program_rows.Entry,
@@ -127,8 +159,7 @@
   ) -> None:
     held = entry.ledger
     try:
-      if ask.is_away:
-        raise error
+      self._check_alone(held, error)
       self._check_offline(entry, ask, budget)
       await self._copies.send(entry, ())
     except errors.WoadrunError:
@@ -144,14 +175,26 @@
       error.message,
     )
 
+  def _check_alone(
+    self, held: ledger.Ledger, error: errors.WoadrunError
+  ) -> None:
+    # The others of an isolated daemon's domain go on without it, and so does
+    # a home that is heard: both would spend the same tokens.
+    home = held.home
+    is_away = home != self._members.me.domain
+    if self._members.is_isolated or (
+      is_away and not self._members.is_silent(home)
+    ):
+      raise error
+
   def _check_offline(
     self, entry: program_rows.Entry, ask: turn_messages.OpenTurn, budget: float
   ) -> None:
-    # Other domains may be spending the other half through the store.
     held = entry.ledger
     if entry.offline_most is None:
+      part = self._get_share(held.home, has_store=False)
       before = held.spent - held.reserved.get(ask.request, 0)
-      entry.offline_most = before + (budget - before) / 2
+      entry.offline_most = before + (budget - before) * part
     if held.spent > max(entry.offline_most, ask.most):
       raise errors.WoadrunError(
         errors.Code.PLATFORM_UNAVAILABLE,
--- /dev/null
+++ b/tests/test_cut_domains.py
@@ -0,0 +1,139 @@
+"""A domain that is cut off goes on, and no budget is spent twice."""
+
+import hypothesis
+from hypothesis import strategies
+import nodes
+import pytest
+
+from woadrun import errors
+from woadrun.decisions import shares
+
+
+async def tell_far(fleet, name, request):
+  """Returns once a daemon of another domain has a turn."""
+  cache = fleet.by_name[name].programs.cache
+  await nodes.wait_until(lambda: cache.get(request) is not None)
+
+
+async def cut_off(fleet, name):
+  """Leaves one daemon alone without the store."""
+  fleet.shared.is_out = True
+  for other in [n for n in fleet.by_name if n != name]:
+    await fleet.stop(other)
+  alone = fleet.by_name[name]
+  await nodes.wait_until(
+    lambda: (
+      not alone.store.is_reached
+      and (alone.fleet.find_silent() or alone.fleet.is_isolated)
+    )
+  )
+  return alone
+
+
+async def test_a_domain_cut_off_goes_on_with_programs_of_others():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1', 'n2', 's1')
+    await fleet.turn('n1', 'a')
+    await fleet.turn('n2', 'b', parent='a')
+    await tell_far(fleet, 's1', 'a')
+    await tell_far(fleet, 's1', 'b')
+    south = await cut_off(fleet, 's1')
+    await fleet.turn('s1', 'c', parent='b')
+    assert fleet.get_body('c') == b'<a>a-0\na-1\n<b>b-0\nb-1\n<c>'
+    assert south.programs.is_owing
+    # The store learns what was spent, on top of what it knew.
+    fleet.shared.is_out = False
+    await nodes.wait_until(
+      lambda: not south.programs.is_owing and not south.programs.unsaved
+    )
+    north = await fleet.start_alone('n3')
+    await nodes.wait_until(lambda: north.is_ready() and north.store.is_direct)
+    await fleet.turn('n3', 'd', parent='c')
+    assert fleet.get_body('d').endswith(b'<c>c-0\nc-1\n<d>')
+    assert north.programs.entry_by_program['p'].ledger.spent == 4 * 6
+
+
+async def test_a_domain_cut_off_spends_its_part_only():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1', 's1')
+    await fleet.turn('n1', 'a', most=10, budget=106)
+    await tell_far(fleet, 's1', 'a')
+    await cut_off(fleet, 's1')
+    done = 0
+    with pytest.raises(errors.WoadrunError) as caught:
+      for number in range(20):
+        await fleet.turn('s1', f'r{number}', most=10, budget=106)
+        done += 1
+    assert caught.value.status == 503
+    assert 0 < done * 6 <= (106 - 6) * shares.get_lone_share(2)
+
+
+async def test_the_home_leaves_a_silent_domain_its_part():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1', 's1')
+    await fleet.turn('n1', 'a', most=10, budget=106)
+    address = fleet.by_name['s1'].config.peers_address
+    await fleet.stop('s1')
+    north = fleet.by_name['n1']
+    await nodes.wait_until(north.fleet.find_silent)
+    done = 0
+    with pytest.raises(errors.WoadrunError) as caught:
+      for number in range(20):
+        await fleet.turn('n1', f'r{number}', most=10, budget=106)
+        done += 1
+    assert caught.value.status == 503
+    assert 0 < done * 6 <= (106 - 6) / 2
+    # Once it is back and owes nothing, the whole budget is free.
+    await fleet.start_alone('s1', address=address)
+    await nodes.wait_until(lambda: not north.fleet.find_unsettled())
+    await fleet.turn('n1', 'later', most=10, budget=106)
+
+
+async def test_an_isolated_daemon_spends_nothing():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1', 'n2', 'n3')
+    await fleet.turn('n1', 'a')
+    # The others may go on with the store: this one cannot know.
+    await cut_off(fleet, 'n1')
+    with pytest.raises(errors.WoadrunError) as caught:
+      await fleet.turn('n1', 'b', parent='a')
+    assert caught.value.status == 503
+    assert fleet.get_body('b') is None
+
+
+@hypothesis.given(
+  sides=strategies.lists(
+    strategies.integers(min_value=0, max_value=4), min_size=2, max_size=8
+  ),
+  home=strategies.integers(min_value=0, max_value=7),
+  with_store=strategies.integers(min_value=-1, max_value=4),
+)
+@hypothesis.settings(derandomize=True)
+def test_all_sides_together_never_spend_more_than_the_whole(
+  sides, home, with_store
+):
+  """`sides` says on which side of a cut each domain is."""
+  home %= len(sides)
+  total = 0.0
+  for side in set(sides):
+    has_store = side == with_store
+    members = [d for d, s in enumerate(sides) if s == side]
+    others = [d for d in range(len(sides)) if d not in members and d != home]
+    is_home = home in members
+    share = shares.get_share(
+      is_home=is_home,
+      has_store=has_store,
+      domains=len(sides),
+      unsettled=len(others),
+    )
+    # Without the store each domain but the home spends a part of its own.
+    total += share if has_store or is_home else share * len(members)
+  assert total <= 1 + 1e-9
+
+
+async def test_a_daemon_tells_whom_it_does_not_hear():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1', 's1')
+    north, south = fleet.by_name['n1'], fleet.by_name['s1']
+    south.fleet.is_silent = lambda domain: domain == 'north'
+    await nodes.wait_until(lambda: north.fleet.find_unsettled() == {'south'})
