woadrun timeline: one program's requests drawn from the logs

Lines that touch a request name it, its program, its line of turns and the kind of its route in fields of their own; one line tells how each request ended and why. tests/test_timeline.py.

--- a/src/woadrun/cli/app.py
+++ b/src/woadrun/cli/app.py
@@ -18,6 +18,7 @@
 from woadrun.cli import serve
 from woadrun.cli import stand_in
 from woadrun.cli import table
+from woadrun.cli import timeline
 
 
 class Exit(enum.IntEnum):
@@ -43,6 +44,7 @@
 app.command(look.dump)
 app.command(look.top)
 app.command(explain.explain)
+app.command(timeline.timeline)
 app.command(demo.demo)
 app.command(experiment.experiment)
 app.command(stand_in.stand_in)
--- a/src/woadrun/cli/explain.py
+++ b/src/woadrun/cli/explain.py
@@ -24,16 +24,28 @@
   time: str
   part: str = ''
   message: str = ''
+  request: str = ''
+  program: str = ''
+  line: str = ''
+  kind: str = ''
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Event:
-  """One line of a log; `at` is in seconds of a day, `daemon` wrote it."""
+  """One line of a log; `at` is in seconds of a day, `daemon` wrote it.
+
+  `request`, `program`, `line` and `kind` are there where it tells of one
+  request: its id, its program, the line of turns in it, the route's kind.
+  """
 
   at: float
   daemon: str
   part: str
   message: str
+  request: str = ''
+  program: str = ''
+  line: str = ''
+  kind: str = ''
 
 
 def explain(request: str, /, *logs: pathlib.Path) -> int:
@@ -79,6 +91,10 @@
         daemon=words[-1] if words else path.stem,
         part=line.part,
         message=line.message,
+        request=line.request,
+        program=line.program,
+        line=line.line,
+        kind=line.kind,
       )
 
 
--- a/src/woadrun/platform/ingress.py
+++ b/src/woadrun/platform/ingress.py
@@ -56,13 +56,17 @@
         headers=http.headers,
         body=body,
       )
-      async with self._service.answer(request) as answer:
-        return await self._write(http, answer)
     except errors.WoadrunError as error:
       log.info('Request %s: %s: %s', id, error.code.value, error.message)
       return self._make_refusal(error, id)
     except web.HTTPRequestEntityTooLarge:
+      log.info('Request %s: its body is too large.', id)
       return web.Response(status=413)
+    try:
+      async with self._service.answer(request) as answer:
+        return await self._write(http, answer)
+    except errors.WoadrunError as error:
+      return self._make_refusal(error, id)
 
   async def _write(
     self, http: web.BaseRequest, answer: exchange.Answer
--- a/src/woadrun/platform/wire.py
+++ b/src/woadrun/platform/wire.py
@@ -83,6 +83,8 @@
     body=body,
     deadline=deadline,
     turn=_decode_turn(headers),
+    program=headers.get('Program-Id', ''),
+    line=headers.get('Session-Id', ''),
   )
 
 
@@ -98,7 +100,6 @@
   try:
     return exchange.TurnInfo(
       program=program,
-      line=headers.get('Session-Id', ''),
       parent=headers.get('Previous-Turn', ''),
       most=int(most),
       budget=None if budget is None else int(budget),
--- a/src/woadrun/process/logs.py
+++ b/src/woadrun/process/logs.py
@@ -13,6 +13,10 @@
 
 TEXT_FORMAT = '%(asctime)s %(levelname)-7s %(name)s: %(message)s'
 
+# Fields that a line may have beside its message: which request it tells of,
+# that request's program and line of turns, and the kind of its route.
+FIELDS = ('request', 'program', 'line', 'kind')
+
 
 class JsonFormatter(logging.Formatter):
   """Writes each event as one JSON object."""
@@ -25,6 +29,9 @@
       'part': record.name,
       'message': record.getMessage(),
     }
+    for name in FIELDS:
+      if record.__dict__.get(name):
+        line[name] = record.__dict__[name]
     if record.exc_info:
       line['traceback'] = self.formatException(record.exc_info)
     return json.dumps(line)
--- a/src/woadrun/request/attempts.py
+++ b/src/woadrun/request/attempts.py
@@ -147,6 +147,7 @@
       sending.instance.domain,
       sending.seconds * 1000,
       outcome,
+      extra=sending.request.fields,
     )
 
   def _make_error(
--- a/src/woadrun/request/exchange.py
+++ b/src/woadrun/request/exchange.py
@@ -24,7 +24,6 @@
   """
 
   program: str
-  line: str = ''
   parent: str = ''
   most: int = 0
   budget: int | None = None
@@ -38,7 +37,8 @@
 
   `target` is path and query, byte for byte; `headers` are those to pass
   on.  `deadline` is when the caller stops waiting, on the monotonic clock,
-  None where the caller sets none.
+  None where the caller sets none.  `program` and `line` name the program
+  that it belongs to, if any, and the line of turns within it.
   """
 
   id: str
@@ -49,6 +49,13 @@
   body: bytes
   deadline: float | None = None
   turn: TurnInfo | None = None
+  program: str = ''
+  line: str = ''
+
+  @property
+  def fields(self) -> dict[str, str]:
+    """What a log line about the request has beside its message."""
+    return {'request': self.id, 'program': self.program, 'line': self.line}
 
   @property
   def path(self) -> str:
--- a/src/woadrun/request/serving.py
+++ b/src/woadrun/request/serving.py
@@ -60,7 +60,7 @@
     """
     self.active += 1
     started = time.monotonic()
-    kind, outcome = 'unknown', 'broken_off'
+    kind, outcome, reason = 'unknown', 'broken_off', ''
     try:
       route = self._match(request)
       kind = route.kind.value
@@ -74,10 +74,19 @@
         outcome = f'{answer.status // 100}xx'
     except errors.WoadrunError as error:
       outcome = error.code.value
+      reason = f' ({error.message})'
       raise
     finally:
       self.active -= 1
       self._counts.note_answer(kind, outcome, started)
+      log.info(
+        'Request %s: %s after %.0f ms%s.',
+        request.id,
+        outcome,
+        (time.monotonic() - started) * 1000,
+        reason,
+        extra={**request.fields, 'kind': kind},
+      )
 
   def get_route(self, request: exchange.Request) -> routes.Route | None:
     """Returns the route of a request, if the table in force has one."""
@@ -182,6 +191,7 @@
       running.turn.program,
       running.reader.count,
       done.tokens,
+      extra=running.request.fields,
     )
 
   def _make_end(
--- /dev/null
+++ b/tests/test_timeline.py
@@ -0,0 +1,57 @@
+"""`woadrun timeline` draws what a program's requests did when."""
+
+import logging
+
+from woadrun.cli import timeline
+from woadrun.process import logs
+
+
+def write(path, *records):
+  """Writes records of (seconds, message, request, line) as a daemon does."""
+  formatter = logs.JsonFormatter()
+  lines = []
+  for at, message, request, line in records:
+    record = logging.makeLogRecord(
+      {
+        'name': 'woadrun.serving',
+        'levelname': 'INFO',
+        'msg': message,
+        'created': at,
+        'msecs': at % 1 * 1000,
+        'request': request,
+        'program': 'p1',
+        'line': line,
+        'kind': 'stream',
+      }
+    )
+    lines.append(formatter.format(record))
+  path.write_text('\n'.join(lines) + '\n')
+  return path
+
+
+def test_requests_of_all_daemons_are_drawn_in_order(tmp_path, capsys):
+  one = write(
+    tmp_path / 'one.log',
+    (10.2, 'Request a at e1 (north, 900 ms left): answers 200.', 'a', 'x'),
+    (11.0, 'Request a: 2xx after 1000 ms.', 'a', 'x'),
+  )
+  two = write(
+    tmp_path / 'two.log',
+    (14.0, 'Request c: timeout after 1000 ms (too late).', 'c', 'x'),
+    (12.0, 'Request b: 2xx after 500 ms.', 'b', 'y'),
+  )
+  assert timeline.timeline('p1', one, two) == 0
+  rows = capsys.readouterr().out.splitlines()
+  starts = [row.split()[0] for row in rows if row[:8].strip()]
+  assert starts == ['0.000', '1.500', '3.000']
+  assert 'e1 in north: answers 200' in rows[1]
+  assert 'timeout (too late)' in rows[3]
+  assert [rows[n].count('=') for n in (0, 2, 3)] == [15, 8, 15]
+
+
+def test_a_program_that_is_not_there_is_said_so(tmp_path, capsys):
+  log = write(
+    tmp_path / 'one.log', (1.0, 'Request a: 2xx after 1 ms.', 'a', '')
+  )
+  assert timeline.timeline('other', log) == 1
+  assert 'No request of other' in capsys.readouterr().out
