--- a/src/woadrun/process/loads.py
+++ b/src/woadrun/process/loads.py
@@ -62,6 +62,7 @@
     self._domain = domain
     self._is_silent = is_silent
     self._load_by_id: dict[str, Load] = {}
+    self._usual_by_service: dict[str, float] = {}
     self._counts_by_peer: dict[str, tuple[float, dict[str, int]]] = {}
 
   def get_running(self) -> dict[str, int]:
@@ -84,10 +85,17 @@
     finally:
       load.running -= 1
 
-  def note_seconds(self, id: str, seconds: float) -> None:
+  def note_seconds(self, id: str, service: str, seconds: float) -> None:
     """Learns from a request that took `seconds`."""
     load = self._load_by_id.setdefault(id, Load())
     load.seconds += LEARN_WEIGHT * (seconds - load.seconds)
+    usual = self.get_usual_seconds(service)
+    usual += LEARN_WEIGHT * (seconds - usual)
+    self._usual_by_service[service] = usual
+
+  def get_usual_seconds(self, service: str) -> float:
+    """Returns what a request takes at a service, all instances together."""
+    return self._usual_by_service.get(service, FIRST_SECONDS)
 
   def note_unreachable(self, id: str) -> None:
     """Passes an instance over for a while."""
--- a/src/woadrun/request/attempts.py
+++ b/src/woadrun/request/attempts.py
@@ -1,17 +1,21 @@
 """Sends a request to one instance after another, as often as it may.
 
 A request that may not be repeated is sent again only if the instance says
-that it did not run, or was never reached.
+that it did not run, or was never reached.  One that may be repeated goes to a
+second instance as well when the first takes much longer than usual.
 """
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import AsyncIterator
 import contextlib
+import dataclasses
 import logging
 import time
 
 from woadrun import errors
+from woadrun.decisions import hedging
 from woadrun.process import catalogue
 from woadrun.process import loads
 from woadrun.request import exchange
@@ -25,6 +29,33 @@
 LEAST_SECONDS = 0.02
 
 
+@dataclasses.dataclass(kw_only=True)
+class _Begun:
+  """A request under way to one instance; closing `stack` ends it."""
+
+  sending: exchange.Sending
+  stack: contextlib.AsyncExitStack
+  reply: exchange.Reply
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Plan:
+  """A request, where it was sent, and what is known of its outcome.
+
+  `tried` has the ids of instances, `cause` the last failure.
+  """
+
+  request: exchange.Request
+  route: routes.Route
+  service: str
+  deadline: float
+  body: bytes
+  preferred: str
+  tried: list[str] = dataclasses.field(default_factory=list)
+  cause: Exception | None = None
+  may_have_run: bool = False
+
+
 class Attempts:
   """Finds instances for requests, sends, and sends again."""
 
@@ -38,6 +69,7 @@
     self._known = known
     self._load = load
     self._upstreams = upstreams
+    self._budget = hedging.HedgeBudget()
 
   @contextlib.asynccontextmanager
   async def send(
@@ -55,89 +87,115 @@
     Raises `upstream_unavailable` where none ran it, `outcome_unknown`
     where one may have, `deadline_passed` where it may have and time is up.
     """
-    sent = body if body is not None else request.body
-    tried: list[str] = []
-    cause: Exception | None = None
-    may_have_run = False
+    plan = _Plan(
+      request=request,
+      route=route,
+      service=service,
+      deadline=deadline,
+      body=body if body is not None else request.body,
+      preferred=preferred,
+    )
     async with contextlib.AsyncExitStack() as stack:
-      while len(tried) < route.max_attempts:
-        seconds = exchange.get_seconds_left(deadline)
-        instance = self._choose(request, service, tried, preferred)
-        if instance is None or seconds < LEAST_SECONDS:
-          break
-        tried.append(instance.id)
-        sending = exchange.Sending(
-          request=request,
-          instance=instance,
-          body=sent,
-          seconds=seconds,
-          urgency=route.priority if request.turn else None,
-        )
+      while (sending := self._find_next(plan)) is not None:
         try:
-          reply = await self._try(stack, sending)
+          begun = await self._begin(plan, sending)
         except exchange.NotSent as error:
-          self._load.note_unreachable(instance.id)
-          cause = error
-          self._log(sending, f'not sent: {error}')
+          plan.cause = error
           continue
         except exchange.Lost as error:
-          cause = error
-          may_have_run = True
-          self._log(sending, f'no answer: {error}')
+          plan.cause = error
+          plan.may_have_run = True
           if route.kind is routes.Kind.IDEMPOTENT:
             continue
           break
+        stack.push_async_exit(begun.stack)
+        reply = begun.reply
+        if reply.has_run and reply.is_genuine:
+          yield reply, begun.sending.instance
+          return
+        await stack.aclose()
         if not reply.has_run:
-          self._log(sending, f'not run, {reply.status}')
-          await stack.aclose()
           continue
-        if route.kind is routes.Kind.IDEMPOTENT and not reply.is_genuine:
-          may_have_run = True
-          self._log(sending, 'no answer of this request')
-          await stack.aclose()
-          continue
-        if not reply.is_genuine:
-          may_have_run = True
-          self._log(sending, 'no answer of this request')
+        plan.may_have_run = True
+        if route.kind is not routes.Kind.IDEMPOTENT:
           break
-        self._log(sending, f'answers {reply.status}')
-        yield reply, instance
-        return
-    raise self._make_error(service, may_have_run, tried, cause)
+    raise self._make_error(plan)
 
-  def _choose(
-    self,
-    request: exchange.Request,
-    service: str,
-    tried: list[str],
-    preferred: str,
-  ) -> instances.Instance | None:
-    turn = request.turn
+  # --- One instance after the other -----------------------------------------
+
+  def _find_next(self, plan: _Plan) -> exchange.Sending | None:
+    """Returns the next send of a request, or None where none is left."""
+    seconds = exchange.get_seconds_left(plan.deadline)
+    if len(plan.tried) >= plan.route.max_attempts or seconds < LEAST_SECONDS:
+      return None
+    turn = plan.request.turn
     prompt = turn.prompt if turn else 0
-    return self._load.choose(
-      self._known.directory.find(service),
-      tried=tried,
+    instance = self._load.choose(
+      self._known.directory.find(plan.service),
+      tried=plan.tried,
       prompt=prompt,
-      cached_by_id={preferred: prompt} if preferred else None,
+      cached_by_id={plan.preferred: prompt} if plan.preferred else None,
+    )
+    if instance is None:
+      return None
+    plan.tried.append(instance.id)
+    return exchange.Sending(
+      request=plan.request,
+      instance=instance,
+      body=plan.body,
+      seconds=seconds,
+      urgency=plan.route.priority if turn else None,
     )
 
-  async def _try(
-    self, stack: contextlib.AsyncExitStack, sending: exchange.Sending
-  ) -> exchange.Reply:
-    id = sending.instance.id
-    own = contextlib.AsyncExitStack()
-    own.enter_context(self._load.count(id))
-    own.callback(self._learn, id, time.monotonic())
+  async def _begin(self, plan: _Plan, sending: exchange.Sending) -> _Begun:
+    if plan.route.kind is not routes.Kind.IDEMPOTENT:
+      return await self._try(sending)
+    self._budget.note_first()
+    return await self._try_hedged(plan, sending)
+
+  async def _try_hedged(self, plan: _Plan, sending: exchange.Sending) -> _Begun:
+    """Returns the first good reply of one instance, or of a second one."""
+    tasks = [asyncio.ensure_future(self._try(sending))]
+    usual = self._load.get_usual_seconds(plan.service)
     try:
-      reply = await own.enter_async_context(self._upstreams.send(sending))
+      await asyncio.wait(tasks, timeout=hedging.get_patience(usual))
+      if not tasks[0].done() and self._budget.take():
+        second = self._find_next(plan)
+        if second is not None:
+          self._log(sending, f'slower than usual, {usual * 1000:.0f} ms')
+          tasks.append(asyncio.ensure_future(self._try(second)))
+      return await _get_first_good(plan, tasks)
     except BaseException:
-      await own.aclose()
+      await _end(tasks)
+      raise
+
+  async def _try(self, sending: exchange.Sending) -> _Begun:
+    id = sending.instance.id
+    stack = contextlib.AsyncExitStack()
+    stack.enter_context(self._load.count(id))
+    stack.callback(self._learn, sending, time.monotonic())
+    try:
+      reply = await stack.enter_async_context(self._upstreams.send(sending))
+    except BaseException as error:
+      await stack.aclose()
+      self._note_failure(sending, error)
       raise
-    await stack.enter_async_context(own)
-    return reply
+    self._log(sending, _describe(reply))
+    return _Begun(sending=sending, stack=stack, reply=reply)
 
-  def _learn(self, id: str, started: float) -> None:
-    self._load.note_seconds(id, time.monotonic() - started)
+  def _learn(self, sending: exchange.Sending, started: float) -> None:
+    instance = sending.instance
+    seconds = time.monotonic() - started
+    self._load.note_seconds(instance.id, instance.service, seconds)
+
+  def _note_failure(
+    self, sending: exchange.Sending, error: BaseException
+  ) -> None:
+    if isinstance(error, exchange.NotSent):
+      self._load.note_unreachable(sending.instance.id)
+      self._log(sending, f'not sent: {error}')
+    elif isinstance(error, exchange.Lost):
+      self._log(sending, f'no answer: {error}')
 
   def _log(self, sending: exchange.Sending, outcome: str) -> None:
     log.info(
@@ -150,22 +208,68 @@
       extra=sending.request.fields,
     )
 
-  def _make_error(
-    self,
-    service: str,
-    may_have_run: bool,
-    tried: list[str],
-    cause: Exception | None,
-  ) -> errors.WoadrunError:
-    if may_have_run:
+  def _make_error(self, plan: _Plan) -> errors.WoadrunError:
+    if plan.may_have_run:
       return errors.WoadrunError(
         errors.Code.OUTCOME_UNKNOWN,
-        f'The answer was lost: {cause}',
+        f'The answer was lost: {plan.cause}',
         ran=errors.Ran.UNKNOWN,
       )
-    found = self._known.directory.find(service)
+    found = self._known.directory.find(plan.service)
     return errors.WoadrunError(
       errors.Code.UPSTREAM_UNAVAILABLE,
-      f'None of {len(found)} instances ran it, {len(tried)} tried.',
+      f'None of {len(found)} instances ran it, {len(plan.tried)} tried.',
       retry_after=self._load.estimate_return(found),
     )
+
+
+async def _get_first_good(
+  plan: _Plan, tasks: list[asyncio.Task[_Begun]]
+) -> _Begun:
+  """Returns the first reply that counts, else what the first send gave.
+
+  All other sends are ended.
+  """
+  left = set(tasks)
+  while left:
+    done, left = await asyncio.wait(left, return_when=asyncio.FIRST_COMPLETED)
+    good = [task for task in done if _is_good(task)]
+    if good:
+      await _end([task for task in tasks if task is not good[0]])
+      return good[0].result()
+  plan.may_have_run |= any(_may_have_run(task) for task in tasks)
+  await _end(tasks[1:])
+  return tasks[0].result()
+
+
+def _is_good(task: asyncio.Task[_Begun]) -> bool:
+  if task.cancelled() or task.exception() is not None:
+    return False
+  reply = task.result().reply
+  return reply.has_run and reply.is_genuine
+
+
+def _may_have_run(task: asyncio.Task[_Begun]) -> bool:
+  if task.cancelled():
+    return True
+  if task.exception() is not None:
+    return isinstance(task.exception(), exchange.Lost)
+  return task.result().reply.has_run
+
+
+async def _end(tasks: list[asyncio.Task[_Begun]]) -> None:
+  for task in tasks:
+    if not task.done():
+      task.cancel()
+    elif not task.cancelled() and task.exception() is None:
+      await task.result().stack.aclose()
+
+
+def _describe(reply: exchange.Reply) -> str:
+  if not reply.has_run:
+    return f'not run, {reply.status}'
+  return (
+    f'answers {reply.status}'
+    if reply.is_genuine
+    else 'no answer of this request'
+  )
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -51,6 +51,10 @@
 }
 
 
+# A fault of `Engines`: no answer ever comes.
+SILENCE = object()
+
+
 class View:
   """One daemon's view of the store, which can be cut by itself."""
 
@@ -90,6 +94,8 @@
     self.sent.append(sending)
     if self.faults:
       fault = self.faults.pop(0)
+      if fault is SILENCE:
+        await asyncio.Event().wait()
       if isinstance(fault, Exception):
         raise fault
       yield fault
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -1,9 +1,12 @@
 """What is sent again, and what a refusal says."""
 
+import asyncio
+
 import nodes
 import pytest
 
 from woadrun import errors
+from woadrun.decisions import hedging
 from woadrun.request import exchange
 
 
@@ -68,3 +71,40 @@
     with pytest.raises(errors.WoadrunError) as caught:
       await ask(fleet, '/none/')
     assert caught.value.status == 404
+
+
+async def test_a_lost_answer_of_what_may_be_repeated_holds_nobody_up():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1')
+    assert (await ask(fleet, '/look/', nodes.SILENCE))[0] == 200
+    first, second = (item.instance.id for item in fleet.engines.sent)
+    assert first != second
+    running = fleet.by_name['n1'].loads.get_running
+    await nodes.wait_until(lambda: not running())
+
+
+async def test_what_may_not_be_repeated_is_sent_once_however_long_it_takes():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1')
+    fleet.engines.faults.append(nodes.SILENCE)
+    request = nodes.make_request('r', path='/act/', seconds=1.5)
+    asked = asyncio.ensure_future(fleet.ask('n1', request))
+    await asyncio.wait({asked}, timeout=1.2)
+    assert not asked.done()
+    assert len(fleet.engines.sent) == 1
+    asked.cancel()
+
+
+async def test_second_sends_are_bounded_where_a_service_is_silent():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1')
+    fleet.engines.faults.extend([nodes.SILENCE] * 200)
+    requests = [
+      nodes.make_request(f'r{n}', path='/look/', seconds=1.2) for n in range(40)
+    ]
+    tasks = [asyncio.ensure_future(fleet.ask('n1', r)) for r in requests]
+    await asyncio.wait(tasks, timeout=1.1)
+    for task in tasks:
+      task.cancel()
+    most = hedging.MOST_SAVED + hedging.SHARE * len(requests)
+    assert len(fleet.engines.sent) <= len(requests) + most
