Two daemons that act for one program in an outage spend no token twice

Views of a budget are now brought together by request; a standby answers with what the owner lacks; a copy is confirmed before it is acted on. Ruled out: settling twice (a request leaves its reservation once), counting of tokens (at most the turn's most).

--- a/src/woadrun/connection/turn_messages.py
+++ b/src/woadrun/connection/turn_messages.py
@@ -79,16 +79,17 @@
 class LedgerCopy(msgspec.Struct, frozen=True, kw_only=True):
   """A program's budget as its owner sees it, and what is not stored yet.
 
-  Answered by `Closed`.  `saved_*` and `version` are what the row store had
-  at last.
+  Answered by `KnownProgram`.  `saved_*` and `version` are what the row store
+  had at last, `given` what turns were given since, in tokens by request.
   """
 
   program: str
   home: str
-  settled: int
+  given: dict[str, int]
   reserved: dict[str, int]
   saved_settled: int
   saved_reserved: dict[str, int]
+  saved_recent: tuple[str, ...]
   version: int
   turns: tuple[Turn, ...] = ()
   unsaved: tuple[str, ...] = ()
@@ -104,7 +105,7 @@
 
 
 class KnownProgram(msgspec.Struct, frozen=True, kw_only=True):
-  """The copy of a program, where the member has changes that are unsaved."""
+  """The copy of a program, where the member has what the asker may lack."""
 
   copy: LedgerCopy | None = None
 
--- a/src/woadrun/process/program_copies.py
+++ b/src/woadrun/process/program_copies.py
@@ -12,6 +12,7 @@
 from woadrun.connection import turn_messages
 from woadrun.process import fleet
 from woadrun.process import program_rows
+from woadrun.version import ledger
 
 log = logging.getLogger('woadrun.programs')
 
@@ -49,7 +50,10 @@
   async def send(
     self, entry: program_rows.Entry, turns: tuple[turn_messages.Turn, ...]
   ) -> None:
-    """Brings a program to its standby, unless no other member is alive."""
+    """Brings a program to its standby, unless no other member is alive.
+
+    What the standby counts and this daemon did not is taken over.
+    """
     message = self._make_copy(entry, turns)
     me = self._members.me
     failure: errors.WoadrunError | None = None
@@ -57,7 +61,9 @@
       if member.name == me.name:
         continue
       try:
-        await self._post(member, 'program/copy', message)
+        known = await self._post(member, 'program/copy', message)
+        if known.copy is not None:
+          entry.ledger.merge(decode(known.copy))
         return
       except errors.WoadrunError as error:
         self._members.note_failure(member.name)
@@ -133,12 +139,12 @@
 
   async def _post(
     self, member: fleet.Member, path: str, message: turn_messages.LedgerCopy
-  ) -> None:
-    await self._links.post(
+  ) -> turn_messages.KnownProgram:
+    return await self._links.post(
       member.address,
       path,
       message,
-      type=turn_messages.Closed,
+      type=turn_messages.KnownProgram,
       timeout=COPY_SECONDS,
     )
 
@@ -159,11 +165,26 @@
     return turn_messages.LedgerCopy(
       program=entry.program,
       home=held.home,
-      settled=held.settled,
+      given=dict(held.given),
       reserved=dict(held.reserved),
       saved_settled=held.saved.settled,
       saved_reserved=dict(held.saved.reserved),
+      saved_recent=held.saved.recent,
       version=held.version,
       turns=turns,
       unsaved=unsaved,
     )
+
+
+def decode(copy: turn_messages.LedgerCopy) -> ledger.Ledger:
+  """Returns the budget in a copy."""
+  saved = ledger.LedgerRow(
+    home=copy.home,
+    settled=copy.saved_settled,
+    reserved=copy.saved_reserved,
+    recent=copy.saved_recent,
+  )
+  found = ledger.Ledger(saved=saved, version=copy.version)
+  found.given = dict(copy.given)
+  found.reserved = dict(copy.reserved)
+  return found
--- a/src/woadrun/process/program_rows.py
+++ b/src/woadrun/process/program_rows.py
@@ -29,6 +29,8 @@
   answer came.  `offline_most` bounds the budget while the store is out,
   `guarded_most` while another domain may spend without it.
   `needs_flush` says that the row should not wait for the next call.
+  `is_copy` says that another daemon told it last; `acted` has the turns that
+  this daemon itself decided on and the store does not count yet.
   """
 
   program: str
@@ -38,6 +40,8 @@
   offline_most: float | None = None
   guarded_most: float | None = None
   needs_flush: bool = False
+  is_copy: bool = False
+  acted: set[str] = dataclasses.field(default_factory=set)
   used_at: float = dataclasses.field(default_factory=time.monotonic)
 
 
@@ -122,6 +126,13 @@
     entry.attempts.clear()
     entry.offline_most = None
     entry.needs_flush = False
+    held = entry.ledger
+    entry.acted = {
+      request
+      for request in entry.acted
+      if request in held.given
+      or (request in held.reserved and request not in held.saved.reserved)
+    }
 
   def _take_conflict(self, entry: Entry, outcome: rows.Outcome) -> None:
     current = outcome.rows[0] if outcome.rows else None
--- a/src/woadrun/process/programs.py
+++ b/src/woadrun/process/programs.py
@@ -120,6 +120,8 @@
       )
     entry.used_at = time.monotonic()
     entry.ledger.settle(done.request, done.tokens)
+    if not done.is_saved:
+      entry.acted.add(done.request)
     # A whole turn in the store tells by itself what it was given.
     entry.needs_flush |= done.turn is None or not done.is_saved
     turns = () if done.turn is None else (done.turn,)
@@ -150,9 +152,18 @@
       )
       # Another call may have loaded it meanwhile.
       entry = self.entry_by_program.setdefault(ask.program, loaded)
+    elif entry.is_copy and not self._store.is_reached:
+      await self._confirm(entry)
     entry.used_at = time.monotonic()
     return entry
 
+  async def _confirm(self, entry: program_rows.Entry) -> None:
+    # Without the store nothing tells whether a copy is the newest one.  A
+    # third member with an older copy had let a budget be exceeded.
+    for copy in await self._copies.ask(entry.program):
+      entry.ledger.merge(program_copies.decode(copy))
+    entry.is_copy = False
+
   async def _find_ledger(self, program: str, *, is_new: bool) -> ledger.Ledger:
     # Who had the program before may hold what it spent in an outage, which
     # the store does not have yet: without it a budget was exceeded.
@@ -163,23 +174,24 @@
     )
     if isinstance(copies, BaseException):
       raise copies
-    held = [_get_ledger(copy) for copy in copies]
-    best = max(held, key=lambda found: found.spent, default=None)
+    views = [program_copies.decode(copy) for copy in copies]
+    failure: errors.WoadrunError | None = None
     if isinstance(row, ledger.Ledger):
-      if best is None or best.version > row.version:
-        return best or row
-      best.rebase(row.saved, row.version)
-      return best
-    if best is not None:
-      return best
-    if is_new and isinstance(row, errors.WoadrunError):
-      return self._rows.make()
-    if not isinstance(row, errors.WoadrunError):
+      views.insert(0, row)
+    elif isinstance(row, errors.WoadrunError):
+      failure = row
+    else:
       raise row
+    for view in views[1:]:
+      views[0].merge(view)
+    if views:
+      return views[0]
+    if is_new:
+      return self._rows.make()
+    reason = failure.message if failure else ''
     raise errors.WoadrunError(
-      errors.Code.NOT_OWNER,
-      f'The program is not known here: {row.message}',
-    ) from row
+      errors.Code.NOT_OWNER, f'The program is not known here: {reason}'
+    ) from failure
 
   async def tell(
     self, ask: turn_messages.AskProgram
@@ -194,27 +206,51 @@
 
   async def take_copy(
     self, copy: turn_messages.LedgerCopy
-  ) -> turn_messages.Closed:
-    """Keeps what the owner of a program sent."""
+  ) -> turn_messages.KnownProgram:
+    """Keeps what the owner of a program sent.
+
+    Answers with a copy of its own where that counts what the owner did not:
+    an owner that was frozen, or one that got only an older copy.
+    """
     for turn in copy.turns:
       self.cache.put(turn)
       if turn.request in copy.unsaved:
         self.unsaved[turn.request] = turn
-    held = _get_ledger(copy)
+    held = program_copies.decode(copy)
     entry = self.entry_by_program.get(copy.program)
     if entry is None:
-      self.entry_by_program[copy.program] = program_rows.Entry(
-        program=copy.program, ledger=held
-      )
-    elif copy.version >= entry.ledger.version and not entry.lock.locked():
+      entry = program_rows.Entry(program=copy.program, ledger=held)
+      self.entry_by_program[copy.program] = entry
+      entry.is_copy = True
+      entry.needs_flush = held.is_dirty
+      return turn_messages.KnownProgram()
+    is_older = held.version < entry.ledger.version
+    lacks = {
+      request
+      for request in entry.acted
+      if entry.ledger.knows(request) and not held.knows(request)
+    }
+    if is_older or lacks or entry.lock.locked():
+      entry.ledger.merge(held)
+    else:
       entry.ledger = held
-      entry.used_at = time.monotonic()
-    self.entry_by_program[copy.program].needs_flush = held.is_dirty
-    return turn_messages.Closed()
+    entry.is_copy = True
+    entry.used_at = time.monotonic()
+    entry.needs_flush = entry.ledger.is_dirty
+    if not is_older and not lacks:
+      return turn_messages.KnownProgram()
+    log.info(
+      'The owner of %s lacks %d turns that count here: row %d, here %d.',
+      copy.program,
+      len(lacks),
+      copy.version,
+      entry.ledger.version,
+    )
+    return turn_messages.KnownProgram(copy=self._copies.make(entry))
 
   async def take_far_copy(
     self, copy: turn_messages.LedgerCopy
-  ) -> turn_messages.Closed:
+  ) -> turn_messages.KnownProgram:
     """Keeps what the owner in another domain sent.
 
     What is spent here counts on top of it.  The row in the store is the
@@ -224,9 +260,11 @@
       self.cache.put(turn)
     entry = self.entry_by_program.get(copy.program)
     if entry is not None and (entry.needs_flush or entry.lock.locked()):
-      return turn_messages.Closed()
+      return turn_messages.KnownProgram()
     row = ledger.LedgerRow(
-      home=copy.home, settled=copy.settled, reserved=copy.reserved
+      home=copy.home,
+      settled=copy.saved_settled + sum(copy.given.values()),
+      reserved=copy.reserved,
     )
     held = ledger.Ledger(saved=row, version=0)
     if entry is None:
@@ -236,7 +274,7 @@
     else:
       entry.ledger = held
       entry.used_at = time.monotonic()
-    return turn_messages.Closed()
+    return turn_messages.KnownProgram()
 
   @property
   def is_owing(self) -> bool:
@@ -345,15 +383,3 @@
       ]
       for program in idle:
         del self.entry_by_program[program]
-
-
-def _get_ledger(copy: turn_messages.LedgerCopy) -> ledger.Ledger:
-  saved = ledger.LedgerRow(
-    home=copy.home,
-    settled=copy.saved_settled,
-    reserved=copy.saved_reserved,
-  )
-  found = ledger.Ledger(saved=saved, version=copy.version)
-  found.settled = copy.settled
-  found.reserved = dict(copy.reserved)
-  return found
--- a/src/woadrun/process/reservations.py
+++ b/src/woadrun/process/reservations.py
@@ -157,21 +157,24 @@
     budget: float,
     error: errors.WoadrunError,
   ) -> None:
-    held = entry.ledger
+    # From now on a copy of another daemon does not undo it.
+    entry.acted.add(ask.request)
     try:
-      self._check_alone(held, error)
+      self._check_alone(entry.ledger, error)
       self._check_offline(entry, ask, budget)
       await self._copies.send(entry, ())
+      # The standby may have told of turns that this daemon did not know.
+      self._check_offline(entry, ask, budget)
     except errors.WoadrunError:
-      held.reserved.pop(ask.request, None)
+      entry.ledger.settle(ask.request, 0)
       raise
     entry.needs_flush = True
     log.info(
       'Turn %s of %s may run without the store: %d spent, row %d (%s).',
       ask.request,
       ask.program,
-      held.spent,
-      held.version,
+      entry.ledger.spent,
+      entry.ledger.version,
       error.message,
     )
 
--- a/src/woadrun/version/ledger.py
+++ b/src/woadrun/version/ledger.py
@@ -8,6 +8,10 @@
 
 import msgspec
 
+# Turns that a row names beside its sums.  Two daemons bring the same turns of
+# an outage to the store within seconds of each other, or not at all.
+MOST_RECENT = 64
+
 
 class LedgerRow(msgspec.Struct, kw_only=True, omit_defaults=True):
   """A program as it is stored.
@@ -15,14 +19,17 @@
   `settled` and the values of `reserved`, by request, are tokens.  `home` is
   the failure domain that serves the program while the store is out.
   `away_most` bounds what other domains may spend while they cannot reach
-  it.  `write` is the id of the last change, by which a writer whose answer
-  was lost knows its own; `written_at` is its time of day, in seconds.
+  it.  `recent` names turns that were settled without having been reserved in
+  a row, the newest last.  `write` is the id of the last change, by which a
+  writer whose answer was lost knows its own; `written_at` is its time of day,
+  in seconds.
   """
 
   home: str
   settled: int = 0
   reserved: dict[str, int] = {}
   away_most: int | None = None
+  recent: tuple[str, ...] = ()
   write: str = ''
   written_at: float = 0.0
 
@@ -31,16 +38,25 @@
   """The budget of one program, as its owner sees it.
 
   `saved` is the row as it was read or written last and `version` its
-  version, 0 for one that is not there.
+  version, 0 for one that is not there.  `given` has what turns were given
+  and the row does not count yet, `reserved` what running turns may still be
+  given, both in tokens by request: two views can so be brought together
+  without counting a turn twice.
   """
 
   def __init__(self, *, saved: LedgerRow, version: int) -> None:
     self.saved = saved
     self.version = version
     self.home = saved.home
-    self.settled = saved.settled
+    self.given: dict[str, int] = {}
     self.reserved = dict(saved.reserved)
     self.away_most = saved.away_most
+    self._written: dict[str, frozenset[str]] = {}
+
+  @property
+  def settled(self) -> int:
+    """What ended turns were given, in tokens."""
+    return self.saved.settled + sum(self.given.values())
 
   @property
   def spent(self) -> int:
@@ -51,29 +67,44 @@
   def is_dirty(self) -> bool:
     """Whether the row lacks changes."""
     return (
-      self.settled != self.saved.settled
+      bool(self.given)
       or self.reserved != self.saved.reserved
       or self.away_most != self.saved.away_most
     )
 
+  def knows(self, request: str) -> bool:
+    """Returns whether a turn is among those that this view counts by name."""
+    return (
+      request in self.reserved
+      or request in self.given
+      or request in self.saved.recent
+    )
+
   def can_reserve(self, tokens: int, *, most: float) -> bool:
     """Returns whether a turn fits under `most` tokens in all."""
     return self.spent + tokens <= most
 
   def reserve(self, request: str, tokens: int) -> None:
     """Sets tokens aside for a turn; a second time changes nothing."""
-    self.reserved.setdefault(request, tokens)
+    if request not in self.given:
+      self.reserved.setdefault(request, tokens)
 
   def settle(self, request: str, tokens: int) -> None:
     """Puts what a turn was given in place of what was set aside for it."""
     if self.reserved.pop(request, None) is not None:
-      self.settled += tokens
+      self.given[request] = tokens
+
+  # --- The row --------------------------------------------------------------
 
   def make_row(self, write: str, *, now: float = 0.0) -> LedgerRow:
     """Returns the row that the store should have, written at `now`."""
+    self._written[write] = frozenset(self.given)
+    saved = self.saved
+    unseen = (r for r in self.given if r not in saved.reserved)
     return LedgerRow(
       home=self.home,
       settled=self.settled,
+      recent=(*saved.recent, *unseen)[-MOST_RECENT:],
       reserved=dict(self.reserved),
       away_most=self.away_most,
       write=write,
@@ -82,23 +113,48 @@
 
   def note_saved(self, row: LedgerRow, version: int) -> None:
     """Takes note that the store has a row of ours."""
+    counted = self._written.get(row.write, frozenset())
+    self._written.clear()
+    self.given = {r: t for r, t in self.given.items() if r not in counted}
     self.saved = row
     self.version = version
 
   def rebase(self, row: LedgerRow, version: int) -> None:
     """Brings the changes since `saved` onto a row that another wrote."""
-    gained = self.settled - self.saved.settled
+    before = self.saved.reserved
+    # Another has settled what was reserved in the row and is not any more,
+    # and what the row names as settled.
+    counted = (before.keys() - row.reserved.keys()) | set(row.recent)
+    self.given = {r: t for r, t in self.given.items() if r not in counted}
     added = {
       request: tokens
       for request, tokens in self.reserved.items()
-      if request not in self.saved.reserved
+      if request not in before and request not in counted
+    }
+    removed = before.keys() - self.reserved.keys()
+    kept = {
+      request: tokens
+      for request, tokens in row.reserved.items()
+      if request not in removed and request not in self.given
     }
-    removed = set(self.saved.reserved) - set(self.reserved)
-    kept = {k: v for k, v in row.reserved.items() if k not in removed}
-    self.settled = row.settled + gained
     self.reserved = {**kept, **added}
     self.home = row.home
     if row.away_most is not None:
       self.away_most = row.away_most
     self.saved = row
     self.version = version
+
+  # --- Views of other daemons -----------------------------------------------
+
+  def merge(self, other: Ledger) -> None:
+    """Takes over what another view counts and this one does not."""
+    if other.version > self.version:
+      self.rebase(other.saved, other.version)
+    elif other.version < self.version:
+      other.rebase(self.saved, self.version)
+    for request, tokens in other.given.items():
+      self.reserved.pop(request, None)
+      self.given.setdefault(request, tokens)
+    for request, tokens in other.reserved.items():
+      if request not in self.given:
+        self.reserved.setdefault(request, tokens)
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -1,5 +1,7 @@
 """Budgets under several writers: no tokens are lost, none counted twice."""
 
+import copy
+
 import hypothesis
 from hypothesis import strategies as st
 
@@ -76,3 +78,44 @@
   held = ledger.Ledger(saved=ledger.LedgerRow(home='a'), version=0)
   held.rebase(ledger.LedgerRow(home='b', settled=5, away_most=50), 3)
   assert (held.home, held.away_most, held.spent) == ('b', 50, 5)
+
+
+@hypothesis.settings(derandomize=True, max_examples=300, deadline=None)
+@hypothesis.given(
+  st.lists(
+    st.tuples(
+      st.integers(0, 2),  # which owner
+      st.sampled_from(['reserve', 'settle', 'save', 'tell']),
+      st.integers(0, 5),  # which turn, or whom to tell
+      st.integers(1, 9),  # tokens
+    ),
+    max_size=60,
+  )
+)
+def test_views_that_are_told_to_each_other_count_each_turn_once(steps):
+  shared = Shared()
+  owners = [ledger.Ledger(saved=shared.row, version=0) for _ in range(3)]
+  expected = {}
+  for number, (index, action, turn, tokens) in enumerate(steps):
+    held = owners[index]
+    if action == 'reserve':
+      request = f'{turn}/{number}'
+      held.reserve(request, tokens)
+      expected[request] = tokens
+    elif action == 'settle':
+      for request in [r for r in held.reserved if r.startswith(f'{turn}/')]:
+        held.settle(request, 1)
+        # Only one daemon hears how a turn ended.
+        expected[request] = 1
+        for other in owners:
+          if other is not held and request in other.reserved:
+            other.merge(held)
+    elif action == 'tell':
+      owners[turn % 3].merge(copy.deepcopy(held))
+    else:
+      shared.save(held)
+  for held in owners:
+    while held.is_dirty and not shared.save(held):
+      pass
+  final = ledger.Ledger(saved=shared.row, version=shared.version)
+  assert final.spent == sum(expected.values())
