Few daemons follow the store, the others take changes from them

Two daemons of each domain follow each table; the others are told by datagrams that there is more and ask.

--- a/src/woadrun/connection/turn_messages.py
+++ b/src/woadrun/connection/turn_messages.py
@@ -8,8 +8,6 @@
 
 import msgspec
 
-from woadrun.version import instances
-
 
 class Turn(msgspec.Struct, frozen=True, kw_only=True):
   """One finished turn, as it is kept and as it travels.
@@ -159,15 +157,24 @@
   is_history_gone: bool = False
 
 
-class AskCatalogue(msgspec.Struct, frozen=True):
-  """Asks for what the platform told a daemon; answered by `CatalogueCopy`."""
+class AskFeed(msgspec.Struct, frozen=True, kw_only=True):
+  """Asks for the changes of a table; answered by `FeedCopy`.
+
+  `after` is the version up to which they are known, None for none.
+  """
+
+  table: str
+  after: int | None = None
 
 
-class CatalogueCopy(msgspec.Struct, frozen=True, kw_only=True):
-  """A routing table as the operator wrote it, and the instances known.
+class FeedCopy(msgspec.Struct, frozen=True, kw_only=True):
+  """Changes of a table up to a version, which is None where none is known.
 
-  `table` is empty where the daemon has none in force.
+  With `is_list` these are all rows.  `regained` tells how long ago contact
+  with the store was regained, in seconds.
   """
 
-  table: bytes = b''
-  instances: tuple[instances.Instance, ...] = ()
+  rows: tuple[StoreRow, ...] = ()
+  version: int | None = None
+  is_list: bool = False
+  regained: float | None = None
--- a/src/woadrun/process/catalogue.py
+++ b/src/woadrun/process/catalogue.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from collections.abc import Sequence
 import logging
 import time
 
@@ -49,9 +48,7 @@
     self._decode_instance = decode_instance
     self._grace = grace
     self.table: routes.RoutingTable | None = None
-    self.table_value = b''
     self.directory = instances.Directory(grace=grace)
-    self._is_told_by_peer = False
     self._tables = feed.Feed(
       store=store,
       table=table_key.table,
@@ -70,6 +67,16 @@
     await self.add_runtime_dependency(self._tables)
     await self.add_runtime_dependency(self._listed)
 
+  @property
+  def feeds(self) -> list[feed.Feed]:
+    """The feeds of the tables that it knows from."""
+    return [self._tables, self._listed]
+
+  @property
+  def is_listed(self) -> bool:
+    """Whether the instances were told yet."""
+    return self._listed.version is not None
+
   @property
   def version(self) -> int:
     """The version of the routing table in force, -1 without one."""
@@ -77,23 +84,19 @@
 
   # --- The routing table ----------------------------------------------------
 
-  def take_table(self, value: bytes, *, source: str) -> None:
+  def take_table(self, value: bytes) -> None:
     """Puts a routing table in force, unless it is not newer."""
     try:
       table = self._decode_table(value)
     except msgspec.MsgspecError as error:
-      log.error('A routing table from %s is unreadable: %s', source, error)
+      log.error('A routing table is unreadable: %s', error)
       return
     if table.version <= self.version:
       return
     log.info(
-      'Routing table %d in force, from %s; it was %d.',
-      table.version,
-      source,
-      self.version,
+      'Routing table %d in force; it was %d.', table.version, self.version
     )
     self.table = table
-    self.table_value = value
 
   def _take_tables(self, found: tuple[rows.Row, ...]) -> None:
     for row in found:
@@ -101,38 +104,15 @@
 
   def _take_table(self, row: rows.Row) -> None:
     if row.key.name == self._table_key.name and not row.is_removed:
-      self.take_table(row.value, source='the store')
+      self.take_table(row.value)
 
   # --- Instances ------------------------------------------------------------
 
-  @property
-  def is_listed(self) -> bool:
-    """Whether the store or a peer has told the instances yet."""
-    return self._listed.version is not None or self._is_told_by_peer
-
-  def take_instances(
-    self, found: Sequence[instances.Instance], *, source: str
-  ) -> None:
-    """Takes a peer's list of instances, where the store has told none yet.
-
-    A daemon that starts while the store is out has no other way to know
-    them: it refused every request until the store was back.
-    """
-    if self.is_listed or not found:
-      return
-    for instance in found:
-      self.directory.put(instance)
-    self._is_told_by_peer = True
-    log.info('%d instances listed by %s.', len(found), source)
-
   def _take_instances(self, found: tuple[rows.Row, ...]) -> None:
     decoded = (self._decode(row) for row in found)
     listed = [instance for instance in decoded if instance is not None]
     # What a list lacks may have lapsed in the outage before it, if any.
-    since = self._listed.regained_at
-    if self._is_told_by_peer and self._listed.version is None:
-      since = time.monotonic()
-    self.directory.replace(listed, now=since)
+    self.directory.replace(listed, now=self._listed.regained_at)
     log.info('%d instances listed.', len(listed))
 
   def _take_instance(self, row: rows.Row) -> None:
--- a/src/woadrun/process/feed.py
+++ b/src/woadrun/process/feed.py
@@ -1,8 +1,13 @@
-"""Follows one table of the row store: a list first, then its changes."""
+"""Follows one table of the row store: a list first, then its changes.
+
+A few daemons of each failure domain follow the store; the others take the
+changes from those that have them.
+"""
 
 from __future__ import annotations
 
 from collections.abc import Callable
+import dataclasses
 import logging
 import time
 
@@ -19,6 +24,27 @@
 FIRST_WAIT_SECONDS = 0.05
 # Between tries while the store is out, in seconds.
 RETRY_SECONDS = 0.2
+# Changes that come within this time are taken by one call, in seconds.
+GATHER_SECONDS = 0.1
+# Between looks whether this daemon should follow the store itself, in seconds.
+LOOK_SECONDS = 0.25
+# Removed rows that are remembered, for daemons that ask what changed.
+MOST_REMOVED = 1000
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Changes:
+  """What changed in a table, up to a version of the store.
+
+  `is_list` says that these are all rows.  `regained` tells how long ago
+  contact with the store was regained, in seconds, None where it was never
+  lost.
+  """
+
+  rows: tuple[rows.Row, ...]
+  version: int
+  is_list: bool
+  regained: float | None
 
 
 class Feed(mode.Service):
@@ -26,7 +52,10 @@
 
   `on_list` gets all rows whenever the table was read as a whole, `on_row`
   each change after that.  `regained_at` is when contact was regained last,
-  on the monotonic clock.
+  on the monotonic clock.  `version` is up to where the table is known,
+  `changed` the newest change in it, -1 before the first list.  `leads` tells
+  whether this daemon should follow the store itself, `on_change` is called
+  after each change.
   """
 
   def __init__(
@@ -42,30 +71,33 @@
     self.table = table
     self._on_list = on_list
     self._on_row = on_row
+    self.leads: Callable[[], bool] = lambda: True
+    self.on_change: Callable[[], None] = lambda: None
     self.version: int | None = None
+    self.changed = -1
     self.is_lost = True
     self.regained_at = float('-inf')
     self._began = float('-inf')
+    self._row_by_name: dict[str, rows.Row] = {}
+    self._removed_by_name: dict[str, rows.Row] = {}
+    self._known_from = 0
+
+  # --- From the store -------------------------------------------------------
 
   async def read(self) -> None:
     """Reads the table as a whole."""
     page = await read_all(self._store, self.table, '')
     self._note_contact()
-    if self.version is not None and page.version < self.version:
-      log.info(
-        'Ignored an old list of %s: version %d, known %d.',
-        self.table,
-        page.version,
-        self.version,
-      )
-      return
-    self._on_list(page.rows)
-    self.version = page.version
+    self._take_list(page.rows, page.version)
 
   @mode.Service.task
   async def _follow(self) -> None:
     needs_list = True
     while not self.should_stop:
+      if self.version is not None and not self.leads():
+        needs_list = False
+        await self.sleep(LOOK_SECONDS)
+        continue
       self._began = time.monotonic()
       try:
         if needs_list:
@@ -88,10 +120,9 @@
     wait = FIRST_WAIT_SECONDS if self.is_lost else WAIT_SECONDS
     page = await self._store.follow(self.table, after=known, wait=wait)
     self._note_contact()
-    for row in page.rows:
-      if row.version > known:
-        self._on_row(row)
-    self.version = max(known, page.version)
+    self._take_rows(page.rows, page.version)
+    if page.rows:
+      await self.sleep(GATHER_SECONDS)
 
   def _note_contact(self) -> None:
     if not self.is_lost:
@@ -107,6 +138,86 @@
       log.warning('Lost the feed of %s: %s', self.table, error.message)
       self.is_lost = True
 
+  # --- From and for other daemons -------------------------------------------
+
+  def find_changes(self, after: int | None) -> Changes | None:
+    """Returns what changed after a version, all rows where that is unknown.
+
+    Returns None where this daemon has no list yet.
+    """
+    if self.version is None:
+      return None
+    regained = time.monotonic() - self.regained_at
+    is_list = after is None or after < self._known_from
+    known = (*self._row_by_name.values(), *self._removed_by_name.values())
+    found = (
+      self._row_by_name.values()
+      if is_list
+      else sorted(
+        (row for row in known if row.version > (after or 0)),
+        key=lambda row: row.version,
+      )
+    )
+    return Changes(
+      rows=tuple(found),
+      version=self.version,
+      is_list=is_list,
+      regained=regained if regained < float('inf') else None,
+    )
+
+  def take_changes(self, changes: Changes) -> None:
+    """Takes what another daemon has of the table."""
+    if changes.regained is not None:
+      regained_at = time.monotonic() - changes.regained
+      self.regained_at = max(self.regained_at, regained_at)
+    if changes.is_list:
+      self._take_list(changes.rows, changes.version)
+    else:
+      self._take_rows(changes.rows, changes.version)
+
+  # --- What is known --------------------------------------------------------
+
+  def _take_list(self, found: tuple[rows.Row, ...], version: int) -> None:
+    if self.version is not None and version < self.version:
+      log.info(
+        'Ignored an old list of %s: version %d, known %d.',
+        self.table,
+        version,
+        self.version,
+      )
+      return
+    self._row_by_name = {row.key.name: row for row in found}
+    self._removed_by_name = {}
+    self._known_from = version
+    self._on_list(found)
+    # A list does not tell of removed rows: the newest of them may be as new.
+    self.changed = version
+    self.version = version
+    self.on_change()
+
+  def _take_rows(self, found: tuple[rows.Row, ...], version: int) -> None:
+    known = self.version or 0
+    newer = [row for row in found if row.version > known]
+    for row in newer:
+      self._keep(row)
+      self._on_row(row)
+    self.version = max(known, version)
+    if newer:
+      self.on_change()
+
+  def _keep(self, row: rows.Row) -> None:
+    name = row.key.name
+    self.changed = max(self.changed, row.version)
+    if not row.is_removed:
+      self._removed_by_name.pop(name, None)
+      self._row_by_name[name] = row
+      return
+    self._row_by_name.pop(name, None)
+    self._removed_by_name[name] = row
+    if len(self._removed_by_name) > MOST_REMOVED:
+      oldest = next(iter(self._removed_by_name))
+      self._known_from = self._removed_by_name.pop(oldest).version
+
 
 async def read_all(store: rows.RowStore, table: str, part: str) -> rows.Page:
   """Returns all rows of a part, in as many calls as that takes."""
--- /dev/null
+++ b/src/woadrun/process/feed_sync.py
@@ -0,0 +1,159 @@
+"""Spreads what the feeds tell: few daemons ask the store, the others them.
+
+Each daemon says in its datagrams up to which change it has a table.  One
+that has less asks the other for the rest, so that what a table costs the
+store does not grow with the number of daemons.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+import logging
+
+import mode
+
+from woadrun import errors
+from woadrun.connection import peers
+from woadrun.connection import turn_messages
+from woadrun.process import feed
+from woadrun.process import fleet
+from woadrun.process import store_access
+
+log = logging.getLogger('woadrun.feed')
+
+# Daemons of each failure domain that follow the store: one may be lost and
+# another one hang on a connection that went silent.
+LEADERS = 2
+# Between looks for what others have, in seconds, while no datagram tells.
+LOOK_SECONDS = 0.5
+ASK_SECONDS = 1.0
+
+
+class FeedSync(mode.Service):
+  """All feeds of one daemon, and what other daemons have of them."""
+
+  def __init__(
+    self,
+    *,
+    feeds: list[feed.Feed],
+    members: fleet.Fleet,
+    links: peers.Peers,
+    has_store: Callable[[], bool],
+  ) -> None:
+    super().__init__()
+    self._feed_by_table = {item.table: item for item in feeds}
+    self._members = members
+    self._links = links
+    self._has_store = has_store
+    self._told = asyncio.Event()
+    for item in feeds:
+      item.leads = self._make_leads(item.table)
+      item.on_change = members.send_beats
+
+  def get_versions(self) -> dict[str, int]:
+    """Returns the newest change known of each table."""
+    return {table: f.changed for table, f in self._feed_by_table.items()}
+
+  # --- Who follows the store ------------------------------------------------
+
+  def _make_leads(self, table: str) -> Callable[[], bool]:
+    return lambda: self.leads(table)
+
+  def leads(self, table: str) -> bool:
+    """Returns whether this daemon should follow a table in the store.
+
+    Where nobody in the domain has the store, each looks for a way itself.
+    """
+    me = self._members.me
+    ranked = self._members.rank(f'feed/{table}', me.domain)
+    able = [member for member in ranked if self._is_able(member)]
+    return not able or me in able[:LEADERS]
+
+  def _is_able(self, member: fleet.Member) -> bool:
+    if member == self._members.me:
+      return self._has_store()
+    heard = self._members.heard_by_name.get(member.name)
+    return heard is None or heard.beat.has_store
+
+  # --- What others have -----------------------------------------------------
+
+  def take_beat(self, beat: fleet.Beat) -> None:
+    """Takes note of what a peer has."""
+    if any(
+      beat.feeds.get(table, -1) > _get_known(item)
+      for table, item in self._feed_by_table.items()
+    ):
+      self._told.set()
+
+  @mode.Service.task
+  async def _catch_up(self) -> None:
+    while not self.should_stop:
+      await asyncio.wait(
+        {asyncio.ensure_future(self._told.wait())}, timeout=LOOK_SECONDS
+      )
+      self._told.clear()
+      for table, item in self._feed_by_table.items():
+        source = self._find_source(table, _get_known(item))
+        if source is not None:
+          await self._ask(item, source)
+
+  def _find_source(self, table: str, known: int) -> fleet.Member | None:
+    mine = self._members.me.domain
+    ahead = [
+      (heard.beat.domain == mine, heard.beat.feeds.get(table, -1), name)
+      for name, heard in self._members.heard_by_name.items()
+      if heard.beat.feeds.get(table, -1) > known
+      and self._members.is_alive(name)
+    ]
+    if not ahead:
+      return None
+    return self._members.member_by_name.get(max(ahead)[2])
+
+  async def _ask(self, item: feed.Feed, source: fleet.Member) -> None:
+    try:
+      found = await self._links.post(
+        source.address,
+        'feed',
+        turn_messages.AskFeed(table=item.table, after=item.version),
+        type=turn_messages.FeedCopy,
+        timeout=ASK_SECONDS,
+      )
+    except errors.WoadrunError as error:
+      log.info('No %s from %s: %s', item.table, source.name, error.message)
+      return
+    if found.version is None:
+      return
+    log.info(
+      '%d rows of %s up to %d, from %s; known were %s.',
+      len(found.rows),
+      item.table,
+      found.version,
+      source.name,
+      item.version,
+    )
+    item.take_changes(
+      feed.Changes(
+        rows=tuple(store_access.get_row(row) for row in found.rows),
+        version=found.version,
+        is_list=found.is_list,
+        regained=found.regained,
+      )
+    )
+
+  async def answer(self, ask: turn_messages.AskFeed) -> turn_messages.FeedCopy:
+    """Returns what this daemon has of a table."""
+    item = self._feed_by_table.get(ask.table)
+    changes = item.find_changes(ask.after) if item else None
+    if changes is None:
+      return turn_messages.FeedCopy()
+    return turn_messages.FeedCopy(
+      rows=store_access.put_rows(changes.rows),
+      version=changes.version,
+      is_list=changes.is_list,
+      regained=changes.regained,
+    )
+
+
+def _get_known(item: feed.Feed) -> int:
+  return -1 if item.version is None else item.version
--- a/src/woadrun/process/fleet.py
+++ b/src/woadrun/process/fleet.py
@@ -64,7 +64,8 @@
 class Beat(msgspec.Struct, kw_only=True, omit_defaults=True):
   """What a daemon says of itself in a datagram.
 
-  `running` counts the requests that it has at each instance, `silent` names
+  `feeds` has the newest change known of each table.  `running` counts the
+  requests that it has at each instance, `silent` names
   the domains that it hears nothing of.  `is_owing` says that it has spent of
   other domains' programs what the store does not have yet, `is_behind` that
   the store lacks anything of what it keeps.
@@ -74,7 +75,7 @@
   address: str
   domain: str
   has_store: bool = False
-  table_version: int = -1
+  feeds: dict[str, int] = {}
   is_leaving: bool = False
   running: dict[str, int] = {}
   silent: tuple[str, ...] = ()
@@ -116,7 +117,7 @@
     self._version_by_name: dict[str, int] = {}
     self.is_leaving = False
     self._transport: asyncio.DatagramTransport | None = None
-    self._feed = feed.Feed(
+    self.feed = feed.Feed(
       store=store, table=TABLE, on_list=self._take_list, on_row=self._take_row
     )
 
@@ -259,7 +260,7 @@
       lambda: _Receiver(on_datagram=self._receive),
       local_addr=(host, int(port)),
     )
-    await self.add_runtime_dependency(self._feed)
+    await self.add_runtime_dependency(self.feed)
 
   async def on_stop(self) -> None:
     """Stops listening."""
--- a/src/woadrun/process/node.py
+++ b/src/woadrun/process/node.py
@@ -10,7 +10,6 @@
 from collections.abc import Callable
 import dataclasses
 import logging
-import random
 import secrets
 import time
 from typing import Any
@@ -26,6 +25,7 @@
 from woadrun.connection import turn_messages
 from woadrun.process import catalogue
 from woadrun.process import counters
+from woadrun.process import feed_sync
 from woadrun.process import fleet
 from woadrun.process import loads
 from woadrun.process import programs
@@ -56,10 +56,9 @@
 # For what the store lacks at the end of a planned stop, in seconds.
 FLUSH_SECONDS = 0.5
 POLL_SECONDS = 0.05
-PEER_SECONDS = 1.0
 # Largest message between daemons, in bytes: a long history.
 PEER_BYTES = 64 * 1024 * 1024
-LOOK_SECONDS = 0.25
+LOOK_SECONDS = 1.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -137,6 +136,12 @@
       on_beat=self._take_beat,
     )
     self.store.use_fleet(self.fleet)
+    self.feeds = feed_sync.FeedSync(
+      feeds=[*self.catalogue.feeds, self.fleet.feed],
+      members=self.fleet,
+      links=self.links,
+      has_store=lambda: self.store.is_direct,
+    )
     turns = turn_store.TurnStore(store=self.store, row_bytes=config.row_bytes)
     self.programs = programs.Programs(
       members=self.fleet, store=self.store, turns=turns, links=self.links
@@ -158,7 +163,6 @@
     )
     self.sweeper = sweeper.Sweeper(store=self.store, members=self.fleet)
     self.counters.add_gauges(self._read_gauges)
-    self._table_source: fleet.Member | None = None
     self._runner: web.AppRunner | None = None
 
   async def on_start(self) -> None:
@@ -168,6 +172,7 @@
       self.store,
       self.fleet,
       self.catalogue,
+      self.feeds,
       self.programs,
       self.sweeper,
     ):
@@ -214,7 +219,7 @@
       address=self.config.peers_address,
       domain=self.config.domain,
       has_store=self.store.is_direct,
-      table_version=self.catalogue.version,
+      feeds=self.feeds.get_versions(),
       is_leaving=self.is_leaving,
       running=self.loads.get_running(),
       silent=tuple(self.fleet.find_silent()),
@@ -224,39 +229,13 @@
 
   def _take_beat(self, beat: fleet.Beat) -> None:
     self.loads.take_beat(beat)
-    if beat.table_version > self.catalogue.version:
-      self._table_source = self.fleet.member_by_name.get(beat.name)
+    self.feeds.take_beat(beat)
 
   @mode.Service.task
-  async def _catch_up(self) -> None:
+  async def _forget_often(self) -> None:
     while not self.should_stop:
       await self.sleep(LOOK_SECONDS)
       self.loads.forget(self.catalogue.directory.by_id.keys())
-      source, self._table_source = self._table_source, None
-      if source is None and not self.catalogue.is_listed:
-        source = self._find_peer()
-      if source is not None:
-        await self._ask_catalogue(source)
-
-  def _find_peer(self) -> fleet.Member | None:
-    names = [n for n in self.fleet.heard_by_name if self.fleet.is_alive(n)]
-    return self.fleet.member_by_name[random.choice(names)] if names else None
-
-  async def _ask_catalogue(self, source: fleet.Member) -> None:
-    try:
-      found = await self.links.post(
-        source.address,
-        'catalogue',
-        turn_messages.AskCatalogue(),
-        type=turn_messages.CatalogueCopy,
-        timeout=PEER_SECONDS,
-      )
-    except errors.WoadrunError as error:
-      log.info('No catalogue from %s: %s', source.name, error.message)
-      return
-    if found.table:
-      self.catalogue.take_table(found.table, source=source.name)
-    self.catalogue.take_instances(found.instances, source=source.name)
 
   # --- Messages of peers ----------------------------------------------------
 
@@ -282,7 +261,7 @@
       ('store/change', turn_messages.StoreChange, self.relay.change),
       ('store/read', turn_messages.StoreRead, self.relay.read),
       ('store/follow', turn_messages.StoreFollow, self.relay.follow),
-      ('catalogue', turn_messages.AskCatalogue, self._answer_catalogue),
+      ('feed', turn_messages.AskFeed, self.feeds.answer),
     ]
 
   async def _open_new(
@@ -290,14 +269,6 @@
   ) -> turn_messages.OpenedTurn:
     return await self.programs.open(ask, is_new=True)
 
-  async def _answer_catalogue(
-    self, _: turn_messages.AskCatalogue
-  ) -> turn_messages.CatalogueCopy:
-    return turn_messages.CatalogueCopy(
-      table=self.catalogue.table_value,
-      instances=tuple(self.catalogue.directory.by_id.values()),
-    )
-
   # --- Stopping -------------------------------------------------------------
 
   async def leave(self) -> None:
--- a/src/woadrun/process/store_access.py
+++ b/src/woadrun/process/store_access.py
@@ -282,7 +282,7 @@
       conditions=[(_get_key(row), row.version) for row in message.conditions],
     )
     return turn_messages.StorePage(
-      rows=_put_rows(outcome.rows),
+      rows=put_rows(outcome.rows),
       version=outcome.version,
       is_done=outcome.is_done,
     )
@@ -336,7 +336,8 @@
   return rows.Page(rows=found, version=page.version, is_cut=page.is_cut)
 
 
-def _put_rows(found: Sequence[rows.Row]) -> tuple[turn_messages.StoreRow, ...]:
+def put_rows(found: Sequence[rows.Row]) -> tuple[turn_messages.StoreRow, ...]:
+  """Returns rows as they are handed to a peer."""
   return tuple(
     turn_messages.StoreRow(
       table=row.key.table,
@@ -352,5 +353,5 @@
 
 def _put_page(page: rows.Page) -> turn_messages.StorePage:
   return turn_messages.StorePage(
-    rows=_put_rows(page.rows), version=page.version, is_cut=page.is_cut
+    rows=put_rows(page.rows), version=page.version, is_cut=page.is_cut
   )
--- a/tests/test_catalogue.py
+++ b/tests/test_catalogue.py
@@ -96,8 +96,8 @@
 async def test_an_older_routing_table_is_never_taken():
   async with follow() as (known, _):
     newer = msgspec.json.encode({**nodes.CONFIG, 'version': 9, 'routes': []})
-    known.take_table(newer, source='a peer')
-    known.take_table(msgspec.json.encode(nodes.CONFIG), source='a peer')
+    known.take_table(newer)
+    known.take_table(msgspec.json.encode(nodes.CONFIG))
     assert known.version == 9
     assert known.table.match('h', '/chat/x') is None
 
--- /dev/null
+++ b/tests/test_feed_sync.py
@@ -0,0 +1,113 @@
+"""Few daemons follow the store; all know what it tells."""
+
+import json
+
+import msgspec
+import nodes
+
+from woadrun.connection import rows
+from woadrun.process import feed_sync
+
+NAMES = ('n1', 'n2', 'n3', 'n4', 'n5')
+ENTRY = json.dumps({'service': 'models', 'address': '127.0.0.1:9'}).encode()
+
+
+def key(id):
+  return rows.Key('servers', '', id)
+
+
+def count_follows(fleet):
+  """Returns the names of daemons that follow instances, a name a call."""
+  found = []
+  for name, view in fleet.view_by_name.items():
+
+    async def counted(table, _call=view.follow, _name=name, **options):
+      if table == 'servers':
+        found.append(_name)
+      return await _call(table, **options)
+
+    view.follow = counted
+  return found
+
+
+def knows(fleet, id):
+  return [
+    name
+    for name, item in fleet.by_name.items()
+    if id in item.catalogue.directory.by_id
+  ]
+
+
+async def settle(fleet):
+  """Returns once each domain has as many leaders as it should."""
+  await nodes.wait_until(
+    lambda: (
+      sum(item.feeds.leads('servers') for item in fleet.by_name.values())
+      == feed_sync.LEADERS
+    )
+  )
+
+
+async def test_changes_reach_all_although_few_follow_the_store():
+  async with nodes.Nodes() as fleet:
+    await fleet.start(*NAMES)
+    await settle(fleet)
+    # Who followed before has its last answer by now.
+    await fleet.shared.change(writes=[(key('e3'), ENTRY)])
+    await nodes.wait_until(lambda: len(knows(fleet, 'e3')) == len(NAMES))
+    found = count_follows(fleet)
+    for number in range(4, 8):
+      await fleet.shared.change(writes=[(key(f'e{number}'), ENTRY)])
+      await nodes.wait_until(
+        lambda n=number: len(knows(fleet, f'e{n}')) == len(NAMES)
+      )
+    assert len(set(found)) <= feed_sync.LEADERS
+    await fleet.shared.change(removes=[key('e3')])
+    await nodes.wait_until(lambda: not knows(fleet, 'e3'), seconds=2.0)
+
+
+async def test_another_daemon_follows_when_the_leaders_are_gone():
+  async with nodes.Nodes() as fleet:
+    await fleet.start(*NAMES)
+    await settle(fleet)
+    leaders = [
+      name
+      for name, item in fleet.by_name.items()
+      if item.feeds.leads('servers')
+    ]
+    for name in leaders:
+      await fleet.stop(name)
+    await fleet.shared.change(writes=[(key('e3'), ENTRY)])
+    rest = len(NAMES) - len(leaders)
+    await nodes.wait_until(lambda: len(knows(fleet, 'e3')) == rest, seconds=3.0)
+
+
+async def test_a_leader_without_the_store_leaves_it_to_others():
+  async with nodes.Nodes() as fleet:
+    await fleet.start(*NAMES)
+    await settle(fleet)
+    leaders = [
+      name
+      for name, item in fleet.by_name.items()
+      if item.feeds.leads('servers')
+    ]
+    for name in leaders:
+      fleet.view_by_name[name].is_cut = True
+      fleet.by_name[name].store.is_direct = False
+    await fleet.shared.change(writes=[(key('e3'), ENTRY)])
+    await nodes.wait_until(
+      lambda: len(knows(fleet, 'e3')) == len(NAMES), seconds=4.0
+    )
+
+
+async def test_a_new_configuration_reaches_all():
+  async with nodes.Nodes() as fleet:
+    await fleet.start(*NAMES)
+    await settle(fleet)
+    newer = msgspec.json.encode({**nodes.CONFIG, 'version': 9})
+    place = rows.Key('op', '', 'config')
+    await fleet.shared.change(writes=[(place, newer)])
+    await nodes.wait_until(
+      lambda: all(n.catalogue.version == 9 for n in fleet.by_name.values()),
+      seconds=2.0,
+    )
