--- /dev/null
+++ b/bench/fleet_soak/outside.py
@@ -0,0 +1,223 @@
+"""What is outside of the daemons: the store and the instances of services."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import random
+import time
+
+from aiohttp import web
+import msgspec
+
+from fleet_soak import network
+from fleet_soak import proxy
+from woadrun.connection import rows
+from woadrun.platform import standin
+from woadrun.standins import rows as memory
+
+# The routes of the callers.  `v` in a signature is the service that ran it.
+CHAT, ACT, LOOK = '/chat/', '/act/', '/look/'
+DRAIN_SECONDS = 2.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Run:
+  """A request that an instance began to work on."""
+
+  request: str
+  instance: str
+  service: str
+  path: str
+  body: bytes
+  at: float
+
+
+class Instance:
+  """One start of a service's instance, behind a proxy of its own."""
+
+  def __init__(
+    self, *, id: str, service: str, host: str, chance: random.Random
+  ) -> None:
+    self.id = id
+    self.service = service
+    self.host = host
+    self.runs: list[Run] = []
+    self.events_by_request: dict[str, int] = {}
+    self.drained_at: float | None = None
+    self._chance = chance
+    self._runner: web.AppRunner | None = None
+    self.proxy: proxy.Proxy | None = None
+
+  async def start(self) -> None:
+    """Listens, itself and behind its proxy."""
+    server = web.Server(self._answer, access_log=None)
+    self._runner = web.ServerRunner(server, shutdown_timeout=0.1)
+    await self._runner.setup()
+    site = web.TCPSite(self._runner, self.host, 0)
+    await site.start()
+    port = self._runner.addresses[0][1]
+    self.proxy = proxy.Proxy(target=(self.host, port))
+    await self.proxy.start(self.host)
+
+  async def stop(self) -> None:
+    """Ends at once."""
+    await self.proxy.stop()
+    await self._runner.cleanup()
+
+  def get_row(self, domain: str) -> bytes:
+    """Returns the instance's entry in the platform's list."""
+    entry = {
+      'service': self.service,
+      'address': self.proxy.address,
+      'zone': domain,
+      'slots': 16,
+      'state': 'ready' if self.drained_at is None else 'draining',
+    }
+    return msgspec.json.encode(entry)
+
+  async def _answer(self, http: web.BaseRequest) -> web.StreamResponse:
+    body = await http.read()
+    request = http.headers.get('Request-Id', '')
+    echo = {'Request-Id': request}
+    if http.headers.get('Expect-Instance') != self.id:
+      return web.Response(status=421, headers=echo)
+    run = Run(
+      request=request,
+      instance=self.id,
+      service=self.service,
+      path=http.path,
+      body=body,
+      at=time.monotonic(),
+    )
+    self.runs.append(run)
+    echo['Server-Signature'] = f'{self.service}.{self.id}.{request}'
+    if not http.path.startswith(CHAT):
+      await asyncio.sleep(self._chance.uniform(0.01, 0.15))
+      return web.Response(body=f'done {request}'.encode(), headers=echo)
+    response = web.StreamResponse(headers=echo)
+    response.content_type = 'text/event-stream'
+    await response.prepare(http)
+    count = self._chance.randint(2, 6)
+    self.events_by_request[request] = count
+    for number in range(count):
+      await asyncio.sleep(self._chance.uniform(0.01, 0.06))
+      await response.write(
+        f'id: {number}\ndata: {request}-{number}\n\n'.encode()
+      )
+    await response.write_eof()
+    return response
+
+
+class Outside:
+  """The store and all instances; what changes is written to the store."""
+
+  def __init__(
+    self, *, domains: tuple[str, ...], seed: int, hosts: network.Network
+  ) -> None:
+    self._hosts = hosts
+    self.kept = memory.MemoryRows()
+    self.instances: list[Instance] = []
+    self._domains = domains
+    self._chance = random.Random(f'outside/{seed}')
+    self._runner: web.AppRunner | None = None
+    self.store = ('', 0)
+    self.version = 0
+    # (acknowledged at, version, service of the actions)
+    self.configs: list[tuple[float, int, str]] = []
+
+  async def start(self) -> None:
+    """Serves the store and three instances of each service."""
+    application = standin.StoreServer(kept=self.kept).make_application()
+    self._runner = web.AppRunner(
+      application, access_log=None, shutdown_timeout=0.1
+    )
+    await self._runner.setup()
+    await web.TCPSite(self._runner, self._hosts.get_host(1, 0), 0).start()
+    self.store = self._runner.addresses[0][:2]
+    await self.configure('tools')
+    for service in ('models', 'tools', 'other'):
+      for _ in range(3):
+        await self.add(service)
+
+  async def stop(self) -> None:
+    """Ends all of it."""
+    for instance in self.instances:
+      await instance.stop()
+    await self._runner.cleanup()
+
+  @property
+  def runs(self) -> list[Run]:
+    """All that was run so far."""
+    return [run for item in self.instances for run in item.runs]
+
+  async def configure(self, service: str) -> None:
+    """Puts a configuration in force by which a service runs the actions."""
+    self.version += 3
+    config = {
+      'version': self.version,
+      'routes': [
+        _make_route('chat', CHAT, 'stream', 'models', retain_history=True),
+        _make_route('act', ACT, 'non_idempotent', service),
+        _make_route('look', LOOK, 'idempotent', 'tools'),
+      ],
+      'services': [{'name': 'models', 'engine': {'tokens_per_event': 1}}],
+    }
+    key = rows.Key('op', '', 'config')
+    await self._write([(key, msgspec.json.encode(config))])
+    self.configs.append((time.monotonic(), self.version, service))
+
+  async def add(self, service: str) -> None:
+    """Starts an instance."""
+    number = len(self.instances)
+    instance = Instance(
+      id=f'i-{number}',
+      service=service,
+      host=self._hosts.get_host(2, number),
+      chance=self._chance,
+    )
+    self.instances.append(instance)
+    await instance.start()
+    await self._put(instance)
+
+  async def replace(self, service: str) -> None:
+    """Lets an instance leave as planned, once another one is there."""
+    staying = [
+      item
+      for item in self.instances
+      if item.service == service and item.drained_at is None
+    ]
+    await self.add(service)
+    leaving = self._chance.choice(staying)
+    leaving.drained_at = time.monotonic()
+    await self._put(leaving)
+    leaving.drained_at = time.monotonic()
+
+  async def _put(self, instance: Instance) -> None:
+    number = self.instances.index(instance)
+    domain = self._domains[number % len(self._domains)]
+    key = rows.Key('servers', '', instance.id)
+    await self._write([(key, instance.get_row(domain))])
+
+  async def _write(self, writes: list[tuple[rows.Key, bytes]]) -> None:
+    # The operator's own writes get through whatever the daemons meet.
+    kept = self.kept
+    was_out, kept.is_out = kept.is_out, False
+    lost, kept.loses_answers = kept.loses_answers, False
+    delay, kept.delay = kept.delay, 0.0
+    await kept.change(writes=writes)
+    kept.is_out, kept.loses_answers, kept.delay = was_out, lost, delay
+
+
+def _make_route(name, prefix, kind, service, **options):
+  return {
+    'name': name,
+    'host': 'soak',
+    'path_prefix': prefix,
+    'kind': kind,
+    'service': service,
+    'timeout_ms': 5000,
+    'max_attempts': 2,
+    'retention_s': 60.0,
+    **options,
+  }
