--- a/bench/fleet_soak/__main__.py
+++ b/bench/fleet_soak/__main__.py
@@ -11,6 +11,7 @@
 import logging
 import pathlib
 import shutil
+import signal
 import sys
 import tempfile
 import time
@@ -106,6 +107,20 @@
           await asyncio.sleep(0.1)
 
 
+async def _run(
+  seed: int, options: argparse.Namespace, folder: pathlib.Path
+) -> list[str]:
+  # Whoever ends the soak ends its daemons too.
+  task = asyncio.current_task()
+  asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+  return await soak(
+    seed=seed,
+    seconds=options.seconds,
+    count=options.daemons,
+    folder=folder,
+  )
+
+
 def main() -> int:
   """Returns 1 where a promise was broken."""
   parser = argparse.ArgumentParser(description=__doc__)
@@ -122,14 +137,7 @@
     folder = pathlib.Path(
       tempfile.mkdtemp(prefix=f'soak-{seed}-', dir=options.folder)
     )
-    found = asyncio.run(
-      soak(
-        seed=seed,
-        seconds=options.seconds,
-        count=options.daemons,
-        folder=folder,
-      )
-    )
+    found = asyncio.run(_run(seed, options, folder))
     for violation in found[:20]:
       print(f'seed {seed}: BROKEN: {violation}')
     if found:
--- a/bench/fleet_soak/proxy.py
+++ b/bench/fleet_soak/proxy.py
@@ -70,6 +70,9 @@
         self._pass(reader, far, lambda: self.is_deaf),
         self._pass(far_reader, writer, lambda: self.is_mute),
       )
+    except asyncio.CancelledError:
+      # The run is over; the server would report it as a failure.
+      return
     finally:
       for end in (writer, far):
         self._writers.discard(end)
