--- a/src/woadrun/connection/turn_messages.py
+++ b/src/woadrun/connection/turn_messages.py
@@ -34,7 +34,7 @@
 
   `most` is what the turn may generate, `budget` what all turns of the
   program may, both in tokens.  With `is_away` the program's own domain
-  cannot be reached.
+  cannot be reached.  With `is_brief` the asker has the history already.
   """
 
   program: str
@@ -43,15 +43,21 @@
   most: int = 0
   budget: int | None = None
   is_away: bool = False
+  is_brief: bool = False
 
 
 class OpenedTurn(msgspec.Struct, frozen=True, kw_only=True):
-  """The turns before, oldest first, or the domain to ask in their place."""
+  """The turns before, oldest first.
+
+  With `home` only that domain can give leave; the turns are there as well
+  where `has_history` says so.
+  """
 
   line: tuple[str, ...] = ()
   history: bytes = b''
   instance: str = ''
   home: str = ''
+  has_history: bool = False
 
 
 class CloseTurn(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/woadrun/process/histories.py
+++ b/src/woadrun/process/histories.py
@@ -31,10 +31,28 @@
       f'The history is not known here: {error.message}',
       retry_after=RETRY_SECONDS,
     ) from error
+  return _join(turns)
+
+
+def find_cached(
+  parent: str, cache: turn_store.TurnCache
+) -> turn_messages.OpenedTurn | None:
+  """Returns the same from memory alone, None where it lacks a turn."""
+  if not parent:
+    return turn_messages.OpenedTurn()
+  last = cache.get(parent)
+  if last is None:
+    return None
+  before = [cache.get(request) for request in last.line]
+  turns = [turn for turn in before if turn is not None]
+  return _join([*turns, last]) if len(turns) == len(before) else None
+
+
+def _join(turns: list[turn_messages.Turn]) -> turn_messages.OpenedTurn:
   return turn_messages.OpenedTurn(
     line=tuple(turn.request for turn in turns),
     history=b''.join(turn.input + turn.output for turn in turns),
-    instance=last.instance,
+    instance=turns[-1].instance,
   )
 
 
--- a/src/woadrun/process/programs.py
+++ b/src/woadrun/process/programs.py
@@ -14,6 +14,7 @@
 import time
 
 import mode
+import msgspec
 
 from woadrun import errors
 from woadrun.connection import peers
@@ -84,10 +85,15 @@
     entry = await self._load(ask, is_new=is_new)
     home = entry.ledger.home
     if home != self._members.me.domain and not ask.is_away:
-      return turn_messages.OpenedTurn(home=home)
-    opened = await histories.find(
-      ask.parent, cache=self.cache, store=self._turns
-    )
+      known = histories.find_cached(ask.parent, self.cache)
+      if known is None:
+        return turn_messages.OpenedTurn(home=home)
+      return msgspec.structs.replace(known, home=home, has_history=True)
+    opened = turn_messages.OpenedTurn()
+    if not ask.is_brief:
+      opened = await histories.find(
+        ask.parent, cache=self.cache, store=self._turns
+      )
     if self._store.is_slow and not ask.is_away:
       # The standby's word comes a hundred times sooner than a slow write,
       # which held up each turn by half a second; the store gets it behind.
--- a/src/woadrun/request/turn_leave.py
+++ b/src/woadrun/request/turn_leave.py
@@ -89,9 +89,12 @@
     if not opened.home:
       return opened
     try:
-      granted = await self._open_in(opened.home, ask)
+      # A history that a copy here has need not come from the other domain.
+      brief = msgspec.structs.replace(ask, is_brief=opened.has_history)
+      granted = await self._open_in(opened.home, brief)
       if not granted.home:
-        return msgspec.structs.replace(granted, home=opened.home)
+        found = opened if opened.has_history else granted
+        return msgspec.structs.replace(found, home=opened.home)
       # Both began it while one was cut off: an answer that only names a home
       # has no history.  The store decides on what each reserves.
       log.warning(
--- a/tests/test_cut_domains.py
+++ b/tests/test_cut_domains.py
@@ -8,6 +8,7 @@
 
 from woadrun import errors
 from woadrun.decisions import shares
+from woadrun.process import histories
 
 
 async def tell_far(fleet, name, request):
@@ -163,6 +164,31 @@
     assert mine.ledger.home == 'north'
 
 
+async def test_a_history_that_a_copy_has_does_not_cross_domains_again():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1', 's1')
+    await fleet.turn('n1', 'a')
+    await tell_far(fleet, 's1', 'a')
+    asked = []
+    find = histories.find
+
+    async def counted(parent, **options):
+      asked.append(parent)
+      return await find(parent, **options)
+
+    histories.find = counted
+    try:
+      await fleet.turn('s1', 'b', parent='a')
+    finally:
+      histories.find = find
+    assert asked == []
+    assert fleet.get_body('b') == b'<a>a-0\na-1\n<b>'
+    # What the copy lacks comes from the home, whole.
+    fleet.by_name['s1'].programs.cache._turn_by_request.pop('a')
+    await fleet.turn('s1', 'c', parent='b')
+    assert fleet.get_body('c') == b'<a>a-0\na-1\n<b>b-0\nb-1\n<c>'
+
+
 async def test_a_daemon_tells_whom_it_does_not_hear():
   async with nodes.Nodes() as fleet:
     await fleet.start('n1', 's1')
