In a large fleet neighbours tell which domains and members are silent

Neighbours now say which domains they hear and which members are silent; a connection to a peer that does not come up is given up after 0.5 s. tests/test_fleet.py fails without it.

--- a/src/woadrun/connection/peers.py
+++ b/src/woadrun/connection/peers.py
@@ -12,6 +12,10 @@
 
 T = TypeVar('T')
 
+# A daemon that is there takes a connection within a round trip; one that is
+# dark or cut off never does.  In seconds.
+CONNECT_SECONDS = 0.5
+
 
 class Peers:
   """A client of all other daemons."""
@@ -45,7 +49,9 @@
         f'http://{address}/peer/{path}',
         data=body,
         headers=self.headers,
-        timeout=aiohttp.ClientTimeout(total=timeout),
+        timeout=aiohttp.ClientTimeout(
+          total=timeout, sock_connect=min(timeout, CONNECT_SECONDS)
+        ),
       ) as response:
         data = await response.read()
     except (TimeoutError, aiohttp.ClientError, OSError) as error:
--- a/src/woadrun/process/fleet.py
+++ b/src/woadrun/process/fleet.py
@@ -29,6 +29,9 @@
 BEAT_SECONDS = 0.25
 # Three lost datagrams in a row and a late timer, in seconds.
 SUSPECT_SECONDS = 0.9
+# What datagrams tell of domains is gathered no more often, in seconds: it is
+# asked for several times in each request.
+REPORT_SECONDS = 0.05
 # A member that is new in the list is heard so soon, in seconds: it learns of
 # this daemon by the same feed.
 FIRST_BEAT_SECONDS = 2.0
@@ -66,7 +69,9 @@
 
   `feeds` has the newest change known of each table.  `running` counts the
   requests that it has at each instance, `silent` names
-  the domains that it hears nothing of.  `is_owing` says that it has spent of
+  the domains that it and its neighbours hear nothing of, `hears` those that
+  it hears itself.  `suspects` names members of its own domain that it heard
+  before and does not any more.  `is_owing` says that it has spent of
   other domains' programs what the store does not have yet, `is_behind` that
   the store lacks anything of what it keeps.
   """
@@ -79,6 +84,8 @@
   is_leaving: bool = False
   running: dict[str, int] = {}
   silent: tuple[str, ...] = ()
+  hears: tuple[str, ...] = ()
+  suspects: tuple[str, ...] = ()
   is_owing: bool = False
   is_behind: bool = False
 
@@ -91,6 +98,15 @@
   at: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Reported:
+  """What was heard of late: domains, and members that are suspect."""
+
+  at: float
+  domains: set[str]
+  suspects: set[str]
+
+
 class Fleet(mode.Service):
   """All members, this daemon included."""
 
@@ -116,6 +132,7 @@
     self._suspects: set[str] = set()
     self._version_by_name: dict[str, int] = {}
     self.is_leaving = False
+    self._reported = _Reported(at=-math.inf, domains=set(), suspects=set())
     self._transport: asyncio.DatagramTransport | None = None
     self.feed = feed.Feed(
       store=store, table=TABLE, on_list=self._take_list, on_row=self._take_row
@@ -135,13 +152,73 @@
       return now - heard.at < SUSPECT_SECONDS
     # Where all beat to all, one that is listed but never heard is silent.
     known_since = self._known_since.get(name, now)
-    is_mesh = len(self.member_by_name) <= FULL_MESH
-    return not is_mesh or now - known_since < FIRST_BEAT_SECONDS
+    if now - known_since < FIRST_BEAT_SECONDS:
+      return True
+    if self._is_mesh:
+      return False
+    # In larger fleets its neighbours tell.
+    member = self.member_by_name.get(name)
+    if member is None or name in self._get_reported().suspects:
+      return False
+    return not self.is_silent(member.domain)
+
+  @property
+  def _is_mesh(self) -> bool:
+    return len(self.member_by_name) <= FULL_MESH
 
   def is_silent(self, domain: str) -> bool:
-    """Returns whether all known members of another domain are silent."""
-    names = [m.name for m in self.member_by_name.values() if m.domain == domain]
-    return bool(names) and not any(self.is_alive(name) for name in names)
+    """Returns whether nothing is heard of another domain.
+
+    Each daemon hears few members of other domains, or none: what neighbours
+    hear counts as well.
+    """
+    if domain == self.me.domain or domain in self._get_reported().domains:
+      return False
+    now = time.monotonic()
+    known = [
+      now - self._known_since.get(member.name, now)
+      for member in self.member_by_name.values()
+      if member.domain == domain
+    ]
+    return bool(known) and max(known) >= FIRST_BEAT_SECONDS
+
+  def _get_reported(self) -> _Reported:
+    """Returns what was heard of late, here or by neighbours."""
+    now = time.monotonic()
+    if now - self._reported.at >= REPORT_SECONDS:
+      self._reported = self._collect_reports(now)
+    return self._reported
+
+  def _collect_reports(self, now: float) -> _Reported:
+    domains: set[str] = set()
+    suspects: set[str] = set()
+    for heard in self.heard_by_name.values():
+      if now - heard.at >= SUSPECT_SECONDS:
+        continue
+      domains.add(heard.beat.domain)
+      if heard.beat.domain == self.me.domain:
+        domains.update(heard.beat.hears)
+        suspects.update(heard.beat.suspects)
+    return _Reported(at=now, domains=domains, suspects=suspects)
+
+  def get_heard_domains(self) -> tuple[str, ...]:
+    """Returns the other domains of which a member is heard here."""
+    now = time.monotonic()
+    found = {
+      heard.beat.domain
+      for heard in self.heard_by_name.values()
+      if now - heard.at < SUSPECT_SECONDS
+    }
+    return tuple(sorted(found - {self.me.domain}))
+
+  def get_suspects(self) -> tuple[str, ...]:
+    """Returns the members of the own domain that were heard before."""
+    return tuple(
+      name
+      for name in sorted(self._suspects)
+      if name in self.member_by_name
+      and self.member_by_name[name].domain == self.me.domain
+    )
 
   @property
   def domains(self) -> set[str]:
@@ -389,6 +466,7 @@
       return
     self._add(Member(name=beat.name, address=beat.address, domain=beat.domain))
     self.heard_by_name[beat.name] = Heard(beat=beat, at=time.monotonic())
+    self._reported = _Reported(at=-math.inf, domains=set(), suspects=set())
     self._on_beat(beat)
 
   def _note_suspects(self) -> None:
--- a/src/woadrun/process/node.py
+++ b/src/woadrun/process/node.py
@@ -223,6 +223,8 @@
       is_leaving=self.is_leaving,
       running=self.loads.get_running(),
       silent=tuple(self.fleet.find_silent()),
+      hears=self.fleet.get_heard_domains(),
+      suspects=self.fleet.get_suspects(),
       is_owing=self.programs.is_owing,
       is_behind=self.programs.is_behind,
     )
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -77,6 +77,24 @@
   assert not made.is_silent('s')
 
 
+def test_in_a_large_fleet_neighbours_tell_of_domains_and_members():
+  names = [f'{domain}-{number}' for domain in 'ns' for number in range(30)]
+  made = make_fleet(*names[1:], me=names[0])
+  for name in names[1:]:
+    made._known_since[name] -= fleet.FIRST_BEAT_SECONDS
+  hear(made, 'n-1', hears=('s',), suspects=('n-9',))
+  # No member of the other domain is heard here.
+  assert not made.is_silent('s') and made.is_alive('s-5')
+  assert not made.is_alive('n-9') and made.is_alive('n-10')
+  hear(made, 'n-1', hears=())
+  assert made.is_silent('s') and not made.is_alive('s-5')
+  assert made.rank('x', 's') == []
+  hear(made, 's-7')
+  assert not made.is_silent('s') and made.get_heard_domains() == ('s',)
+  hear(made, 's-7', ago=fleet.SUSPECT_SECONDS)
+  assert made.find_silent() == ['s']
+
+
 def test_peers_with_the_store_are_found_those_of_the_own_domain_first():
   made = make_fleet('n-1', 's-1', 's-2')
   hear(made, 's-1', has_store=True)
