--- a/tests/test_retry_after.py
+++ b/tests/test_retry_after.py
@@ -21,7 +21,11 @@
     south.store.is_direct = False
     await nodes.wait_until(lambda: not south.store.is_reached)
     await fleet.stop('n1')
-    # The home of the program is silent, and so is the store.
+    # The home of the program is silent, and so is the store; no copy from
+    # there has come either.
+    south.programs.entry_by_program.clear()
+    south.programs.cache._turn_by_request.clear()
+    south.programs.cache._until_by_request.clear()
     await nodes.wait_until(lambda: south.fleet.get_silence() > 1.3)
     with pytest.raises(errors.WoadrunError) as caught:
       await fleet.turn('s1', 'b', parent='a')
