--- a/src/woadrun/platform/program.py
+++ b/src/woadrun/platform/program.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
+import logging
 import os
 import signal
 from typing import Any
@@ -10,6 +12,7 @@
 import aiohttp
 from aiohttp import web
 
+from woadrun import errors
 from woadrun.connection import rows
 from woadrun.platform import discovery
 from woadrun.platform import ingress
@@ -20,6 +23,8 @@
 from woadrun.process import event_log
 from woadrun.process import node
 
+log = logging.getLogger('woadrun.node')
+
 # The largest request head and body that are read, in bytes; the operator's
 # limits are below.
 HEAD_BYTES = 65_536
@@ -49,9 +54,8 @@
 async def _serve(
   config: node.NodeSettings, session: aiohttp.ClientSession
 ) -> None:
-  service = node.Node(
-    config=config, session=session, binding=make_binding(config, session)
-  )
+  binding = make_binding(config, session)
+  service = node.Node(config=config, session=session, binding=binding)
   entry = ingress.Ingress(
     service=service.serving,
     read_metrics=service.counters.encode,
@@ -61,7 +65,8 @@
   stopped = asyncio.Event()
   loop = asyncio.get_running_loop()
   loop.add_signal_handler(signal.SIGTERM, stopped.set)
-  loop.add_signal_handler(signal.SIGHUP, lambda: None)
+  path = os.environ[settings.PATH_VARIABLE]
+  loop.add_signal_handler(signal.SIGHUP, lambda: reload(path, config, binding))
   await service.start()
   runners = await _listen(config, entry)
   await stopped.wait()
@@ -73,6 +78,31 @@
   await service.stop()
 
 
+def reload(path: str, config: node.NodeSettings, binding: node.Binding) -> None:
+  """Reads the settings again; what they tell of the store is in force at once.
+
+  Anything else that differs waits for the next start.  Settings that are
+  wrong change nothing.
+  """
+  try:
+    found = settings.load(path)
+  except errors.FindingsError as error:
+    log.error('Reload: the settings are wrong and change nothing: %s', error)
+    return
+  changed = [
+    field.name
+    for field in dataclasses.fields(found)
+    if getattr(found, field.name) != getattr(config, field.name)
+  ]
+  if isinstance(binding.store, store.Store):
+    binding.store.use_address(found.store_address)
+  log.info(
+    'Reload: the store is at %s; different since the start: %s.',
+    found.store_address,
+    ', '.join(changed) or 'nothing',
+  )
+
+
 def make_binding(
   config: node.NodeSettings, session: aiohttp.ClientSession
 ) -> node.Binding:
--- a/src/woadrun/platform/store.py
+++ b/src/woadrun/platform/store.py
@@ -71,9 +71,13 @@
     self, *, session: aiohttp.ClientSession, address: str, timeout: float
   ) -> None:
     self._session = session
-    self._base = f'http://{address}/-/'
     self._timeout = timeout
     self.calls = 0
+    self.use_address(address)
+
+  def use_address(self, address: str) -> None:
+    """Sends further calls to IP:PORT."""
+    self._base = f'http://{address}/-/'
 
   async def change(
     self,
