--- a/src/woadrun/connection/turn_messages.py
+++ b/src/woadrun/connection/turn_messages.py
@@ -85,6 +85,7 @@
 
   Answered by `KnownProgram`.  `saved_*` and `version` are what the row store
   had at last, `given` what turns were given since, in tokens by request.
+  `is_behind` says that the store lacks something that no stored turn tells.
   """
 
   program: str
@@ -94,6 +95,7 @@
   saved_settled: int
   saved_reserved: dict[str, int]
   saved_recent: tuple[str, ...]
+  is_behind: bool
   version: int
   turns: tuple[Turn, ...] = ()
   unsaved: tuple[str, ...] = ()
--- a/src/woadrun/process/program_copies.py
+++ b/src/woadrun/process/program_copies.py
@@ -170,6 +170,7 @@
       saved_settled=held.saved.settled,
       saved_reserved=dict(held.saved.reserved),
       saved_recent=held.saved.recent,
+      is_behind=entry.needs_flush,
       version=held.version,
       turns=turns,
       unsaved=unsaved,
--- a/src/woadrun/process/programs.py
+++ b/src/woadrun/process/programs.py
@@ -235,7 +235,7 @@
       entry = program_rows.Entry(program=copy.program, ledger=held)
       self.entry_by_program[copy.program] = entry
       entry.is_copy = True
-      entry.needs_flush = held.is_dirty
+      entry.needs_flush = copy.is_behind
       return turn_messages.KnownProgram()
     is_older = held.version < entry.ledger.version
     lacks = {
@@ -245,11 +245,12 @@
     }
     if is_older or lacks or entry.lock.locked():
       entry.ledger.merge(held)
+      entry.needs_flush |= copy.is_behind or bool(lacks)
     else:
       entry.ledger = held
+      entry.needs_flush = copy.is_behind
     entry.is_copy = True
     entry.used_at = time.monotonic()
-    entry.needs_flush = entry.ledger.is_dirty
     if not is_older and not lacks:
       return turn_messages.KnownProgram()
     log.info(
--- a/src/woadrun/process/reservations.py
+++ b/src/woadrun/process/reservations.py
@@ -159,6 +159,7 @@
   ) -> None:
     # From now on a copy of another daemon does not undo it.
     entry.acted.add(ask.request)
+    entry.needs_flush = True
     try:
       self._check_alone(entry.ledger, error)
       self._check_offline(entry, ask, budget)
@@ -168,7 +169,6 @@
     except errors.WoadrunError:
       entry.ledger.settle(ask.request, 0)
       raise
-    entry.needs_flush = True
     log.info(
       'Turn %s of %s may run without the store: %d spent, row %d (%s).',
       ask.request,
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -391,6 +391,20 @@
     assert entry.ledger.spent == 12
 
 
+async def test_members_are_not_behind_once_the_store_has_each_turn():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1', 'n2', 's1')
+    await fleet.turn('n1', 'a')
+    await fleet.turn('n1', 'b', parent='a')
+    everyone = list(fleet.by_name.values())
+    # The standby and the other domain have their copies of the last turn.
+    await nodes.wait_until(
+      lambda: all(n.programs.cache.get('b') is not None for n in everyone)
+    )
+    assert all('p' in n.programs.entry_by_program for n in everyone)
+    assert not any(n.programs.is_behind for n in everyone)
+
+
 async def test_a_turn_that_nobody_has_costs_one_read_in_calm_times():
   async with nodes.Nodes() as fleet:
     await fleet.start('n1', 'n2', 's1')
