Streams across a cut end at once on the side without the store

On the side without the store such a stream is broken off once the domain of its instance is silent, so that its caller asks again. Ruled out: the other side (the instance may be well); calls that run once (their answer may still come).

--- a/src/woadrun/platform/upstream.py
+++ b/src/woadrun/platform/upstream.py
@@ -39,6 +39,7 @@
         has_run=wire.has_run(response.status, response.headers),
         is_genuine=wire.is_genuine(sending.request.id, response.headers),
         chunks=_read(response),
+        abort=response.close,
       )
       if not wire.has_run(response.status, response.headers):
         await _drain(response)
--- a/src/woadrun/process/node.py
+++ b/src/woadrun/process/node.py
@@ -152,7 +152,10 @@
     self.serving = serving.Serving(
       known=self.catalogue,
       send=attempts.Attempts(
-        known=self.catalogue, load=self.loads, upstreams=binding.upstreams
+        known=self.catalogue,
+        load=self.loads,
+        upstreams=binding.upstreams,
+        is_cut_off=self._is_cut_off,
       ),
       leave=turn_leave.TurnLeave(
         members=self.fleet,
@@ -200,6 +203,11 @@
   def _get_outage(self) -> float:
     return max(self.store.outage, self.fleet.get_silence())
 
+  def _is_cut_off(self, domain: str) -> bool:
+    # On the side that has the store an instance behind a cut may be well, and
+    # its callers decide how long they wait.
+    return not self.store.is_reached and self.fleet.is_silent(domain)
+
   def _read_gauges(self) -> dict[str, float]:
     return {
       'requests_running': self.serving.active,
--- a/src/woadrun/request/attempts.py
+++ b/src/woadrun/request/attempts.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 import contextlib
 import dataclasses
 import logging
@@ -24,6 +25,8 @@
 
 log = logging.getLogger('woadrun.attempts')
 
+# Between looks whether the instance of a stream is still in reach, in seconds.
+LOOK_SECONDS = 0.25
 # A request is not sent with less time than this left, in seconds: the way
 # alone takes a part of it.
 LEAST_SECONDS = 0.02
@@ -57,7 +60,11 @@
 
 
 class Attempts:
-  """Finds instances for requests, sends, and sends again."""
+  """Finds instances for requests, sends, and sends again.
+
+  `is_cut_off` tells whether this daemon is on the lesser side of a cut, with
+  a failure domain on the other side.
+  """
 
   def __init__(
     self,
@@ -65,10 +72,12 @@
     known: catalogue.Catalogue,
     load: loads.Loads,
     upstreams: exchange.Upstreams,
+    is_cut_off: Callable[[str], bool] = lambda domain: False,
   ) -> None:
     self._known = known
     self._load = load
     self._upstreams = upstreams
+    self._is_cut_off = is_cut_off
     self._budget = hedging.HedgeBudget()
 
   @contextlib.asynccontextmanager
@@ -148,11 +157,42 @@
     )
 
   async def _begin(self, plan: _Plan, sending: exchange.Sending) -> _Begun:
-    if plan.route.kind is not routes.Kind.IDEMPOTENT:
+    if plan.route.kind is routes.Kind.STREAM:
+      return await self._try_watched(sending)
+    if plan.route.kind is routes.Kind.ONCE:
+      # An answer may still come once a cut has healed.
       return await self._try(sending)
     self._budget.note_first()
     return await self._try_hedged(plan, sending)
 
+  async def _try_watched(self, sending: exchange.Sending) -> _Begun:
+    """Returns the reply of an instance, which ends if a cut takes it away.
+
+    The caller of a stream otherwise waits for seconds until it gives up and
+    asks again.
+    """
+    domain = sending.instance.domain
+    task = asyncio.ensure_future(self._try(sending))
+    try:
+      while not task.done():
+        await asyncio.wait({task}, timeout=LOOK_SECONDS)
+        if not task.done() and self._is_cut_off(domain):
+          raise exchange.Lost(f'{domain} is cut off')
+    except BaseException:
+      await _end([task])
+      raise
+    begun = task.result()
+    watching = asyncio.ensure_future(self._watch(begun))
+    begun.stack.callback(watching.cancel)
+    return begun
+
+  async def _watch(self, begun: _Begun) -> None:
+    domain = begun.sending.instance.domain
+    while not self._is_cut_off(domain):
+      await asyncio.sleep(LOOK_SECONDS)
+    self._log(begun.sending, f'broken off: {domain} is cut off')
+    begun.reply.abort()
+
   async def _try_hedged(self, plan: _Plan, sending: exchange.Sending) -> _Begun:
     """Returns the first good reply of one instance, or of a second one."""
     tasks = [asyncio.ensure_future(self._try(sending))]
--- a/src/woadrun/request/exchange.py
+++ b/src/woadrun/request/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import AsyncGenerator
+from collections.abc import Callable
 from collections.abc import Sequence
 import contextlib
 import dataclasses
@@ -93,7 +94,8 @@
 
   `has_run` is false where the instance says that it did not run the
   request.  `is_genuine` says that the answer belongs to this request and
-  bears the instance's mark.
+  bears the instance's mark.  `abort` breaks the answer off: `chunks` then
+  raises `Lost`.
   """
 
   status: int
@@ -101,6 +103,7 @@
   has_run: bool
   is_genuine: bool
   chunks: AsyncGenerator[bytes]
+  abort: Callable[[], None] = lambda: None
 
 
 class NotSent(Exception):
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -7,6 +7,7 @@
 
 from woadrun import errors
 from woadrun.decisions import hedging
+from woadrun.request import attempts
 from woadrun.request import exchange
 
 
@@ -108,3 +109,45 @@
       task.cancel()
     most = hedging.MOST_SAVED + hedging.SHARE * len(requests)
     assert len(fleet.engines.sent) <= len(requests) + most
+
+
+async def test_a_stream_whose_instance_is_cut_off_ends_on_the_lesser_side():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1')
+    torn = asyncio.Event()
+
+    async def stream():
+      yield b'data: x\n\n'
+      await torn.wait()
+      raise exchange.Lost('aborted')
+
+    reply = nodes.make_reply()
+    reply.chunks, reply.abort = stream(), torn.set
+    fleet.engines.faults.append(reply)
+    north = fleet.by_name['n1']
+    running = asyncio.ensure_future(fleet.turn('n1', 'a'))
+    await nodes.wait_until(lambda: north.loads.get_running())
+    await asyncio.sleep(2 * attempts.LOOK_SECONDS)
+    # With the store in reach the instance may be well.
+    north.fleet.is_silent = lambda domain: True
+    await asyncio.sleep(2 * attempts.LOOK_SECONDS)
+    assert not running.done()
+    fleet.shared.is_out = True
+    with pytest.raises(exchange.Lost):
+      await asyncio.wait_for(running, 5.0)
+
+
+async def test_a_stream_that_has_not_begun_is_given_up_in_a_cut():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1')
+    fleet.engines.faults.append(nodes.SILENCE)
+    north = fleet.by_name['n1']
+    running = asyncio.ensure_future(fleet.turn('n1', 'a'))
+    await nodes.wait_until(lambda: north.loads.get_running())
+    fleet.shared.is_out = True
+    north.fleet.is_silent = lambda domain: True
+    with pytest.raises(errors.WoadrunError) as caught:
+      await asyncio.wait_for(running, 3.0)
+    # It may have run: no promise.
+    assert caught.value.status == 502
+    assert not north.loads.get_running()
--- /dev/null
+++ b/tests/test_upstream.py
@@ -0,0 +1,45 @@
+"""Requests to instances over real connections."""
+
+import asyncio
+
+import aiohttp
+from aiohttp import web
+import nodes
+import pytest
+
+from woadrun.platform import upstream
+from woadrun.request import exchange
+from woadrun.version import instances
+
+
+async def test_an_answer_that_is_aborted_ends_at_once():
+  async def answer(request):
+    response = web.StreamResponse(headers={'Request-Id': 'r'})
+    await response.prepare(request)
+    await response.write(b'data: x\n\n')
+    await asyncio.sleep(30)
+    return response
+
+  runner = web.ServerRunner(web.Server(answer), shutdown_timeout=0.1)
+  await runner.setup()
+  port = nodes.find_port()
+  await web.TCPSite(runner, '127.0.0.1', port).start()
+  sending = exchange.Sending(
+    request=nodes.make_request('r', path='/chat/'),
+    instance=instances.Instance(
+      id='i', service='s', address=f'127.0.0.1:{port}', domain='north'
+    ),
+    body=b'',
+    seconds=20.0,
+  )
+  seen = []
+  async with aiohttp.ClientSession() as session:
+    found = upstream.HttpUpstreams(session=session)
+    async with asyncio.timeout(5):
+      async with found.send(sending) as reply:
+        with pytest.raises(exchange.Lost):
+          async for chunk in reply.chunks:
+            seen.append(chunk)
+            asyncio.get_running_loop().call_later(0.1, reply.abort)
+  assert seen == [b'data: x\n\n']
+  await runner.cleanup()
