--- a/src/woadrun/process/fleet.py
+++ b/src/woadrun/process/fleet.py
@@ -227,13 +227,14 @@
 
   @property
   def is_isolated(self) -> bool:
-    """Whether no other member of the own domain is heard, though listed."""
-    others = [
-      name
-      for name, member in self.member_by_name.items()
-      if member.domain == self.me.domain and name != self.me.name
-    ]
-    return bool(others) and not any(self.is_alive(name) for name in others)
+    """Whether no other member is heard, though its own domain has others.
+
+    Who hears other domains is not cut off: the members of its own are dead.
+    """
+    others = [n for n in self.member_by_name if n != self.me.name]
+    domains = [self.member_by_name[name].domain for name in others]
+    is_alone = not any(self.is_alive(name) for name in others)
+    return self.me.domain in domains and is_alone
 
   def find_silent(self) -> list[str]:
     """Returns the other domains of which nothing is heard."""
--- a/tests/test_cut_domains.py
+++ b/tests/test_cut_domains.py
@@ -55,6 +55,20 @@
     assert north.programs.entry_by_program['p'].ledger.spent == 4 * 6
 
 
+async def test_the_last_daemon_of_a_domain_goes_on_while_it_hears_others():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1', 'n2', 's1')
+    await fleet.turn('n1', 'a')
+    fleet.shared.is_out = True
+    await fleet.stop('n2')
+    north = fleet.by_name['n1']
+    await nodes.wait_until(
+      lambda: not north.store.is_reached and not north.fleet.is_alive('n2')
+    )
+    await fleet.turn('n1', 'b', parent='a')
+    assert fleet.get_body('b') == b'<a>a-0\na-1\n<b>'
+
+
 async def test_a_domain_cut_off_spends_its_part_only():
   async with nodes.Nodes() as fleet:
     await fleet.start('n1', 's1')
