The first contact of a daemon that has just started is no return of the store

A return now needs a contact that was lost before, or a first source without the store. Ruled out: a late change (all daemons had the removal within 10 ms). tests/test_catalogue.py: the first test fails without it.

--- a/src/woadrun/connection/turn_messages.py
+++ b/src/woadrun/connection/turn_messages.py
@@ -179,10 +179,11 @@
   """Changes of a table up to a version, which is None where none is known.
 
   With `is_list` these are all rows.  `regained` tells how long ago contact
-  with the store was regained, in seconds.
+  with the store was regained, in seconds, `is_lost` that there is none now.
   """
 
   rows: tuple[StoreRow, ...] = ()
   version: int | None = None
   is_list: bool = False
   regained: float | None = None
+  is_lost: bool = False
--- a/src/woadrun/process/feed.py
+++ b/src/woadrun/process/feed.py
@@ -38,13 +38,14 @@
 
   `is_list` says that these are all rows.  `regained` tells how long ago
   contact with the store was regained, in seconds, None where it was never
-  lost.
+  lost; `is_lost` that there is none now.
   """
 
   rows: tuple[rows.Row, ...]
   version: int
   is_list: bool
   regained: float | None
+  is_lost: bool = False
 
 
 class Feed(mode.Service):
@@ -78,6 +79,8 @@
     self.is_lost = True
     self.regained_at = float('-inf')
     self._began = float('-inf')
+    self._had_contact = False
+    self._has_lost = False
     self._row_by_name: dict[str, rows.Row] = {}
     self._removed_by_name: dict[str, rows.Row] = {}
     self._known_from = 0
@@ -128,15 +131,20 @@
     if not self.is_lost:
       return
     self.is_lost = False
-    # The first contact of all comes after no loss.
-    if self.version is not None:
+    # The first contact of a daemon that has just started is no return of the
+    # store: taken for one, it kept entries that were removed just then for as
+    # long as after an outage, everywhere.
+    if self._has_lost:
       self.regained_at = self._began
+    self._has_lost = False
+    self._had_contact = True
     log.info('Following %s, last known at %s.', self.table, self.version)
 
   def _note_loss(self, error: errors.WoadrunError) -> None:
     if not self.is_lost:
       log.warning('Lost the feed of %s: %s', self.table, error.message)
       self.is_lost = True
+    self._has_lost |= self._had_contact
 
   # --- From and for other daemons -------------------------------------------
 
@@ -163,10 +171,13 @@
       version=self.version,
       is_list=is_list,
       regained=regained if regained < float('inf') else None,
+      is_lost=self.is_lost,
     )
 
   def take_changes(self, changes: Changes) -> None:
     """Takes what another daemon has of the table."""
+    # A daemon that starts in an outage learns of it from its first source.
+    self._has_lost |= self.version is None and changes.is_lost
     if changes.regained is not None:
       regained_at = time.monotonic() - changes.regained
       self.regained_at = max(self.regained_at, regained_at)
--- a/src/woadrun/process/feed_sync.py
+++ b/src/woadrun/process/feed_sync.py
@@ -138,6 +138,7 @@
         version=found.version,
         is_list=found.is_list,
         regained=found.regained,
+        is_lost=found.is_lost,
       )
     )
 
@@ -152,6 +153,7 @@
       version=changes.version,
       is_list=changes.is_list,
       regained=changes.regained,
+      is_lost=changes.is_lost,
     )
 
 
--- a/tests/test_catalogue.py
+++ b/tests/test_catalogue.py
@@ -10,6 +10,7 @@
 from woadrun.platform import discovery
 from woadrun.platform import operator
 from woadrun.process import catalogue
+from woadrun.process import feed
 from woadrun.standins import rows as memory
 
 TABLE_KEY = rows.Key('op', '', 'config')
@@ -19,8 +20,7 @@
   return rows.Key('servers', '', id)
 
 
-@contextlib.asynccontextmanager
-async def follow(*, grace=0.4):
+async def make_rows():
   kept = memory.MemoryRows()
   entry = {'service': 'models', 'address': '127.0.0.1:9'}
   await kept.change(
@@ -29,7 +29,11 @@
       *((server_key(id), msgspec.json.encode(entry)) for id in ('e1', 'e2')),
     ]
   )
-  known = catalogue.Catalogue(
+  return kept
+
+
+def make_catalogue(kept, *, grace):
+  return catalogue.Catalogue(
     store=kept,
     table_key=TABLE_KEY,
     instance_table='servers',
@@ -37,6 +41,12 @@
     decode_instance=discovery.decode,
     grace=grace,
   )
+
+
+@contextlib.asynccontextmanager
+async def follow(*, grace=0.4):
+  kept = await make_rows()
+  known = make_catalogue(kept, grace=grace)
   await known.start()
   await nodes.wait_until(lambda: known.table and known.directory.by_id)
   yield known, kept
@@ -49,6 +59,43 @@
     await nodes.wait_until(lambda: 'e1' not in known.directory.by_id)
 
 
+async def start_late(kept, *, is_lost):
+  """Returns a catalogue that got its first list from another daemon."""
+  known = make_catalogue(kept, grace=30.0)
+  kept.is_out = True
+  await known.start()
+  feed_of_instances = known.feeds[1]
+  found = [r for k, r in kept.row_by_key.items() if k.table == 'servers']
+  feed_of_instances.take_changes(
+    feed.Changes(
+      rows=tuple(found),
+      version=kept.version,
+      is_list=True,
+      regained=None,
+      is_lost=is_lost,
+    )
+  )
+  kept.is_out = False
+  await nodes.wait_until(lambda: not feed_of_instances.is_lost)
+  await kept.change(removes=[server_key('e1')])
+  return known
+
+
+async def test_the_first_contact_after_a_list_from_a_peer_is_no_return():
+  kept = await make_rows()
+  known = await start_late(kept, is_lost=False)
+  await nodes.wait_until(lambda: 'e1' not in known.directory.by_id)
+  await known.stop()
+
+
+async def test_a_daemon_that_starts_in_an_outage_keeps_what_lapsed():
+  kept = await make_rows()
+  known = await start_late(kept, is_lost=True)
+  await nodes.wait_until(lambda: known.directory.get_missing() == ['e1'])
+  assert 'e1' in known.directory.by_id
+  await known.stop()
+
+
 async def test_an_entry_that_lapsed_is_kept_no_longer_than_from_the_return():
   async with follow(grace=1.0) as (known, kept):
     kept.is_out = True
