Callers that come right after a start wait for routes

The 12 requests that came in between were refused for 0.5 s. Feeds now try again after 0.03 s while they have nothing, and a request waits for routes and instances during the first second of a process. Ruled out: holding requests whenever there are no routes; a daemon that starts in an outage would hold all of them for nothing. tests/test_catalogue.py: the tests of the wait fail without it (refused at once).

--- a/src/woadrun/process/catalogue.py
+++ b/src/woadrun/process/catalogue.py
@@ -6,8 +6,11 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
+import contextlib
 import logging
+import math
 import time
 
 import mode
@@ -21,6 +24,9 @@
 log = logging.getLogger('woadrun.catalogue')
 
 LOOK_SECONDS = 0.5
+# A daemon knows routes and instances so soon after its start, or the store is
+# out, in seconds; callers that come in between wait for that.
+START_SECONDS = 1.0
 
 
 class Catalogue(mode.Service):
@@ -49,6 +55,8 @@
     self._grace = grace
     self.table: routes.RoutingTable | None = None
     self.directory = instances.Directory(grace=grace)
+    self._started_at = math.inf
+    self._is_told = asyncio.Event()
     self._tables = feed.Feed(
       store=store,
       table=table_key.table,
@@ -64,6 +72,7 @@
 
   async def on_start(self) -> None:
     """Begins to follow both tables."""
+    self._started_at = time.monotonic()
     await self.add_runtime_dependency(self._tables)
     await self.add_runtime_dependency(self._listed)
 
@@ -72,6 +81,29 @@
     """The feeds of the tables that it knows from."""
     return [self._tables, self._listed]
 
+  @property
+  def is_known(self) -> bool:
+    """Whether both routes and instances were told."""
+    return self.table is not None and self.is_listed
+
+  async def wait_known(self) -> None:
+    """Returns once they were told, or cannot be expected soon.
+
+    After a loss of all daemons callers come back to processes that have just
+    started.  Refused for half a second they were late, or out of tries, though
+    routes were known 0.1 s later.
+    """
+    left = self._started_at + START_SECONDS - time.monotonic()
+    if self.is_known or left <= 0:
+      return
+    with contextlib.suppress(TimeoutError):
+      async with asyncio.timeout(left):
+        await self._is_told.wait()
+
+  def _note_told(self) -> None:
+    if self.is_known:
+      self._is_told.set()
+
   @property
   def is_listed(self) -> bool:
     """Whether the instances were told yet."""
@@ -97,6 +129,7 @@
       'Routing table %d in force; it was %d.', table.version, self.version
     )
     self.table = table
+    self._note_told()
 
   def _take_tables(self, found: tuple[rows.Row, ...]) -> None:
     for row in found:
@@ -114,6 +147,7 @@
     # What a list lacks may have lapsed in the outage before it, if any.
     self.directory.replace(listed, now=self._listed.regained_at)
     log.info('%d instances listed.', len(listed))
+    self._note_told()
 
   def _take_instance(self, row: rows.Row) -> None:
     if row.is_removed:
--- a/src/woadrun/process/feed.py
+++ b/src/woadrun/process/feed.py
@@ -24,6 +24,9 @@
 FIRST_WAIT_SECONDS = 0.05
 # Between tries while the store is out, in seconds.
 RETRY_SECONDS = 0.2
+# The same before the first list, in seconds: a daemon that has just started
+# can serve nobody without it, and finds its way to the store at any moment.
+FIRST_RETRY_SECONDS = 0.03
 # Changes that come within this time are taken by one call, in seconds.
 GATHER_SECONDS = 0.1
 # Between looks whether this daemon should follow the store itself, in seconds.
@@ -114,7 +117,8 @@
         await self.sleep(RETRY_SECONDS)
       except errors.WoadrunError as error:
         self._note_loss(error)
-        await self.sleep(RETRY_SECONDS)
+        is_new = self.version is None
+        await self.sleep(FIRST_RETRY_SECONDS if is_new else RETRY_SECONDS)
 
   async def _follow_once(self) -> None:
     known = self.version or 0
@@ -200,10 +204,10 @@
     self._row_by_name = {row.key.name: row for row in found}
     self._removed_by_name = {}
     self._known_from = version
-    self._on_list(found)
     # A list does not tell of removed rows: the newest of them may be as new.
     self.changed = version
     self.version = version
+    self._on_list(found)
     self.on_change()
 
   def _take_rows(self, found: tuple[rows.Row, ...], version: int) -> None:
--- a/src/woadrun/request/serving.py
+++ b/src/woadrun/request/serving.py
@@ -62,6 +62,7 @@
     started = time.monotonic()
     kind, outcome, reason = 'unknown', 'broken_off', ''
     try:
+      await self._known.wait_known()
       route = self._match(request)
       kind = route.kind.value
       deadline = _get_deadline(request, route)
--- a/tests/test_catalogue.py
+++ b/tests/test_catalogue.py
@@ -2,10 +2,13 @@
 
 import asyncio
 import contextlib
+import time
 
 import msgspec
 import nodes
+import pytest
 
+from woadrun import errors
 from woadrun.connection import rows
 from woadrun.platform import discovery
 from woadrun.platform import operator
@@ -182,3 +185,43 @@
     # What the store lists counts from then on.
     await fleet.shared.change(removes=[rows.Key('servers', '', 'e2')])
     await nodes.wait_until(lambda: 'e2' not in late.catalogue.directory.by_id)
+
+
+async def test_a_caller_right_after_the_start_waits_for_routes():
+  async with nodes.Nodes() as fleet:
+    fleet.view_by_name['n1'] = nodes.View(fleet.shared)
+    fleet.view_by_name['n1'].is_cut = True
+    node = await fleet.start_alone('n1')
+    asking = asyncio.ensure_future(
+      fleet.ask('n1', nodes.make_request('r', path='/look/'))
+    )
+    await asyncio.sleep(0.1)
+    assert not asking.done()
+    fleet.view_by_name['n1'].is_cut = False
+    node.store.is_direct = True
+    assert (await asking)[0] == 200
+
+
+@pytest.mark.parametrize('last', ['op', 'servers'])
+async def test_the_wait_ends_with_whichever_table_comes_last(last):
+  kept = await make_rows()
+  known = make_catalogue(kept, grace=0.4)
+  known._started_at = time.monotonic()
+  waiting = asyncio.ensure_future(known.wait_known())
+  for item in sorted(known.feeds, key=lambda item: item.table == last):
+    assert not waiting.done()
+    await item.read()
+  async with asyncio.timeout(catalogue.START_SECONDS / 2):
+    await waiting
+
+
+async def test_a_caller_long_after_the_start_is_refused_at_once():
+  async with nodes.Nodes() as fleet:
+    fleet.view_by_name['n1'] = nodes.View(fleet.shared)
+    fleet.view_by_name['n1'].is_cut = True
+    node = await fleet.start_alone('n1')
+    node.catalogue._started_at -= catalogue.START_SECONDS
+    with pytest.raises(errors.WoadrunError) as raised:
+      async with asyncio.timeout(catalogue.START_SECONDS / 2):
+        await fleet.ask('n1', nodes.make_request('r', path='/look/'))
+    assert raised.value.code is errors.Code.CONFIG_UNAVAILABLE
