--- a/src/woadrun/process/feed_sync.py
+++ b/src/woadrun/process/feed_sync.py
@@ -16,6 +16,7 @@
 from woadrun import errors
 from woadrun.connection import peers
 from woadrun.connection import turn_messages
+from woadrun.process import beats
 from woadrun.process import feed
 from woadrun.process import fleet
 from woadrun.process import store_access
@@ -70,15 +71,14 @@
     able = [member for member in ranked if self._is_able(member)]
     return not able or me in able[:LEADERS]
 
-  def _is_able(self, member: fleet.Member) -> bool:
+  def _is_able(self, member: beats.Member) -> bool:
     if member == self._members.me:
       return self._has_store()
-    heard = self._members.heard_by_name.get(member.name)
-    return heard is None or heard.beat.has_store
+    return self._members.may_have_store(member.name)
 
   # --- What others have -----------------------------------------------------
 
-  def take_beat(self, beat: fleet.Beat) -> None:
+  def take_beat(self, beat: beats.Beat) -> None:
     """Takes note of what a peer has."""
     if any(
       beat.feeds.get(table, -1) > _get_known(item)
@@ -98,7 +98,7 @@
         if source is not None:
           await self._ask(item, source)
 
-  def _find_source(self, table: str, known: int) -> fleet.Member | None:
+  def _find_source(self, table: str, known: int) -> beats.Member | None:
     mine = self._members.me.domain
     ahead = [
       (heard.beat.domain == mine, heard.beat.feeds.get(table, -1), name)
@@ -110,7 +110,7 @@
       return None
     return self._members.member_by_name.get(max(ahead)[2])
 
-  async def _ask(self, item: feed.Feed, source: fleet.Member) -> None:
+  async def _ask(self, item: feed.Feed, source: beats.Member) -> None:
     try:
       found = await self._links.post(
         source.address,
--- a/src/woadrun/process/fleet.py
+++ b/src/woadrun/process/fleet.py
@@ -1,16 +1,15 @@
 """The daemons of all failure domains: who they are and who is heard.
 
-Each daemon registers in the row store and sends short datagrams to others.
-Silence of one that was heard before makes it suspect; one that was never
-heard counts as alive until a message to it fails.
+Daemons send each other short datagrams.  In small fleets each sends to all
+others, and silence of one that was heard before makes it suspect.  In large
+fleets members send to the hubs of their domain, and digests tell of the
+others.
 """
 
 from __future__ import annotations
 
 import asyncio
 from collections.abc import Callable
-import dataclasses
-import hashlib
 import logging
 import math
 import time
@@ -18,128 +17,76 @@
 import mode
 import msgspec
 
-from woadrun import errors
-from woadrun.connection import rows
-from woadrun.process import feed
+from woadrun.process import beats
+from woadrun.process import hubs
+from woadrun.process import views
 
 log = logging.getLogger('woadrun.fleet')
 
 TABLE = 'members'
 # Between two datagrams to one peer, in seconds.
 BEAT_SECONDS = 0.25
-# Three lost datagrams in a row and a late timer, in seconds.
-SUSPECT_SECONDS = 0.9
-# What datagrams tell of domains is gathered no more often, in seconds: it is
+SUSPECT_SECONDS = hubs.SUSPECT_SECONDS
+# What datagrams tell is brought together no more often, in seconds: it is
 # asked for several times in each request.
-REPORT_SECONDS = 0.05
+VIEW_SECONDS = 0.05
 # A member that is new in the list is heard so soon, in seconds: it learns of
 # this daemon by the same feed.
 FIRST_BEAT_SECONDS = 2.0
+# A daemon of a large fleet that hears nothing of its own domain for so long
+# is cut off, in seconds: other hubs are found in less after both are lost.
+ALONE_SECONDS = 2.0
 # A peer that could not be reached is left aside for so long, in seconds.
 FAILED_SECONDS = 0.5
-# A member silent for so long has its row removed, in seconds; it registers
-# again if it lives.
-GONE_SECONDS = 15.0
-# Up to so many daemons, each beats to all others; beyond, to its neighbours
-# in its own domain and to a few in each other one.
+# Up to so many daemons, each beats to all others; beyond, to hubs.
 FULL_MESH = 24
-NEIGHBOURS = 16
-FAR_PEERS = 2
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Member:
-  """A daemon; `address` is where other daemons reach it."""
-
-  name: str
-  address: str
-  domain: str
-
-
-class MemberRow(msgspec.Struct, kw_only=True):
-  """A member as it is registered."""
-
-  address: str
-  domain: str
-  incarnation: str
-
-
-class Beat(msgspec.Struct, kw_only=True, omit_defaults=True):
-  """What a daemon says of itself in a datagram.
+class Fleet(mode.Service):
+  """All members, this daemon included.
 
-  `feeds` has the newest change known of each table.  `running` counts the
-  requests that it has at each instance, `silent` names
-  the domains that it and its neighbours hear nothing of, `hears` those that
-  it hears itself.  `suspects` names members of its own domain that it heard
-  before and does not any more.  `is_owing` says that it has spent of
-  other domains' programs what the store does not have yet, `is_behind` that
-  the store lacks anything of what it keeps.
+  `make_beat` returns what this daemon says of itself, `on_beat` gets what
+  others say of themselves, `on_digest` what hubs say of their domains.
   """
 
-  name: str
-  address: str
-  domain: str
-  has_store: bool = False
-  feeds: dict[str, int] = {}
-  is_leaving: bool = False
-  running: dict[str, int] = {}
-  silent: tuple[str, ...] = ()
-  hears: tuple[str, ...] = ()
-  suspects: tuple[str, ...] = ()
-  is_owing: bool = False
-  is_behind: bool = False
-
-
-@dataclasses.dataclass(kw_only=True)
-class Heard:
-  """The last datagram of a peer, and when it came."""
-
-  beat: Beat
-  at: float
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class _Reported:
-  """What was heard of late: domains, and members that are suspect."""
-
-  at: float
-  domains: set[str]
-  suspects: set[str]
-
-
-class Fleet(mode.Service):
-  """All members, this daemon included."""
-
   def __init__(
     self,
     *,
-    me: Member,
-    incarnation: str,
-    store: rows.RowStore,
-    make_beat: Callable[[], Beat],
-    on_beat: Callable[[Beat], None],
+    me: beats.Member,
+    make_beat: Callable[[], beats.Beat],
+    on_beat: Callable[[beats.Beat], None],
+    on_digest: Callable[[beats.Digest], None] = lambda digest: None,
   ) -> None:
     super().__init__()
     self.me = me
-    self._incarnation = incarnation
-    self._store = store
     self._make_beat = make_beat
     self._on_beat = on_beat
-    self.member_by_name: dict[str, Member] = {me.name: me}
-    self.heard_by_name: dict[str, Heard] = {}
+    self._on_digest = on_digest
+    self.member_by_name: dict[str, beats.Member] = {me.name: me}
+    self.heard_by_name: dict[str, beats.Heard] = {}
+    self.is_leaving = False
+    self._hubs = hubs.Hubs(me=me)
     self._failed_until: dict[str, float] = {}
     self._known_since: dict[str, float] = {}
-    self._suspects: set[str] = set()
-    self._version_by_name: dict[str, int] = {}
-    self.is_leaving = False
-    self._reported = _Reported(at=-math.inf, domains=set(), suspects=set())
+    self._silent_since: dict[str, float] = {}
+    self._view = views.View(at=-math.inf)
+    self._told_at = -math.inf
+    self._heard_at_by_domain: dict[str, float] = {}
     self._transport: asyncio.DatagramTransport | None = None
-    self.feed = feed.Feed(
-      store=store, table=TABLE, on_list=self._take_list, on_row=self._take_row
-    )
 
   # --- Who there is ---------------------------------------------------------
 
+  @property
+  def is_mesh(self) -> bool:
+    """Whether each daemon sends to all others.
+
+    One that starts in a large fleet while the store is out knows few members:
+    digests tell it that there are more.
+    """
+    if len(self.member_by_name) > FULL_MESH:
+      return False
+    return time.monotonic() - self._told_at >= hubs.DIGEST_SECONDS
+
   def is_alive(self, name: str) -> bool:
     """Returns whether a member is believed to answer."""
     if name == self.me.name:
@@ -147,34 +94,37 @@
     now = time.monotonic()
     if self._failed_until.get(name, 0.0) > now:
       return False
+    return self._is_believed(name, now)
+
+  def _is_believed(self, name: str, now: float) -> bool:
     heard = self.heard_by_name.get(name)
-    if heard is not None:
-      return now - heard.at < SUSPECT_SECONDS
-    # Where all beat to all, one that is listed but never heard is silent.
-    known_since = self._known_since.get(name, now)
-    if now - known_since < FIRST_BEAT_SECONDS:
+    if heard is not None and now - heard.at < SUSPECT_SECONDS:
       return True
-    if self._is_mesh:
-      return False
-    # In larger fleets its neighbours tell.
+    is_new = now - self._known_since.get(name, now) < FIRST_BEAT_SECONDS
+    if self.is_mesh:
+      return heard is None and is_new
     member = self.member_by_name.get(name)
-    if member is None or name in self._get_reported().suspects:
+    if member is None:
       return False
-    return not self.is_silent(member.domain)
+    return is_new or self._is_told_alive(member, now)
 
-  @property
-  def _is_mesh(self) -> bool:
-    return len(self.member_by_name) <= FULL_MESH
+  def _is_told_alive(self, member: beats.Member, now: float) -> bool:
+    view = self._get_view()
+    if member.name in view.silent or self.is_silent(member.domain):
+      return False
+    # While its hubs are lost, a daemon goes on believing in its domain.
+    heard_at = self._heard_at_by_domain.get(self.me.domain, -math.inf)
+    return member.domain != self.me.domain or now - heard_at < ALONE_SECONDS
 
   def is_silent(self, domain: str) -> bool:
-    """Returns whether nothing is heard of another domain.
-
-    Each daemon hears few members of other domains, or none: what neighbours
-    hear counts as well.
-    """
-    if domain == self.me.domain or domain in self._get_reported().domains:
+    """Returns whether nothing is heard of another domain."""
+    if domain == self.me.domain:
       return False
     now = time.monotonic()
+    heard_at = self._heard_at_by_domain.get(domain, -math.inf)
+    limit = SUSPECT_SECONDS if self.is_mesh else hubs.DIGEST_SECONDS
+    if now - heard_at < limit:
+      return False
     known = [
       now - self._known_since.get(member.name, now)
       for member in self.member_by_name.values()
@@ -182,43 +132,17 @@
     ]
     return bool(known) and max(known) >= FIRST_BEAT_SECONDS
 
-  def _get_reported(self) -> _Reported:
-    """Returns what was heard of late, here or by neighbours."""
-    now = time.monotonic()
-    if now - self._reported.at >= REPORT_SECONDS:
-      self._reported = self._collect_reports(now)
-    return self._reported
-
-  def _collect_reports(self, now: float) -> _Reported:
-    domains: set[str] = set()
-    suspects: set[str] = set()
-    for heard in self.heard_by_name.values():
-      if now - heard.at >= SUSPECT_SECONDS:
-        continue
-      domains.add(heard.beat.domain)
-      if heard.beat.domain == self.me.domain:
-        domains.update(heard.beat.hears)
-        suspects.update(heard.beat.suspects)
-    return _Reported(at=now, domains=domains, suspects=suspects)
-
-  def get_heard_domains(self) -> tuple[str, ...]:
-    """Returns the other domains of which a member is heard here."""
+  def _get_view(self) -> views.View:
     now = time.monotonic()
-    found = {
-      heard.beat.domain
-      for heard in self.heard_by_name.values()
-      if now - heard.at < SUSPECT_SECONDS
-    }
-    return tuple(sorted(found - {self.me.domain}))
-
-  def get_suspects(self) -> tuple[str, ...]:
-    """Returns the members of the own domain that were heard before."""
-    return tuple(
-      name
-      for name in sorted(self._suspects)
-      if name in self.member_by_name
-      and self.member_by_name[name].domain == self.me.domain
-    )
+    if now - self._view.at >= VIEW_SECONDS:
+      self._view = views.bring_together(
+        domain=self.me.domain,
+        at=now,
+        heard=self.heard_by_name.values(),
+        digests=() if self.is_mesh else self._hubs.find_fresh(),
+        limit=SUSPECT_SECONDS,
+      )
+    return self._view
 
   @property
   def domains(self) -> set[str]:
@@ -247,13 +171,9 @@
     Those are the silent ones, those that do not hear this domain, and those
     that have not yet told the store what they spent.
     """
-    return set(self.find_silent()) | {
-      heard.beat.domain
-      for name, heard in self.heard_by_name.items()
-      if heard.beat.domain != self.me.domain
-      and (heard.beat.is_owing or self.me.domain in heard.beat.silent)
-      and self.is_alive(name)
-    }
+    view = self._get_view()
+    told = (view.owing | view.deaf) - {self.me.domain}
+    return set(self.find_silent()) | told
 
   @property
   def is_settled(self) -> bool:
@@ -261,13 +181,9 @@
 
     All are heard, and each says so.
     """
-    return all(
-      self.is_alive(name)
-      and not (
-        name in self.heard_by_name and self.heard_by_name[name].beat.is_behind
-      )
-      for name in self.member_by_name
-    )
+    if self._get_view().behind:
+      return False
+    return all(self.is_alive(name) for name in self.member_by_name)
 
   def get_silence(self) -> float:
     """Returns for how long a whole domain has been silent, in seconds.
@@ -275,23 +191,20 @@
     It is 0 where none is, and the longest time where several are.
     """
     now = time.monotonic()
-    heard_by_domain: dict[str, float] = {}
-    for heard in self.heard_by_name.values():
-      domain = heard.beat.domain
-      last = heard_by_domain.get(domain, -math.inf)
-      heard_by_domain[domain] = max(last, heard.at)
-    lasting = (
-      now - last
-      for domain, last in heard_by_domain.items()
-      if domain != self.me.domain and self.is_silent(domain)
-    )
+    heard_at = self._heard_at_by_domain
+    lasting = (now - heard_at[d] for d in self.find_silent() if d in heard_at)
     return max(lasting, default=0.0)
 
+  def get_silent_seconds(self) -> dict[str, float]:
+    """Returns for how long members have been silent, in seconds by name."""
+    now = time.monotonic()
+    return {name: now - since for name, since in self._silent_since.items()}
+
   def note_failure(self, name: str) -> None:
     """Leaves a member aside for a while: a message to it failed."""
     self._failed_until[name] = time.monotonic() + FAILED_SECONDS
 
-  def rank(self, key: str, domain: str) -> list[Member]:
+  def rank(self, key: str, domain: str) -> list[beats.Member]:
     """Returns a domain's live members in the order of their claim on a key.
 
     The order is by rendezvous hashing: a member that comes or goes moves
@@ -304,184 +217,215 @@
       and self.is_alive(member.name)
       and not self._is_leaving(member.name)
     ]
-    return sorted(alive, key=lambda m: _weigh(m.name, key), reverse=True)
+    return sorted(alive, key=lambda m: hubs.weigh(m.name, key), reverse=True)
 
   def is_first_of_all(self, key: str) -> bool:
     """Returns whether this daemon has the first claim in all domains."""
     alive = [name for name in self.member_by_name if self.is_alive(name)]
-    return max(alive, key=lambda name: _weigh(name, key)) == self.me.name
+    return max(alive, key=lambda name: hubs.weigh(name, key)) == self.me.name
 
-  def find_with_store(self) -> list[Member]:
-    """Returns live peers that reach the store, those of our domain first."""
+  def may_have_store(self, name: str) -> bool:
+    """Returns whether a peer is not known to be turned away by the store."""
+    return name not in self._get_view().storeless
+
+  def find_with_store(self) -> list[beats.Member]:
+    """Returns live peers that reach the store, those of our domain first.
+
+    Each daemon has them in an order of its own, so that many that are turned
+    away at once do not all ask the same peers.
+    """
+    is_told = self._is_told_of
     found = [
-      self.member_by_name[name]
-      for name, heard in self.heard_by_name.items()
-      if heard.beat.has_store
-      and name in self.member_by_name
-      and self.is_alive(name)
+      member
+      for name, member in self.member_by_name.items()
+      if is_told(name) and self.may_have_store(name) and self.is_alive(name)
     ]
-    return sorted(found, key=lambda m: (m.domain != self.me.domain, m.name))
+    return sorted(
+      found,
+      key=lambda m: (
+        m.domain != self.me.domain,
+        hubs.weigh(m.name, self.me.name),
+      ),
+    )
+
+  def _is_told_of(self, name: str) -> bool:
+    if name == self.me.name:
+      return False
+    if name in self.heard_by_name:
+      return True
+    domain = self.member_by_name[name].domain
+    return not self.is_mesh and domain in self._heard_at_by_domain
 
   def _is_leaving(self, name: str) -> bool:
     if name == self.me.name:
       return self.is_leaving
-    heard = self.heard_by_name.get(name)
-    return heard is not None and heard.beat.is_leaving
+    return name in self._get_view().leaving
+
+  def add(self, member: beats.Member) -> None:
+    """Takes a member in, or its new address."""
+    known = self.member_by_name.get(member.name)
+    if known != member:
+      log.info('Member %s at %s.', member.name, member.address)
+      self.member_by_name[member.name] = member
+      self.heard_by_name.pop(member.name, None)
+      self._known_since[member.name] = time.monotonic()
+      self._forget_view()
 
-  # --- Registration ---------------------------------------------------------
+  def forget(self, name: str) -> None:
+    """Drops a member that is not registered any more."""
+    if name == self.me.name:
+      return
+    self.member_by_name.pop(name, None)
+    self.heard_by_name.pop(name, None)
+    self._forget_view()
+    log.info('Member %s is gone.', name)
+
+  # --- Datagrams ------------------------------------------------------------
 
   async def on_start(self) -> None:
-    """Listens for datagrams and begins to follow the registrations."""
+    """Listens for datagrams."""
     host, _, port = self.me.address.rpartition(':')
     loop = asyncio.get_running_loop()
     self._transport, _ = await loop.create_datagram_endpoint(
       lambda: _Receiver(on_datagram=self._receive),
       local_addr=(host, int(port)),
     )
-    await self.add_runtime_dependency(self.feed)
 
   async def on_stop(self) -> None:
     """Stops listening."""
     if self._transport is not None:
       self._transport.close()
 
-  async def register(self) -> None:
-    """Writes this daemon's row."""
-    row = MemberRow(
-      address=self.me.address,
-      domain=self.me.domain,
-      incarnation=self._incarnation,
-    )
-    key = rows.Key(TABLE, '', self.me.name)
-    await self._store.change(writes=[(key, msgspec.json.encode(row))])
-    log.info('Registered at %s.', self.me.address)
-
-  async def unregister(self) -> None:
-    """Removes this daemon's row."""
-    await self._store.change(removes=[rows.Key(TABLE, '', self.me.name)])
-
-  @mode.Service.task
-  async def _stay_registered(self) -> None:
-    while not self.should_stop:
-      if self.me.name not in self._version_by_name and not self.is_leaving:
-        await self._try(self.register())
-      await self._remove_gone()
-      await self.sleep(1.0)
-
-  async def _remove_gone(self) -> None:
-    now = time.monotonic()
-    for name, heard in list(self.heard_by_name.items()):
-      if now - heard.at < GONE_SECONDS or name not in self._version_by_name:
-        continue
-      # One member is enough to do it.
-      alive = [n for n in self.member_by_name if self.is_alive(n)]
-      if min(alive) != self.me.name:
-        continue
-      log.info('Removing member %s: silent for %.1f s.', name, now - heard.at)
-      key = rows.Key(TABLE, '', name)
-      version = self._version_by_name[name]
-      await self._try(
-        self._store.change(removes=[key], conditions=[(key, version)])
-      )
-
-  async def _try(self, change: object) -> None:
-    try:
-      await change  # type: ignore[misc]
-    except errors.WoadrunError as error:
-      log.warning('A registration was not changed: %s', error.message)
-
-  def _take_list(self, found: tuple[rows.Row, ...]) -> None:
-    listed = {row.key.name for row in found}
-    for name in [n for n in self._version_by_name if n not in listed]:
-      self._forget(name)
-    for row in found:
-      self._take_row(row)
-
-  def _take_row(self, row: rows.Row) -> None:
-    name = row.key.name
-    if row.is_removed:
-      self._forget(name)
-      return
-    self._version_by_name[name] = row.version
-    if name == self.me.name:
-      return
-    try:
-      found = msgspec.json.decode(row.value, type=MemberRow)
-    except msgspec.MsgspecError as error:
-      log.error('The row of member %s is unreadable: %s', name, error)
-      return
-    self._add(Member(name=name, address=found.address, domain=found.domain))
-
-  def _forget(self, name: str) -> None:
-    self._version_by_name.pop(name, None)
-    if name != self.me.name:
-      self.member_by_name.pop(name, None)
-      self.heard_by_name.pop(name, None)
-      log.info('Member %s is gone.', name)
-
-  def _add(self, member: Member) -> None:
-    known = self.member_by_name.get(member.name)
-    if known != member:
-      log.info('Member %s at %s.', member.name, member.address)
-      self.member_by_name[member.name] = member
-      self.heard_by_name.pop(member.name, None)
-      self._known_since[member.name] = time.monotonic()
-
-  # --- Datagrams ------------------------------------------------------------
-
   @mode.Service.task
   async def _send_beats(self) -> None:
     while not self.should_stop:
       self.send_beats()
-      self._note_suspects()
+      self._note_silence()
       await self.sleep(BEAT_SECONDS)
 
   def send_beats(self) -> None:
     """Sends one datagram to each peer that this daemon beats to."""
     if self._transport is None:
       return
-    data = msgspec.json.encode(self._make_beat())
-    for member in self._get_targets():
-      host, _, port = member.address.rpartition(':')
-      self._transport.sendto(data, (host, int(port)))
-
-  def _get_targets(self) -> list[Member]:
+    for beat, targets in self.plan_beats():
+      data = msgspec.json.encode(beat)
+      for member in targets:
+        host, _, port = member.address.rpartition(':')
+        self._transport.sendto(data, (host, int(port)))
+
+  def plan_beats(self) -> list[tuple[beats.Beat, list[beats.Member]]]:
+    """Returns the datagrams that are due, each with those who get it."""
+    mine = self._make_beat()
     others = [m for m in self.member_by_name.values() if m != self.me]
-    if len(others) < FULL_MESH:
-      return others
-    domains = {member.domain for member in others} - {self.me.domain}
-    targets = _find_neighbours(self.me, others)
-    for domain in sorted(domains):
-      far = [member for member in others if member.domain == domain]
-      far.sort(key=lambda m: _weigh(m.name, self.me.name))
-      targets.extend(far[:FAR_PEERS])
-    return targets
+    if self.is_mesh:
+      return [(mine, others)]
+    chosen = self._hubs.choose(
+      self.member_by_name.values(),
+      self.heard_by_name,
+      silent=self._get_view().silent,
+    )
+    own = self._hubs.make(
+      mine, self._find_due(), self.heard_by_name, is_hub=self.me in chosen
+    )
+    if own is not None:
+      self._on_digest(own)
+    return [
+      (
+        msgspec.structs.replace(mine, wants_digests=True, digests=_list(own)),
+        [member for member in chosen if member != self.me],
+      ),
+      (
+        msgspec.structs.replace(
+          mine, running={}, digests=self._hubs.find_to_tell()
+        ),
+        self._find_listeners(chosen),
+      ),
+      (
+        msgspec.structs.replace(mine, running={}, digests=_list(own)),
+        self._find_far_hubs() if own is not None else [],
+      ),
+    ]
+
+  def _find_due(self) -> list[beats.Member]:
+    """Returns the members of which something should have been heard."""
+    now = time.monotonic()
+    return [
+      member
+      for member in self.member_by_name.values()
+      if now - self._known_since.get(member.name, -math.inf)
+      >= FIRST_BEAT_SECONDS
+    ]
+
+  def _find_listeners(self, chosen: list[beats.Member]) -> list[beats.Member]:
+    asked = hubs.find_askers(self.heard_by_name, time.monotonic())
+    found = [
+      self.member_by_name[name]
+      for name in asked
+      if self.member_by_name[name] not in chosen
+    ]
+    if self.me not in chosen:
+      return found
+    silent = [
+      self.member_by_name[name]
+      for name in self._silent_since
+      if name in self.member_by_name
+      and self.member_by_name[name].domain == self.me.domain
+      and name not in asked
+    ]
+    return [*found, *self._hubs.choose_silent(silent)]
+
+  def _find_far_hubs(self) -> list[beats.Member]:
+    found = []
+    for domain in sorted(self.domains - {self.me.domain}):
+      is_silent = self.is_silent(domain)
+      members = [
+        member
+        for member in self.member_by_name.values()
+        if member.domain == domain and (is_silent or self.is_alive(member.name))
+      ]
+      found.extend(self._hubs.choose_far(members, is_silent=is_silent))
+    return found
 
   def _receive(self, data: bytes) -> None:
     try:
-      beat = msgspec.json.decode(data, type=Beat)
+      beat = msgspec.json.decode(data, type=beats.Beat)
     except msgspec.MsgspecError as error:
       log.warning('Ignored a datagram: %s', error)
       return
     if beat.name == self.me.name:
       return
-    self._add(Member(name=beat.name, address=beat.address, domain=beat.domain))
-    self.heard_by_name[beat.name] = Heard(beat=beat, at=time.monotonic())
-    self._reported = _Reported(at=-math.inf, domains=set(), suspects=set())
+    self.add(
+      beats.Member(name=beat.name, address=beat.address, domain=beat.domain)
+    )
+    self.heard_by_name[beat.name] = beats.Heard(beat=beat, at=time.monotonic())
+    self._note_domain(beat.domain, time.monotonic())
+    newer = self._hubs.take(beat.digests)
+    for digest in newer:
+      self._told_at = time.monotonic()
+      self._note_domain(digest.domain, self._told_at - digest.age)
+    self._forget_view()
     self._on_beat(beat)
+    for digest in newer:
+      self._on_digest(digest)
+
+  def _note_domain(self, domain: str, at: float) -> None:
+    known = self._heard_at_by_domain.get(domain, -math.inf)
+    self._heard_at_by_domain[domain] = max(known, at)
 
-  def _note_suspects(self) -> None:
+  def _forget_view(self) -> None:
+    self._view.at = -math.inf
+
+  def _note_silence(self) -> None:
     now = time.monotonic()
-    suspects = {
-      name
-      for name, heard in self.heard_by_name.items()
-      if now - heard.at >= SUSPECT_SECONDS
-    }
-    for name in suspects - self._suspects:
-      log.warning('Member %s is silent.', name)
-    for name in self._suspects - suspects:
-      log.info('Member %s is heard again.', name)
-    self._suspects = suspects
+    for name in [n for n in self._silent_since if n not in self.member_by_name]:
+      del self._silent_since[name]
+    for name in self.member_by_name:
+      is_silent = name != self.me.name and not self._is_believed(name, now)
+      if is_silent and name not in self._silent_since:
+        self._silent_since[name] = now
+        log.warning('Member %s is silent.', name)
+      elif not is_silent and self._silent_since.pop(name, None) is not None:
+        log.info('Member %s is heard again.', name)
 
 
 class _Receiver(asyncio.DatagramProtocol):
@@ -495,18 +439,5 @@
     self._on_datagram(data)
 
 
-def _weigh(name: str, key: str) -> bytes:
-  return hashlib.blake2b(f'{name} {key}'.encode(), digest_size=8).digest()
-
-
-def _find_neighbours(me: Member, others: list[Member]) -> list[Member]:
-  ring = sorted(
-    (m for m in (*others, me) if m.domain == me.domain), key=lambda m: m.name
-  )
-  if len(ring) <= NEIGHBOURS + 1:
-    return [member for member in ring if member != me]
-  place = ring.index(me)
-  steps = range(1, NEIGHBOURS // 2 + 1)
-  ahead = [ring[(place + step) % len(ring)] for step in steps]
-  behind = [ring[place - step] for step in steps]
-  return [*ahead, *behind]
+def _list(digest: beats.Digest | None) -> tuple[beats.Digest, ...]:
+  return () if digest is None else (digest,)
--- /dev/null
+++ b/src/woadrun/process/hubs.py
@@ -0,0 +1,229 @@
+"""Who tells whom of large fleets: hubs, and the digests that they make.
+
+Where all daemons send datagrams to all others, their number grows with the
+square of the fleet.  In large fleets each daemon sends to the hubs of its own
+domain only; the hubs answer with digests of all domains.  Measured with 64
+daemons: 20 datagrams in a beat to neighbours and far peers before, 2 from
+all but the hubs since.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Container
+from collections.abc import Iterable
+import hashlib
+import time
+
+import msgspec
+
+from woadrun.process import beats
+
+# Hubs of each domain: one may be lost while the other one goes on.
+HUBS = 2
+# A peer is silent after so long, in seconds: three lost datagrams in a row and
+# a late timer.
+SUSPECT_SECONDS = 0.9
+# A digest counts for so long after it was made, in seconds: the time above,
+# and a beat at each of the two hubs that it passes.
+DIGEST_SECONDS = 1.4
+# A hub that does not answer is passed over for so long, in seconds, before it
+# is asked again.
+PASSED_OVER_SECONDS = 3.0
+# Silent members of its own domain that a hub sends to in each beat: one that
+# was started again while the store is out knows nobody.
+MOST_SILENT = 4
+
+
+class Hubs:
+  """The hubs of each domain, as one daemon sees them, and their digests."""
+
+  def __init__(self, *, me: beats.Member) -> None:
+    self._me = me
+    self._digest_by_hub: dict[str, tuple[beats.Digest, float]] = {}
+    self._asked_since: dict[str, float] = {}
+    self._passed_over_until: dict[str, float] = {}
+    self._hub_since: float | None = None
+    self._turn = 0
+
+  # --- Choosing hubs --------------------------------------------------------
+
+  def choose(
+    self,
+    members: Iterable[beats.Member],
+    heard_by_name: dict[str, beats.Heard],
+    *,
+    silent: Container[str],
+  ) -> list[beats.Member]:
+    """Returns the hubs of the own domain, this daemon perhaps among them.
+
+    Those that were asked and do not answer are passed over, and so are those
+    that other hubs call `silent`.
+    """
+    now = time.monotonic()
+    mine = [m for m in members if m.domain == self._me.domain]
+    ranked = sorted(mine, key=lambda m: weigh(m.name, 'hub'), reverse=True)
+    found: list[beats.Member] = []
+    for member in ranked:
+      if len(found) == HUBS:
+        break
+      if member == self._me or self._may_answer(
+        member, heard_by_name, silent, now
+      ):
+        found.append(member)
+    names = {member.name for member in found}
+    self._asked_since = {
+      name: self._asked_since.get(name, now) for name in sorted(names)
+    }
+    return found
+
+  def _may_answer(
+    self,
+    member: beats.Member,
+    heard_by_name: dict[str, beats.Heard],
+    silent: Container[str],
+    now: float,
+  ) -> bool:
+    heard = heard_by_name.get(member.name)
+    if heard is not None and now - heard.at < SUSPECT_SECONDS:
+      return not heard.beat.is_leaving
+    if member.name in silent:
+      return False
+    if self._passed_over_until.get(member.name, 0.0) > now:
+      return False
+    if now - self._asked_since.get(member.name, now) < SUSPECT_SECONDS:
+      return True
+    self._passed_over_until[member.name] = now + PASSED_OVER_SECONDS
+    return False
+
+  def choose_far(
+    self, members: Iterable[beats.Member], *, is_silent: bool
+  ) -> list[beats.Member]:
+    """Returns whom to send to in another domain, given its live members.
+
+    Where the domain is silent others are tried in turn: its hubs may be lost.
+    """
+    ranked = sorted(members, key=lambda m: weigh(m.name, 'hub'), reverse=True)
+    if not is_silent or not ranked:
+      return ranked[:HUBS]
+    self._turn += 1
+    return [ranked[(self._turn + n) % len(ranked)] for n in range(HUBS)]
+
+  def choose_silent(self, silent: list[beats.Member]) -> list[beats.Member]:
+    """Returns the silent members of the own domain to send to this time."""
+    if len(silent) <= MOST_SILENT:
+      return silent
+    self._turn += 1
+    first = self._turn * MOST_SILENT % len(silent)
+    return (silent * 2)[first : first + MOST_SILENT]
+
+  # --- Digests --------------------------------------------------------------
+
+  def make(
+    self,
+    mine: beats.Beat,
+    members: Iterable[beats.Member],
+    heard_by_name: dict[str, beats.Heard],
+    *,
+    is_hub: bool,
+  ) -> beats.Digest | None:
+    """Returns the digest of the own domain, where this daemon is its hub.
+
+    It is one if it has a claim and others ask it: a daemon that is alone in
+    taking itself for a hub hears nobody, which says nothing of the others.
+    """
+    now = time.monotonic()
+    if not is_hub or not find_askers(heard_by_name, now):
+      self._hub_since = None
+      self._digest_by_hub.pop(self._me.name, None)
+      return None
+    if self._hub_since is None:
+      self._hub_since = now
+    known = [m for m in members if m.domain == self._me.domain]
+    heard = {
+      m.name: found
+      for m in known
+      if (found := heard_by_name.get(m.name)) is not None
+      and now - found.at < SUSPECT_SECONDS
+    }
+    told = [mine, *(found.beat for found in heard.values())]
+    is_settled = now - self._hub_since >= SUSPECT_SECONDS
+    silent = [
+      m.name
+      for m in known
+      if m != self._me and m.name not in heard and is_settled
+    ]
+    digest = beats.Digest(
+      hub=self._me.name,
+      domain=self._me.domain,
+      silent=tuple(sorted(silent)),
+      leaving=tuple(beat.name for beat in told if beat.is_leaving),
+      storeless=tuple(beat.name for beat in told if not beat.has_store),
+      deaf_to=mine.silent,
+      is_owing=any(beat.is_owing for beat in told),
+      is_behind=any(beat.is_behind for beat in told),
+      running=_add_up(beat.running for beat in told),
+    )
+    self._digest_by_hub[self._me.name] = (digest, now)
+    return digest
+
+  def take(self, digests: Iterable[beats.Digest]) -> list[beats.Digest]:
+    """Returns the digests that are newer than those known, which are kept."""
+    now = time.monotonic()
+    newer = []
+    for digest in digests:
+      made_at = now - digest.age
+      known = self._digest_by_hub.get(digest.hub)
+      if digest.hub == self._me.name or (known and known[1] >= made_at):
+        continue
+      self._digest_by_hub[digest.hub] = (digest, made_at)
+      newer.append(digest)
+    return newer
+
+  def find_fresh(self) -> list[beats.Digest]:
+    """Returns all digests that count now."""
+    self._drop_old()
+    return [digest for digest, _ in self._digest_by_hub.values()]
+
+  def _drop_old(self) -> None:
+    now = time.monotonic()
+    self._digest_by_hub = {
+      hub: (digest, made_at)
+      for hub, (digest, made_at) in self._digest_by_hub.items()
+      if now - made_at < DIGEST_SECONDS
+    }
+
+  def find_to_tell(self) -> tuple[beats.Digest, ...]:
+    """Returns the newest digest of each domain, as it goes to a member."""
+    now = time.monotonic()
+    newest: dict[str, tuple[beats.Digest, float]] = {}
+    self._drop_old()
+    for digest, made_at in self._digest_by_hub.values():
+      known = newest.get(digest.domain)
+      if known is None or known[1] < made_at:
+        newest[digest.domain] = (digest, made_at)
+    return tuple(
+      msgspec.structs.replace(digest, age=round(now - made_at, 3))
+      for digest, made_at in newest.values()
+    )
+
+
+def find_askers(heard_by_name: dict[str, beats.Heard], now: float) -> list[str]:
+  """Returns the peers that asked for digests of late."""
+  return [
+    name
+    for name, heard in heard_by_name.items()
+    if heard.beat.wants_digests and now - heard.at < SUSPECT_SECONDS
+  ]
+
+
+def weigh(name: str, key: str) -> bytes:
+  """Returns a member's weight for a key, for rendezvous hashing."""
+  return hashlib.blake2b(f'{name} {key}'.encode(), digest_size=8).digest()
+
+
+def _add_up(counts: Iterable[dict[str, int]]) -> dict[str, int]:
+  total: dict[str, int] = {}
+  for each in counts:
+    for id, number in each.items():
+      total[id] = total.get(id, 0) + number
+  return total
--- a/src/woadrun/process/loads.py
+++ b/src/woadrun/process/loads.py
@@ -16,7 +16,7 @@
 
 from woadrun.decisions import retry_after
 from woadrun.decisions import routing
-from woadrun.process import fleet
+from woadrun.process import beats
 from woadrun.version import instances
 
 # Weight of the newest request in the learned time of an instance: requests
@@ -39,15 +39,30 @@
 # Daemons that choose at the same moment should not all choose the same
 # instance; in seconds, less than one turn adds.
 JITTER_SECONDS = 0.02
+# What a request costs more where no connection rests, in seconds: the
+# handshake, and the slot that a new connection may hold meanwhile.  Above the
+# jitter, so that among instances that are as good a rested connection decides.
+CONNECT_SECONDS = 0.025
+# A connection counts as rested for so long after a request, in seconds; a
+# little later it is closed.
+RESTED_SECONDS = 3.5
 
 
 @dataclasses.dataclass(kw_only=True)
 class Load:
-  """What this daemon knows of one instance."""
+  """What this daemon knows of one instance.
+
+  `rested_at` has, for each connection at rest, since when, the newest last.
+  """
 
   running: int = 0
   seconds: float = FIRST_SECONDS
   passed_over_until: float = 0.0
+  rested_at: list[float] = dataclasses.field(default_factory=list)
+
+  def has_rested(self, now: float) -> bool:
+    """Returns whether a connection rests there."""
+    return bool(self.rested_at) and now - self.rested_at[-1] < RESTED_SECONDS
 
 
 class Loads:
@@ -63,6 +78,7 @@
     self._is_silent = is_silent
     self._load_by_id: dict[str, Load] = {}
     self._usual_by_service: dict[str, float] = {}
+    self._told: dict[str, int] = {}
     self._counts_by_peer: dict[str, tuple[float, dict[str, int]]] = {}
 
   def get_running(self) -> dict[str, int]:
@@ -71,20 +87,44 @@
       id: load.running for id, load in self._load_by_id.items() if load.running
     }
 
-  def take_beat(self, beat: fleet.Beat) -> None:
+  def tell_running(self) -> dict[str, int]:
+    """Returns the same for a datagram, and remembers what was told."""
+    self._told = self.get_running()
+    return self._told
+
+  def take_beat(self, beat: beats.Beat) -> None:
     """Takes a peer's counts in."""
     self._counts_by_peer[beat.name] = (time.monotonic(), beat.running)
 
+  def take_digest(self, digest: beats.Digest) -> None:
+    """Takes the counts of a domain in, all its members together."""
+    counts = dict(digest.running)
+    if digest.domain == self._domain:
+      # This daemon's own requests are among them, as it told them last.
+      for id, running in self._told.items():
+        counts[id] = counts.get(id, 0) - running
+    at = time.monotonic() - digest.age
+    self._counts_by_peer[f'domain {digest.domain}'] = (at, counts)
+
   @contextlib.contextmanager
   def count(self, id: str) -> Iterator[Load]:
     """Counts a request at an instance while the context lasts."""
     load = self._load_by_id.setdefault(id, Load())
     load.running += 1
+    if load.rested_at:
+      load.rested_at.pop()
     try:
       yield load
     finally:
       load.running -= 1
 
+  def note_rested(self, id: str) -> None:
+    """Takes note that the connection of a request can be used again."""
+    load = self._load_by_id.setdefault(id, Load())
+    now = time.monotonic()
+    load.rested_at = [at for at in load.rested_at if now - at < RESTED_SECONDS]
+    load.rested_at.append(now)
+
   def note_seconds(self, id: str, service: str, seconds: float) -> None:
     """Learns from a request that took `seconds`."""
     load = self._load_by_id.setdefault(id, Load())
@@ -146,6 +186,11 @@
     )
     return by_id[chosen.name] if chosen else None
 
+  def get_total(self, id: str) -> int:
+    """Returns the requests of all daemons at an instance."""
+    counts = self._sum_counts(time.monotonic())
+    return self._get(id).running + counts.get(id, 0)
+
   def estimate_return(self, found: list[instances.Instance]) -> float:
     """Returns when a refused request should find a free slot, in seconds."""
     counts = self._sum_counts(time.monotonic())
@@ -171,7 +216,7 @@
       if now - at > COUNTS_SECONDS:
         continue
       for id, running in counts.items():
-        total[id] = total.get(id, 0) + running
+        total[id] = total.get(id, 0) + max(0, running)
     return total
 
   def _make_candidate(
@@ -186,6 +231,8 @@
     # What a turn takes depends on the load of its engine, which counts by
     # itself here.
     seconds = FIRST_SECONDS if added else load.seconds
+    if not load.has_rested(time.monotonic()):
+      seconds += CONNECT_SECONDS
     return routing.Candidate(
       name=item.id,
       slots=item.slots,
--- a/src/woadrun/process/node.py
+++ b/src/woadrun/process/node.py
@@ -23,12 +23,14 @@
 from woadrun.connection import peers
 from woadrun.connection import rows
 from woadrun.connection import turn_messages
+from woadrun.process import beats
 from woadrun.process import catalogue
 from woadrun.process import counters
 from woadrun.process import feed_sync
 from woadrun.process import fleet
 from woadrun.process import loads
 from woadrun.process import programs
+from woadrun.process import registration
 from woadrun.process import store_access
 from woadrun.process import sweeper
 from woadrun.process import turn_store
@@ -128,19 +130,23 @@
       domain=config.domain,
       is_silent=lambda domain: self.fleet.is_silent(domain),
     )
-    me = fleet.Member(
+    me = beats.Member(
       name=config.name, address=config.peers_address, domain=config.domain
     )
     self.fleet = fleet.Fleet(
       me=me,
-      incarnation=secrets.token_hex(4),
-      store=self.store,
       make_beat=self._make_beat,
       on_beat=self._take_beat,
+      on_digest=self.loads.take_digest,
+    )
+    self.registration = registration.Registration(
+      members=self.fleet,
+      incarnation=secrets.token_hex(4),
+      store=self.store,
     )
     self.store.use_fleet(self.fleet)
     self.feeds = feed_sync.FeedSync(
-      feeds=[*self.catalogue.feeds, self.fleet.feed],
+      feeds=[*self.catalogue.feeds, self.registration.feed],
       members=self.fleet,
       links=self.links,
       has_store=lambda: self.store.is_direct,
@@ -177,6 +183,7 @@
     for part in (
       self.store,
       self.fleet,
+      self.registration,
       self.catalogue,
       self.feeds,
       self.programs,
@@ -197,8 +204,7 @@
 
   def is_ready(self) -> bool:
     """Returns whether new callers are welcome."""
-    is_told = self.catalogue.table is not None and self.catalogue.is_listed
-    return is_told and not self.is_leaving
+    return self.catalogue.is_known and not self.is_leaving
 
   def _get_outage(self) -> float:
     return max(self.store.outage, self.fleet.get_silence())
@@ -224,24 +230,24 @@
 
   # --- Datagrams between daemons --------------------------------------------
 
-  def _make_beat(self) -> fleet.Beat:
-    return fleet.Beat(
+  def _make_beat(self) -> beats.Beat:
+    return beats.Beat(
       name=self.config.name,
       address=self.config.peers_address,
       domain=self.config.domain,
       has_store=self.store.is_direct,
       feeds=self.feeds.get_versions(),
       is_leaving=self.is_leaving,
-      running=self.loads.get_running(),
+      running=self.loads.tell_running(),
       silent=tuple(self.fleet.find_silent()),
-      hears=self.fleet.get_heard_domains(),
-      suspects=self.fleet.get_suspects(),
       is_owing=self.programs.is_owing,
       is_behind=self.programs.is_behind,
     )
 
-  def _take_beat(self, beat: fleet.Beat) -> None:
-    self.loads.take_beat(beat)
+  def _take_beat(self, beat: beats.Beat) -> None:
+    if self.fleet.is_mesh:
+      # In large fleets digests have the sums.
+      self.loads.take_beat(beat)
     self.feeds.take_beat(beat)
 
   @mode.Service.task
@@ -292,7 +298,7 @@
     self.fleet.send_beats()
     await self.programs.hand_over()
     try:
-      await self.fleet.unregister()
+      await self.registration.unregister()
     except errors.WoadrunError as error:
       log.warning('Still registered: %s', error.message)
     rest = started + UNREADY_SECONDS - time.monotonic()
--- a/src/woadrun/process/program_copies.py
+++ b/src/woadrun/process/program_copies.py
@@ -10,6 +10,7 @@
 from woadrun import errors
 from woadrun.connection import peers
 from woadrun.connection import turn_messages
+from woadrun.process import beats
 from woadrun.process import fleet
 from woadrun.process import program_rows
 from woadrun.version import ledger
@@ -95,7 +96,7 @@
     return [copy for copy in results if copy is not None]
 
   async def _ask_at(
-    self, member: fleet.Member, program: str
+    self, member: beats.Member, program: str
   ) -> turn_messages.LedgerCopy | None:
     try:
       known = await self._links.post(
@@ -130,7 +131,7 @@
     task.add_done_callback(self._running.discard)
 
   async def _try_post(
-    self, member: fleet.Member, path: str, message: turn_messages.LedgerCopy
+    self, member: beats.Member, path: str, message: turn_messages.LedgerCopy
   ) -> None:
     try:
       await self._post(member, path, message)
@@ -138,7 +139,7 @@
       log.info('No copy of %s: %s', message.program, error.message)
 
   async def _post(
-    self, member: fleet.Member, path: str, message: turn_messages.LedgerCopy
+    self, member: beats.Member, path: str, message: turn_messages.LedgerCopy
   ) -> turn_messages.KnownProgram:
     return await self._links.post(
       member.address,
--- /dev/null
+++ b/src/woadrun/process/registration.py
@@ -0,0 +1,136 @@
+"""The registrations of daemons: rows of the store that tell who there is."""
+
+from __future__ import annotations
+
+from collections.abc import Coroutine
+import logging
+from typing import Any
+
+import mode
+import msgspec
+
+from woadrun import errors
+from woadrun.connection import rows
+from woadrun.process import beats
+from woadrun.process import feed
+from woadrun.process import fleet
+
+log = logging.getLogger('woadrun.fleet')
+
+# A member silent for so long has its row removed, in seconds; it registers
+# again if it lives.
+GONE_SECONDS = 15.0
+LOOK_SECONDS = 1.0
+
+
+class MemberRow(msgspec.Struct, kw_only=True):
+  """A member as it is registered."""
+
+  address: str
+  domain: str
+  incarnation: str
+
+
+class Registration(mode.Service):
+  """This daemon's row, and those of the others."""
+
+  def __init__(
+    self,
+    *,
+    members: fleet.Fleet,
+    incarnation: str,
+    store: rows.RowStore,
+  ) -> None:
+    super().__init__()
+    self._members = members
+    self._me = members.me
+    self._incarnation = incarnation
+    self._store = store
+    self._version_by_name: dict[str, int] = {}
+    self.feed = feed.Feed(
+      store=store,
+      table=fleet.TABLE,
+      on_list=self._take_list,
+      on_row=self._take_row,
+    )
+
+  async def on_start(self) -> None:
+    """Begins to follow the registrations."""
+    await self.add_runtime_dependency(self.feed)
+
+  # --- The own row ----------------------------------------------------------
+
+  async def register(self) -> None:
+    """Writes this daemon's row."""
+    row = MemberRow(
+      address=self._me.address,
+      domain=self._me.domain,
+      incarnation=self._incarnation,
+    )
+    key = rows.Key(fleet.TABLE, '', self._me.name)
+    await self._store.change(writes=[(key, msgspec.json.encode(row))])
+    log.info('Registered at %s.', self._me.address)
+
+  async def unregister(self) -> None:
+    """Removes this daemon's row."""
+    key = rows.Key(fleet.TABLE, '', self._me.name)
+    await self._store.change(removes=[key])
+
+  @mode.Service.task
+  async def _stay_registered(self) -> None:
+    while not self.should_stop:
+      is_known = self._me.name in self._version_by_name
+      if not is_known and not self._members.is_leaving:
+        await self._try(self.register())
+      await self._remove_gone()
+      await self.sleep(LOOK_SECONDS)
+
+  async def _try(self, change: Coroutine[Any, Any, object]) -> None:
+    try:
+      await change
+    except errors.WoadrunError as error:
+      log.warning('A registration was not changed: %s', error.message)
+
+  # --- The others' rows -----------------------------------------------------
+
+  async def _remove_gone(self) -> None:
+    for name, seconds in self._members.get_silent_seconds().items():
+      if seconds < GONE_SECONDS or name not in self._version_by_name:
+        continue
+      # One member is enough to do it.
+      if not self._members.is_first_of_all(fleet.TABLE):
+        continue
+      log.info('Removing member %s: silent for %.1f s.', name, seconds)
+      key = rows.Key(fleet.TABLE, '', name)
+      version = self._version_by_name[name]
+      await self._try(
+        self._store.change(removes=[key], conditions=[(key, version)])
+      )
+
+  def _take_list(self, found: tuple[rows.Row, ...]) -> None:
+    listed = {row.key.name for row in found}
+    for name in [n for n in self._version_by_name if n not in listed]:
+      self._forget(name)
+    for row in found:
+      self._take_row(row)
+
+  def _take_row(self, row: rows.Row) -> None:
+    name = row.key.name
+    if row.is_removed:
+      self._forget(name)
+      return
+    self._version_by_name[name] = row.version
+    if name == self._me.name:
+      return
+    try:
+      found = msgspec.json.decode(row.value, type=MemberRow)
+    except msgspec.MsgspecError as error:
+      log.error('The row of member %s is unreadable: %s', name, error)
+      return
+    self._members.add(
+      beats.Member(name=name, address=found.address, domain=found.domain)
+    )
+
+  def _forget(self, name: str) -> None:
+    self._version_by_name.pop(name, None)
+    self._members.forget(name)
--- a/src/woadrun/process/store_access.py
+++ b/src/woadrun/process/store_access.py
@@ -23,6 +23,7 @@
 from woadrun.connection import peers
 from woadrun.connection import rows
 from woadrun.connection import turn_messages
+from woadrun.process import beats
 from woadrun.process import fleet
 
 log = logging.getLogger('woadrun.store')
@@ -127,7 +128,7 @@
           writes=writes, removes=removes, conditions=conditions
         )
 
-    async def relay(peer: fleet.Member) -> rows.Outcome:
+    async def relay(peer: beats.Member) -> rows.Outcome:
       page = await self._ask(peer, 'store/change', message, self._timeout)
       found = tuple(get_row(row) for row in page.rows)
       return rows.Outcome(
@@ -147,7 +148,7 @@
     async def call() -> rows.Page:
       return await self.direct.read(table, part, first=first, end=end)
 
-    async def relay(peer: fleet.Member) -> rows.Page:
+    async def relay(peer: beats.Member) -> rows.Page:
       page = await self._ask(peer, 'store/read', message, self._timeout)
       return _get_page(page)
 
@@ -163,7 +164,7 @@
     async def call() -> rows.Page:
       return await self.direct.follow(table, after=after, wait=wait)
 
-    async def relay(peer: fleet.Member) -> rows.Page:
+    async def relay(peer: beats.Member) -> rows.Page:
       page = await self._ask(
         peer, 'store/follow', message, self._timeout + wait_relayed
       )
@@ -178,7 +179,7 @@
   async def _run(
     self,
     call: Callable[[], Awaitable[T]],
-    relay: Callable[[fleet.Member], Awaitable[T]],
+    relay: Callable[[beats.Member], Awaitable[T]],
   ) -> T:
     failure = errors.WoadrunError(
       errors.Code.PLATFORM_UNAVAILABLE, 'No way to the store.', retry_after=1.0
@@ -218,11 +219,11 @@
       loss.cancel()
       task.cancel()
 
-  def _find_relays(self) -> list[fleet.Member]:
+  def _find_relays(self) -> list[beats.Member]:
     return self._fleet.find_with_store() if self._fleet else []
 
   async def _ask(
-    self, peer: fleet.Member, path: str, message: object, timeout: float
+    self, peer: beats.Member, path: str, message: object, timeout: float
   ) -> turn_messages.StorePage:
     return await self._links.post(
       peer.address,
--- /dev/null
+++ b/src/woadrun/process/views.py
@@ -0,0 +1,77 @@
+"""What datagrams tell of all members, brought together at one moment."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+import dataclasses
+
+from woadrun.process import beats
+
+
+@dataclasses.dataclass(kw_only=True)
+class View:
+  """What a daemon knows of the others at `at`, on the monotonic clock.
+
+  `silent`, `leaving` and `storeless` name members.  `owing`, `behind` and
+  `deaf` name domains: with a member that owes the store something, that keeps
+  what it lacks, or that hears nothing of this daemon's domain.
+  """
+
+  at: float
+  silent: set[str] = dataclasses.field(default_factory=set)
+  leaving: set[str] = dataclasses.field(default_factory=set)
+  storeless: set[str] = dataclasses.field(default_factory=set)
+  owing: set[str] = dataclasses.field(default_factory=set)
+  behind: set[str] = dataclasses.field(default_factory=set)
+  deaf: set[str] = dataclasses.field(default_factory=set)
+
+
+def bring_together(
+  *,
+  domain: str,
+  at: float,
+  heard: Iterable[beats.Heard],
+  digests: Iterable[beats.Digest],
+  limit: float,
+) -> View:
+  """Returns the view of a daemon in `domain`.
+
+  `heard` has the last datagram of each peer; one that is older than `limit`,
+  in seconds, tells nothing.  Hubs of one domain may
+  differ: a member is silent, or without the store, only if all of them say so.
+  """
+  view = View(at=at)
+  for item in heard:
+    if at - item.at < limit:
+      _add_beat(view, item.beat, domain)
+  told: dict[str, list[beats.Digest]] = {}
+  for digest in digests:
+    told.setdefault(digest.domain, []).append(digest)
+    _add_digest(view, digest, domain)
+  for each in told.values():
+    view.silent |= set.intersection(*(set(d.silent) for d in each))
+    view.storeless |= set.intersection(*(set(d.storeless) for d in each))
+  return view
+
+
+def _add_beat(view: View, beat: beats.Beat, domain: str) -> None:
+  if beat.is_leaving:
+    view.leaving.add(beat.name)
+  if not beat.has_store:
+    view.storeless.add(beat.name)
+  if beat.is_owing:
+    view.owing.add(beat.domain)
+  if beat.is_behind:
+    view.behind.add(beat.domain)
+  if domain in beat.silent:
+    view.deaf.add(beat.domain)
+
+
+def _add_digest(view: View, digest: beats.Digest, domain: str) -> None:
+  view.leaving.update(digest.leaving)
+  if digest.is_owing:
+    view.owing.add(digest.domain)
+  if digest.is_behind:
+    view.behind.add(digest.domain)
+  if domain in digest.deaf_to:
+    view.deaf.add(digest.domain)
--- a/src/woadrun/request/turn_leave.py
+++ b/src/woadrun/request/turn_leave.py
@@ -17,6 +17,7 @@
 from woadrun.connection import peers
 from woadrun.connection import turn_messages
 from woadrun.decisions import retry_after
+from woadrun.process import beats
 from woadrun.process import fleet
 from woadrun.process import programs
 from woadrun.process import turn_store
@@ -169,7 +170,7 @@
 
   async def _open_at(
     self,
-    member: fleet.Member,
+    member: beats.Member,
     ask: turn_messages.OpenTurn,
     *,
     is_new: bool = False,
@@ -253,7 +254,7 @@
   # --- Asking peers ---------------------------------------------------------
 
   async def _post(
-    self, member: fleet.Member, path: str, message: object, type: type[T]
+    self, member: beats.Member, path: str, message: object, type: type[T]
   ) -> T:
     task = asyncio.ensure_future(
       self._links.post(
--- /dev/null
+++ b/tests/test_hubs.py
@@ -0,0 +1,259 @@
+"""Large fleets: what hubs tell, with datagrams that pass within one process."""
+
+import random
+
+import msgspec
+import pytest
+
+from woadrun.process import beats
+from woadrun.process import fleet
+from woadrun.process import hubs
+
+DOMAINS = ('n', 's', 'w')
+SIZE = 15
+
+
+class Network:
+  """Fleets whose datagrams arrive at once, except where they are lost."""
+
+  def __init__(self, monkeypatch, *, size=SIZE, domains=DOMAINS):
+    self.now = 1000.0
+    monkeypatch.setattr('time.monotonic', lambda: self.now)
+    self.flags_by_name = {}
+    self.dead = set()
+    self.cut_domain = None
+    self.loss = 0.0
+    self._random = random.Random(7)
+    self.sent_by_name = {}
+    self.bytes_by_name = {}
+    self.digests_by_name = {}
+    names = [f'{domain}-{n}' for domain in domains for n in range(size)]
+    self.by_name = {name: self.make(name, names) for name in names}
+
+  def make(self, name, known):
+    me = _make_member(name)
+
+    def make_beat():
+      found = self.by_name[name]
+      options = self.flags_by_name.get(name, {'has_store': True})
+      return beats.Beat(
+        name=name,
+        address=me.address,
+        domain=me.domain,
+        silent=tuple(found.find_silent()),
+        **options,
+      )
+
+    digests = self.digests_by_name.setdefault(name, {})
+    made = fleet.Fleet(
+      me=me,
+      make_beat=make_beat,
+      on_beat=lambda beat: None,
+      on_digest=lambda digest: digests.update({digest.domain: digest}),
+    )
+    for other in known:
+      made.add(_make_member(other))
+    return made
+
+  def run(self, seconds):
+    for _ in range(round(seconds / fleet.BEAT_SECONDS)):
+      self.now += fleet.BEAT_SECONDS
+      for name in sorted(self.by_name, key=lambda _: self._random.random()):
+        if name not in self.dead:
+          self._send(name)
+
+  def _send(self, name):
+    sent = 0
+    for beat, targets in self.by_name[name].plan_beats():
+      data = msgspec.json.encode(beat)
+      for target in targets:
+        sent += 1
+        self._pass(name, target.name, data)
+    self.sent_by_name[name] = sent
+    self.by_name[name]._note_silence()
+
+  def _pass(self, source, target, data):
+    is_across = source.partition('-')[0] != target.partition('-')[0]
+    ends = {source.partition('-')[0], target.partition('-')[0]}
+    is_cut = is_across and self.cut_domain in ends
+    is_lost = self._random.random() < self.loss
+    if target in self.dead or is_cut or is_lost:
+      return
+    size = self.bytes_by_name.get(target, 0)
+    self.bytes_by_name[target] = size + len(data)
+    self.by_name[target]._receive(data)
+
+  def find_believers(self, name):
+    """Returns the living that take a member for alive."""
+    return {
+      other
+      for other, found in self.by_name.items()
+      if other not in self.dead and other != name and found.is_alive(name)
+    }
+
+  def find_hubs(self, domain):
+    return [
+      name
+      for name, found in self.by_name.items()
+      if found.me.domain == domain
+      and name not in self.dead
+      and found._hubs._hub_since is not None
+    ]
+
+  def get_living(self):
+    return [name for name in self.by_name if name not in self.dead]
+
+
+def _make_member(name):
+  domain, _, number = name.partition('-')
+  return beats.Member(name=name, address=f'{domain}:{number}', domain=domain)
+
+
+@pytest.fixture(name='network')
+def fixture_network(monkeypatch):
+  made = Network(monkeypatch)
+  made.run(4)
+  return made
+
+
+def test_all_are_believed_alive_and_few_datagrams_are_sent(network):
+  for name in network.by_name:
+    assert len(network.find_believers(name)) == len(network.by_name) - 1
+  for domain in DOMAINS:
+    assert len(network.find_hubs(domain)) == hubs.HUBS
+  members = [
+    name
+    for name in network.by_name
+    if name not in network.find_hubs(name.partition('-')[0])
+  ]
+  assert {network.sent_by_name[name] for name in members} == {hubs.HUBS}
+  most = SIZE - 1 + (len(DOMAINS) - 1) * hubs.HUBS
+  assert max(network.sent_by_name.values()) <= most
+
+
+def test_what_a_member_receives_hardly_grows_with_its_domain(monkeypatch):
+  def measure(size):
+    made = Network(monkeypatch, size=size, domains=('n', 's'))
+    made.run(4)
+    made.bytes_by_name.clear()
+    made.run(2)
+    hub_names = {*made.find_hubs('n'), *made.find_hubs('s')}
+    return max(
+      count
+      for name, count in made.bytes_by_name.items()
+      if name not in hub_names
+    )
+
+  assert measure(60) < 1.2 * measure(15)
+
+
+def test_a_member_that_dies_is_silent_everywhere_in_time(network):
+  victim = next(n for n in network.by_name if n not in network.find_hubs('n'))
+  network.dead.add(victim)
+  network.run(2)
+  assert network.find_believers(victim) == set()
+  others = [name for name in network.get_living() if name != victim]
+  assert all(len(network.find_believers(n)) == len(others) - 1 for n in others)
+
+
+def test_lost_hubs_are_replaced_and_nobody_else_is_taken_for_dead(network):
+  lost = network.find_hubs('n')
+  network.dead.update(lost)
+  for _ in range(16):
+    network.run(0.25)
+    for name in network.get_living():
+      believers = network.find_believers(name)
+      peers = {n for n in network.get_living() if n[0] == name[0]}
+      assert peers - believers == {name}
+  assert len(network.find_hubs('n')) == hubs.HUBS
+  for name in lost:
+    assert network.find_believers(name) == set()
+  for name in network.get_living():
+    assert len(network.find_believers(name)) == len(network.get_living()) - 1
+
+
+def test_a_cut_is_seen_on_both_sides_and_so_is_its_end(network):
+  network.cut_domain = 'w'
+  network.run(2)
+  for name, found in network.by_name.items():
+    expected = ['n', 's'] if name.startswith('w') else ['w']
+    assert found.find_silent() == expected
+    assert not found.is_isolated and not found.is_settled
+    assert found.get_silence() >= hubs.DIGEST_SECONDS
+  network.flags_by_name['w-3'] = {'has_store': True, 'is_owing': True}
+  network.run(2)
+  network.cut_domain = None
+  network.run(1)
+  for name, found in network.by_name.items():
+    assert found.find_silent() == []
+    if not name.startswith('w'):
+      assert found.find_unsettled() == {'w'}
+  del network.flags_by_name['w-3']
+  network.run(2)
+  assert all(not f.find_unsettled() for f in network.by_name.values())
+  assert all(found.is_settled for found in network.by_name.values())
+
+
+def test_what_one_member_says_is_known_to_all(network):
+  network.flags_by_name['s-4'] = {'is_leaving': True, 'is_behind': True}
+  network.run(1.5)
+  for name, found in network.by_name.items():
+    if name == 's-4':
+      continue
+    assert not found.is_settled
+    assert not found.may_have_store('s-4')
+    assert 's-4' not in [m.name for m in found.rank('x', 's')]
+    assert 's-4' not in [m.name for m in found.find_with_store()]
+    assert len(found.find_with_store()) == len(network.by_name) - 2
+
+
+def test_requests_at_instances_are_summed_over_a_domain(network):
+  for number in range(SIZE):
+    network.flags_by_name[f'n-{number}'] = {'running': {'e1': 2}}
+  network.run(2)
+  for digests in network.digests_by_name.values():
+    assert digests['n'].running == {'e1': 2 * SIZE}
+
+
+def test_a_daemon_cut_off_by_itself_is_isolated_and_misleads_nobody(network):
+  lone = network.find_hubs('n')[0]
+  network.dead.add(lone)
+  network.run(1)
+  # Alone, it goes on by itself: nothing that it sends arrives.
+  found = network.by_name[lone]
+  for _ in range(16):
+    network.now += fleet.BEAT_SECONDS / 1000
+    found.plan_beats()
+    network.run(0.25)
+  assert found.is_isolated
+  network.dead.remove(lone)
+  for _ in range(12):
+    network.run(0.25)
+    for name in network.get_living():
+      if name != lone:
+        assert (
+          len(network.find_believers(name) - {lone}) >= len(network.by_name) - 2
+        )
+  assert not found.is_isolated
+  assert len(network.find_believers(lone)) == len(network.by_name) - 1
+
+
+def test_a_member_that_starts_again_knowing_nobody_hears_of_all(network):
+  network.dead.add('s-2')
+  network.run(4)
+  network.by_name['s-2'] = network.make('s-2', [])
+  network.dead.remove('s-2')
+  network.run(3)
+  assert not network.by_name['s-2'].is_isolated
+  assert len(network.find_believers('s-2')) == len(network.by_name) - 1
+
+
+def test_lost_datagrams_take_nobody_out_for_long(network):
+  network.loss = 0.05
+  wrong = 0
+  for _ in range(80):
+    network.run(0.25)
+    for name in network.by_name:
+      wrong += len(network.by_name) - 1 - len(network.find_believers(name))
+  # Of 80 looks at 45 members by 44 others.
+  assert wrong < 80 * 45 * 44 * 0.005
