--- a/src/woadrun/platform/upstream.py
+++ b/src/woadrun/platform/upstream.py
@@ -40,6 +40,7 @@
         is_genuine=wire.is_genuine(sending.request.id, response.headers),
         chunks=_read(response),
         abort=response.close,
+        is_reusable=lambda: _is_reusable(response),
       )
       if not wire.has_run(response.status, response.headers):
         await _drain(response)
@@ -77,6 +78,10 @@
       raise exchange.Lost(str(error) or type(error).__name__) from error
 
 
+def _is_reusable(response: aiohttp.ClientResponse) -> bool:
+  return response.content.at_eof() and not wire.is_last(response.headers)
+
+
 async def _read(response: aiohttp.ClientResponse) -> AsyncGenerator[bytes]:
   try:
     async for chunk in response.content.iter_any():
--- a/src/woadrun/platform/wire.py
+++ b/src/woadrun/platform/wire.py
@@ -141,6 +141,11 @@
   return headers.get(REQUEST_ID) == request_id and SIGNATURE in headers
 
 
+def is_last(headers: multidict.CIMultiDictProxy[str]) -> bool:
+  """Returns whether an answer is the last one of its connection."""
+  return headers.get('Connection', '').lower() == 'close'
+
+
 def encode_error(
   error: errors.WoadrunError, request_id: str
 ) -> tuple[int, list[tuple[str, str]]]:
--- a/src/woadrun/request/attempts.py
+++ b/src/woadrun/request/attempts.py
@@ -220,9 +220,14 @@
       await stack.aclose()
       self._note_failure(sending, error)
       raise
+    stack.callback(self._note_end, id, reply)
     self._log(sending, _describe(reply))
     return _Begun(sending=sending, stack=stack, reply=reply)
 
+  def _note_end(self, id: str, reply: exchange.Reply) -> None:
+    if reply.is_reusable():
+      self._load.note_rested(id)
+
   def _learn(self, sending: exchange.Sending, started: float) -> None:
     instance = sending.instance
     seconds = time.monotonic() - started
--- a/src/woadrun/request/exchange.py
+++ b/src/woadrun/request/exchange.py
@@ -95,7 +95,8 @@
   `has_run` is false where the instance says that it did not run the
   request.  `is_genuine` says that the answer belongs to this request and
   bears the instance's mark.  `abort` breaks the answer off: `chunks` then
-  raises `Lost`.
+  raises `Lost`.  `is_reusable` tells, once the request has ended, whether its
+  connection can be used again.
   """
 
   status: int
@@ -104,6 +105,7 @@
   is_genuine: bool
   chunks: AsyncGenerator[bytes]
   abort: Callable[[], None] = lambda: None
+  is_reusable: Callable[[], bool] = lambda: False
 
 
 class NotSent(Exception):
