A second cut leaves other domains a part of the budget again

Cause, found on reading: the bound of what other domains may spend is kept in the row and was never lifted. In the next cut it was measured from the first one, so that what had been spent since left nothing: every turn was refused. Ruled out that both sides lift and set in turn and exceed the budget: each does so by a conditional write of the row that counts all.

--- a/src/woadrun/process/reservations.py
+++ b/src/woadrun/process/reservations.py
@@ -131,6 +131,9 @@
     held = entry.ledger
     if not self._members.find_unsettled():
       entry.guarded_most = None
+      # All are back and owe nothing.  Kept, the bound of one cut left other
+      # domains nothing to spend in the next one.
+      held.away_most = None
       return
     if entry.guarded_most is None:
       part = self._get_share(held.home, has_store=True)
--- a/src/woadrun/version/ledger.py
+++ b/src/woadrun/version/ledger.py
@@ -139,7 +139,10 @@
     }
     self.reserved = {**kept, **added}
     self.home = row.home
-    if row.away_most is not None:
+    # A bound of ours that the row does not have yet stays; one that it had
+    # and lacks now was lifted by the home.
+    is_unsaved = self.away_most != self.saved.away_most
+    if row.away_most is not None or not is_unsaved:
       self.away_most = row.away_most
     self.saved = row
     self.version = version
--- a/tests/test_cut_domains.py
+++ b/tests/test_cut_domains.py
@@ -209,3 +209,42 @@
     north, south = fleet.by_name['n1'], fleet.by_name['s1']
     south.fleet.is_silent = lambda domain: domain == 'north'
     await nodes.wait_until(lambda: north.fleet.find_unsettled() == {'south'})
+
+
+async def spend_all(fleet, name, prefix):
+  """Returns how many turns a daemon lets run before it refuses."""
+  for number in range(40):
+    try:
+      await fleet.turn(name, f'{prefix}{number}', most=10, budget=306)
+    except errors.WoadrunError as error:
+      assert error.status == 503
+      return number
+  raise AssertionError('Nothing was refused.')
+
+
+async def test_a_second_cut_finds_a_part_of_its_own():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1', 's1')
+    await fleet.turn('n1', 'a', most=10, budget=306)
+    await tell_far(fleet, 's1', 'a')
+    address = fleet.by_name['n1'].config.peers_address
+    south = fleet.by_name['s1']
+    spent = []
+    for cut in ('first', 'second'):
+      await fleet.stop('n1')
+      await nodes.wait_until(south.fleet.find_silent)
+      spent.append(await spend_all(fleet, 's1', cut))
+      north = await fleet.start_alone('n1', address=address)
+      await nodes.wait_until(
+        lambda north=north: (
+          north.is_ready()
+          and north.store.is_direct
+          and south.fleet.is_settled
+          and not south.fleet.find_unsettled()
+        )
+      )
+      # The home says that all are back.
+      await fleet.turn('n1', f'{cut}-end', most=10, budget=306)
+    first, second = spent
+    assert 0 < first * 6 <= 300 / 2
+    assert 0 < second * 6 <= (300 - first * 6) / 2
