--- /dev/null
+++ b/src/woadrun/process/copy_intake.py
@@ -0,0 +1,128 @@
+"""What other daemons tell of programs: copies of their owners, questions."""
+
+from __future__ import annotations
+
+import logging
+import time
+
+from woadrun.connection import turn_messages
+from woadrun.process import program_copies
+from woadrun.process import program_rows
+from woadrun.process import turn_store
+from woadrun.version import ledger
+
+log = logging.getLogger('woadrun.programs')
+
+
+class CopyIntake:
+  """Keeps copies for a daemon that is a standby, or in another domain.
+
+  `entry_by_program`, `cache` and `unsaved` are those of the daemon's own
+  programs, `domain` is its failure domain.
+  """
+
+  def __init__(
+    self,
+    *,
+    entry_by_program: dict[str, program_rows.Entry],
+    cache: turn_store.TurnCache,
+    unsaved: dict[str, turn_messages.Turn],
+    copies: program_copies.Copies,
+    domain: str,
+  ) -> None:
+    self._entry_by_program = entry_by_program
+    self._cache = cache
+    self._unsaved = unsaved
+    self._copies = copies
+    self._domain = domain
+
+  async def tell(
+    self, ask: turn_messages.AskProgram
+  ) -> turn_messages.KnownProgram:
+    """Returns what this daemon has of a program that the store lacks."""
+    entry = self._entry_by_program.get(ask.program)
+    if entry is None or not (entry.needs_flush and entry.ledger.is_dirty):
+      return turn_messages.KnownProgram()
+    return turn_messages.KnownProgram(copy=self._copies.make(entry))
+
+  async def take_copy(
+    self, copy: turn_messages.LedgerCopy
+  ) -> turn_messages.KnownProgram:
+    """Keeps what the owner of a program sent.
+
+    Answers with a copy of its own where that counts what the owner did not:
+    an owner that was frozen, or one that got only an older copy.
+    """
+    for turn in copy.turns:
+      self._cache.put(turn)
+      if turn.request in copy.unsaved:
+        self._unsaved[turn.request] = turn
+    held = program_copies.decode(copy)
+    entry = self._entry_by_program.get(copy.program)
+    if entry is None:
+      entry = program_rows.Entry(program=copy.program, ledger=held)
+      self._entry_by_program[copy.program] = entry
+      entry.is_copy = True
+      entry.needs_flush = copy.is_behind
+      return turn_messages.KnownProgram()
+    is_older = held.version < entry.ledger.version
+    lacks = {
+      request
+      for request in entry.acted
+      if entry.ledger.knows(request) and not held.knows(request)
+    }
+    if is_older or lacks or entry.lock.locked():
+      entry.ledger.merge(held)
+      entry.needs_flush |= copy.is_behind or bool(lacks)
+    else:
+      entry.ledger = held
+      entry.needs_flush = copy.is_behind
+    entry.is_copy = True
+    entry.used_at = time.monotonic()
+    if not is_older and not lacks:
+      return turn_messages.KnownProgram()
+    log.info(
+      'The owner of %s lacks %d turns that count here: row %d, here %d.',
+      copy.program,
+      len(lacks),
+      copy.version,
+      entry.ledger.version,
+    )
+    return turn_messages.KnownProgram(copy=self._copies.make(entry))
+
+  async def take_far_copy(
+    self, copy: turn_messages.LedgerCopy
+  ) -> turn_messages.KnownProgram:
+    """Keeps what the owner in another domain sent.
+
+    What is spent here counts on top of it.  The row in the store is the
+    home's: a change of ours is brought onto it by a failed condition.
+    """
+    for turn in copy.turns:
+      self._cache.put(turn)
+    entry = self._entry_by_program.get(copy.program)
+    if entry is not None and self._is_mine(entry, copy):
+      return turn_messages.KnownProgram()
+    row = ledger.LedgerRow(
+      home=copy.home,
+      settled=copy.saved_settled + sum(copy.given.values()),
+      reserved=copy.reserved,
+    )
+    held = ledger.Ledger(saved=row, version=0)
+    if entry is None:
+      self._entry_by_program[copy.program] = program_rows.Entry(
+        program=copy.program, ledger=held
+      )
+    else:
+      entry.ledger = held
+      entry.used_at = time.monotonic()
+    return turn_messages.KnownProgram()
+
+  def _is_mine(
+    self, entry: program_rows.Entry, copy: turn_messages.LedgerCopy
+  ) -> bool:
+    """Returns whether a program is better known here than in a far copy."""
+    held = entry.ledger
+    is_home = held.home == self._domain
+    is_newer = is_home and held.version >= copy.version
+    return entry.needs_flush or entry.lock.locked() or is_newer
--- a/src/woadrun/process/node.py
+++ b/src/woadrun/process/node.py
@@ -270,13 +270,22 @@
     await listen(self._runner, self.config.peers_address)
 
   def _get_answers(self) -> list[tuple[str, Any, Handler]]:
+    intake = self.programs.intake
     return [
       ('program/open', turn_messages.OpenTurn, self.programs.open),
       ('program/open-new', turn_messages.OpenTurn, self._open_new),
       ('program/close', turn_messages.CloseTurn, self.programs.close),
-      ('program/copy', turn_messages.LedgerCopy, self.programs.take_copy),
-      ('program/far', turn_messages.LedgerCopy, self.programs.take_far_copy),
-      ('program/ask', turn_messages.AskProgram, self.programs.tell),
+      (
+        'program/copy',
+        turn_messages.LedgerCopy,
+        intake.take_copy,
+      ),
+      (
+        'program/far',
+        turn_messages.LedgerCopy,
+        intake.take_far_copy,
+      ),
+      ('program/ask', turn_messages.AskProgram, intake.tell),
       ('store/change', turn_messages.StoreChange, self.relay.change),
       ('store/read', turn_messages.StoreRead, self.relay.read),
       ('store/follow', turn_messages.StoreFollow, self.relay.follow),
@@ -307,7 +316,9 @@
   async def finish(self) -> None:
     """Brings to the store what it lacks, after the last request."""
     deadline = time.monotonic() + FLUSH_SECONDS
-    while not await self.programs.flush() and time.monotonic() < deadline:
+    while (
+      not await self.programs.flusher.flush() and time.monotonic() < deadline
+    ):
       await asyncio.sleep(POLL_SECONDS)
     log.info('Left with %d turns unsaved.', len(self.programs.unsaved))
 
--- a/src/woadrun/process/programs.py
+++ b/src/woadrun/process/programs.py
@@ -19,7 +19,9 @@
 from woadrun import errors
 from woadrun.connection import peers
 from woadrun.connection import turn_messages
+from woadrun.process import copy_intake
 from woadrun.process import fleet
+from woadrun.process import flusher
 from woadrun.process import histories
 from woadrun.process import program_copies
 from woadrun.process import program_rows
@@ -30,11 +32,9 @@
 
 log = logging.getLogger('woadrun.programs')
 
-# Between looks for what the store lacks, in seconds.
-FLUSH_SECONDS = 0.1
 # A program without a call for so long leaves the memory, in seconds.
 IDLE_SECONDS = 60.0
-PARALLEL_FLUSHES = 16
+PARALLEL_HANDOVERS = 16
 # A program without a call for so long is not handed over at a planned stop,
 # in seconds: its pauses are shorter.
 IN_USE_SECONDS = 15.0
@@ -70,6 +70,26 @@
       rows=self._rows,
       copies=self._copies,
     )
+    self.intake = copy_intake.CopyIntake(
+      entry_by_program=self.entry_by_program,
+      cache=self.cache,
+      unsaved=self.unsaved,
+      copies=self._copies,
+      domain=members.me.domain,
+    )
+    self.flusher = flusher.Flusher(
+      members=members,
+      store=store,
+      turns=turns,
+      program_store=self._rows,
+      copies=self._copies,
+      entry_by_program=self.entry_by_program,
+      unsaved=self.unsaved,
+    )
+
+  async def on_start(self) -> None:
+    """Begins to bring to the store what it lacks."""
+    await self.add_runtime_dependency(self.flusher)
 
   # --- The owner's part -----------------------------------------------------
 
@@ -206,98 +226,7 @@
       errors.Code.NOT_OWNER, f'The program is not known here: {reason}'
     ) from failure
 
-  async def tell(
-    self, ask: turn_messages.AskProgram
-  ) -> turn_messages.KnownProgram:
-    """Returns what this daemon has of a program that the store lacks."""
-    entry = self.entry_by_program.get(ask.program)
-    if entry is None or not (entry.needs_flush and entry.ledger.is_dirty):
-      return turn_messages.KnownProgram()
-    return turn_messages.KnownProgram(copy=self._copies.make(entry))
-
-  # --- Copies ---------------------------------------------------------------
-
-  async def take_copy(
-    self, copy: turn_messages.LedgerCopy
-  ) -> turn_messages.KnownProgram:
-    """Keeps what the owner of a program sent.
-
-    Answers with a copy of its own where that counts what the owner did not:
-    an owner that was frozen, or one that got only an older copy.
-    """
-    for turn in copy.turns:
-      self.cache.put(turn)
-      if turn.request in copy.unsaved:
-        self.unsaved[turn.request] = turn
-    held = program_copies.decode(copy)
-    entry = self.entry_by_program.get(copy.program)
-    if entry is None:
-      entry = program_rows.Entry(program=copy.program, ledger=held)
-      self.entry_by_program[copy.program] = entry
-      entry.is_copy = True
-      entry.needs_flush = copy.is_behind
-      return turn_messages.KnownProgram()
-    is_older = held.version < entry.ledger.version
-    lacks = {
-      request
-      for request in entry.acted
-      if entry.ledger.knows(request) and not held.knows(request)
-    }
-    if is_older or lacks or entry.lock.locked():
-      entry.ledger.merge(held)
-      entry.needs_flush |= copy.is_behind or bool(lacks)
-    else:
-      entry.ledger = held
-      entry.needs_flush = copy.is_behind
-    entry.is_copy = True
-    entry.used_at = time.monotonic()
-    if not is_older and not lacks:
-      return turn_messages.KnownProgram()
-    log.info(
-      'The owner of %s lacks %d turns that count here: row %d, here %d.',
-      copy.program,
-      len(lacks),
-      copy.version,
-      entry.ledger.version,
-    )
-    return turn_messages.KnownProgram(copy=self._copies.make(entry))
-
-  async def take_far_copy(
-    self, copy: turn_messages.LedgerCopy
-  ) -> turn_messages.KnownProgram:
-    """Keeps what the owner in another domain sent.
-
-    What is spent here counts on top of it.  The row in the store is the
-    home's: a change of ours is brought onto it by a failed condition.
-    """
-    for turn in copy.turns:
-      self.cache.put(turn)
-    entry = self.entry_by_program.get(copy.program)
-    if entry is not None and self._is_mine(entry, copy):
-      return turn_messages.KnownProgram()
-    row = ledger.LedgerRow(
-      home=copy.home,
-      settled=copy.saved_settled + sum(copy.given.values()),
-      reserved=copy.reserved,
-    )
-    held = ledger.Ledger(saved=row, version=0)
-    if entry is None:
-      self.entry_by_program[copy.program] = program_rows.Entry(
-        program=copy.program, ledger=held
-      )
-    else:
-      entry.ledger = held
-      entry.used_at = time.monotonic()
-    return turn_messages.KnownProgram()
-
-  def _is_mine(
-    self, entry: program_rows.Entry, copy: turn_messages.LedgerCopy
-  ) -> bool:
-    """Returns whether a program is better known here than in a far copy."""
-    held = entry.ledger
-    is_home = held.home == self._members.me.domain
-    is_newer = is_home and held.version >= copy.version
-    return entry.needs_flush or entry.lock.locked() or is_newer
+  # --- What the store lacks -------------------------------------------------
 
   @property
   def is_owing(self) -> bool:
@@ -316,67 +245,6 @@
       for entry in self.entry_by_program.values()
     )
 
-  # --- Behind ---------------------------------------------------------------
-
-  @mode.Service.task
-  async def _flush_often(self) -> None:
-    while not self.should_stop:
-      await self.sleep(FLUSH_SECONDS)
-      await self.flush()
-
-  async def flush(self) -> bool:
-    """Returns whether the store has all that it should."""
-    if self.unsaved and self._store.is_reached:
-      await self._flush_turns()
-    if self._store.is_reached:
-      await self._flush_ledgers()
-    return not self.unsaved
-
-  async def _flush_turns(self) -> None:
-    slots = asyncio.Semaphore(PARALLEL_FLUSHES)
-
-    async def write(turn: turn_messages.Turn) -> None:
-      async with slots:
-        await self._turns.write(turn)
-      self.unsaved.pop(turn.request, None)
-
-    turns = list(self.unsaved.values())
-    results = await asyncio.gather(
-      *(write(turn) for turn in turns), return_exceptions=True
-    )
-    failures = [r for r in results if isinstance(r, BaseException)]
-    for failure in failures[:1]:
-      log.warning('%d turns not stored yet: %s', len(failures), failure)
-    log.info('%d turns brought to the store.', len(turns) - len(failures))
-
-  async def _flush_ledgers(self) -> None:
-    due = [
-      entry
-      for entry in self.entry_by_program.values()
-      if entry.needs_flush and self._is_first(entry.program)
-    ]
-    slots = asyncio.Semaphore(PARALLEL_FLUSHES)
-
-    async def save(entry: program_rows.Entry) -> None:
-      async with slots, entry.lock:
-        if entry.ledger.is_dirty:
-          await self._rows.save(entry)
-        else:
-          entry.needs_flush = False
-      self._copies.send_behind(entry, ())
-
-    results = await asyncio.gather(
-      *(save(entry) for entry in due), return_exceptions=True
-    )
-    failures = [r for r in results if isinstance(r, BaseException)]
-    for failure in failures[:1]:
-      log.warning('%d budgets not stored yet: %s', len(failures), failure)
-
-  def _is_first(self, program: str) -> bool:
-    me = self._members.me
-    ranked = self._members.rank(program, me.domain)
-    return not ranked or ranked[0] == me
-
   # --- A planned stop -------------------------------------------------------
 
   async def hand_over(self) -> None:
@@ -390,7 +258,7 @@
       turns_by_program.setdefault(turn.program, []).append(turn)
     limit = time.monotonic() - IN_USE_SECONDS
     entries = [e for e in self.entry_by_program.values() if e.used_at > limit]
-    slots = asyncio.Semaphore(PARALLEL_FLUSHES)
+    slots = asyncio.Semaphore(PARALLEL_HANDOVERS)
 
     async def hand(entry: program_rows.Entry) -> None:
       async with slots:
@@ -410,7 +278,7 @@
         program
         for program, entry in self.entry_by_program.items()
         if entry.used_at < limit
-        and not (entry.needs_flush and self._is_first(program))
+        and not (entry.needs_flush and self.flusher.is_first(program))
       ]
       for program in idle:
         del self.entry_by_program[program]
--- a/tests/test_cut_domains.py
+++ b/tests/test_cut_domains.py
@@ -171,10 +171,12 @@
     entry = south.entry_by_program['p']
     entry.ledger.home = 'south'
     older = north._copies.make(north.entry_by_program['p'])
-    await south.take_far_copy(older)
+    await south.intake.take_far_copy(older)
     assert south.entry_by_program['p'].ledger.home == 'north'
     mine = north.entry_by_program['p']
-    await north.take_far_copy(msgspec.structs.replace(older, home='south'))
+    await north.intake.take_far_copy(
+      msgspec.structs.replace(older, home='south')
+    )
     assert mine.ledger.home == 'north'
 
 
