Outcomes at instances are learned from, and told to the daemons of the domain

Cause: an instance whose health check is good may fail a part or all of its requests; nothing but a refused connection kept requests away from it. Failures now add to the time expected at an instance, fade in seconds, and go to the other daemons of the domain in datagrams. Ruled out: asking the instances' health (may lie, takes a slot); leaving instances out altogether.

--- a/src/woadrun/decisions/routing.py
+++ b/src/woadrun/decisions/routing.py
@@ -26,7 +26,8 @@
   outcomes: it grows where an upstream is slow.  `cached` is the part of
   the call's prompt that the upstream's cache holds, in tokens.  `added` is
   the time that each running call adds to another, where an upstream works
-  on all of them together.
+  on all of them together.  `risk` is what is expected to be lost by failures
+  there, in seconds.
   """
 
   name: str
@@ -37,6 +38,7 @@
   cached: int = 0
   is_near: bool = True
   added: float = 0.0
+  risk: float = 0.0
 
 
 def estimate_wait(candidate: Candidate) -> float:
@@ -60,7 +62,7 @@
   distance = 0.0 if candidate.is_near else DISTANCE_SECONDS
   shared = candidate.running * candidate.added
   service = recompute + candidate.seconds + shared
-  return estimate_wait(candidate) + service + distance
+  return estimate_wait(candidate) + service + distance + candidate.risk
 
 
 def choose(
--- a/src/woadrun/process/beats.py
+++ b/src/woadrun/process/beats.py
@@ -24,7 +24,7 @@
   to stop, and that the store turns away.  `deaf_to` names the other domains
   of which nothing is heard.  `is_owing` and `is_behind` say that a member
   does so in its own datagrams.  `running` sums the requests that the members
-  have at each instance.
+  have at each instance, `failing` the failures that they saw there.
   """
 
   hub: str
@@ -37,13 +37,15 @@
   is_owing: bool = False
   is_behind: bool = False
   running: dict[str, int] = {}
+  failing: dict[str, float] = {}
 
 
 class Beat(msgspec.Struct, kw_only=True, omit_defaults=True):
   """What a daemon says of itself in a datagram.
 
   `feeds` has the newest change known of each table.  `running` counts the
-  requests that it has at each instance, `silent` names the domains of which
+  requests that it has at each instance, `failing` the failures of late that it
+  saw there, older ones counting less; `silent` names the domains of which
   it hears nothing.  `is_owing` says that it has spent of other domains'
   programs what the store does not have yet, `is_behind` that the store lacks
   anything of what it keeps.  With `wants_digests` the receiver is asked for
@@ -57,6 +59,7 @@
   feeds: dict[str, int] = {}
   is_leaving: bool = False
   running: dict[str, int] = {}
+  failing: dict[str, float] = {}
   silent: tuple[str, ...] = ()
   is_owing: bool = False
   is_behind: bool = False
--- a/src/woadrun/process/fleet.py
+++ b/src/woadrun/process/fleet.py
@@ -336,12 +336,14 @@
       ),
       (
         msgspec.structs.replace(
-          mine, running={}, digests=self._hubs.find_to_tell()
+          mine, running={}, failing={}, digests=self._hubs.find_to_tell()
         ),
         self._find_listeners(chosen),
       ),
       (
-        msgspec.structs.replace(mine, running={}, digests=_list(own)),
+        msgspec.structs.replace(
+          mine, running={}, failing={}, digests=_list(own)
+        ),
         self._find_far_hubs() if own is not None else [],
       ),
     ]
--- a/src/woadrun/process/hubs.py
+++ b/src/woadrun/process/hubs.py
@@ -13,11 +13,14 @@
 from collections.abc import Iterable
 import hashlib
 import time
+from typing import TypeVar
 
 import msgspec
 
 from woadrun.process import beats
 
+Number = TypeVar('Number', int, float)
+
 # Hubs of each domain: one may be lost while the other one goes on.
 HUBS = 2
 # A peer is silent after so long, in seconds: three lost datagrams in a row and
@@ -162,6 +165,7 @@
       is_owing=any(beat.is_owing for beat in told),
       is_behind=any(beat.is_behind for beat in told),
       running=_add_up(beat.running for beat in told),
+      failing=_add_up(beat.failing for beat in told),
     )
     self._digest_by_hub[self._me.name] = (digest, now)
     return digest
@@ -221,9 +225,9 @@
   return hashlib.blake2b(f'{name} {key}'.encode(), digest_size=8).digest()
 
 
-def _add_up(counts: Iterable[dict[str, int]]) -> dict[str, int]:
-  total: dict[str, int] = {}
+def _add_up(counts: Iterable[dict[str, Number]]) -> dict[str, Number]:
+  total: dict[str, Number] = {}
   for each in counts:
     for id, number in each.items():
-      total[id] = total.get(id, 0) + number
+      total[id] = total[id] + number if id in total else number
   return total
--- a/src/woadrun/process/loads.py
+++ b/src/woadrun/process/loads.py
@@ -17,6 +17,7 @@
 from woadrun.decisions import retry_after
 from woadrun.decisions import routing
 from woadrun.process import beats
+from woadrun.process import health
 from woadrun.version import instances
 
 # Weight of the newest request in the learned time of an instance: requests
@@ -36,6 +37,10 @@
 # about a thousand tokens of its prompt are read at the rate above, and its
 # own tokens slow each step.
 TURN_SECONDS = 0.03
+# What a failure of late at an instance adds to the time expected there, in
+# seconds.  A call that may not be repeated and fails ends its program, whose
+# calls take some ten times as long together.
+FAILURE_SECONDS = 0.5
 # Daemons that choose at the same moment should not all choose the same
 # instance; in seconds, less than one turn adds.
 JITTER_SECONDS = 0.02
@@ -73,7 +78,9 @@
     *,
     domain: str,
     is_silent: Callable[[str], bool] = lambda domain: False,
+    outcomes: health.Health | None = None,
   ) -> None:
+    self.health = outcomes or health.Health()
     self._domain = domain
     self._is_silent = is_silent
     self._load_by_id: dict[str, Load] = {}
@@ -95,6 +102,9 @@
   def take_beat(self, beat: beats.Beat) -> None:
     """Takes a peer's counts in."""
     self._counts_by_peer[beat.name] = (time.monotonic(), beat.running)
+    if beat.domain == self._domain:
+      # An instance may fail for callers of one domain only.
+      self.health.take(beat.name, beat.failing)
 
   def take_digest(self, digest: beats.Digest) -> None:
     """Takes the counts of a domain in, all its members together."""
@@ -103,6 +113,7 @@
       # This daemon's own requests are among them, as it told them last.
       for id, running in self._told.items():
         counts[id] = counts.get(id, 0) - running
+      self.health.take_sum(digest.failing, age=digest.age)
     at = time.monotonic() - digest.age
     self._counts_by_peer[f'domain {digest.domain}'] = (at, counts)
 
@@ -172,10 +183,12 @@
       if self._get(id).passed_over_until <= now and item.domain not in silent
     ]
     counts = self._sum_counts(now)
+    failing = self.health.get_all()
     candidates = [
       self._make_candidate(
         by_id[id],
         counts,
+        risk=FAILURE_SECONDS * failing.get(id, 0.0),
         cached=(cached_by_id or {}).get(id, 0),
         added=TURN_SECONDS if prompt else 0.0,
       )
@@ -224,6 +237,7 @@
     item: instances.Instance,
     counts: dict[str, int],
     *,
+    risk: float,
     cached: int,
     added: float,
   ) -> routing.Candidate:
@@ -242,4 +256,5 @@
       cached=cached,
       is_near=item.domain == self._domain,
       added=added,
+      risk=risk,
     )
--- a/src/woadrun/process/node.py
+++ b/src/woadrun/process/node.py
@@ -239,6 +239,7 @@
       feeds=self.feeds.get_versions(),
       is_leaving=self.is_leaving,
       running=self.loads.tell_running(),
+      failing=self.loads.health.tell(),
       silent=tuple(self.fleet.find_silent()),
       is_owing=self.programs.is_owing,
       is_behind=self.programs.is_behind,
--- a/src/woadrun/request/attempts.py
+++ b/src/woadrun/request/attempts.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import AsyncGenerator
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 import contextlib
@@ -18,6 +19,7 @@
 from woadrun import errors
 from woadrun.decisions import hedging
 from woadrun.process import catalogue
+from woadrun.process import health
 from woadrun.process import loads
 from woadrun.request import exchange
 from woadrun.version import instances
@@ -25,6 +27,8 @@
 
 log = logging.getLogger('woadrun.attempts')
 
+# Statuses from here on are failures of the instance.
+FIRST_FAILURE_STATUS = 500
 # Between looks whether the instance of a stream is still in reach, in seconds.
 LOOK_SECONDS = 0.25
 # A request is not sent with less time than this left, in seconds: the way
@@ -214,16 +218,42 @@
     stack = contextlib.AsyncExitStack()
     stack.enter_context(self._load.count(id))
     stack.callback(self._learn, sending, time.monotonic())
+    self._load.health.note_sent(
+      stack,
+      id,
+      usual=self._load.get_usual_seconds(sending.instance.service),
+    )
     try:
       reply = await stack.enter_async_context(self._upstreams.send(sending))
     except BaseException as error:
       await stack.aclose()
       self._note_failure(sending, error)
       raise
+    finally:
+      self._load.health.note_head(stack)
+    self._note_reply(id, reply)
     stack.callback(self._note_end, id, reply)
     self._log(sending, _describe(reply))
     return _Begun(sending=sending, stack=stack, reply=reply)
 
+  def _note_reply(self, id: str, reply: exchange.Reply) -> None:
+    if not reply.has_run:
+      self._load.health.note_failure(id, health.REJECTION_WEIGHT)
+    elif not reply.is_genuine or reply.status >= FIRST_FAILURE_STATUS:
+      self._load.health.note_failure(id)
+    reply.chunks = self._follow(id, reply.chunks)
+
+  async def _follow(
+    self, id: str, chunks: AsyncGenerator[bytes]
+  ) -> AsyncGenerator[bytes]:
+    try:
+      async with contextlib.aclosing(chunks):
+        async for chunk in chunks:
+          yield chunk
+    except exchange.Lost:
+      self._load.health.note_failure(id)
+      raise
+
   def _note_end(self, id: str, reply: exchange.Reply) -> None:
     if reply.is_reusable():
       self._load.note_rested(id)
@@ -238,8 +268,10 @@
   ) -> None:
     if isinstance(error, exchange.NotSent):
       self._load.note_unreachable(sending.instance.id)
+      self._load.health.note_failure(sending.instance.id)
       self._log(sending, f'not sent: {error}')
     elif isinstance(error, exchange.Lost):
+      self._load.health.note_failure(sending.instance.id)
       self._log(sending, f'no answer: {error}')
 
   def _log(self, sending: exchange.Sending, outcome: str) -> None:
