--- a/src/woadrun/process/health.py
+++ b/src/woadrun/process/health.py
@@ -7,8 +7,11 @@
 from __future__ import annotations
 
 import dataclasses
+import logging
 import time
 
+log = logging.getLogger('woadrun.health')
+
 # A failure counts half as much after so long, in seconds: instances that go
 # up and down do so in one to two seconds, others fail for some seconds.
 HALF_LIFE_SECONDS = 3.0
@@ -65,7 +68,7 @@
 
 
 class Health:
-  """The failures at all instances."""
+  """The failures at all instances; `avoided` has those looked at last."""
 
   def __init__(self) -> None:
     self._record_by_id: dict[str, _Record] = {}
@@ -73,6 +76,7 @@
     self._longest_by_service: dict[str, _Longest] = {}
     self._told_by_source: dict[str, tuple[float, dict[str, float]]] = {}
     self._told: dict[str, float] = {}
+    self.avoided: set[str] = set()
 
   # --- Outcomes -------------------------------------------------------------
 
@@ -163,6 +167,15 @@
       if found > TOLERATED
     }
 
+  def log_changes(self) -> None:
+    """Logs which instances are avoided now, and which are not any more."""
+    heeded = self.get_all()
+    for id in sorted(heeded.keys() - self.avoided):
+      log.warning('Instance %s is avoided: %.1f failures.', id, heeded[id])
+    for id in sorted(self.avoided - heeded.keys()):
+      log.info('Instance %s is trusted again.', id)
+    self.avoided = set(heeded)
+
 
 def _fade(record: _Record, now: float) -> float:
   return float(record.failures * 0.5 ** ((now - record.at) / HALF_LIFE_SECONDS))
--- a/src/woadrun/process/node.py
+++ b/src/woadrun/process/node.py
@@ -222,6 +222,7 @@
       'turns_unsaved': len(self.programs.unsaved),
       'members_known': len(self.fleet.member_by_name),
       'instances_known': len(self.catalogue.directory.by_id),
+      'instances_avoided': len(self.loads.health.avoided),
       'table_version': self.catalogue.version,
       'store_is_direct': self.store.is_direct,
       'peer_messages': self.links.messages,
@@ -256,6 +257,7 @@
     while not self.should_stop:
       await self.sleep(LOOK_SECONDS)
       self.loads.forget(self.catalogue.directory.by_id.keys())
+      self.loads.health.log_changes()
 
   # --- Messages of peers ----------------------------------------------------
 
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -97,6 +97,21 @@
   assert found.get_all() == {'a': 2.0}
 
 
+def test_the_log_names_what_is_avoided_and_when_that_ends(clock, caplog):
+  caplog.set_level('INFO', logger='woadrun.health')
+  found = health.Health()
+  found.note_failure('a', 3.0)
+  found.log_changes()
+  found.log_changes()
+  assert found.avoided == {'a'}
+  clock.now += 5 * health.HALF_LIFE_SECONDS
+  found.log_changes()
+  assert [record.message for record in caplog.records] == [
+    'Instance a is avoided: 2.0 failures.',
+    'Instance a is trusted again.',
+  ]
+
+
 def make_instance(id, *, domain='north-1'):
   return instances.Instance(
     id=id, service='tools', address='127.0.0.1:1', domain=domain, slots=6
