--- a/src/woadrun/cli/explain.py
+++ b/src/woadrun/cli/explain.py
@@ -15,7 +15,15 @@
 # Parts whose lines tell what a daemon believes, not what it did.
 BELIEFS = frozenset(
   f'woadrun.{name}'
-  for name in ('store', 'feed', 'fleet', 'catalogue', 'node', 'logs')
+  for name in (
+    'store',
+    'feed',
+    'fleet',
+    'health',
+    'catalogue',
+    'node',
+    'logs',
+  )
 )
 _REQUEST = re.compile(r'\b[0-9a-f]{16}\b')
 
