--- a/src/woadrun/request/attempts.py
+++ b/src/woadrun/request/attempts.py
@@ -18,6 +18,7 @@
 
 from woadrun import errors
 from woadrun.decisions import hedging
+from woadrun.decisions import urgency
 from woadrun.process import catalogue
 from woadrun.process import health
 from woadrun.process import loads
@@ -157,7 +158,7 @@
       instance=instance,
       body=plan.body,
       seconds=seconds,
-      urgency=plan.route.priority if turn else None,
+      urgency=_get_urgency(plan),
     )
 
   async def _begin(self, plan: _Plan, sending: exchange.Sending) -> _Begun:
@@ -297,6 +298,15 @@
     )
 
 
+def _get_urgency(plan: _Plan) -> int | None:
+  turn = plan.request.turn
+  if turn is None:
+    return None
+  return urgency.get_urgency(
+    plan.route.priority, finish=turn.finish, now=time.monotonic()
+  )
+
+
 async def _get_first_good(
   plan: _Plan, tasks: list[asyncio.Task[_Begun]]
 ) -> _Begun:
