--- a/src/woadrun/process/loads.py
+++ b/src/woadrun/process/loads.py
@@ -201,15 +201,15 @@
 
   def get_total(self, id: str) -> int:
     """Returns the requests of all daemons at an instance."""
-    counts = self._sum_counts(time.monotonic())
+    return self._add_own(id, self._sum_counts(time.monotonic()))
+
+  def _add_own(self, id: str, counts: dict[str, int]) -> int:
     return self._get(id).running + counts.get(id, 0)
 
   def estimate_return(self, found: list[instances.Instance]) -> float:
     """Returns when a refused request should find a free slot, in seconds."""
     counts = self._sum_counts(time.monotonic())
-    running = sum(
-      self._get(item.id).running + counts.get(item.id, 0) for item in found
-    )
+    running = sum(self._add_own(item.id, counts) for item in found)
     seconds = [self._get(item.id).seconds for item in found]
     return retry_after.estimate(
       running=running,
@@ -250,7 +250,7 @@
     return routing.Candidate(
       name=item.id,
       slots=item.slots,
-      running=load.running + counts.get(item.id, 0),
+      running=self._add_own(item.id, counts),
       waiting=0,
       seconds=seconds + random.uniform(0, JITTER_SECONDS),
       cached=cached,
--- a/src/woadrun/process/views.py
+++ b/src/woadrun/process/views.py
@@ -64,19 +64,20 @@
     view.leaving.add(beat.name)
   if not beat.has_store:
     view.storeless.add(beat.name)
-  if beat.is_owing:
-    view.owing.add(beat.domain)
-  if beat.is_behind:
-    view.behind.add(beat.domain)
-  if domain in beat.silent:
-    view.deaf.add(beat.domain)
+  _add_domain(view, beat, is_deaf=domain in beat.silent)
 
 
 def _add_digest(view: View, digest: beats.Digest, domain: str) -> None:
   view.leaving.update(digest.leaving)
-  if digest.is_owing:
-    view.owing.add(digest.domain)
-  if digest.is_behind:
-    view.behind.add(digest.domain)
-  if domain in digest.deaf_to:
-    view.deaf.add(digest.domain)
+  _add_domain(view, digest, is_deaf=domain in digest.deaf_to)
+
+
+def _add_domain(
+  view: View, told: beats.Beat | beats.Digest, *, is_deaf: bool
+) -> None:
+  if told.is_owing:
+    view.owing.add(told.domain)
+  if told.is_behind:
+    view.behind.add(told.domain)
+  if is_deaf:
+    view.deaf.add(told.domain)
--- a/src/woadrun/standins/local.py
+++ b/src/woadrun/standins/local.py
@@ -1,6 +1,6 @@
 """A small deployment on loopback: stand-ins and settings for daemons.
 
-Used by the demo, the tests and the benchmarks.
+Used by the demo, the tests and our own measurements.
 """
 
 from __future__ import annotations
