Budgets hold for turns without kept history

Cause: serving asked for leave only on routes that keep history, so nobody counted the tokens of other turns (3,552 of 576 were given). Ruled out: storing those turns, whose history nobody asks for. Leave, reservation and settlement are apart from history now. A turn of such a route may be any of its program: what is taken for new without the store's word is refused and asked for elsewhere, and a domain that is cut off has the part of one that is not the home. Copies carry the bound of an outage to the standby.

--- a/src/woadrun/connection/turn_messages.py
+++ b/src/woadrun/connection/turn_messages.py
@@ -35,6 +35,8 @@
   `most` is what the turn may generate, `budget` what all turns of the
   program may, both in tokens.  With `is_away` the program's own domain
   cannot be reached.  With `is_brief` the asker has the history already.
+  Without `keeps_history` the turn names none before it: any of them may be
+  the first of its program, or a later one.
   """
 
   program: str
@@ -44,6 +46,7 @@
   budget: int | None = None
   is_away: bool = False
   is_brief: bool = False
+  keeps_history: bool = True
 
 
 class OpenedTurn(msgspec.Struct, frozen=True, kw_only=True):
@@ -64,8 +67,9 @@
   """Tells how a turn ended; answered by `Closed`.
 
   `tokens` is what the caller was given.  `turn` is there when the answer
-  is whole; `is_saved` says that the row store has it.  With `is_away` the
-  program's own domain cannot be reached, nor can the store.
+  is whole and belongs to a history; `is_saved` says that the row store has
+  it.  With `is_away` the program's own domain cannot be reached, nor can the
+  store.
   """
 
   program: str
@@ -85,7 +89,8 @@
 
   Answered by `KnownProgram`.  `saved_*` and `version` are what the row store
   had at last, `given` what turns were given since, in tokens by request.
-  `is_behind` says that the store lacks something that no stored turn tells.
+  `is_behind` says that the store lacks something that no stored turn tells,
+  `offline_most` bounds what may be spent without the store.
   """
 
   program: str
@@ -97,6 +102,7 @@
   saved_recent: tuple[str, ...]
   is_behind: bool
   version: int
+  offline_most: float | None = None
   turns: tuple[Turn, ...] = ()
   unsaved: tuple[str, ...] = ()
 
--- a/src/woadrun/process/copy_intake.py
+++ b/src/woadrun/process/copy_intake.py
@@ -62,6 +62,7 @@
     if entry is None:
       entry = program_rows.Entry(program=copy.program, ledger=held)
       self._entry_by_program[copy.program] = entry
+      entry.offline_most = copy.offline_most
       entry.is_copy = True
       entry.needs_flush = copy.is_behind
       return turn_messages.KnownProgram()
@@ -77,6 +78,8 @@
     else:
       entry.ledger = held
       entry.needs_flush = copy.is_behind
+      entry.offline_most = copy.offline_most
+    entry.is_guess = False
     entry.is_copy = True
     entry.used_at = time.monotonic()
     if not is_older and not lacks:
--- a/src/woadrun/process/program_copies.py
+++ b/src/woadrun/process/program_copies.py
@@ -77,14 +77,14 @@
       raise failure
 
   def send_far_behind(
-    self, entry: program_rows.Entry, turn: turn_messages.Turn
+    self, entry: program_rows.Entry, turns: tuple[turn_messages.Turn, ...]
   ) -> None:
-    """Sends a finished turn to each other domain; nobody waits for it.
+    """Sends a program after a turn to other domains; nobody waits for it.
 
     A domain that is cut off goes on with the programs whose callers it has:
     a fifth of all turns come in through another domain than the one before.
     """
-    message = self._make_copy(entry, (turn,))
+    message = self._make_copy(entry, turns)
     others = self._members.domains - {self._members.me.domain}
     for domain in choose_domains(entry.program, others):
       for member in self._members.rank(entry.program, domain)[:1]:
@@ -177,6 +177,7 @@
       saved_recent=held.saved.recent,
       is_behind=entry.needs_flush,
       version=held.version,
+      offline_most=entry.offline_most,
       turns=turns,
       unsaved=unsaved,
     )
--- a/src/woadrun/process/program_rows.py
+++ b/src/woadrun/process/program_rows.py
@@ -31,6 +31,9 @@
   `needs_flush` says that the row should not wait for the next call.
   `is_copy` says that another daemon told it last; `acted` has the turns that
   this daemon itself decided on and the store does not count yet.
+  `is_guess` says that neither the store nor a daemon was asked yet whether
+  the program is new; `began_apart` that it was taken for new while another
+  domain, which may have begun it, was out of sight.
   """
 
   program: str
@@ -41,6 +44,8 @@
   guarded_most: float | None = None
   needs_flush: bool = False
   is_copy: bool = False
+  is_guess: bool = False
+  began_apart: bool = False
   acted: set[str] = dataclasses.field(default_factory=set)
   used_at: float = dataclasses.field(default_factory=time.monotonic)
 
@@ -97,6 +102,7 @@
     except errors.WoadrunError as error:
       log.info('A budget was not read anew: %s', error.message)
       return
+    entry.is_guess = False
     if found.version > entry.ledger.version:
       entry.ledger.rebase(found.saved, found.version)
     for request in found.saved.reserved:
@@ -119,11 +125,13 @@
       held.note_saved(row, outcome.version)
       self._note_saved(entry)
       return True
+    entry.is_guess = False
     self._take_conflict(entry, outcome)
     return not held.is_dirty
 
   def _note_saved(self, entry: Entry) -> None:
     entry.attempts.clear()
+    entry.is_guess = False
     entry.offline_most = None
     entry.needs_flush = False
     held = entry.ledger
--- a/src/woadrun/process/programs.py
+++ b/src/woadrun/process/programs.py
@@ -114,14 +114,15 @@
       opened = await histories.find(
         ask.parent, cache=self.cache, store=self._turns
       )
-    if self._store.is_slow and not ask.is_away:
+    is_unsure = entry.is_guess and not ask.keeps_history
+    if self._store.is_slow and not ask.is_away and not is_unsure:
       # The standby's word comes a hundred times sooner than a slow write,
       # which held up each turn by half a second; the store gets it behind.
       # The end of a turn still waits for the store.
       await self._reservations.reserve_behind(entry, ask)
     else:
       async with entry.lock:
-        await self._reservations.reserve(entry, ask)
+        await self._reserve(entry, ask)
     log.debug(
       'Turn %s of %s may run: %d spent with it, row %d.',
       ask.request,
@@ -131,6 +132,16 @@
     )
     return opened
 
+  async def _reserve(
+    self, entry: program_rows.Entry, ask: turn_messages.OpenTurn
+  ) -> None:
+    try:
+      await self._reservations.reserve(entry, ask)
+    finally:
+      if entry.is_guess and not entry.ledger.reserved:
+        # The next call asks the others.
+        self.entry_by_program.pop(ask.program, None)
+
   async def close(self, done: turn_messages.CloseTurn) -> turn_messages.Closed:
     """Takes note of how a turn ended.
 
@@ -153,8 +164,8 @@
     turns = () if done.turn is None else (done.turn,)
     if done.is_saved:
       self._copies.send_behind(entry, turns)
-      if done.turn is not None and entry.ledger.home == self._members.me.domain:
-        self._copies.send_far_behind(entry, done.turn)
+      if entry.ledger.home == self._members.me.domain:
+        self._copies.send_far_behind(entry, turns)
     else:
       await self._copies.send(entry, turns)
     return turn_messages.Closed()
@@ -172,10 +183,7 @@
   ) -> program_rows.Entry:
     entry = self.entry_by_program.get(ask.program)
     if entry is None:
-      found = await self._find_ledger(ask, is_new=is_new)
-      loaded = program_rows.Entry(
-        program=ask.program, ledger=found, needs_flush=found.is_dirty
-      )
+      loaded = await self._find(ask, is_new=is_new)
       # Another call may have loaded it meanwhile.
       entry = self.entry_by_program.setdefault(ask.program, loaded)
     elif entry.is_copy and not self._store.is_reached:
@@ -190,14 +198,38 @@
       entry.ledger.merge(program_copies.decode(copy))
     entry.is_copy = False
 
-  async def _find_ledger(
+  async def _find(
     self, ask: turn_messages.OpenTurn, *, is_new: bool
-  ) -> ledger.Ledger:
+  ) -> program_rows.Entry:
     is_settled = self._store.is_reached and self._members.is_settled
     if is_settled and not ask.parent:
       # A first turn begins a program, or the failed condition of its first
       # write brings the row: nothing has to be read before.
-      return self._rows.make()
+      return program_rows.Entry(
+        program=ask.program, ledger=self._rows.make(), is_guess=True
+      )
+    views = await self._find_views(ask)
+    for view in views[1:]:
+      views[0].merge(view)
+    if views:
+      return program_rows.Entry(
+        program=ask.program, ledger=views[0], needs_flush=views[0].is_dirty
+      )
+    if not is_new:
+      raise errors.WoadrunError(
+        errors.Code.NOT_OWNER, 'The program is not known here.'
+      )
+    is_apart = bool(self._members.find_unsettled())
+    return program_rows.Entry(
+      program=ask.program,
+      ledger=self._rows.make(),
+      began_apart=is_apart and not ask.keeps_history,
+    )
+
+  async def _find_views(
+    self, ask: turn_messages.OpenTurn
+  ) -> list[ledger.Ledger]:
+    """Returns a program as the store and other members have it."""
     # Who had the program before may hold what it spent in an outage, which
     # the store does not have yet: without it a budget was exceeded.
     row, copies = await asyncio.gather(
@@ -208,23 +240,12 @@
     if isinstance(copies, BaseException):
       raise copies
     views = [program_copies.decode(copy) for copy in copies]
-    failure: errors.WoadrunError | None = None
     if isinstance(row, ledger.Ledger):
-      views.insert(0, row)
-    elif isinstance(row, errors.WoadrunError):
-      failure = row
-    else:
+      return [row, *views]
+    if not isinstance(row, errors.WoadrunError):
       raise row
-    for view in views[1:]:
-      views[0].merge(view)
-    if views:
-      return views[0]
-    if is_new:
-      return self._rows.make()
-    reason = failure.message if failure else ''
-    raise errors.WoadrunError(
-      errors.Code.NOT_OWNER, f'The program is not known here: {reason}'
-    ) from failure
+    log.info('Program %s was not read: %s', ask.program, row.message)
+    return views
 
   # --- What the store lacks -------------------------------------------------
 
--- a/src/woadrun/process/reservations.py
+++ b/src/woadrun/process/reservations.py
@@ -160,6 +160,15 @@
     budget: float,
     error: errors.WoadrunError,
   ) -> None:
+    if entry.is_guess and not ask.keeps_history:
+      # It may have spent its budget elsewhere: taken for new, each domain
+      # let it begin anew.
+      entry.ledger.settle(ask.request, 0)
+      raise errors.WoadrunError(
+        errors.Code.NOT_OWNER,
+        f'Whether the program is new is not known: {error.message}',
+        retry_after=RETRY_SECONDS,
+      ) from error
     # From now on a copy of another daemon does not undo it.
     entry.acted.add(ask.request)
     entry.needs_flush = True
@@ -198,7 +207,10 @@
   ) -> None:
     held = entry.ledger
     if entry.offline_most is None:
-      part = self._get_share(held.home, has_store=False)
+      # A program that may have begun elsewhere as well has the part of one
+      # that did: the other side counts on no more.
+      home = '' if entry.began_apart else held.home
+      part = self._get_share(home, has_store=False)
       before = held.spent - held.reserved.get(ask.request, 0)
       entry.offline_most = before + (budget - before) * part
     if held.spent > max(entry.offline_most, ask.most):
--- a/src/woadrun/request/serving.py
+++ b/src/woadrun/request/serving.py
@@ -66,7 +66,7 @@
       route = self._match(request)
       kind = route.kind.value
       deadline = _get_deadline(request, route)
-      if route.keeps_history and request.turn is not None:
+      if request.turn is not None and _needs_leave(request.turn, route):
         context = self._answer_turn(request, route, request.turn, deadline)
       else:
         context = self._answer_plain(request, route, deadline)
@@ -132,7 +132,7 @@
     turn: exchange.TurnInfo,
     deadline: float,
   ) -> AsyncIterator[exchange.Answer]:
-    opened = await self._open(request, turn, deadline)
+    opened = await self._open(request, route, turn, deadline)
     running = _RunningTurn(
       request=request, turn=turn, route=route, opened=opened
     )
@@ -159,13 +159,16 @@
   async def _open(
     self,
     request: exchange.Request,
+    route: routes.Route,
     turn: exchange.TurnInfo,
     deadline: float,
   ) -> turn_messages.OpenedTurn:
     left = exchange.get_seconds_left(deadline)
     try:
       async with asyncio.timeout(left):
-        return await self._leave.open(request, turn)
+        return await self._leave.open(
+          request, turn, keeps_history=route.keeps_history
+        )
     except TimeoutError:
       raise errors.WoadrunError(
         errors.Code.OWNER_UNAVAILABLE,
@@ -179,7 +182,8 @@
     async for chunk in reply.chunks:
       running.reader.feed(chunk)
       yield chunk
-    if not 200 <= reply.status < 300:
+    if not 200 <= reply.status < 300 or not running.route.keeps_history:
+      # Nothing is kept for a later turn: the budget is settled behind.
       return
     # The caller may continue from the turn once its answer ends: the end
     # is held back until the turn is kept.
@@ -263,6 +267,12 @@
   is_closed: bool = False
 
 
+def _needs_leave(turn: exchange.TurnInfo, route: routes.Route) -> bool:
+  """Returns whether a turn has a history, or a budget that all share."""
+  is_bounded = turn.budget is not None and route.kind is routes.Kind.STREAM
+  return route.keeps_history or is_bounded
+
+
 def _get_deadline(request: exchange.Request, route: routes.Route) -> float:
   limit = time.monotonic() + route.timeout
   if request.deadline is not None:
--- a/src/woadrun/request/turn_leave.py
+++ b/src/woadrun/request/turn_leave.py
@@ -68,15 +68,20 @@
   # --- Before a turn --------------------------------------------------------
 
   async def open(
-    self, request: exchange.Request, turn: exchange.TurnInfo
+    self,
+    request: exchange.Request,
+    turn: exchange.TurnInfo,
+    *,
+    keeps_history: bool = True,
   ) -> turn_messages.OpenedTurn:
-    """Returns the history of a turn once its tokens are reserved."""
+    """Returns the history of a turn, if any, once its tokens are reserved."""
     ask = turn_messages.OpenTurn(
       program=turn.program,
       request=request.id,
-      parent=turn.parent,
+      parent=turn.parent if keeps_history else '',
       most=turn.most,
       budget=turn.budget,
+      keeps_history=keeps_history,
     )
     mine = self._members.me.domain
     try:
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -30,6 +30,15 @@
       'retain_history': True,
       'retention_s': 60.0,
     },
+    {
+      'name': 'draft',
+      'host': 'h',
+      'path_prefix': '/draft/',
+      'kind': 'stream',
+      'service': 'models',
+      'timeout_ms': 5000,
+      'max_attempts': 2,
+    },
     {
       'name': 'act',
       'host': 'h',
@@ -226,13 +235,21 @@
       return answer.status, body
 
   async def turn(
-    self, name, id, *, parent='', program='p', most=10, budget=1000
+    self,
+    name,
+    id,
+    *,
+    parent='',
+    program='p',
+    most=10,
+    budget=1000,
+    path='/chat/',
   ):
     return await self.ask(
       name,
       make_request(
         id,
-        path='/chat/',
+        path=path,
         turn=exchange.TurnInfo(
           program=program, parent=parent, most=most, budget=budget, prompt=9
         ),
