Instances may start again under their id; foreign entries name none

An instance's life is its id with `born`. Load, failures, times, prefixes and connections are kept by life, so that a second one begins with nothing; an entry of an older life changes nothing, also after the newer one went. Entries with a field missing, of another type or out of range, a state that is not known, an address that is none, or bytes that cannot be read name no instance, and what the same row said before does not hold either; they are counted. A row whose value is no base64 hid the whole answer of the store. A program's row that another wrote is refused with 503, not run.

The fixtures of older tests lacked `zone` and `state`, which every instance writes: they have them now; what the tests assert is unchanged.

--- a/src/woadrun/platform/discovery.py
+++ b/src/woadrun/platform/discovery.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+import ipaddress
+from typing import Annotated
+from typing import Literal
+
 import msgspec
 
 from woadrun.connection import rows
@@ -14,27 +18,50 @@
 LAPSE_SECONDS = 2.5
 
 
+# The states in which an instance may be.
+_IS_DRAINING_BY_STATE = {'ready': False, 'draining': True}
+_Text = Annotated[str, msgspec.Meta(min_length=1)]
+
+
 class _Entry(msgspec.Struct, kw_only=True):
-  """What an instance writes of itself; other fields are not used yet."""
+  """What an instance writes of itself; other fields are not used yet.
 
-  service: str
-  address: str
-  zone: str = ''
-  slots: int = 1
-  state: str = 'ready'
+  `born` is the Unix millisecond of its start.
+  """
+
+  service: _Text
+  address: _Text
+  zone: _Text
+  slots: Annotated[int, msgspec.Meta(ge=1)]
+  state: Literal['ready', 'draining']
+  born: Annotated[int, msgspec.Meta(ge=0)] = 0
 
 
 def decode(row: rows.Row) -> instances.Instance:
   """Returns the instance that a row tells of.
 
-  Raises `msgspec.MsgspecError` where the row holds none.
+  Raises `msgspec.MsgspecError` where the row holds none: others may write to
+  the table, anything.
   """
   entry = msgspec.json.decode(row.value, type=_Entry)
+  _check_address(entry.address)
   return instances.Instance(
     id=row.key.name,
     service=entry.service,
     address=entry.address,
     domain=entry.zone,
     slots=entry.slots,
-    is_draining=entry.state != 'ready',
+    is_draining=_IS_DRAINING_BY_STATE[entry.state],
+    born=entry.born,
   )
+
+
+def _check_address(address: str) -> None:
+  host, _, port = address.rpartition(':')
+  try:
+    ipaddress.IPv4Address(host)
+    is_port = port.isdecimal() and 0 < int(port) < 65536
+  except ValueError:
+    is_port = False
+  if not is_port:
+    raise msgspec.ValidationError(f'{address!r} is no IP:PORT')
--- a/src/woadrun/platform/program.py
+++ b/src/woadrun/platform/program.py
@@ -41,7 +41,10 @@
   config = settings.load(os.environ[settings.PATH_VARIABLE])
   event_log.configure()
   connector = aiohttp.TCPConnector(
-    limit=node.MOST_CONNECTIONS, keepalive_timeout=node.REUSE_SECONDS
+    limit=node.MOST_CONNECTIONS,
+    keepalive_timeout=node.REUSE_SECONDS,
+    resolver=upstream.LifeResolver(),
+    use_dns_cache=False,
   )
   async with aiohttp.ClientSession(
     connector=connector,
--- a/src/woadrun/platform/store.py
+++ b/src/woadrun/platform/store.py
@@ -4,6 +4,7 @@
 
 import base64
 from collections.abc import Sequence
+import logging
 from typing import Any
 import urllib.parse
 
@@ -20,6 +21,9 @@
 WAIT_SLACK_SECONDS = 1.5
 
 
+log = logging.getLogger('woadrun.store')
+
+
 class _Place(msgspec.Struct, kw_only=True):
   """A row's key.  The page's `tls_key` is only the name of the row."""
 
@@ -41,9 +45,13 @@
 
 
 class _Row(_Place, kw_only=True):
-  """A row in an answer."""
+  """A row in an answer.
+
+  Others may write rows too: a value that is no base64 reads as empty, so that
+  it hides no other row.
+  """
 
-  value: str = ''
+  value: Any = ''
   ver: int = 0
   deleted: bool = False
 
@@ -166,12 +174,20 @@
 def _get_row(row: _Row) -> rows.Row:
   return rows.Row(
     key=rows.Key(row.table, row.part, row.tls_key),
-    value=base64.b64decode(row.value),
+    value=_decode_value(row),
     version=row.ver,
     is_removed=row.deleted,
   )
 
 
+def _decode_value(row: _Row) -> bytes:
+  try:
+    return base64.b64decode(row.value)
+  except (TypeError, ValueError) as error:
+    log.error('Row %s of %s has no value: %s', row.tls_key, row.table, error)
+    return b''
+
+
 def _get_page(answer: _Answer) -> rows.Page:
   found = tuple(_get_row(row) for row in answer.rows)
   return rows.Page(rows=found, version=answer.ver, is_cut=answer.truncated)
--- a/src/woadrun/platform/upstream.py
+++ b/src/woadrun/platform/upstream.py
@@ -6,12 +6,16 @@
 from collections.abc import AsyncGenerator
 from collections.abc import AsyncIterator
 import contextlib
+import hashlib
+import socket
 
 import aiohttp
+from aiohttp import abc
 import yarl
 
 from woadrun.platform import wire
 from woadrun.request import exchange
+from woadrun.version import instances
 
 # An instance that is there takes a connection within a round trip; one
 # that is dark or cut off never does.  In seconds.
@@ -20,6 +24,44 @@
 _NOT_ADDED = ('Accept', 'Accept-Encoding', 'User-Agent', 'Content-Type')
 
 
+class LifeResolver(abc.AbstractResolver):
+  """Resolves the names that stand for lives of instances, by themselves.
+
+  Connections are kept by host name: one of an instance's life before is so
+  never used for the next one at the same address, which would lose a request.
+  """
+
+  async def resolve(
+    self,
+    host: str,
+    port: int = 0,
+    family: socket.AddressFamily = socket.AF_INET,
+  ) -> list[abc.ResolveResult]:
+    """Returns the address in a name; nothing is looked up."""
+    _, _, ip = host.partition('.')
+    return [
+      abc.ResolveResult(
+        hostname=host,
+        host=ip,
+        port=port,
+        family=socket.AF_INET,
+        proto=0,
+        flags=socket.AI_NUMERICHOST,
+      )
+    ]
+
+  async def close(self) -> None:
+    """Does nothing: there is nothing to close."""
+
+
+def get_host(instance: instances.Instance) -> str:
+  """Returns IP:PORT, the IP behind a name of the life where it has one."""
+  if not instance.born:
+    return instance.address
+  life = hashlib.blake2b(instance.life.encode(), digest_size=8).hexdigest()
+  return f'l{life}.{instance.address}'
+
+
 class HttpUpstreams:
   """Sends each request once; implements `exchange.Upstreams`."""
 
@@ -54,7 +96,7 @@
   async def _request(self, sending: exchange.Sending) -> aiohttp.ClientResponse:
     request = sending.request
     url = yarl.URL(
-      f'http://{sending.instance.address}{request.target}', encoded=True
+      f'http://{get_host(sending.instance)}{request.target}', encoded=True
     )
     timeout = aiohttp.ClientTimeout(
       total=sending.seconds, sock_connect=CONNECT_SECONDS
--- a/src/woadrun/process/catalogue.py
+++ b/src/woadrun/process/catalogue.py
@@ -34,7 +34,8 @@
 
   `decode_table` and `decode_instance` raise `msgspec.MsgspecError` for a
   row that they cannot read.  `grace` is how long an entry that lapsed
-  while the store was away may take to come back, in seconds.
+  while the store was away may take to come back, in seconds.  `unreadable`
+  counts the rows of instances that could not be read.
   """
 
   def __init__(
@@ -55,6 +56,7 @@
     self._grace = grace
     self.table: routes.RoutingTable | None = None
     self.directory = instances.Directory(grace=grace)
+    self.unreadable = 0
     self._started_at = math.inf
     self._is_told = asyncio.Event()
     self._tables = feed.Feed(
@@ -155,6 +157,8 @@
       return
     instance = self._decode(row)
     if instance is None:
+      # What the entry said before does not hold either.
+      self.directory.remove(row.key.name)
       return
     known = self.directory.by_id.get(instance.id)
     if known != instance:
@@ -180,7 +184,8 @@
   def _decode(self, row: rows.Row) -> instances.Instance | None:
     try:
       return self._decode_instance(row)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+      self.unreadable += 1
       log.error('Row %s of instances is unreadable: %s', row.key.name, error)
       return None
 
--- a/src/woadrun/process/loads.py
+++ b/src/woadrun/process/loads.py
@@ -1,5 +1,8 @@
 """How busy each instance is, by all daemons' counts, and how fast.
 
+What is learned of an instance goes by its life: one that starts again under
+its id has nothing of what it had before.
+
 Each daemon counts its own requests and hears of the others' counts by
 their datagrams, so that no instance has to be asked.
 """
@@ -196,7 +199,7 @@
     cached_by_id: dict[str, int] | None = None,
   ) -> instances.Instance | None:
     """Returns the instance with the shortest expected time, if any."""
-    by_id = {item.id: item for item in found if item.id not in tried}
+    by_id = {item.life: item for item in found if item.life not in tried}
     now = time.monotonic()
     # A request to a domain that is cut off waits for its deadline: what was
     # sent may have run there and is not sent again.
@@ -235,8 +238,8 @@
   def estimate_return(self, found: list[instances.Instance]) -> float:
     """Returns when a refused request should find a free slot, in seconds."""
     counts = self._sum_counts(time.monotonic())
-    running = sum(self._add_own(item.id, counts) for item in found)
-    seconds = [self._get(item.id).seconds for item in found]
+    running = sum(self._add_own(item.life, counts) for item in found)
+    seconds = [self._get(item.life).seconds for item in found]
     return retry_after.estimate(
       running=running,
       slots=sum(item.slots for item in found),
@@ -267,16 +270,16 @@
     cached: int,
     added: float,
   ) -> routing.Candidate:
-    load = self._get(item.id)
+    load = self._get(item.life)
     # What a turn takes depends on the load of its engine, which counts by
     # itself here.
     seconds = FIRST_SECONDS if added else load.seconds
     if not load.has_rested(time.monotonic()):
       seconds += CONNECT_SECONDS
     return routing.Candidate(
-      name=item.id,
+      name=item.life,
       slots=item.slots,
-      running=self._add_own(item.id, counts),
+      running=self._add_own(item.life, counts),
       waiting=0,
       seconds=seconds + random.uniform(0, JITTER_SECONDS),
       cached=cached,
--- a/src/woadrun/process/node.py
+++ b/src/woadrun/process/node.py
@@ -223,6 +223,7 @@
       'members_known': len(self.fleet.member_by_name),
       'instances_known': len(self.catalogue.directory.by_id),
       'instances_avoided': len(self.loads.health.avoided),
+      'instance_rows_unreadable': self.catalogue.unreadable,
       'table_version': self.catalogue.version,
       'store_is_direct': self.store.is_direct,
       'peer_messages': self.links.messages,
@@ -256,7 +257,7 @@
   async def _forget_often(self) -> None:
     while not self.should_stop:
       await self.sleep(LOOK_SECONDS)
-      self.loads.forget(self.catalogue.directory.by_id.keys())
+      self.loads.forget(self.catalogue.directory.get_lives())
       self.loads.health.log_changes()
 
   # --- Messages of peers ----------------------------------------------------
--- a/src/woadrun/process/program_rows.py
+++ b/src/woadrun/process/program_rows.py
@@ -173,4 +173,13 @@
 
 
 def _decode(value: bytes) -> ledger.LedgerRow:
-  return msgspec.json.decode(value, type=ledger.LedgerRow)
+  try:
+    return msgspec.json.decode(value, type=ledger.LedgerRow)
+  except msgspec.MsgspecError as error:
+    # Another writer's: what the program spent is not known any more.
+    log.error('A row of a program is unreadable: %s', error)
+    raise errors.WoadrunError(
+      errors.Code.PLATFORM_UNAVAILABLE,
+      f'The row of the program is unreadable: {error}',
+      retry_after=1.0,
+    ) from error
--- a/src/woadrun/process/registration.py
+++ b/src/woadrun/process/registration.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Coroutine
 import logging
+from typing import Annotated
 from typing import Any
 
 import mode
@@ -26,8 +27,10 @@
 class MemberRow(msgspec.Struct, kw_only=True):
   """A member as it is registered."""
 
-  address: str
-  domain: str
+  address: Annotated[
+    str, msgspec.Meta(pattern=r'^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$')
+  ]
+  domain: Annotated[str, msgspec.Meta(min_length=1)]
   incarnation: str
 
 
--- a/src/woadrun/request/attempts.py
+++ b/src/woadrun/request/attempts.py
@@ -50,7 +50,7 @@
 class _Plan:
   """A request, where it was sent, and what is known of its outcome.
 
-  `tried` has the ids of instances, `cause` the last failure.
+  `tried` has the lives of instances, `cause` the last failure.
   """
 
   request: exchange.Request
@@ -153,9 +153,9 @@
     )
     if instance is None:
       return None
-    plan.tried.append(instance.id)
+    plan.tried.append(instance.life)
     if turn is not None:
-      self._load.note_prompt(instance.id, turn.parts)
+      self._load.note_prompt(instance.life, turn.parts)
     return exchange.Sending(
       request=plan.request,
       instance=instance,
@@ -218,7 +218,7 @@
       raise
 
   async def _try(self, sending: exchange.Sending) -> _Begun:
-    id = sending.instance.id
+    id = sending.instance.life
     stack = contextlib.AsyncExitStack()
     stack.enter_context(self._load.count(id))
     stack.callback(self._learn, sending, time.monotonic())
@@ -262,17 +262,19 @@
   def _learn(self, sending: exchange.Sending, started: float) -> None:
     instance = sending.instance
     seconds = time.monotonic() - started
-    self._load.note_seconds(instance.id, instance.service, seconds)
+    self._load.note_seconds(instance.life, instance.service, seconds)
 
   def _note_failure(
     self, sending: exchange.Sending, error: BaseException
   ) -> None:
     if isinstance(error, exchange.NotSent):
-      self._load.note_unreachable(sending.instance.id)
-      self._load.health.note_failure(sending.instance.id)
+      self._load.note_unreachable(sending.instance.life)
+      self._load.health.note_failure(sending.instance.life)
       self._log(sending, f'not sent: {error}')
     elif isinstance(error, exchange.Lost):
-      self._load.health.note_failure(sending.instance.id, health.SILENCE_WEIGHT)
+      self._load.health.note_failure(
+        sending.instance.life, health.SILENCE_WEIGHT
+      )
       self._log(sending, f'no answer: {error}')
 
   def _log(self, sending: exchange.Sending, outcome: str) -> None:
--- a/src/woadrun/request/serving.py
+++ b/src/woadrun/request/serving.py
@@ -211,7 +211,7 @@
       input=request.body,
       output=bytes(running.reader.data),
       tokens=tokens,
-      instance=running.instance.id if running.instance else '',
+      instance=running.instance.life if running.instance else '',
       ended_at=time.time(),
       retention=running.route.retention,
     )
--- a/src/woadrun/version/instances.py
+++ b/src/woadrun/version/instances.py
@@ -1,7 +1,8 @@
 """The live instances of upstreams, as the platform's list tells them.
 
-An instance is one start of an upstream; its id is never used again, while
-its address may be.
+An instance is one start of an upstream.  An upstream that starts again may
+have the id that it had, and its address may be given to another one: `born`
+tells one life from the next.
 """
 
 from __future__ import annotations
@@ -9,13 +10,17 @@
 from collections.abc import Iterable
 import dataclasses
 
+# Ids whose newest life is remembered after their entry went, the most.
+MOST_REMEMBERED = 10_000
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Instance:
   """One start of an upstream.
 
   `slots` is how many requests it runs at a time.  A draining instance
-  finishes what it has and takes nothing new.
+  finishes what it has and takes nothing new.  `born` is the Unix millisecond
+  of its start, 0 where it does not say.
   """
 
   id: str
@@ -24,6 +29,12 @@
   domain: str
   slots: int = 1
   is_draining: bool = False
+  born: int = 0
+
+  @property
+  def life(self) -> str:
+    """The id with its start: what is learned of an instance goes by this."""
+    return f'{self.id}.{self.born}' if self.born else self.id
 
 
 class Directory:
@@ -39,9 +50,13 @@
     self.by_id: dict[str, Instance] = {}
     self._ids_by_service: dict[str, dict[str, None]] = {}
     self._missing_since: dict[str, float] = {}
+    self._newest_born_by_id: dict[str, int] = {}
 
   def put(self, instance: Instance) -> None:
-    """Takes a new or changed entry in."""
+    """Takes a new or changed entry in, unless a later life is known."""
+    if instance.born < self._newest_born_by_id.get(instance.id, 0):
+      return
+    self._remember(instance)
     known = self.by_id.get(instance.id)
     if known is not None and known.service != instance.service:
       self.remove(instance.id)
@@ -49,6 +64,19 @@
     self.by_id[instance.id] = instance
     self._ids_by_service.setdefault(instance.service, {})[instance.id] = None
 
+  def _remember(self, instance: Instance) -> None:
+    if not instance.born:
+      return
+    # The newest last, so that the oldest are dropped.
+    self._newest_born_by_id.pop(instance.id, None)
+    self._newest_born_by_id[instance.id] = instance.born
+    if len(self._newest_born_by_id) > MOST_REMEMBERED:
+      del self._newest_born_by_id[next(iter(self._newest_born_by_id))]
+
+  def get_lives(self) -> set[str]:
+    """Returns the lives of all instances known."""
+    return {instance.life for instance in self.by_id.values()}
+
   def remove(self, id: str) -> Instance | None:
     """Returns the entry taken out, if there was one."""
     self._missing_since.pop(id, None)
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -13,6 +13,7 @@
 from woadrun.platform import discovery
 from woadrun.platform import operator
 from woadrun.process import node
+from woadrun.process import turn_store
 from woadrun.request import exchange
 from woadrun.standins import rows as standin
 
@@ -282,4 +283,20 @@
 
 
 def _entry(service):
-  return {'service': service, 'address': '127.0.0.1:9', 'slots': 8}
+  return {
+    'service': service,
+    'address': '127.0.0.1:9',
+    'zone': 'north',
+    'slots': 8,
+    'state': 'ready',
+  }
+
+
+def get_part(name):
+  """Returns the part of the store that a program's row lies in."""
+  return turn_store.get_part(name)
+
+
+def make_entry(**fields):
+  """Returns what an instance writes of itself, but for `fields`."""
+  return {**_entry('models'), **fields}
--- a/tests/test_catalogue.py
+++ b/tests/test_catalogue.py
@@ -25,7 +25,7 @@
 
 async def make_rows():
   kept = memory.MemoryRows()
-  entry = {'service': 'models', 'address': '127.0.0.1:9'}
+  entry = nodes.make_entry()
   await kept.change(
     writes=[
       (TABLE_KEY, msgspec.json.encode(nodes.CONFIG)),
@@ -163,7 +163,7 @@
 async def test_what_cannot_be_read_is_left_out_and_the_rest_goes_on():
   async with follow() as (known, kept):
     await kept.change(writes=[(server_key('bad'), b'{')])
-    entry = {'service': 'models', 'address': '127.0.0.1:9'}
+    entry = nodes.make_entry()
     await kept.change(writes=[(server_key('e3'), msgspec.json.encode(entry))])
     await nodes.wait_until(lambda: 'e3' in known.directory.by_id)
     assert 'bad' not in known.directory.by_id
--- a/tests/test_feed_sync.py
+++ b/tests/test_feed_sync.py
@@ -9,7 +9,7 @@
 from woadrun.process import feed_sync
 
 NAMES = ('n1', 'n2', 'n3', 'n4', 'n5')
-ENTRY = json.dumps({'service': 'models', 'address': '127.0.0.1:9'}).encode()
+ENTRY = json.dumps(nodes.make_entry()).encode()
 
 
 def key(id):
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -1,6 +1,7 @@
 """Requests to instances over real connections."""
 
 import asyncio
+import dataclasses
 
 import aiohttp
 from aiohttp import web
@@ -43,3 +44,40 @@
             asyncio.get_running_loop().call_later(0.1, reply.abort)
   assert seen == [b'data: x\n\n']
   await runner.cleanup()
+
+
+async def test_a_connection_of_one_life_is_not_used_for_the_next():
+  ports = []
+
+  async def answer(request):
+    ports.append(request.transport.get_extra_info('peername')[1])
+    assert request.headers['Host'] == 'h'
+    return web.Response(headers={'Request-Id': 'r'}, body=b'x')
+
+  runner = web.ServerRunner(web.Server(answer), shutdown_timeout=0.1)
+  await runner.setup()
+  port = nodes.find_port()
+  await web.TCPSite(runner, '127.0.0.1', port).start()
+  connector = aiohttp.TCPConnector(
+    resolver=upstream.LifeResolver(), use_dns_cache=False
+  )
+  async with aiohttp.ClientSession(connector=connector) as session:
+    found = upstream.HttpUpstreams(session=session)
+    for born in (1000, 1000, 2000):
+      request = nodes.make_request('r', path='/chat/')
+      sending = exchange.Sending(
+        request=dataclasses.replace(request, headers=[('Host', 'h')]),
+        instance=instances.Instance(
+          id='i',
+          service='s',
+          address=f'127.0.0.1:{port}',
+          domain='north',
+          born=born,
+        ),
+        body=b'',
+        seconds=20.0,
+      )
+      async with found.send(sending) as reply:
+        assert [chunk async for chunk in reply.chunks] == [b'x']
+  assert ports[0] == ports[1] != ports[2]
+  await runner.cleanup()
