--- a/src/woadrun/connection/http.py
+++ b/src/woadrun/connection/http.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import dataclasses
 
 import aiohttp
@@ -29,9 +30,12 @@
   timeout: float,
   body: bytes | None = None,
   headers: dict[str, str] | None = None,
+  on_silence: Callable[[], None] = lambda: None,
 ) -> Reply:
   """Returns the answer to one request.
 
+  `on_silence` is called where none came in time on an open connection.
+
   Raises a platform error when there is no answer in time or the service
   refuses for load or failure; a write may then have taken effect.
   """
@@ -45,6 +49,8 @@
   except aiohttp.ClientConnectorError as error:
     raise _unavailable(f'{url}: {error}', errors.Ran.NOT_RUN) from error
   except (TimeoutError, aiohttp.ClientError, OSError) as error:
+    if isinstance(error, TimeoutError):
+      on_silence()
     message = f'{url}: {error or "no answer in time"}'
     raise _unavailable(message, errors.Ran.UNKNOWN) from error
   if response.status == 429:
--- a/src/woadrun/connection/peers.py
+++ b/src/woadrun/connection/peers.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from woadrun import errors
+from woadrun.connection import fresh
 
 T = TypeVar('T')
 
@@ -22,6 +23,8 @@
   """A client of all other daemons.
 
   `codec` encodes messages and decodes answers; both sides use the same.
+  `addresses` has new connections made after a silence; the session must then
+  resolve its names.
   Errors come as JSON in any case.
   """
 
@@ -31,8 +34,10 @@
     session: aiohttp.ClientSession,
     key: str,
     codec: ModuleType = msgspec.json,
+    addresses: fresh.Addresses | None = None,
   ) -> None:
     self.session = session
+    self._addresses = addresses
     self._codec = codec
     self.headers = {'Authorization': f'Bearer {key}'}
     self.messages = 0
@@ -53,12 +58,13 @@
     Raises the peer's own error, or `owner_unavailable` where there is no
     answer; what the message asked for may then have been done.
     """
+    host = self._addresses.get_host(address) if self._addresses else address
     body = self._codec.encode(message)
     self.messages += 1
     self.sent_bytes += len(body)
     try:
       async with self.session.post(
-        f'http://{address}/peer/{path}',
+        f'http://{host}/peer/{path}',
         data=body,
         headers=self.headers,
         timeout=aiohttp.ClientTimeout(
@@ -67,6 +73,8 @@
       ) as response:
         data = await response.read()
     except (TimeoutError, aiohttp.ClientError, OSError) as error:
+      if isinstance(error, TimeoutError):
+        self.note_silence(address)
       raise errors.WoadrunError(
         errors.Code.OWNER_UNAVAILABLE,
         f'{address} gave no answer ({error.__class__.__name__}).',
@@ -74,7 +82,15 @@
         retry_after=1.0,
       ) from error
     self.received_bytes += len(data)
-    if response.status != 200:
+    return self._decode(response.status, data, type)
+
+  def note_silence(self, address: str) -> None:
+    """Uses new connections to a peer from now on, if any are known to do."""
+    if self._addresses is not None:
+      self._addresses.note_silence(address)
+
+  def _decode(self, status: int, data: bytes, type: type[T]) -> T:
+    if status != 200:
       raise errors.from_body(data)
     found: T = self._codec.decode(data, type=type)
     return found
--- a/src/woadrun/platform/program.py
+++ b/src/woadrun/platform/program.py
@@ -13,6 +13,7 @@
 from aiohttp import web
 
 from woadrun import errors
+from woadrun.connection import fresh
 from woadrun.connection import rows
 from woadrun.platform import discovery
 from woadrun.platform import ingress
@@ -40,11 +41,8 @@
   """Serves until SIGTERM, then finishes what runs."""
   config = settings.load(os.environ[settings.PATH_VARIABLE])
   event_log.configure()
-  connector = aiohttp.TCPConnector(
-    limit=node.MOST_CONNECTIONS,
-    keepalive_timeout=node.REUSE_SECONDS,
-    resolver=upstream.LifeResolver(),
-    use_dns_cache=False,
+  connector = fresh.make_connector(
+    limit=node.MOST_CONNECTIONS, keepalive=node.REUSE_SECONDS
   )
   async with aiohttp.ClientSession(
     connector=connector,
@@ -110,13 +108,16 @@
   config: node.NodeSettings, session: aiohttp.ClientSession
 ) -> node.Binding:
   """Returns what the daemon needs to know of this platform."""
+  addresses = fresh.Addresses()
   return node.Binding(
+    addresses=addresses,
     store=store.Store(
       session=session,
       address=config.store_address,
       timeout=node.STORE_SECONDS,
+      addresses=addresses,
     ),
-    upstreams=upstream.HttpUpstreams(session=session),
+    upstreams=upstream.HttpUpstreams(session=session, addresses=addresses),
     table_key=rows.Key(operator.TABLE, '', operator.ROW),
     instance_table=discovery.TABLE,
     decode_table=operator.decode,
--- a/src/woadrun/platform/store.py
+++ b/src/woadrun/platform/store.py
@@ -13,6 +13,7 @@
 import yarl
 
 from woadrun import errors
+from woadrun.connection import fresh
 from woadrun.connection import http
 from woadrun.connection import rows
 
@@ -76,16 +77,22 @@
   """A client of the platform's store; implements `rows.RowStore`."""
 
   def __init__(
-    self, *, session: aiohttp.ClientSession, address: str, timeout: float
+    self,
+    *,
+    session: aiohttp.ClientSession,
+    address: str,
+    timeout: float,
+    addresses: fresh.Addresses,
   ) -> None:
     self._session = session
+    self._addresses = addresses
     self._timeout = timeout
     self.calls = 0
     self.use_address(address)
 
   def use_address(self, address: str) -> None:
     """Sends further calls to IP:PORT."""
-    self._base = f'http://{address}/-/'
+    self.address = address
 
   async def change(
     self,
@@ -153,10 +160,11 @@
     body: bytes | None = None,
   ) -> http.Reply:
     self.calls += 1
-    url = self._base + call
+    url = f'http://{self._addresses.get_host(self.address)}/-/{call}'
     if query:
       url += '?' + urllib.parse.urlencode(query)
     headers = {'Content-Type': 'application/json'} if body else None
+    address = self.address
     return await http.send(
       self._session,
       method,
@@ -164,6 +172,7 @@
       body=body,
       headers=headers,
       timeout=timeout,
+      on_silence=lambda: self._addresses.note_silence(address),
     )
 
 
--- a/src/woadrun/platform/upstream.py
+++ b/src/woadrun/platform/upstream.py
@@ -6,67 +6,36 @@
 from collections.abc import AsyncGenerator
 from collections.abc import AsyncIterator
 import contextlib
-import hashlib
-import socket
+import time
 
 import aiohttp
-from aiohttp import abc
 import yarl
 
+from woadrun.connection import fresh
 from woadrun.platform import wire
 from woadrun.request import exchange
-from woadrun.version import instances
 
 # An instance that is there takes a connection within a round trip; one
 # that is dark or cut off never does.  In seconds.
 CONNECT_SECONDS = 0.5
+# An answer that has not begun after so long may be due to a connection that
+# went silent, in seconds: turns that wait for a place take less.
+SILENT_SECONDS = 1.0
 # What the client library would add by itself.
 _NOT_ADDED = ('Accept', 'Accept-Encoding', 'User-Agent', 'Content-Type')
 
 
-class LifeResolver(abc.AbstractResolver):
-  """Resolves the names that stand for lives of instances, by themselves.
-
-  Connections are kept by host name: one of an instance's life before is so
-  never used for the next one at the same address, which would lose a request.
-  """
-
-  async def resolve(
-    self,
-    host: str,
-    port: int = 0,
-    family: socket.AddressFamily = socket.AF_INET,
-  ) -> list[abc.ResolveResult]:
-    """Returns the address in a name; nothing is looked up."""
-    _, _, ip = host.partition('.')
-    return [
-      abc.ResolveResult(
-        hostname=host,
-        host=ip,
-        port=port,
-        family=socket.AF_INET,
-        proto=0,
-        flags=socket.AI_NUMERICHOST,
-      )
-    ]
-
-  async def close(self) -> None:
-    """Does nothing: there is nothing to close."""
-
-
-def get_host(instance: instances.Instance) -> str:
-  """Returns IP:PORT, the IP behind a name of the life where it has one."""
-  if not instance.born:
-    return instance.address
-  life = hashlib.blake2b(instance.life.encode(), digest_size=8).hexdigest()
-  return f'l{life}.{instance.address}'
-
-
 class HttpUpstreams:
   """Sends each request once; implements `exchange.Upstreams`."""
 
-  def __init__(self, *, session: aiohttp.ClientSession) -> None:
+  def __init__(
+    self,
+    *,
+    session: aiohttp.ClientSession,
+    addresses: fresh.Addresses,
+  ) -> None:
     self._session = session
+    self._addresses = addresses
 
   @contextlib.asynccontextmanager
   async def send(
@@ -95,9 +64,12 @@
 
   async def _request(self, sending: exchange.Sending) -> aiohttp.ClientResponse:
     request = sending.request
-    url = yarl.URL(
-      f'http://{get_host(sending.instance)}{request.target}', encoded=True
+    instance = sending.instance
+    host = self._addresses.get_host(
+      instance.address, life=instance.life if instance.born else ''
     )
+    url = yarl.URL(f'http://{host}{request.target}', encoded=True)
+    began = time.monotonic()
     timeout = aiohttp.ClientTimeout(
       total=sending.seconds, sock_connect=CONNECT_SECONDS
     )
@@ -117,7 +89,16 @@
     ) as error:
       raise exchange.NotSent(str(error) or type(error).__name__) from error
     except (aiohttp.ClientError, TimeoutError, OSError) as error:
+      self._note_silence(sending, began)
       raise exchange.Lost(str(error) or type(error).__name__) from error
+    except asyncio.CancelledError:
+      # Its caller has given up.
+      self._note_silence(sending, began)
+      raise
+
+  def _note_silence(self, sending: exchange.Sending, began: float) -> None:
+    if time.monotonic() - began > SILENT_SECONDS:
+      self._addresses.note_silence(sending.instance.address)
 
 
 def _is_reusable(response: aiohttp.ClientResponse) -> bool:
--- a/src/woadrun/process/node.py
+++ b/src/woadrun/process/node.py
@@ -20,6 +20,7 @@
 import msgspec
 
 from woadrun import errors
+from woadrun.connection import fresh
 from woadrun.connection import peers
 from woadrun.connection import rows
 from woadrun.connection import turn_messages
@@ -88,6 +89,7 @@
   away may take to come back, in seconds.
   """
 
+  addresses: fresh.Addresses
   store: rows.RowStore
   upstreams: exchange.Upstreams
   table_key: rows.Key
@@ -113,7 +115,12 @@
     super().__init__()
     self.config = config
     self.counters = counters.Counters()
-    self.links = peers.Peers(session=session, key='', codec=CODEC)
+    self.links = peers.Peers(
+      session=session,
+      key='',
+      codec=CODEC,
+      addresses=binding.addresses,
+    )
     self.store = store_access.StoreAccess(
       direct=binding.store, links=self.links, timeout=STORE_SECONDS
     )
--- a/src/woadrun/request/turn_leave.py
+++ b/src/woadrun/request/turn_leave.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections.abc import Callable
 import logging
+import time
 from typing import TypeVar
 
 import msgspec
@@ -32,6 +33,10 @@
 MOST_ASKED = 3
 # Between looks whether a peer that was asked is still alive, in seconds.
 LOOK_SECONDS = 0.15
+# A peer that has not answered after so long is asked again on a new
+# connection, in seconds: the one before may have gone silent.  Each message
+# counts once however often it comes.
+AGAIN_SECONDS = 0.6
 # An owner waits for the store at most so long, in seconds; the way and its
 # standby come on top.
 ASK_SECONDS = 3.0
@@ -266,22 +271,35 @@
   async def _post(
     self, member: beats.Member, path: str, message: object, type: type[T]
   ) -> T:
-    task = asyncio.ensure_future(
-      self._links.post(
-        member.address, path, message, type=type, timeout=ASK_SECONDS
+    began = time.monotonic()
+
+    def post() -> asyncio.Task[T]:
+      return asyncio.ensure_future(
+        self._links.post(
+          member.address, path, message, type=type, timeout=ASK_SECONDS
+        )
       )
-    )
+
+    tasks = [post()]
     try:
-      while not task.done():
-        await asyncio.wait({task}, timeout=LOOK_SECONDS)
-        if not task.done() and not self._members.is_alive(member.name):
+      while True:
+        await asyncio.wait(
+          tasks, timeout=LOOK_SECONDS, return_when=asyncio.FIRST_COMPLETED
+        )
+        for task in tasks:
+          if task.done():
+            return task.result()
+        if not self._members.is_alive(member.name):
           raise errors.WoadrunError(
             errors.Code.OWNER_UNAVAILABLE, f'{member.name} is silent.'
           )
-      return task.result()
+        if len(tasks) == 1 and time.monotonic() - began > AGAIN_SECONDS:
+          self._links.note_silence(member.address)
+          tasks.append(post())
     except errors.WoadrunError as error:
       if error.code is errors.Code.OWNER_UNAVAILABLE:
         self._members.note_failure(member.name)
       raise
     finally:
-      task.cancel()
+      for task in tasks:
+        task.cancel()
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from woadrun import errors
+from woadrun.connection import fresh
 from woadrun.connection import rows
 from woadrun.platform import discovery
 from woadrun.platform import operator
@@ -184,7 +185,11 @@
     return self.by_name[name]
 
   async def _start(self, name, *, address=None):
-    session = await self._stack.enter_async_context(aiohttp.ClientSession())
+    session = await self._stack.enter_async_context(
+      aiohttp.ClientSession(
+        connector=fresh.make_connector(limit=100, keepalive=4.0)
+      )
+    )
     view = self.view_by_name.setdefault(name, View(self.shared))
     config = node.NodeSettings(
       name=name,
@@ -200,6 +205,7 @@
       config=config,
       session=session,
       binding=node.Binding(
+        addresses=fresh.Addresses(),
         store=view,
         upstreams=self.engines,
         table_key=rows.Key('op', '', 'config'),
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -8,6 +8,7 @@
 import pytest
 
 from woadrun import errors
+from woadrun.connection import fresh
 from woadrun.connection import rows
 from woadrun.platform import standin
 from woadrun.platform import store
@@ -25,7 +26,12 @@
   await web.TCPSite(runner, '127.0.0.1', port).start()
   async with aiohttp.ClientSession() as session:
     yield (
-      store.Store(session=session, address=f'127.0.0.1:{port}', timeout=2.0),
+      store.Store(
+        session=session,
+        address=f'127.0.0.1:{port}',
+        timeout=2.0,
+        addresses=fresh.Addresses(),
+      ),
       kept,
     )
   await runner.cleanup()
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -29,9 +29,9 @@
     moved = {**GOOD, 'platform': {'address': '127.0.0.1:4'}}
     path.write_text(json.dumps(moved))
     program.reload(str(path), config, binding)
-    assert binding.store._base == 'http://127.0.0.1:4/-/'
+    assert binding.store.address == '127.0.0.1:4'
     assert 'different since the start: store_address' in caplog.text
     path.write_text(json.dumps({**GOOD, 'platform': {'address': 'x'}}))
     program.reload(str(path), config, binding)
-    assert binding.store._base == 'http://127.0.0.1:4/-/'
+    assert binding.store.address == '127.0.0.1:4'
     assert 'platform.address' in caplog.text
--- /dev/null
+++ b/tests/test_silence.py
@@ -0,0 +1,190 @@
+"""Kept connections that go silent for good, while new ones work."""
+
+import asyncio
+import contextlib
+import socket
+import types
+
+import aiohttp
+from aiohttp import web
+import msgspec
+import nodes
+import pytest
+
+from woadrun import errors
+from woadrun.connection import fresh
+from woadrun.connection import peers
+from woadrun.connection import turn_messages
+from woadrun.platform import store
+from woadrun.platform import upstream
+from woadrun.process import beats
+from woadrun.request import exchange
+from woadrun.request import turn_leave
+from woadrun.version import instances
+
+
+class Proxy:
+  """Passes bytes on; connections that are open when it is told swallow."""
+
+  def __init__(self, target):
+    self.target = target
+    self.silenced = set()
+    self.open = set()
+
+  async def serve(self, reader, writer):
+    back, out = await asyncio.open_connection('127.0.0.1', self.target)
+    me = object()
+    self.open.add(me)
+    with contextlib.suppress(ConnectionError):
+      await asyncio.gather(
+        self._pump(me, reader, out), self._pump(me, back, writer)
+      )
+    for end in (out, writer):
+      end.close()
+
+  async def _pump(self, me, reader, writer):
+    while data := await reader.read(4096):
+      if me not in self.silenced:
+        writer.write(data)
+
+  def silence(self):
+    self.silenced |= self.open
+
+
+@contextlib.asynccontextmanager
+async def make_way(answer):
+  """Yields a proxy before a server, its port, and a session."""
+  runner = web.ServerRunner(web.Server(answer), shutdown_timeout=0.1)
+  await runner.setup()
+  target = nodes.find_port()
+  await web.TCPSite(runner, '127.0.0.1', target).start()
+  proxy = Proxy(target)
+  server = await asyncio.start_server(proxy.serve, '127.0.0.1', 0)
+  port = server.sockets[0].getsockname()[1]
+  connector = fresh.make_connector(limit=10, keepalive=30.0)
+  async with aiohttp.ClientSession(connector=connector) as session:
+    # Several connections are kept.
+    yield proxy, f'127.0.0.1:{port}', session
+  server.close()
+  await runner.cleanup()
+
+
+async def answer_slowly(request):
+  await request.read()
+  await asyncio.sleep(0.05)
+  body = msgspec.msgpack.encode(turn_messages.Closed())
+  return web.Response(body=body, headers={'Request-Id': 'r'})
+
+
+async def test_one_silence_of_a_peer_leaves_all_its_connections():
+  async with make_way(answer_slowly) as (proxy, address, session):
+    links = peers.Peers(
+      session=session,
+      key='',
+      codec=msgspec.msgpack,
+      addresses=fresh.Addresses(),
+    )
+
+    async def post(timeout=0.4):
+      return await links.post(
+        address,
+        'x',
+        turn_messages.Closed(),
+        type=turn_messages.Closed,
+        timeout=timeout,
+      )
+
+    await asyncio.gather(*(post() for _ in range(3)))
+    proxy.silence()
+    with pytest.raises(errors.WoadrunError):
+      await post()
+    await asyncio.gather(*(post(5.0) for _ in range(3)))
+
+
+async def test_one_silence_of_the_store_leaves_all_its_connections():
+  async def answer(request):
+    await answer_slowly(request)
+    return web.json_response({'rows': [], 'ver': 1})
+
+  async with make_way(answer) as (proxy, address, session):
+    kept = store.Store(
+      session=session,
+      address=address,
+      timeout=0.4,
+      addresses=fresh.Addresses(),
+    )
+    await asyncio.gather(*(kept.read('t', '') for _ in range(3)))
+    proxy.silence()
+    with pytest.raises(errors.WoadrunError):
+      await kept.read('t', '')
+    await kept.read('t', '')
+
+
+async def test_one_silence_of_an_instance_leaves_all_its_connections():
+  async with make_way(answer_slowly) as (proxy, address, session):
+    found = upstream.HttpUpstreams(session=session, addresses=fresh.Addresses())
+    instance = instances.Instance(
+      id='i', service='s', address=address, domain='d', born=1000
+    )
+
+    async def send():
+      sending = exchange.Sending(
+        request=nodes.make_request('r', path='/look/'),
+        instance=instance,
+        body=b'',
+        seconds=20.0,
+      )
+      async with found.send(sending) as reply:
+        return [chunk async for chunk in reply.chunks]
+
+    await asyncio.gather(*(send() for _ in range(3)))
+    proxy.silence()
+    with pytest.raises(TimeoutError):
+      # The caller gives up.
+      async with asyncio.timeout(upstream.SILENT_SECONDS + 0.1):
+        await send()
+    async with asyncio.timeout(5):
+      await asyncio.gather(*(send() for _ in range(3)))
+
+
+async def test_an_owner_behind_a_silent_connection_is_asked_again():
+  class Links:
+    asked = 0
+    silent = ()
+
+    async def post(self, *_, **__):
+      self.asked += 1
+      if self.asked == 1:
+        await asyncio.Event().wait()
+      return turn_messages.OpenedTurn(instance='found')
+
+    def note_silence(self, address):
+      self.silent = (*self.silent, address)
+
+  links = Links()
+  owner = beats.Member(name='n2', address='127.0.0.1:7', domain='north')
+  members = types.SimpleNamespace(
+    me=beats.Member(name='n1', address='127.0.0.1:6', domain='north'),
+    rank=lambda program, domain: [owner],
+    is_alive=lambda name: True,
+  )
+  leave = turn_leave.TurnLeave(
+    members=members,
+    local=None,
+    links=links,
+    turns=None,
+    get_outage=lambda: 0.0,
+  )
+  request = nodes.make_request('r', path='/chat/')
+  async with asyncio.timeout(turn_leave.ASK_SECONDS - 0.5):
+    opened = await leave.open(request, exchange.TurnInfo(program='p'))
+  assert opened.instance == 'found'
+  assert links.silent == (owner.address,)
+
+
+def test_sockets_notice_silence_by_themselves():
+  info = (socket.AF_INET, socket.SOCK_STREAM, 0, '', ())
+  with fresh.make_socket(info) as made:
+    assert made.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+    found = made.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+    assert found == fresh.ACKNOWLEDGED_MS
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -8,6 +8,7 @@
 import nodes
 import pytest
 
+from woadrun.connection import fresh
 from woadrun.platform import upstream
 from woadrun.request import exchange
 from woadrun.version import instances
@@ -35,7 +36,7 @@
   )
   seen = []
   async with aiohttp.ClientSession() as session:
-    found = upstream.HttpUpstreams(session=session)
+    found = upstream.HttpUpstreams(session=session, addresses=fresh.Addresses())
     async with asyncio.timeout(5):
       async with found.send(sending) as reply:
         with pytest.raises(exchange.Lost):
@@ -58,11 +59,9 @@
   await runner.setup()
   port = nodes.find_port()
   await web.TCPSite(runner, '127.0.0.1', port).start()
-  connector = aiohttp.TCPConnector(
-    resolver=upstream.LifeResolver(), use_dns_cache=False
-  )
+  connector = fresh.make_connector(limit=10, keepalive=5.0)
   async with aiohttp.ClientSession(connector=connector) as session:
-    found = upstream.HttpUpstreams(session=session)
+    found = upstream.HttpUpstreams(session=session, addresses=fresh.Addresses())
     for born in (1000, 1000, 2000):
       request = nodes.make_request('r', path='/chat/')
       sending = exchange.Sending(
