A peer that refuses is not taken for lost

An owner's refusal (a part of a budget is spent) has the code of a peer that gave no answer, so that each refusal left the owner aside for half a second; programs without end are refused all the time. Ruled out: lost datagrams (no member was logged as silent), slow copies. Only a peer that gives no answer at all is left aside now.

--- a/src/woadrun/connection/peers.py
+++ b/src/woadrun/connection/peers.py
@@ -19,6 +19,10 @@
 CONNECT_SECONDS = 0.5
 
 
+class NoAnswer(errors.WoadrunError):
+  """Raised where a peer gave no answer, not even a refusal."""
+
+
 class Peers:
   """A client of all other daemons.
 
@@ -55,8 +59,8 @@
   ) -> T:
     """Returns a peer's answer to one message.
 
-    Raises the peer's own error, or `owner_unavailable` where there is no
-    answer; what the message asked for may then have been done.
+    Raises the peer's own error, or `NoAnswer` where there is none; what the
+    message asked for may then have been done.
     """
     host = self._addresses.get_host(address) if self._addresses else address
     body = self._codec.encode(message)
@@ -75,7 +79,7 @@
     except (TimeoutError, aiohttp.ClientError, OSError) as error:
       if isinstance(error, TimeoutError):
         self.note_silence(address)
-      raise errors.WoadrunError(
+      raise NoAnswer(
         errors.Code.OWNER_UNAVAILABLE,
         f'{address} gave no answer ({error.__class__.__name__}).',
         ran=errors.Ran.UNKNOWN,
--- a/src/woadrun/process/program_copies.py
+++ b/src/woadrun/process/program_copies.py
@@ -71,7 +71,8 @@
           entry.ledger.merge(decode(known.copy))
         return
       except errors.WoadrunError as error:
-        self._members.note_failure(member.name)
+        if isinstance(error, peers.NoAnswer):
+          self._members.note_failure(member.name)
         failure = error
     if failure is not None:
       raise failure
--- a/src/woadrun/request/turn_leave.py
+++ b/src/woadrun/request/turn_leave.py
@@ -296,9 +296,11 @@
         if len(tasks) == 1 and time.monotonic() - began > AGAIN_SECONDS:
           self._links.note_silence(member.address)
           tasks.append(post())
-    except errors.WoadrunError as error:
-      if error.code is errors.Code.OWNER_UNAVAILABLE:
-        self._members.note_failure(member.name)
+    except peers.NoAnswer:
+      # A peer that refuses is well.  Counted as lost, the owners of programs
+      # whose part of a budget was spent were left aside in a cut, until their
+      # daemons took themselves for isolated and refused all: 55 turns in 5 s.
+      self._members.note_failure(member.name)
       raise
     finally:
       for task in tasks:
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -188,3 +188,35 @@
     assert made.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
     found = made.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
     assert found == fresh.ACKNOWLEDGED_MS
+
+
+@pytest.mark.parametrize(
+  ('error', 'is_left'),
+  [(errors.WoadrunError, False), (peers.NoAnswer, True)],
+)
+async def test_only_a_peer_that_gives_no_answer_is_left_aside(error, is_left):
+  class Links:
+    async def post(self, *_, **__):
+      raise error(errors.Code.OWNER_UNAVAILABLE, 'Its part is spent.')
+
+  left = []
+  owner = beats.Member(name='n2', address='127.0.0.1:7', domain='north')
+  members = types.SimpleNamespace(
+    me=beats.Member(name='n1', address='127.0.0.1:6', domain='north'),
+    member_by_name={'n2': owner},
+    rank=lambda program, domain: [owner],
+    is_alive=lambda name: True,
+    is_settled=False,
+    note_failure=left.append,
+  )
+  leave = turn_leave.TurnLeave(
+    members=members,
+    local=None,
+    links=Links(),
+    turns=None,
+    get_outage=lambda: 0.0,
+  )
+  request = nodes.make_request('r', path='/chat/')
+  with pytest.raises(errors.WoadrunError):
+    await leave.open(request, exchange.TurnInfo(program='p'))
+  assert left == (['n2'] if is_left else [])
