A look at failing instances does not change what was told

Each choice of an instance went through what this daemon tells, and added the peers' failures to it: a hub's sum was then corrected by figures that it never had. The look and the telling are two functions now. The test failed first.

--- a/src/woadrun/process/health.py
+++ b/src/woadrun/process/health.py
@@ -123,23 +123,27 @@
   # --- What is told ---------------------------------------------------------
 
   def tell(self) -> dict[str, float]:
-    """Returns what this daemon saw, as it goes to peers."""
+    """Returns what this daemon saw, and remembers that it goes to peers."""
+    self._told = self.get_seen()
+    self._record_by_id = {
+      id: record
+      for id, record in self._record_by_id.items()
+      if id in self._told
+    }
+    return self._told
+
+  def get_seen(self) -> dict[str, float]:
+    """Returns the failures that this daemon saw itself, by instance."""
     now = time.monotonic()
     seen = {id: _fade(record, now) for id, record in self._record_by_id.items()}
     for sent in self._sent_by_request.values():
       if self._is_overdue(sent, now):
         seen[sent.id] = seen.get(sent.id, 0.0) + SILENCE_WEIGHT
-    self._record_by_id = {
-      id: record
-      for id, record in self._record_by_id.items()
-      if seen[id] >= LEAST_FAILURES
-    }
-    self._told = {
+    return {
       id: round(min(failures, MOST_FAILURES), 1)
       for id, failures in seen.items()
       if failures >= LEAST_FAILURES
     }
-    return self._told
 
   def take(self, source: str, failing: dict[str, float]) -> None:
     """Takes in what a peer saw."""
@@ -156,7 +160,7 @@
   def get_all(self) -> dict[str, float]:
     """Returns the failures to heed, of all instances that have any."""
     now = time.monotonic()
-    total = self.tell()
+    total = self.get_seen()
     for at, failing in self._told_by_source.values():
       if now - at < TOLD_SECONDS:
         for id, failures in failing.items():
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -209,3 +209,19 @@
     ]
     assert found == [200] * 15
     assert fleet.engines.met == met
+
+
+def test_a_look_does_not_change_what_was_told(clock):
+  found = health.Health()
+  found.note_failure('a', 3.0)
+  assert found.tell() == {'a': 3.0}
+  # Seen after the hub made its sum, and looked at.
+  found.note_failure('a', 2.0)
+  found.take('peer', {'a': 1.0})
+  found.get_all()
+  found.take('peer', {})
+  # The sum has the 3 that were told, and 2 of others.
+  found.take_sum({'a': 5.0}, age=0.0)
+  assert found.get_all() == {'a': health.MOST_FAILURES - health.TOLERATED}
+  found._record_by_id.clear()
+  assert found.get_all() == {'a': 2.0 - health.TOLERATED}
