In an outage the home spends the whole budget while all domains are heard

A turn may take 288 tokens of the usual 900, so that half of a budget has room for one turn at a time and a quarter for none after the first. Now the home has all of it while every domain is heard, and a part of what is left when one goes out of sight. A program that may have begun elsewhere too (in a cut, or before a daemon that has just started) has the smaller part, and uses the one turn by which a budget may be overrun. Other domains are told of a program at its begin and of its turns in an outage, so that they do not take it for new.

--- a/src/woadrun/connection/turn_messages.py
+++ b/src/woadrun/connection/turn_messages.py
@@ -103,7 +103,8 @@
   Answered by `KnownProgram`.  `saved_*` and `version` are what the row store
   had at last, `given` what turns were given since, in tokens by request.
   `is_behind` says that the store lacks something that no stored turn tells,
-  `offline_most` bounds what may be spent without the store.
+  `offline_most` bounds what may be spent without the store, as
+  `offline_share` of what was left.
   """
 
   program: str
@@ -115,7 +116,9 @@
   saved_recent: tuple[str, ...]
   is_behind: bool
   version: int
+  is_split: bool = False
   offline_most: float | None = None
+  offline_share: float | None = None
   turns: tuple[Turn, ...] = ()
   unsaved: tuple[str, ...] = ()
 
--- a/src/woadrun/decisions/shares.py
+++ b/src/woadrun/decisions/shares.py
@@ -7,8 +7,8 @@
 
 from __future__ import annotations
 
-# The home domain's part while it has no store; the other half is for those
-# that may reach the store meanwhile.
+# The home domain's part while it has no store and another domain is out of
+# sight, which may reach the store meanwhile: the other half is for that one.
 HOME_SHARE = 0.5
 
 
@@ -32,4 +32,8 @@
   if has_store:
     whole = 1.0 if is_home else 1 - HOME_SHARE
     return max(0.0, whole - unsettled * alone)
-  return HOME_SHARE if is_home else alone
+  if not is_home:
+    return alone
+  # While all are heard nobody else spends.  With half of it, a program whose
+  # turns may each take a third of its budget had room for one turn at a time.
+  return HOME_SHARE if unsettled else 1.0
--- a/src/woadrun/process/copy_intake.py
+++ b/src/woadrun/process/copy_intake.py
@@ -63,6 +63,7 @@
       entry = program_rows.Entry(program=copy.program, ledger=held)
       self._entry_by_program[copy.program] = entry
       entry.offline_most = copy.offline_most
+      entry.offline_share = copy.offline_share
       entry.is_copy = True
       entry.needs_flush = copy.is_behind
       return turn_messages.KnownProgram()
@@ -79,6 +80,7 @@
       entry.ledger = held
       entry.needs_flush = copy.is_behind
       entry.offline_most = copy.offline_most
+      entry.offline_share = copy.offline_share
     entry.is_guess = False
     entry.is_copy = True
     entry.used_at = time.monotonic()
@@ -110,6 +112,7 @@
       home=copy.home,
       settled=copy.saved_settled + sum(copy.given.values()),
       reserved=copy.reserved,
+      is_split=copy.is_split,
     )
     held = ledger.Ledger(saved=row, version=0)
     if entry is None:
--- a/src/woadrun/process/program_copies.py
+++ b/src/woadrun/process/program_copies.py
@@ -178,7 +178,9 @@
       saved_recent=held.saved.recent,
       is_behind=entry.needs_flush,
       version=held.version,
+      is_split=held.saved.is_split,
       offline_most=entry.offline_most,
+      offline_share=entry.offline_share,
       turns=turns,
       unsaved=unsaved,
     )
@@ -201,6 +203,7 @@
     settled=copy.saved_settled,
     reserved=copy.saved_reserved,
     recent=copy.saved_recent,
+    is_split=copy.is_split,
   )
   found = ledger.Ledger(saved=saved, version=copy.version)
   found.given = dict(copy.given)
--- a/src/woadrun/process/program_rows.py
+++ b/src/woadrun/process/program_rows.py
@@ -27,15 +27,14 @@
   """A program in memory.
 
   `attempts` are the ids of writes that may have been done although no
-  answer came.  `offline_most` bounds the budget while the store is out,
-  `guarded_most` while another domain may spend without it.
+  answer came.  `offline_most` bounds the budget while the store is out, as
+  `offline_share` of what was left then; `guarded_most` while another domain
+  may spend without it.
   `needs_flush` says that the row should not wait for the next call.
   `is_copy` says that another daemon told it last; `acted` has the turns that
   this daemon itself decided on and the store does not count yet.
   `is_guess` says that neither the store nor a daemon was asked yet whether
-  the program is new; `began_apart` that it was taken for new while another
-  domain, which may have begun it, was out of sight.  `prefixes` tells where
-  its prompts were read.
+  the program is new.  `prefixes` tells where its prompts were read.
   """
 
   program: str
@@ -43,11 +42,11 @@
   lock: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
   attempts: set[str] = dataclasses.field(default_factory=set)
   offline_most: float | None = None
+  offline_share: float | None = None
   guarded_most: float | None = None
   needs_flush: bool = False
   is_copy: bool = False
   is_guess: bool = False
-  began_apart: bool = False
   acted: set[str] = dataclasses.field(default_factory=set)
   used_at: float = dataclasses.field(default_factory=time.monotonic)
   prefixes: prefixes.Prefixes = dataclasses.field(
@@ -74,19 +73,27 @@
     self._cache = cache
     self._domain = domain
 
-  def make(self) -> ledger.Ledger:
-    """Returns the budget of a program that begins here."""
-    row = ledger.LedgerRow(home=self._domain)
+  def make(self, *, is_split: bool = False) -> ledger.Ledger:
+    """Returns the budget of a program that begins here.
+
+    With `is_split` it may have begun elsewhere too.
+    """
+    row = ledger.LedgerRow(home=self._domain, is_split=is_split)
     return ledger.Ledger(saved=row, version=0)
 
-  async def read(self, program: str) -> ledger.Ledger:
-    """Returns a program's budget as the store has it."""
+  async def read(
+    self, program: str, *, is_split: bool = False
+  ) -> ledger.Ledger:
+    """Returns a program's budget as the store has it.
+
+    One that it does not have is new, as with `make`.
+    """
     key = _get_key(program)
     page = await self._store.read(
       TABLE, key.part, first=program, end=f'{program}\0'
     )
     if not page.rows:
-      return self.make()
+      return self.make(is_split=is_split)
     row = _decode(page.rows[0].value)
     found = ledger.Ledger(saved=row, version=page.rows[0].version)
     await self._resolve(found)
@@ -138,6 +145,7 @@
     entry.attempts.clear()
     entry.is_guess = False
     entry.offline_most = None
+    entry.offline_share = None
     entry.needs_flush = False
     held = entry.ledger
     entry.acted = {
--- a/src/woadrun/process/programs.py
+++ b/src/woadrun/process/programs.py
@@ -34,6 +34,9 @@
 
 # A program without a call for so long leaves the memory, in seconds.
 IDLE_SECONDS = 60.0
+# A daemon that started so shortly ago may have forgotten programs that still
+# run, in seconds: what it does not know is new only if the store says so.
+YOUNG_SECONDS = 20.0
 PARALLEL_HANDOVERS = 16
 # A program without a call for so long is not handed over at a planned stop,
 # in seconds: its pauses are shorter.
@@ -52,6 +55,7 @@
     links: peers.Peers,
   ) -> None:
     super().__init__()
+    self._created_at = time.monotonic()
     self._members = members
     self._store = store
     self._turns = turns
@@ -121,8 +125,12 @@
       # The end of a turn still waits for the store.
       await self._reservations.reserve_behind(entry, ask)
     else:
+      is_new = entry.is_guess
       async with entry.lock:
         await self._reserve(entry, ask)
+      if is_new and home == entry.ledger.home:
+        # A cut that begins now finds the program known on its other side.
+        self._copies.send_far_behind(entry, ())
     log.debug(
       'Turn %s of %s may run: %d spent with it, row %d.',
       ask.request,
@@ -167,10 +175,10 @@
     turns = () if done.turn is None else (done.turn,)
     if done.is_saved:
       self._copies.send_behind(entry, turns)
-      if entry.ledger.home == self._members.me.domain:
-        self._copies.send_far_behind(entry, turns)
     else:
       await self._copies.send(entry, turns)
+    if entry.ledger.home == self._members.me.domain:
+      self._copies.send_far_behind(entry, turns)
     return turn_messages.Closed()
 
   def keep(self, done: turn_messages.CloseTurn) -> None:
@@ -222,11 +230,10 @@
       raise errors.WoadrunError(
         errors.Code.NOT_OWNER, 'The program is not known here.'
       )
-    is_apart = bool(self._members.find_unsettled())
+    is_young = time.monotonic() - self._created_at < YOUNG_SECONDS
+    is_split = is_young or bool(self._members.find_unsettled())
     return program_rows.Entry(
-      program=ask.program,
-      ledger=self._rows.make(),
-      began_apart=is_apart and not ask.keeps_history,
+      program=ask.program, ledger=self._rows.make(is_split=is_split)
     )
 
   async def _find_views(
@@ -236,7 +243,9 @@
     # Who had the program before may hold what it spent in an outage, which
     # the store does not have yet: without it a budget was exceeded.
     row, copies = await asyncio.gather(
-      self._rows.read(ask.program),
+      self._rows.read(
+        ask.program, is_split=bool(self._members.find_unsettled())
+      ),
       self._copies.ask(ask.program),
       return_exceptions=True,
     )
--- a/src/woadrun/process/reservations.py
+++ b/src/woadrun/process/reservations.py
@@ -113,7 +113,7 @@
     # The home domain may be spending the other half without the store.
     held = entry.ledger
     if held.away_most is None and budget < math.inf:
-      part = self._get_share(held.home, has_store=True)
+      part = self._get_share(held, has_store=True)
       held.away_most = held.spent + int((budget - held.spent) * part)
     if held.away_most is None:
       return
@@ -136,7 +136,7 @@
       held.away_most = None
       return
     if entry.guarded_most is None:
-      part = self._get_share(held.home, has_store=True)
+      part = self._get_share(held, has_store=True)
       entry.guarded_most = held.spent + (budget - held.spent) * part
     if not held.can_reserve(ask.most, most=entry.guarded_most):
       raise errors.WoadrunError(
@@ -145,12 +145,17 @@
         retry_after=retry_after.estimate_outage(self._members.get_silence()),
       )
 
-  def _get_share(self, home: str, *, has_store: bool) -> float:
+  def _get_share(self, held: ledger.Ledger, *, has_store: bool) -> float:
+    is_home = held.home == self._members.me.domain
+    if held.saved.is_split and not has_store:
+      # Another domain may take itself for the home as well.
+      is_home = False
+    unsettled = len(self._members.find_unsettled() - {held.home})
     return shares.get_share(
-      is_home=home == self._members.me.domain,
+      is_home=is_home,
       has_store=has_store,
       domains=len(self._members.domains),
-      unsettled=len(self._members.find_unsettled() - {home}),
+      unsettled=unsettled,
     )
 
   async def _reserve_without_store(
@@ -206,14 +211,20 @@
     self, entry: program_rows.Entry, ask: turn_messages.OpenTurn, budget: float
   ) -> None:
     held = entry.ledger
-    if entry.offline_most is None:
-      # A program that may have begun elsewhere as well has the part of one
-      # that did: the other side counts on no more.
-      home = '' if entry.began_apart else held.home
-      part = self._get_share(home, has_store=False)
+    part = self._get_share(held, has_store=False)
+    # A domain that goes out of sight later has a part of what is left then.
+    if entry.offline_most is None or entry.offline_share != part:
       before = held.spent - held.reserved.get(ask.request, 0)
       entry.offline_most = before + (budget - before) * part
-    if held.spent > max(entry.offline_most, ask.most):
+      entry.offline_share = part
+    most = max(entry.offline_most, ask.most)
+    if held.saved.is_split and held.spent - ask.most < entry.offline_most:
+      # A program may overrun its budget by one turn, which is used here, where
+      # most programs that may have begun elsewhere have not: a quarter of the
+      # usual budget is less than the most of one turn, and their second turns
+      # were refused until the cut had healed.
+      most = held.spent
+    if held.spent > most:
       raise errors.WoadrunError(
         errors.Code.PLATFORM_UNAVAILABLE,
         'The store is out, and the part of the budget that needs none is '
--- a/src/woadrun/version/ledger.py
+++ b/src/woadrun/version/ledger.py
@@ -20,9 +20,10 @@
   the failure domain that serves the program while the store is out.
   `away_most` bounds what other domains may spend while they cannot reach
   it.  `recent` names turns that were settled without having been reserved in
-  a row, the newest last.  `write` is the id of the last change, by which a
-  writer whose answer was lost knows its own; `written_at` is its time of day,
-  in seconds.
+  a row, the newest last.  `is_split` says that the program may have begun
+  elsewhere too, out of sight, or before the daemons here started.  `write` is
+  the id of the last change, by which a writer whose answer was lost knows its
+  own; `written_at` is its time of day, in seconds.
   """
 
   home: str
@@ -30,6 +31,7 @@
   reserved: dict[str, int] = {}
   away_most: int | None = None
   recent: tuple[str, ...] = ()
+  is_split: bool = False
   write: str = ''
   written_at: float = 0.0
 
@@ -107,6 +109,7 @@
       recent=(*saved.recent, *unseen)[-MOST_RECENT:],
       reserved=dict(self.reserved),
       away_most=self.away_most,
+      is_split=saved.is_split,
       write=write,
       written_at=now,
     )
--- a/tests/test_cut_domains.py
+++ b/tests/test_cut_domains.py
@@ -163,6 +163,22 @@
   assert total <= 1 + 1e-9
 
 
+async def test_a_program_begun_on_both_sides_of_a_cut_keeps_its_budget():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1', 's1')
+    fleet.view_by_name['s1'].is_cut = True
+    north, south = fleet.by_name['n1'], fleet.by_name['s1']
+    for daemon, other in ((north, 'south'), (south, 'north')):
+      daemon.fleet.is_silent = lambda domain, other=other: domain == other
+      daemon.fleet.is_alive = lambda name, me=daemon: name == me.config.name
+    await nodes.wait_until(
+      lambda: not south.store.is_reached and south.fleet.find_silent()
+    )
+    ran = [await spend_all(fleet, name, name) for name in ('n1', 's1')]
+    assert min(ran) > 0
+    assert sum(ran) * 6 <= 306 + 10
+
+
 async def test_domains_that_each_name_the_other_as_home_lose_no_history():
   """Both began the program while one of them was cut off."""
   async with nodes.Nodes() as fleet:
