Turns told to other domains in an outage outlast their own domain

The daemons of other domains that are told of a turn now bring it to the store as well. The test failed first.

--- a/src/woadrun/process/copy_intake.py
+++ b/src/woadrun/process/copy_intake.py
@@ -53,10 +53,7 @@
     Answers with a copy of its own where that counts what the owner did not:
     an owner that was frozen, or one that got only an older copy.
     """
-    for turn in copy.turns:
-      self._cache.put(turn)
-      if turn.request in copy.unsaved:
-        self._unsaved[turn.request] = turn
+    self._keep(copy)
     held = program_copies.decode(copy)
     entry = self._entry_by_program.get(copy.program)
     if entry is None:
@@ -103,8 +100,7 @@
     What is spent here counts on top of it.  The row in the store is the
     home's: a change of ours is brought onto it by a failed condition.
     """
-    for turn in copy.turns:
-      self._cache.put(turn)
+    self._keep(copy)
     entry = self._entry_by_program.get(copy.program)
     if entry is not None and self._is_mine(entry, copy):
       return turn_messages.KnownProgram()
@@ -124,6 +120,17 @@
       entry.used_at = time.monotonic()
     return turn_messages.KnownProgram()
 
+  def _keep(self, copy: turn_messages.LedgerCopy) -> None:
+    """Keeps the turns of a copy, and brings to the store what it lacks.
+
+    So does a daemon of another domain: three daemons of one domain that were
+    killed in turn within an outage took finished turns with them.
+    """
+    for turn in copy.turns:
+      self._cache.put(turn)
+      if turn.request in copy.unsaved:
+        self._unsaved[turn.request] = turn
+
   def _is_mine(
     self, entry: program_rows.Entry, copy: turn_messages.LedgerCopy
   ) -> bool:
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -126,6 +126,24 @@
     assert spent == 4 * 6
 
 
+async def test_a_turn_outlasts_all_daemons_of_its_domain_in_an_outage():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1', 'n2', 's1')
+    await fleet.turn('n1', 'a')
+    fleet.shared.is_out = True
+    await fleet.turn('n1', 'b', parent='a')
+    south = fleet.by_name['s1'].programs
+    await nodes.wait_until(lambda: 'b' in south.unsaved)
+    await fleet.stop('n1')
+    await fleet.stop('n2')
+    fleet.shared.is_out = False
+    await nodes.wait_until(lambda: not south.unsaved)
+    north = await fleet.start_alone('n3')
+    await nodes.wait_until(lambda: north.is_ready() and north.store.is_direct)
+    await fleet.turn('n3', 'c', parent='b')
+    assert fleet.get_body('c') == b'<a>a-0\na-1\n<b>b-0\nb-1\n<c>'
+
+
 async def test_the_standby_goes_on_when_the_owner_dies_in_an_outage():
   async with nodes.Nodes() as fleet:
     await fleet.start('n1', 'n2', 'n3')
