Callers come back after 1.5 s at least while a part is out of reach

Cause: a turn has some six tries, and a refusal of 0.5 s let callers spend them within 2 s of a cut that lasts five. What is told as an outage has lasted for 0.9 s of silence already.

The test of the figures is changed with them; it asserts the same bounds.

--- a/src/woadrun/decisions/retry_after.py
+++ b/src/woadrun/decisions/retry_after.py
@@ -6,9 +6,11 @@
 # meets the same state, in seconds.
 LEAST_SECONDS = 0.1
 MOST_SECONDS = 2.0
-# The shortest time after which an outage that has just begun is worth another
-# try, in seconds: less than a lost datagram takes to show.
-LEAST_OUTAGE_SECONDS = 0.5
+# The shortest time after which an outage is worth another try, in seconds.
+# What is told as one has lasted for 0.9 s of silence already, and outages and
+# cuts last seconds.  A turn has some six tries: sent back after 0.5 s, callers
+# had spent them in 2 s, and 2.8% of a day's programs failed where 1.9% do.
+LEAST_OUTAGE_SECONDS = 1.5
 
 
 def estimate(*, running: int, slots: int, seconds: float) -> float:
