One silent member does not make each new program ask the store and others

Now only a domain out of sight, or a member that says that it has what the store lacks, makes the others ask. Where the owner was another one before, the failed condition of the first write brings the row, and the turns that it has as reserved are looked up then. Copies with a turn that the store has go as datagrams too, up to 8 KB.

--- a/src/woadrun/process/datagrams.py
+++ b/src/woadrun/process/datagrams.py
@@ -6,12 +6,12 @@
 from collections.abc import Callable
 
 BEAT = b'b'
-# A program's budget without turns, for its standby or for another domain.
+# A program, for its standby or for another domain.
 COPY = b'c'
 FAR_COPY = b'f'
-# Larger messages go another way, in bytes: a datagram that is split is lost
-# with any of its parts.
-MOST_BYTES = 1200
+# Larger messages go another way, in bytes: a datagram is split into packets and
+# lost with any of them.  Most turns with their history's last part fit.
+MOST_BYTES = 8192
 
 
 class Datagrams:
--- a/src/woadrun/process/fleet.py
+++ b/src/woadrun/process/fleet.py
@@ -180,11 +180,12 @@
   def is_settled(self) -> bool:
     """Whether no member may have what the store lacks.
 
-    All are heard, and each says so.
+    Each domain is in sight and says so.  A single silent member does not
+    matter: what it decided without the store its standby has, and tells.
+    While all members were stopped and started in turn, each new program had
+    asked the store and two others, half of all calls of the store.
     """
-    if self._get_view().behind:
-      return False
-    return all(self.is_alive(name) for name in self.member_by_name)
+    return not self._get_view().behind and not self.find_unsettled()
 
   def get_silence(self) -> float:
     """Returns for how long a whole domain has been silent, in seconds.
--- a/src/woadrun/process/program_copies.py
+++ b/src/woadrun/process/program_copies.py
@@ -202,12 +202,12 @@
 
 
 def _encode_small(copy: turn_messages.LedgerCopy) -> bytes | None:
-  """Returns a copy as a datagram, None where it has turns or is too large.
+  """Returns a copy as a datagram, None where that will not do.
 
-  A request takes both daemons some ten times as long as a datagram, and a
-  turn without history sent four of them.
+  A request takes both daemons some ten times as long, and a turn sent three
+  to four of them.  Turns that the store lacks must not be lost.
   """
-  if copy.turns:
+  if copy.unsaved:
     return None
   data = msgspec.msgpack.encode(copy)
   return data if len(data) <= datagrams.MOST_BYTES else None
--- a/src/woadrun/process/program_rows.py
+++ b/src/woadrun/process/program_rows.py
@@ -101,7 +101,7 @@
 
   async def _resolve(self, found: ledger.Ledger) -> None:
     # The owner before may have ended before it settled what had run whole.
-    names = list(found.reserved)
+    names = list(found.saved.reserved)
     turns = await turn_store.gather(names, cache=self._cache, store=self._turns)
     for turn in turns:
       if turn is not None:
@@ -137,8 +137,11 @@
       held.note_saved(row, outcome.version)
       self._note_saved(entry)
       return True
+    was_guess = entry.is_guess
     entry.is_guess = False
     self._take_conflict(entry, outcome)
+    if was_guess:
+      await self._resolve(held)
     return not held.is_dirty
 
   def _note_saved(self, entry: Entry) -> None:
