--- a/src/woadrun/process/datagrams.py
+++ b/src/woadrun/process/datagrams.py
@@ -10,7 +10,7 @@
 COPY = b'c'
 FAR_COPY = b'f'
 # Larger messages go another way, in bytes: a datagram is split into packets and
-# lost with any of them.  Most turns with their history's last part fit.
+# lost with any of them.
 MOST_BYTES = 8192
 
 
--- a/src/woadrun/process/fleet.py
+++ b/src/woadrun/process/fleet.py
@@ -182,8 +182,8 @@
 
     Each domain is in sight and says so.  A single silent member does not
     matter: what it decided without the store its standby has, and tells.
-    While all members were stopped and started in turn, each new program had
-    asked the store and two others, half of all calls of the store.
+    Otherwise each new program asks the store and two others while members
+    are stopped and started in turn.
     """
     return not self._get_view().behind and not self.find_unsettled()
 
--- a/src/woadrun/process/node.py
+++ b/src/woadrun/process/node.py
@@ -274,8 +274,8 @@
       f'/peer/{path}': _make_handler(type, answer)
       for path, type, answer in self._get_answers()
     }
-    # Without the library's routing and middleware, which took a fifth of the
-    # time of a message.
+    # Paths are few and fixed: the library's routing and middleware would only
+    # add to each message.
     server = web.Server(
       _make_dispatcher(handler_by_path),
       access_log=None,
--- a/src/woadrun/process/program_copies.py
+++ b/src/woadrun/process/program_copies.py
@@ -204,8 +204,8 @@
 def _encode_small(copy: turn_messages.LedgerCopy) -> bytes | None:
   """Returns a copy as a datagram, None where that will not do.
 
-  A request takes both daemons some ten times as long, and a turn sent three
-  to four of them.  Turns that the store lacks must not be lost.
+  A request takes a connection and an answer, which nobody waits for here.
+  Turns that the store lacks must not be lost.
   """
   if copy.unsaved:
     return None
