Calls are not refused for a keeper that left, or for places taken at once

A keeper that has just left refuses the connection until the next roster is read, and calls that ask at the same moment for calls only share one place.

Ruled out: the keeper's own bounds (1000 places, 1000 calls a second) and the wait of a new keeper, which raises nothing.

Two tests failed first, one for each way.

--- a/src/woadrun/process/limits.py
+++ b/src/woadrun/process/limits.py
@@ -38,6 +38,12 @@
 RETRY_SECONDS = 0.2
 # A refused call may come back after this long for a free place.
 CONCURRENCY_RETRY_SECONDS = 1.0
+# Between looks whether a row has another keeper, in seconds: a tenth of a
+# heartbeat, with which rosters are told.
+KEEPER_POLL_SECONDS = 0.05
+# How often one call asks the keeper: for a call, for a place that another
+# took meanwhile, and once more.
+MOST_ASKS = 3
 
 
 @dataclasses.dataclass(eq=False, kw_only=True)
@@ -101,19 +107,44 @@
   async def acquire(self, row: rows.Row, permit: str) -> None:
     """Returns once the row has room for the call; raises `limit_reached`."""
     borrowed = self._borrowed_by_row.setdefault(row.key, Borrowed())
-    if borrowed.take(permit):
-      return
-    keeper = self._get_keeper(row)
-    if not keeper:
-      raise make_limit_reached(row.key, CONCURRENCY_RETRY_SECONDS)
-    lent = await self._ask(keeper, row, borrowed)
-    borrowed.keeper = keeper
-    borrowed.places = max(borrowed.places, lent.places)
-    borrowed.calls += lent.calls
+    for _ in range(MOST_ASKS):
+      if borrowed.take(permit):
+        return
+      lent = await self._borrow(row, borrowed)
+      borrowed.places = max(borrowed.places, lent.places)
+      borrowed.calls += lent.calls
+    # Each time others took what was lent while the answer was on its way.
     if not borrowed.take(permit):
-      # Others took the places while the answer was on its way.
       raise make_limit_reached(row.key, CONCURRENCY_RETRY_SECONDS)
 
+  async def _borrow(self, row: rows.Row, borrowed: Borrowed) -> messages.Lent:
+    """Returns what the row's keeper lends, or the next keeper if that left."""
+    until = self.clock() + TIMEOUT
+    while True:
+      keeper = self._get_keeper(row)
+      if not keeper:
+        raise make_limit_reached(row.key, CONCURRENCY_RETRY_SECONDS)
+      borrowed.keeper = keeper
+      try:
+        return await self._ask(keeper, row, borrowed)
+      except errors.WoadrunError as error:
+        if error.code is not errors.Code.OWNER_UNAVAILABLE:
+          raise
+        # Refused here, calls failed at each planned stop of a keeper until
+        # this daemon had read the roster again.
+        if not await self._wait_other_keeper(row, keeper, until):
+          raise make_limit_reached(row.key, TIMEOUT) from error
+
+  async def _wait_other_keeper(
+    self, row: rows.Row, keeper: str, until: float
+  ) -> bool:
+    """Returns whether the row has another keeper before the time `until`."""
+    while self.clock() < until:
+      if self._get_keeper(row) != keeper:
+        return True
+      await asyncio.sleep(KEEPER_POLL_SECONDS)
+    return False
+
   async def _ask(
     self, keeper: str, row: rows.Row, borrowed: Borrowed
   ) -> messages.Lent:
@@ -126,15 +157,9 @@
     )
     if keeper == self._address:
       return await self.lend(ask)
-    try:
-      return await self._links.post(
-        keeper, 'limit', ask, type=messages.Lent, timeout=TIMEOUT
-      )
-    except errors.WoadrunError as error:
-      if error.code is not errors.Code.OWNER_UNAVAILABLE:
-        raise
-      # The keeper may have died; soon another one is chosen.
-      raise make_limit_reached(row.key, TIMEOUT) from error
+    return await self._links.post(
+      keeper, 'limit', ask, type=messages.Lent, timeout=TIMEOUT
+    )
 
   def release(self, row: rows.Row, permit: str) -> None:
     """Frees the place of a call; it goes back with the next report."""
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -16,6 +16,7 @@
 from woadrun.process import limits
 from woadrun.standins import local
 from woadrun.version import program
+from woadrun.version import rows
 
 ANSWERS = 8
 
@@ -375,12 +376,62 @@
   assert error.ran is errors.Ran.NOT_RUN
 
 
+class Keepers:
+  """Keepers that lend one call and as many places as are wanted."""
+
+  def __init__(self, members, gone=()):
+    self._members = members
+    self._gone = gone
+    self.asked = []
+
+  async def post(self, keeper, path, ask, *, type, timeout):
+    self.asked.append(keeper)
+    await asyncio.sleep(0)
+    if keeper in self._gone:
+      # It is taken out of the roster as the call is under way.
+      self._members.keeper = '127.0.0.1:3'
+      raise errors.WoadrunError(errors.Code.OWNER_UNAVAILABLE, 'It is gone.')
+    return messages.Lent(places=ask.in_use + ask.is_more, calls=1)
+
+
+def make_borrower(gone=()):
+  members = Members()
+  members.directory = members
+  keepers = Keepers(members, gone)
+  borrower = limits.Limits(
+    config=make_config(), members=members, links=keepers, get_row=None
+  )
+  return borrower, keepers
+
+
+async def test_calls_at_once_get_the_places_that_are_free():
+  borrower, _ = make_borrower()
+  row = rows.Row(key='riders')
+  # One place, none of it in use, and no call left: both ask for calls only.
+  borrowed = limits.Borrowed(places=1)
+  borrower._borrowed_by_row['riders'] = borrowed
+  await asyncio.gather(*(borrower.acquire(row, f'q{n}') for n in range(2)))
+  assert borrowed.in_use == {'q0', 'q1'}
+
+
+async def test_a_keeper_that_left_refuses_no_call():
+  borrower, keepers = make_borrower(gone=('127.0.0.1:2',))
+  await borrower.acquire(rows.Row(key='riders'), 'p')
+  assert keepers.asked == ['127.0.0.1:2', '127.0.0.1:3']
+
+
 class Members:
   address = '127.0.0.1:1'
+  domain = 'north'
+  process_name = '127.0.0.1:1/a'
+  keeper = '127.0.0.1:2'
 
   def __init__(self):
     self.listeners = []
 
+  def get_keeper(self, domain, name):
+    return self.keeper
+
 
 def make_config():
   outside = local.Outside(
