A daemon begins fewer tasks: pauses, calls of the store, watch of streams

Change: pauses are plain sleeps, calls of the store run in their caller's task and end by a timeout scope where another one finds the store lost, one task watches all streams for cuts. The feeds' look left a task behind each time.

--- a/src/woadrun/process/catalogue.py
+++ b/src/woadrun/process/catalogue.py
@@ -192,7 +192,7 @@
   @mode.Service.task
   async def _drop_missing(self) -> None:
     while not self.should_stop:
-      await self.sleep(LOOK_SECONDS)
+      await asyncio.sleep(LOOK_SECONDS)
       if self._listed.is_lost:
         continue
       for instance in self.directory.drop_missing(now=time.monotonic()):
--- a/src/woadrun/process/feed.py
+++ b/src/woadrun/process/feed.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 import dataclasses
 import logging
@@ -104,7 +105,7 @@
     while not self.should_stop:
       if self.version is not None and not self.leads():
         needs_list = False
-        await self.sleep(LOOK_SECONDS)
+        await asyncio.sleep(LOOK_SECONDS)
         continue
       self._began = time.monotonic()
       try:
@@ -116,11 +117,11 @@
       except rows.HistoryGone:
         log.info('History of %s is gone: reading it whole.', self.table)
         needs_list = True
-        await self.sleep(RETRY_SECONDS)
+        await asyncio.sleep(RETRY_SECONDS)
       except errors.WoadrunError as error:
         self._note_loss(error)
         is_new = self.version is None
-        await self.sleep(FIRST_RETRY_SECONDS if is_new else RETRY_SECONDS)
+        await asyncio.sleep(FIRST_RETRY_SECONDS if is_new else RETRY_SECONDS)
 
   async def _follow_once(self) -> None:
     known = self.version or 0
@@ -131,7 +132,7 @@
     self._note_contact()
     self._take_rows(page.rows, page.version)
     if page.rows:
-      await self.sleep(GATHER_SECONDS)
+      await asyncio.sleep(GATHER_SECONDS)
 
   def _note_contact(self) -> None:
     if not self.is_lost:
--- a/src/woadrun/process/feed_sync.py
+++ b/src/woadrun/process/feed_sync.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from collections.abc import Callable
+import contextlib
 import logging
 
 import mode
@@ -89,9 +90,9 @@
   @mode.Service.task
   async def _catch_up(self) -> None:
     while not self.should_stop:
-      await asyncio.wait(
-        {asyncio.ensure_future(self._told.wait())}, timeout=LOOK_SECONDS
-      )
+      with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(LOOK_SECONDS):
+          await self._told.wait()
       self._told.clear()
       for table, item in self._feed_by_table.items():
         source = self._find_source(table, _get_known(item))
--- a/src/woadrun/process/fleet.py
+++ b/src/woadrun/process/fleet.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 import logging
 import math
@@ -317,7 +318,7 @@
     while not self.should_stop:
       self.send_beats()
       self._note_silence()
-      await self.sleep(BEAT_SECONDS)
+      await asyncio.sleep(BEAT_SECONDS)
 
   def send_beats(self) -> None:
     """Sends one datagram to each peer that this daemon beats to."""
--- a/src/woadrun/process/flusher.py
+++ b/src/woadrun/process/flusher.py
@@ -56,7 +56,7 @@
   @mode.Service.task
   async def _flush_often(self) -> None:
     while not self.should_stop:
-      await self.sleep(FLUSH_SECONDS)
+      await asyncio.sleep(FLUSH_SECONDS)
       await self.flush()
 
   async def flush(self) -> bool:
--- a/src/woadrun/process/node.py
+++ b/src/woadrun/process/node.py
@@ -263,7 +263,7 @@
   @mode.Service.task
   async def _forget_often(self) -> None:
     while not self.should_stop:
-      await self.sleep(LOOK_SECONDS)
+      await asyncio.sleep(LOOK_SECONDS)
       self.loads.forget(self.catalogue.directory.get_lives())
       self.loads.health.log_changes()
 
--- a/src/woadrun/process/programs.py
+++ b/src/woadrun/process/programs.py
@@ -308,7 +308,7 @@
   @mode.Service.task
   async def _expire_often(self) -> None:
     while not self.should_stop:
-      await self.sleep(1.0)
+      await asyncio.sleep(1.0)
       self.cache.expire()
       limit = time.monotonic() - IDLE_SECONDS
       idle = [
--- a/src/woadrun/process/registration.py
+++ b/src/woadrun/process/registration.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Coroutine
 import logging
 from typing import Annotated
@@ -86,7 +87,7 @@
       if not is_known and not self._members.is_leaving:
         await self._try(self.register())
       await self._remove_gone()
-      await self.sleep(LOOK_SECONDS)
+      await asyncio.sleep(LOOK_SECONDS)
 
   async def _try(self, change: Coroutine[Any, Any, object]) -> None:
     try:
--- a/src/woadrun/process/store_access.py
+++ b/src/woadrun/process/store_access.py
@@ -61,7 +61,7 @@
     self._timeout = timeout
     self._fleet: fleet.Fleet | None = None
     self.is_direct = False
-    self._lost = asyncio.Event()
+    self._scopes: set[asyncio.Timeout] = set()
     self._begun: dict[object, float] = {}
     self._seconds = 0.0
     self._no_way_since: float | None = None
@@ -205,21 +205,28 @@
 
   async def _call(self, call: Callable[[], Awaitable[T]]) -> T:
     """Returns what a call gives, unless another one finds the store lost."""
-    task = asyncio.ensure_future(call())
-    loss = asyncio.ensure_future(self._lost.wait())
+    scope = asyncio.timeout(None)
     try:
-      await asyncio.wait({task, loss}, return_when=asyncio.FIRST_COMPLETED)
-      if task.done():
-        return task.result()
+      async with scope:
+        self._scopes.add(scope)
+        return await call()
+    except TimeoutError as error:
+      if not scope.expired():
+        raise
       raise errors.WoadrunError(
         errors.Code.PLATFORM_UNAVAILABLE,
         'The store was lost while it was asked.',
         ran=errors.Ran.UNKNOWN,
         retry_after=1.0,
-      )
+      ) from error
     finally:
-      loss.cancel()
-      task.cancel()
+      self._scopes.discard(scope)
+
+  def _end_calls(self) -> None:
+    now = asyncio.get_running_loop().time()
+    for scope in self._scopes:
+      scope.reschedule(now)
+    self._scopes.clear()
 
   def _find_relays(self) -> list[beats.Member]:
     return self._fleet.find_with_store() if self._fleet else []
@@ -239,12 +246,11 @@
     if error is None:
       if not self.is_direct:
         log.info('The store serves this VM.')
-        self._lost = asyncio.Event()
       self.is_direct = True
     elif self.is_direct:
       log.warning('The store does not serve this VM: %s', error.message)
       self.is_direct = False
-      self._lost.set()
+      self._end_calls()
 
   @mode.Service.task
   async def _probe(self) -> None:
@@ -255,7 +261,7 @@
         self._no_way_since = time.monotonic()
       if not self.is_direct:
         await self._look()
-      await self.sleep(PROBE_SECONDS)
+      await asyncio.sleep(PROBE_SECONDS)
 
   async def _look(self) -> None:
     try:
--- a/src/woadrun/process/sweeper.py
+++ b/src/woadrun/process/sweeper.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Iterator
 import logging
 import time
@@ -46,7 +47,7 @@
   async def _sweep_often(self) -> None:
     while not self.should_stop:
       for table, part in self._find_parts():
-        await self.sleep(PAUSE_SECONDS)
+        await asyncio.sleep(PAUSE_SECONDS)
         if self.should_stop:
           return
         try:
--- a/src/woadrun/request/attempts.py
+++ b/src/woadrun/request/attempts.py
@@ -22,6 +22,7 @@
 from woadrun.process import catalogue
 from woadrun.process import health
 from woadrun.process import loads
+from woadrun.request import cut_watch
 from woadrun.request import exchange
 from woadrun.version import instances
 from woadrun.version import routes
@@ -30,8 +31,6 @@
 
 # Statuses from here on are failures of the instance.
 FIRST_FAILURE_STATUS = 500
-# Between looks whether the instance of a stream is still in reach, in seconds.
-LOOK_SECONDS = 0.25
 # A request is not sent with less time than this left, in seconds: the way
 # alone takes a part of it.
 LEAST_SECONDS = 0.02
@@ -82,7 +81,7 @@
     self._known = known
     self._load = load
     self._upstreams = upstreams
-    self._is_cut_off = is_cut_off
+    self._cuts = cut_watch.CutWatch(is_cut_off=is_cut_off)
     self._budget = hedging.HedgeBudget()
 
   @contextlib.asynccontextmanager
@@ -180,24 +179,23 @@
     asks again.
     """
     domain = sending.instance.domain
-    task = asyncio.ensure_future(self._try(sending))
+    scope = asyncio.timeout(None)
+    now = asyncio.get_running_loop().time()
     try:
-      while not task.done():
-        await asyncio.wait({task}, timeout=LOOK_SECONDS)
-        if not task.done() and self._is_cut_off(domain):
-          raise exchange.Lost(f'{domain} is cut off')
-    except BaseException:
-      await _end([task])
-      raise
-    begun = task.result()
-    watching = asyncio.ensure_future(self._watch(begun))
-    begun.stack.callback(watching.cancel)
+      async with scope:
+        with self._cuts.watch(domain, lambda: scope.reschedule(now)):
+          begun = await self._try(sending)
+    except TimeoutError as error:
+      if not scope.expired():
+        raise
+      raise exchange.Lost(f'{domain} is cut off') from error
+    begun.stack.enter_context(
+      self._cuts.watch(domain, lambda: self._break_off(begun))
+    )
     return begun
 
-  async def _watch(self, begun: _Begun) -> None:
+  def _break_off(self, begun: _Begun) -> None:
     domain = begun.sending.instance.domain
-    while not self._is_cut_off(domain):
-      await asyncio.sleep(LOOK_SECONDS)
     self._log(begun.sending, f'broken off: {domain} is cut off')
     begun.reply.abort()
 
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -7,7 +7,7 @@
 
 from woadrun import errors
 from woadrun.decisions import hedging
-from woadrun.request import attempts
+from woadrun.request import cut_watch
 from woadrun.request import exchange
 
 
@@ -127,10 +127,10 @@
     north = fleet.by_name['n1']
     running = asyncio.ensure_future(fleet.turn('n1', 'a'))
     await nodes.wait_until(lambda: north.loads.get_running())
-    await asyncio.sleep(2 * attempts.LOOK_SECONDS)
+    await asyncio.sleep(2 * cut_watch.LOOK_SECONDS)
     # With the store in reach the instance may be well.
     north.fleet.is_silent = lambda domain: True
-    await asyncio.sleep(2 * attempts.LOOK_SECONDS)
+    await asyncio.sleep(2 * cut_watch.LOOK_SECONDS)
     assert not running.done()
     fleet.shared.is_out = True
     with pytest.raises(exchange.Lost):
