One of those that keep a turn of an outage brings it to the store

Cause: up to five daemons keep a turn of an outage (owner, standby, members of other domains), and each brought it to the store as that came back.

Change: the first member in the domain that looks after the program stores a turn; the others ask it after 0.4 s what it stored, and store what it does not know.

The test of writes after an outage failed first; the one of a member that forgot uses a method that the old code does not have.

--- a/src/woadrun/connection/turn_messages.py
+++ b/src/woadrun/connection/turn_messages.py
@@ -138,6 +138,25 @@
   copy: LedgerCopy | None = None
 
 
+class AskStored(msgspec.Struct, frozen=True, kw_only=True):
+  """Asks a member for turns that it is the first to bring to the store.
+
+  Answered by `StoredTurns`.
+  """
+
+  requests: tuple[str, ...]
+
+
+class StoredTurns(msgspec.Struct, frozen=True, kw_only=True):
+  """Turns that the store has, and those that this member will bring there.
+
+  Those that are in neither the member does not know.
+  """
+
+  stored: tuple[str, ...] = ()
+  pending: tuple[str, ...] = ()
+
+
 class StoreRow(msgspec.Struct, frozen=True, kw_only=True):
   """A row, as peers hand it on."""
 
--- a/src/woadrun/process/copy_intake.py
+++ b/src/woadrun/process/copy_intake.py
@@ -9,6 +9,7 @@
 from woadrun.process import program_copies
 from woadrun.process import program_rows
 from woadrun.process import turn_store
+from woadrun.process import unsaved_turns
 from woadrun.version import ledger
 
 log = logging.getLogger('woadrun.programs')
@@ -26,7 +27,7 @@
     *,
     entry_by_program: dict[str, program_rows.Entry],
     cache: turn_store.TurnCache,
-    unsaved: dict[str, turn_messages.Turn],
+    unsaved: unsaved_turns.UnsavedTurns,
     copies: program_copies.Copies,
     domain: str,
   ) -> None:
@@ -45,6 +46,16 @@
       return turn_messages.KnownProgram()
     return turn_messages.KnownProgram(copy=self._copies.make(entry))
 
+  async def tell_stored(
+    self, ask: turn_messages.AskStored
+  ) -> turn_messages.StoredTurns:
+    """Returns which turns this daemon brought to the store, or will bring."""
+    kept = [r for r in ask.requests if self._cache.get(r) is not None]
+    return turn_messages.StoredTurns(
+      stored=tuple(r for r in kept if r not in self._unsaved),
+      pending=tuple(r for r in kept if r in self._unsaved),
+    )
+
   async def take_copy(
     self, copy: turn_messages.LedgerCopy
   ) -> turn_messages.KnownProgram:
@@ -78,7 +89,7 @@
     Answers with a copy of its own where that counts what the owner did not:
     an owner that was frozen, or one that got only an older copy.
     """
-    self._keep(copy)
+    self._keep(copy, domain=self._domain)
     held = program_copies.decode(copy)
     entry = self._entry_by_program.get(copy.program)
     if entry is None:
@@ -123,7 +134,7 @@
     What is spent here counts on top of it.  The row in the store is the
     home's: a change of ours is brought onto it by a failed condition.
     """
-    self._keep(copy)
+    self._keep(copy, domain=copy.home)
     entry = self._entry_by_program.get(copy.program)
     if entry is not None and self._is_mine(entry, copy):
       return
@@ -142,8 +153,8 @@
       entry.ledger = held
       entry.used_at = time.monotonic()
 
-  def _keep(self, copy: turn_messages.LedgerCopy) -> None:
-    """Keeps the turns of a copy, and brings to the store what it lacks.
+  def _keep(self, copy: turn_messages.LedgerCopy, *, domain: str) -> None:
+    """Keeps the turns of a copy, also for the store if that lacks them.
 
     So does a daemon of another domain: three daemons of one domain that were
     killed in turn within an outage took finished turns with them.
@@ -151,7 +162,7 @@
     for turn in copy.turns:
       self._cache.put(turn)
       if turn.request in copy.unsaved:
-        self._unsaved[turn.request] = turn
+        self._unsaved.put(turn, domain=domain)
 
   def _is_mine(
     self, entry: program_rows.Entry, copy: turn_messages.LedgerCopy
--- a/src/woadrun/process/node.py
+++ b/src/woadrun/process/node.py
@@ -302,6 +302,7 @@
         intake.take_far_copy,
       ),
       ('program/ask', turn_messages.AskProgram, intake.tell),
+      ('turns/stored', turn_messages.AskStored, intake.tell_stored),
       ('store/change', turn_messages.StoreChange, self.relay.change),
       ('store/read', turn_messages.StoreRead, self.relay.read),
       ('store/follow', turn_messages.StoreFollow, self.relay.follow),
--- a/src/woadrun/process/program_copies.py
+++ b/src/woadrun/process/program_copies.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Container
 from collections.abc import Coroutine
 from collections.abc import Iterable
 import logging
@@ -18,6 +17,7 @@
 from woadrun.process import fleet
 from woadrun.process import hubs
 from woadrun.process import program_rows
+from woadrun.process import unsaved_turns
 from woadrun.version import ledger
 
 log = logging.getLogger('woadrun.programs')
@@ -48,7 +48,7 @@
     *,
     members: fleet.Fleet,
     links: peers.Peers,
-    unsaved: Container[str],
+    unsaved: unsaved_turns.UnsavedTurns,
   ) -> None:
     self._members = members
     self._links = links
--- a/src/woadrun/process/programs.py
+++ b/src/woadrun/process/programs.py
@@ -29,6 +29,7 @@
 from woadrun.process import reservations
 from woadrun.process import store_access
 from woadrun.process import turn_store
+from woadrun.process import unsaved_turns
 from woadrun.version import ledger
 
 log = logging.getLogger('woadrun.programs')
@@ -62,7 +63,7 @@
     self._turns = turns
     self.cache = turn_store.TurnCache()
     self.entry_by_program: dict[str, program_rows.Entry] = {}
-    self.unsaved: dict[str, turn_messages.Turn] = {}
+    self.unsaved = unsaved_turns.UnsavedTurns()
     self._rows = program_rows.ProgramRows(
       store=store, turns=turns, cache=self.cache, domain=members.me.domain
     )
@@ -84,6 +85,7 @@
     )
     self.flusher = flusher.Flusher(
       members=members,
+      links=links,
       store=store,
       turns=turns,
       program_store=self._rows,
@@ -191,7 +193,7 @@
       return
     self.cache.put(done.turn)
     if not done.is_saved:
-      self.unsaved[done.request] = done.turn
+      self.unsaved.put(done.turn, domain=self._members.me.domain)
 
   async def _load(
     self, ask: turn_messages.OpenTurn, *, is_new: bool
@@ -277,7 +279,7 @@
   @property
   def is_behind(self) -> bool:
     """Whether the store lacks what others must know before they decide."""
-    return bool(self.unsaved) or any(
+    return len(self.unsaved) > 0 or any(
       entry.needs_flush and entry.ledger.owes
       for entry in self.entry_by_program.values()
     )
--- /dev/null
+++ b/src/woadrun/process/unsaved_turns.py
@@ -0,0 +1,41 @@
+"""Finished turns that the store lacks, as one daemon keeps them."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from woadrun.connection import turn_messages
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class UnsavedTurn:
+  """A turn, and the failure domain whose member brings it to the store."""
+
+  turn: turn_messages.Turn
+  domain: str
+
+
+class UnsavedTurns:
+  """Such turns by request id."""
+
+  def __init__(self) -> None:
+    self._item_by_request: dict[str, UnsavedTurn] = {}
+
+  def __len__(self) -> int:
+    return len(self._item_by_request)
+
+  def __contains__(self, request: str) -> bool:
+    return request in self._item_by_request
+
+  def put(self, turn: turn_messages.Turn, *, domain: str) -> None:
+    """Keeps a turn whose program is looked after in `domain`."""
+    item = UnsavedTurn(turn=turn, domain=domain)
+    self._item_by_request.setdefault(turn.request, item)
+
+  def drop(self, request: str) -> None:
+    """Forgets a turn that the store has."""
+    self._item_by_request.pop(request, None)
+
+  def get_all(self) -> list[UnsavedTurn]:
+    """Returns all of them."""
+    return list(self._item_by_request.values())
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -251,6 +251,57 @@
     assert fleet.get_body('c') == b'<a>a-0\na-1\n<b>b-0\nb-1\n<c>'
 
 
+def count_stored(fleet):
+  """Returns the ids of turns that are written, one for each write."""
+  found = []
+  for view in fleet.view_by_name.values():
+
+    async def change(_call=view.change, **options):
+      outcome = await _call(**options)
+      writes = options.get('writes', ())
+      found.extend(key.name for key, _ in writes if key.table == 'turns')
+      return outcome
+
+    view.change = change
+  return found
+
+
+async def test_a_turn_of_an_outage_is_stored_by_one_of_those_that_keep_it():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1', 'n2', 's1')
+    fleet.shared.is_out = True
+    names = [f'a{number}' for number in range(6)]
+    for name in names:
+      await fleet.turn('n1', name, program=name)
+    kept = [item.programs.unsaved for item in fleet.by_name.values()]
+    await nodes.wait_until(
+      lambda: all(name in each for name in names for each in kept)
+    )
+    stored = count_stored(fleet)
+    fleet.shared.is_out = False
+    await nodes.wait_until(lambda: not any(kept))
+  assert sorted(stored) == names
+
+
+async def test_a_turn_is_stored_by_another_one_where_the_first_forgot_it():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1', 'n2')
+    fleet.shared.is_out = True
+    await fleet.turn('n1', 'a')
+    first = fleet.by_name['n1'].fleet.rank('p', 'north')[0].name
+    second = fleet.by_name['n2' if first == 'n1' else 'n1'].programs
+    await nodes.wait_until(lambda: 'a' in second.unsaved)
+    # It started again meanwhile.
+    forgetful = fleet.by_name[first].programs
+    forgetful.unsaved.drop('a')
+    forgetful.cache._turn_by_request.clear()
+    forgetful.cache._until_by_request.clear()
+    stored = count_stored(fleet)
+    fleet.shared.is_out = False
+    await nodes.wait_until(lambda: not second.unsaved)
+  assert stored == ['a']
+
+
 async def test_a_store_that_is_silent_holds_up_the_first_turn_only():
   async with nodes.Nodes() as fleet:
     await fleet.start('n1', 'n2')
