A call over the store's rate waits and is tried again

Cause: a refusal for the rate of all daemons was taken for a store that turns this VM away: all calls under way ended, and peers made them again, which the same rate refuses.

Change: the call waits 0.05 to 0.25 s and is tried once more; refused again it counts as before, since a store may turn a VM away with the same answer.

--- a/src/woadrun/connection/http.py
+++ b/src/woadrun/connection/http.py
@@ -22,6 +22,10 @@
   etag: str = ''
 
 
+class OverRate(errors.WoadrunError):
+  """Raised where a service refuses a call for the rate of all callers."""
+
+
 async def send(
   session: aiohttp.ClientSession,
   method: str,
@@ -54,7 +58,11 @@
     message = f'{url}: {error or "no answer in time"}'
     raise _unavailable(message, errors.Ran.UNKNOWN) from error
   if response.status == 429:
-    raise _unavailable(f'{url}: over its rate', errors.Ran.NOT_RUN)
+    raise OverRate(
+      errors.Code.PLATFORM_UNAVAILABLE,
+      f'{url}: over its rate',
+      retry_after=RETRY_AFTER,
+    )
   if response.status >= 500:
     message = f'{url}: answered {response.status}'
     raise _unavailable(message, errors.Ran.UNKNOWN)
--- a/src/woadrun/process/store_access.py
+++ b/src/woadrun/process/store_access.py
@@ -14,12 +14,14 @@
 import contextlib
 import logging
 import math
+import random
 import time
 from typing import TypeVar
 
 import mode
 
 from woadrun import errors
+from woadrun.connection import http
 from woadrun.connection import peers
 from woadrun.connection import rows
 from woadrun.connection import turn_messages
@@ -40,6 +42,10 @@
 # Until a look counts as failed, in seconds: a store that answers more slowly
 # would hold up each turn for longer than a turn takes.
 PROBE_TIMEOUT_SECONDS = 0.6
+# How long a call that is over the store's rate waits, in seconds, evenly drawn
+# so that refused calls do not come back together; the rate is counted by the
+# second, and most of a second is left when a burst ends.
+PACE_SECONDS = (0.05, 0.25)
 # Peers asked for one call.
 MOST_RELAYS = 2
 # How much longer a relayed call may take than the peer's own, in seconds.
@@ -190,7 +196,7 @@
     # hold its caller up, and the probe finds out when the store is back.
     if self.is_direct:
       try:
-        result = await self._call(call)
+        result = await self._call_paced(call)
         self._note(None)
         return result
       except errors.WoadrunError as error:
@@ -203,6 +209,19 @@
         failure = error
     raise failure
 
+  async def _call_paced(self, call: Callable[[], Awaitable[T]]) -> T:
+    """Returns what a call gives, tried twice where it is over the rate.
+
+    The rate is that of all daemons together: a peer would be refused as well,
+    and one refusal does not mean that the store turns this VM away.
+    """
+    try:
+      return await self._call(call)
+    except http.OverRate as error:
+      log.info('A call of the store waits: %s', error.message)
+      await asyncio.sleep(random.uniform(*PACE_SECONDS))
+      return await self._call(call)
+
   async def _call(self, call: Callable[[], Awaitable[T]]) -> T:
     """Returns what a call gives, unless another one finds the store lost."""
     scope = asyncio.timeout(None)
