A spent budget is read anew once a second at most

Change: the row is read for that reason once a second at most; turns settled by other daemons are seen that much later, which is within the time for which turns under way count at their most.

The test of five refusals failed first.

--- a/src/woadrun/process/program_rows.py
+++ b/src/woadrun/process/program_rows.py
@@ -5,6 +5,7 @@
 import asyncio
 import dataclasses
 import logging
+import math
 import secrets
 import time
 
@@ -20,6 +21,9 @@
 log = logging.getLogger('woadrun.programs')
 
 TABLE = 'programs'
+# Between two reads of a row because its budget does not hold a turn, in
+# seconds: other daemons settle what their turns were given within that time.
+REFRESH_SECONDS = 1.0
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -48,6 +52,7 @@
   is_copy: bool = False
   is_guess: bool = False
   acted: set[str] = dataclasses.field(default_factory=set)
+  refreshed_at: float = -math.inf
   used_at: float = dataclasses.field(default_factory=time.monotonic)
   prefixes: prefixes.Prefixes = dataclasses.field(
     default_factory=prefixes.Prefixes
@@ -108,7 +113,16 @@
         found.settle(turn.request, turn.tokens)
 
   async def refresh(self, entry: Entry) -> None:
-    """Brings an entry up to what the store has, if that can be reached."""
+    """Brings an entry up to what the store has, if that can be reached.
+
+    It is not read again at once: programs that loop without end ask again and
+    again after their budget is spent, and took a sixth of all calls of the
+    store on a calm day (718 of 4,007, a fleet of 66, counted by caller).
+    """
+    now = time.monotonic()
+    if now - entry.refreshed_at < REFRESH_SECONDS:
+      return
+    entry.refreshed_at = now
     try:
       found = await self.read(entry.program)
     except errors.WoadrunError as error:
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -75,6 +75,24 @@
     assert caught.value.status == 402
 
 
+async def test_a_spent_budget_is_not_read_anew_for_each_refusal():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1')
+    await spend_all(fleet, 'n1', 'r', budget=2 * GIVEN)
+    view, reads = fleet.view_by_name['n1'], []
+
+    async def read(table, *parts, _call=view.read, **options):
+      reads.append(table)
+      return await _call(table, *parts, **options)
+
+    view.read = read
+    for number in range(5):
+      with pytest.raises(errors.WoadrunError) as caught:
+        await draft(fleet, 'n1', f's{number}', budget=2 * GIVEN)
+      assert caught.value.status == 402
+    assert reads.count('programs') <= 1
+
+
 async def test_a_turn_that_breaks_off_counts_what_was_given():
   async with nodes.Nodes() as fleet:
     await fleet.start('n1')
