--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -67,23 +67,35 @@
 
 
 class View:
-  """One daemon's view of the store, which can be cut by itself."""
+  """One daemon's view of the store, which can be cut by itself.
+
+  `calls` has the name and the table of each call, `written` the names of the
+  rows that were written.
+  """
 
   def __init__(self, shared):
     self.shared = shared
     self.is_cut = False
+    self.calls = []
+    self.written = []
 
   async def change(self, **options):
     self._check()
-    return await self.shared.change(**options)
+    keys = [key for key, _ in options.get('writes', ())]
+    self.calls.extend(('change', key.table) for key in keys[:1])
+    outcome = await self.shared.change(**options)
+    self.written.extend(key.name for key in keys)
+    return outcome
 
-  async def read(self, *parts, **options):
+  async def read(self, table, *parts, **options):
     self._check()
-    return await self.shared.read(*parts, **options)
+    self.calls.append(('read', table))
+    return await self.shared.read(table, *parts, **options)
 
-  async def follow(self, *parts, **options):
+  async def follow(self, table, **options):
     self._check()
-    return await self.shared.follow(*parts, **options)
+    self.calls.append(('follow', table))
+    return await self.shared.follow(table, **options)
 
   def _check(self):
     if self.is_cut:
@@ -138,6 +150,18 @@
   )
 
 
+def make_torn_reply():
+  """Returns an answer that breaks off after its first event."""
+
+  async def tear():
+    yield b'data: x\n\n'
+    raise exchange.Lost('reset')
+
+  reply = make_reply()
+  reply.chunks = tear()
+  return reply
+
+
 def find_port():
   with socket.socket() as probe:
     probe.bind(('127.0.0.1', 0))
@@ -263,6 +287,22 @@
       ),
     )
 
+  def clear_calls(self):
+    """Forgets which calls of the store were made so far."""
+    for view in self.view_by_name.values():
+      view.calls.clear()
+      view.written.clear()
+
+  def find_calls(self, *tables):
+    """Returns the calls of the store that concern some tables."""
+    views = self.view_by_name.values()
+    return [c for view in views for c in view.calls if c[1] in tables]
+
+  def get_written(self):
+    """Returns the names of the rows that daemons wrote, one for each write."""
+    views = self.view_by_name.values()
+    return [name for view in views for name in view.written]
+
   def get_body(self, id):
     """Returns what an engine received for a request."""
     found = [item.body for item in self.engines.sent if item.request.id == id]
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -79,31 +79,18 @@
   async with nodes.Nodes() as fleet:
     await fleet.start('n1')
     await spend_all(fleet, 'n1', 'r', budget=2 * GIVEN)
-    view, reads = fleet.view_by_name['n1'], []
-
-    async def read(table, *parts, _call=view.read, **options):
-      reads.append(table)
-      return await _call(table, *parts, **options)
-
-    view.read = read
+    fleet.clear_calls()
     for number in range(5):
       with pytest.raises(errors.WoadrunError) as caught:
         await draft(fleet, 'n1', f's{number}', budget=2 * GIVEN)
       assert caught.value.status == 402
-    assert reads.count('programs') <= 1
+    assert fleet.find_calls('programs').count(('read', 'programs')) <= 1
 
 
 async def test_a_turn_that_breaks_off_counts_what_was_given():
   async with nodes.Nodes() as fleet:
     await fleet.start('n1')
-
-    async def tear():
-      yield b'data: x\n\n'
-      raise exchange.Lost('reset')
-
-    reply = nodes.make_reply()
-    reply.chunks = tear()
-    fleet.engines.faults.append(reply)
+    fleet.engines.faults.append(nodes.make_torn_reply())
     with pytest.raises(exchange.Lost):
       await draft(fleet, 'n1', 'a')
     entry = fleet.by_name['n1'].programs.entry_by_program['p']
--- a/tests/test_feed_sync.py
+++ b/tests/test_feed_sync.py
@@ -16,18 +16,13 @@
   return rows.Key('servers', '', id)
 
 
-def count_follows(fleet):
-  """Returns the names of daemons that follow instances, a name a call."""
-  found = []
-  for name, view in fleet.view_by_name.items():
-
-    async def counted(table, _call=view.follow, _name=name, **options):
-      if table == 'servers':
-        found.append(_name)
-      return await _call(table, **options)
-
-    view.follow = counted
-  return found
+def find_followers(fleet):
+  """Returns the names of daemons that follow instances in the store."""
+  return [
+    name
+    for name, view in fleet.view_by_name.items()
+    if ('follow', 'servers') in view.calls
+  ]
 
 
 def knows(fleet, id):
@@ -55,13 +50,13 @@
     # Who followed before has its last answer by now.
     await fleet.shared.change(writes=[(key('e3'), ENTRY)])
     await nodes.wait_until(lambda: len(knows(fleet, 'e3')) == len(NAMES))
-    found = count_follows(fleet)
+    fleet.clear_calls()
     for number in range(4, 8):
       await fleet.shared.change(writes=[(key(f'e{number}'), ENTRY)])
       await nodes.wait_until(
         lambda n=number: len(knows(fleet, f'e{n}')) == len(NAMES)
       )
-    assert len(set(found)) <= feed_sync.LEADERS
+    assert len(find_followers(fleet)) <= feed_sync.LEADERS
     await fleet.shared.change(removes=[key('e3')])
     await nodes.wait_until(lambda: not knows(fleet, 'e3'), seconds=2.0)
 
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -215,14 +215,7 @@
 async def test_a_torn_stream_is_no_turn_and_costs_what_was_given():
   async with nodes.Nodes() as fleet:
     await fleet.start('n1')
-
-    async def tear():
-      yield b'data: x\n\n'
-      raise exchange.Lost('reset')
-
-    reply = nodes.make_reply()
-    reply.chunks = tear()
-    fleet.engines.faults.append(reply)
+    fleet.engines.faults.append(nodes.make_torn_reply())
     with pytest.raises(exchange.Lost):
       await fleet.turn('n1', 'a', most=10)
     with pytest.raises(errors.WoadrunError):
@@ -251,21 +244,6 @@
     assert fleet.get_body('c') == b'<a>a-0\na-1\n<b>b-0\nb-1\n<c>'
 
 
-def count_stored(fleet):
-  """Returns the ids of turns that are written, one for each write."""
-  found = []
-  for view in fleet.view_by_name.values():
-
-    async def change(_call=view.change, **options):
-      outcome = await _call(**options)
-      writes = options.get('writes', ())
-      found.extend(key.name for key, _ in writes if key.table == 'turns')
-      return outcome
-
-    view.change = change
-  return found
-
-
 async def test_a_turn_of_an_outage_is_stored_by_one_of_those_that_keep_it():
   async with nodes.Nodes() as fleet:
     await fleet.start('n1', 'n2', 's1')
@@ -277,10 +255,14 @@
     await nodes.wait_until(
       lambda: all(name in each for name in names for each in kept)
     )
-    stored = count_stored(fleet)
+    fleet.clear_calls()
     fleet.shared.is_out = False
     await nodes.wait_until(lambda: not any(kept))
-  assert sorted(stored) == names
+    stored = [name for name in fleet.get_written() if name in names]
+    # The programs have the names of their turns.
+    rows = fleet.find_calls('turns')
+  assert set(stored) == set(names)
+  assert rows == [('change', 'turns')] * len(names)
 
 
 async def test_a_turn_is_stored_by_another_one_where_the_first_forgot_it():
@@ -296,10 +278,10 @@
     forgetful.unsaved.drop('a')
     forgetful.cache._turn_by_request.clear()
     forgetful.cache._until_by_request.clear()
-    stored = count_stored(fleet)
+    fleet.clear_calls()
     fleet.shared.is_out = False
     await nodes.wait_until(lambda: not second.unsaved)
-  assert stored == ['a']
+    assert fleet.get_written().count('a') == 1
 
 
 async def test_a_store_that_is_silent_holds_up_the_first_turn_only():
@@ -442,28 +424,13 @@
     assert new.entry_by_program['p'].ledger.spent == 4 * 6 + 10
 
 
-def count_calls(view):
-  """Returns the list that the names of a store's calls from now on go to."""
-  calls = []
-  for name in ('read', 'change'):
-    call = getattr(view, name)
-
-    def counted(*parts, _call=call, _name=name, **options):
-      table = parts[0] if parts else options['writes'][0][0].table
-      calls.append((_name, table))
-      return _call(*parts, **options)
-
-    setattr(view, name, counted)
-  return calls
-
-
 async def test_a_program_in_calm_times_reads_nothing_and_writes_twice_a_turn():
   async with nodes.Nodes() as fleet:
     await fleet.start('n1')
-    calls = count_calls(fleet.view_by_name['n1'])
+    fleet.clear_calls()
     await fleet.turn('n1', 'a')
     await fleet.turn('n1', 'b', parent='a')
-    found = [call for call in calls if call[1] in KEPT_TABLES]
+    found = fleet.find_calls(*KEPT_TABLES)
     each = [('change', 'programs'), ('change', 'turns')]
     assert sorted(found) == sorted(each * 2)
 
@@ -498,10 +465,8 @@
   async with nodes.Nodes() as fleet:
     await fleet.start('n1', 'n2', 's1')
     await fleet.turn('n1', 'a')
-    views = [fleet.view_by_name[name] for name in ('n1', 'n2', 's1')]
-    calls = [count_calls(view) for view in views]
+    fleet.clear_calls()
     with pytest.raises(errors.WoadrunError) as caught:
       await fleet.turn('n1', 'b', parent='none')
     assert caught.value.status == 503
-    reads = [call for some in calls for call in some if call[1] == 'turns']
-    assert len(reads) == 1
+    assert fleet.find_calls('turns') == [('read', 'turns')]
