What was spent as a cut began is not left for both of its sides

Cause, worked out and then shown by a test: each side of a cut spends a part of what is left as it notices. The home counted its part from what was spent by then, 0.9 s after the cut began; the other side, which had heard nothing of that, from the whole. A quarter of what the home spends in that time was left for both: 80 tokens too many are what 320 spent then give. Programs that loop without end spend as fast.

Change: parts are counted from what was spent two seconds ago, which others know by their copies.

The test failed first (the two sides were given 324 tokens of 306 and a turn of 10).

--- a/src/woadrun/process/copy_intake.py
+++ b/src/woadrun/process/copy_intake.py
@@ -99,6 +99,7 @@
       entry.offline_share = copy.offline_share
       entry.is_copy = True
       entry.needs_flush = copy.is_behind
+      entry.note_spent()
       return turn_messages.KnownProgram()
     is_older = held.version < entry.ledger.version
     lacks = {
@@ -114,6 +115,7 @@
       entry.needs_flush = copy.is_behind
       entry.offline_most = copy.offline_most
       entry.offline_share = copy.offline_share
+    entry.note_spent()
     entry.is_guess = False
     entry.is_copy = True
     entry.used_at = time.monotonic()
@@ -146,11 +148,12 @@
     )
     held = ledger.Ledger(saved=row, version=0)
     if entry is None:
-      self._entry_by_program[copy.program] = program_rows.Entry(
-        program=copy.program, ledger=held
-      )
+      entry = program_rows.Entry(program=copy.program, ledger=held)
+      self._entry_by_program[copy.program] = entry
+      entry.note_spent()
     else:
       entry.ledger = held
+      entry.note_spent()
       entry.used_at = time.monotonic()
 
   def _keep(self, copy: turn_messages.LedgerCopy, *, domain: str) -> None:
--- a/src/woadrun/process/program_rows.py
+++ b/src/woadrun/process/program_rows.py
@@ -17,6 +17,7 @@
 from woadrun.process import turn_store
 from woadrun.version import ledger
 from woadrun.version import prefixes
+from woadrun.version import spending
 
 log = logging.getLogger('woadrun.programs')
 
@@ -57,6 +58,18 @@
   prefixes: prefixes.Prefixes = dataclasses.field(
     default_factory=prefixes.Prefixes
   )
+  spending: spending.Spending = dataclasses.field(
+    default_factory=spending.Spending
+  )
+
+  def note_spent(self) -> None:
+    """Takes note of what is spent now."""
+    self.spending.note(self.ledger.spent, now=time.monotonic())
+
+  def get_known_spent(self) -> int:
+    """Returns what other domains surely know to be spent, in tokens."""
+    known = self.spending.get_known(now=time.monotonic())
+    return min(known, self.ledger.spent)
 
 
 class ProgramRows:
--- a/src/woadrun/process/programs.py
+++ b/src/woadrun/process/programs.py
@@ -172,6 +172,7 @@
       )
     entry.used_at = time.monotonic()
     entry.ledger.settle(done.request, done.tokens)
+    entry.note_spent()
     if done.instance:
       entry.prefixes.note(done.instance, done.parts, now=entry.used_at)
     if not done.is_saved:
--- a/src/woadrun/process/reservations.py
+++ b/src/woadrun/process/reservations.py
@@ -91,6 +91,7 @@
     held = entry.ledger
     if ask.request in held.reserved:
       return
+    entry.note_spent()
     if held.home == self._members.me.domain:
       self._check_guarded(entry, ask, budget)
     elif ask.is_away and self._store.is_reached:
@@ -136,8 +137,12 @@
       held.away_most = None
       return
     if entry.guarded_most is None:
+      # The other side divides what it knows to be left: counted from what is
+      # spent now, both spent a part of what went as the cut began (1,232 tokens
+      # of 864 and one turn of 288).
       part = self._get_share(held, has_store=True)
-      entry.guarded_most = held.spent + (budget - held.spent) * part
+      known = entry.get_known_spent()
+      entry.guarded_most = known + (budget - known) * part
     if not held.can_reserve(ask.most, most=entry.guarded_most):
       raise errors.WoadrunError(
         errors.Code.OWNER_UNAVAILABLE,
@@ -215,7 +220,8 @@
     # A domain that goes out of sight later has a part of what is left then.
     if entry.offline_most is None or entry.offline_share != part:
       before = held.spent - held.reserved.get(ask.request, 0)
-      entry.offline_most = before + (budget - before) * part
+      known = min(before, entry.get_known_spent())
+      entry.offline_most = known + (budget - known) * part
       entry.offline_share = part
     most = max(entry.offline_most, ask.most)
     if held.saved.is_split and held.spent - ask.most < entry.offline_most:
--- a/tests/test_cut_domains.py
+++ b/tests/test_cut_domains.py
@@ -10,8 +10,10 @@
 
 from woadrun import errors
 from woadrun.decisions import shares
+from woadrun.process import datagrams
 from woadrun.process import histories
 from woadrun.process import program_copies
+from woadrun.version import spending
 
 
 def test_copies_go_to_few_domains_all_alike_and_the_same_for_a_program():
@@ -179,6 +181,42 @@
     assert sum(ran) * 6 <= 306 + 10
 
 
+async def test_what_was_spent_as_a_cut_began_is_not_left_for_both_sides():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1', 's1')
+    north, south = fleet.by_name['n1'], fleet.by_name['s1']
+    # The cut: nothing reaches the south, and the home does not know it yet.
+    fleet.view_by_name['s1'].is_cut = True
+    south.fleet.datagrams.handle(datagrams.FAR_COPY, lambda data: None)
+    south.fleet.is_silent = lambda domain: domain == 'north'
+    south.fleet.is_alive = lambda name: name == 's1'
+    before = 12
+    for number in range(before):
+      await fleet.turn('n1', f'a{number}', most=10, budget=306)
+    north.fleet.is_silent = lambda domain: domain == 'south'
+    north.fleet.is_alive = lambda name: name == 'n1'
+    await nodes.wait_until(
+      lambda: not south.store.is_reached and south.fleet.find_silent()
+    )
+    ran = [await spend_all(fleet, name, name) for name in ('n1', 's1')]
+    assert ran[1] > 0
+    assert (before + sum(ran)) * 6 <= 306 + 10
+
+
+def test_what_others_know_to_be_spent_stays_spent_in_a_cut():
+  seen = spending.Spending()
+  assert seen.get_known(now=0.0) == 0
+  seen.note(100, now=10.0)
+  seen.note(300, now=11.0)
+  assert [seen.get_known(now=at) for at in (11.9, 12.0, 12.9)] == [0, 100, 100]
+  seen.note(250, now=13.0)
+  seen.note(400, now=13.5)
+  assert [seen.get_known(now=at) for at in (14.9, 15.2)] == [300, 250]
+  seen.note(500, now=20.0)
+  assert seen.get_known(now=20.0) == 400
+  assert len(seen._marks) == 2
+
+
 async def test_domains_that_each_name_the_other_as_home_lose_no_history():
   """Both began the program while one of them was cut off."""
   async with nodes.Nodes() as fleet:
