--- a/src/woadrun/platform/program.py
+++ b/src/woadrun/platform/program.py
@@ -40,31 +40,22 @@
   """Serves until SIGTERM, then finishes what runs."""
   config = settings.load(os.environ[settings.PATH_VARIABLE])
   event_log.configure()
-  async with (
-    open_session(keepalive=node.REUSE_SECONDS) as session,
-    open_session(keepalive=node.PEER_REUSE_SECONDS) as peer_session,
-  ):
-    await _serve(config, session, peer_session)
-
-
-def open_session(*, keepalive: float) -> aiohttp.ClientSession:
-  """Returns a client that keeps a connection at rest for so many seconds."""
-  return aiohttp.ClientSession(
-    connector=fresh.make_connector(
-      limit=node.MOST_CONNECTIONS, keepalive=keepalive
-    ),
+  connector = fresh.make_connector(
+    limit=node.MOST_CONNECTIONS, keepalive=node.REUSE_SECONDS
+  )
+  async with aiohttp.ClientSession(
+    connector=connector,
     auto_decompress=False,
     cookie_jar=aiohttp.DummyCookieJar(),
-  )
+  ) as session:
+    await _serve(config, session)
 
 
 async def _serve(
-  config: node.NodeSettings,
-  session: aiohttp.ClientSession,
-  peer_session: aiohttp.ClientSession,
+  config: node.NodeSettings, session: aiohttp.ClientSession
 ) -> None:
   binding = make_binding(config, session)
-  service = node.Node(config=config, session=peer_session, binding=binding)
+  service = node.Node(config=config, session=session, binding=binding)
   entry = ingress.Ingress(
     service=service.serving,
     read_metrics=service.counters.encode,
--- a/src/woadrun/process/node.py
+++ b/src/woadrun/process/node.py
@@ -44,16 +44,11 @@
 
 log = logging.getLogger('woadrun.node')
 
-# Connections to peers, and as many to the store and upstreams; descriptors are
-# bounded.
-MOST_CONNECTIONS = 1500
+# Connections to peers, the store and upstreams; descriptors are bounded.
+MOST_CONNECTIONS = 3000
 # A connection to an upstream that rested so long is not used again, in
 # seconds: one that the upstream is just closing loses a request.
 REUSE_SECONDS = 4.0
-# A connection to a peer that rested so long, in seconds: a daemon of a fleet of
-# 66 has a message for each of its 22 neighbours every three seconds on average
-# (worked out from 240 turns a second).  Peers keep theirs for longer.
-PEER_REUSE_SECONDS = 30.0
 # Until a call of the store counts as lost, in seconds.  A store that takes
 # longer than this is of less use to a turn than the standby's word.
 STORE_SECONDS = 0.8
