--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -121,3 +121,17 @@
   own = made.find_own(keys)
   assert own == [key for key in keys if made.is_first_of_all(key)]
   assert 16 <= len(own) <= 48
+
+
+def test_a_domain_that_returns_is_unsettled_until_its_members_have_spoken():
+  made = make_fleet('s-1', 's-2')
+  for name in ('s-1', 's-2'):
+    hear(made, name, ago=5.0)
+    made._known_since[name] -= fleet.FIRST_BEAT_SECONDS
+  made._heard_at_by_domain['s'] -= 5.0
+  made._forget_view()
+  assert made.find_unsettled() == {'s'}
+  # The cut has healed: one member speaks, the other one owes the store.
+  hear(made, 's-1')
+  made._forget_view()
+  assert made.find_unsettled() == {'s'}
