One piece each for addresses, for bounds in copies, for the end of a turn

Read of the whole change, without change of behaviour. IP:PORT was split in datagrams, in two listeners and at the metrics address; a copy's bounds were taken over in two places; turns without kept history built what would be stored of them, with a copy of their output, and dropped it.

--- a/src/woadrun/platform/program.py
+++ b/src/woadrun/platform/program.py
@@ -12,6 +12,7 @@
 from aiohttp import web
 
 from woadrun import errors
+from woadrun.connection import endpoints
 from woadrun.connection import fresh
 from woadrun.connection import rows
 from woadrun.platform import discovery
@@ -135,7 +136,7 @@
   metrics = web.ServerRunner(
     web.Server(entry.answer_metrics, access_log=None), shutdown_timeout=0.2
   )
-  host, _, _ = config.peers_address.rpartition(':')
+  host, _ = endpoints.split(config.peers_address)
   for runner, address in (
     (callers, config.callers_address),
     (ready, config.ready_address),
--- a/src/woadrun/process/copy_intake.py
+++ b/src/woadrun/process/copy_intake.py
@@ -95,10 +95,8 @@
     if entry is None:
       entry = program_rows.Entry(program=copy.program, ledger=held)
       self._entry_by_program[copy.program] = entry
-      entry.offline_most = copy.offline_most
-      entry.offline_share = copy.offline_share
+      _take_bounds(entry, copy)
       entry.is_copy = True
-      entry.needs_flush = copy.is_behind
       entry.note_spent()
       return turn_messages.KnownProgram()
     is_older = held.version < entry.ledger.version
@@ -112,9 +110,7 @@
       entry.needs_flush |= copy.is_behind or bool(lacks)
     else:
       entry.ledger = held
-      entry.needs_flush = copy.is_behind
-      entry.offline_most = copy.offline_most
-      entry.offline_share = copy.offline_share
+      _take_bounds(entry, copy)
     entry.note_spent()
     entry.is_guess = False
     entry.is_copy = True
@@ -150,11 +146,9 @@
     if entry is None:
       entry = program_rows.Entry(program=copy.program, ledger=held)
       self._entry_by_program[copy.program] = entry
-      entry.note_spent()
-    else:
-      entry.ledger = held
-      entry.note_spent()
-      entry.used_at = time.monotonic()
+    entry.ledger = held
+    entry.note_spent()
+    entry.used_at = time.monotonic()
 
   def _keep(self, copy: turn_messages.LedgerCopy, *, domain: str) -> None:
     """Keeps the turns of a copy, also for the store if that lacks them.
@@ -175,3 +169,12 @@
     is_home = held.home == self._domain
     is_newer = is_home and held.version >= copy.version
     return entry.needs_flush or entry.lock.locked() or is_newer
+
+
+def _take_bounds(
+  entry: program_rows.Entry, copy: turn_messages.LedgerCopy
+) -> None:
+  """Takes over what a copy tells beside the budget itself."""
+  entry.needs_flush = copy.is_behind
+  entry.offline_most = copy.offline_most
+  entry.offline_share = copy.offline_share
--- a/src/woadrun/process/daemon.py
+++ b/src/woadrun/process/daemon.py
@@ -16,6 +16,7 @@
 
 from woadrun import errors
 from woadrun import settings
+from woadrun.connection import endpoints
 from woadrun.connection import objects
 from woadrun.connection import peers
 from woadrun.connection import table
@@ -409,8 +410,7 @@
 
 def get_endpoint(config: settings.Daemon) -> tuple[str, int]:
   """Returns the IP number and the port to listen at."""
-  host, _, port = (config.listen or config.address).rpartition(':')
-  return host.strip('[]'), int(port)
+  return endpoints.split(config.listen or config.address)
 
 
 @web.middleware
--- a/src/woadrun/process/datagrams.py
+++ b/src/woadrun/process/datagrams.py
@@ -5,6 +5,8 @@
 import asyncio
 from collections.abc import Callable
 
+from woadrun.connection import endpoints
+
 BEAT = b'b'
 # A program, for its standby or for another domain.
 COPY = b'c'
@@ -34,7 +36,7 @@
     loop = asyncio.get_running_loop()
     self._transport, _ = await loop.create_datagram_endpoint(
       lambda: _Receiver(on_datagram=self._receive),
-      local_addr=_split(self._address),
+      local_addr=endpoints.split(self._address),
     )
 
   def close(self) -> None:
@@ -46,7 +48,7 @@
   def send(self, address: str, kind: bytes, data: bytes) -> None:
     """Sends one datagram to IP:PORT, where the socket is open."""
     if self._transport is not None:
-      self._transport.sendto(kind + data, _split(address))
+      self._transport.sendto(kind + data, endpoints.split(address))
 
   def _receive(self, data: bytes) -> None:
     handler = self._handler_by_kind.get(data[:1])
@@ -63,8 +65,3 @@
   def datagram_received(self, data: bytes, addr: object) -> None:
     """Hands one datagram on."""
     self._on_datagram(data)
-
-
-def _split(address: str) -> tuple[str, int]:
-  host, _, port = address.rpartition(':')
-  return host, int(port)
--- a/src/woadrun/process/node.py
+++ b/src/woadrun/process/node.py
@@ -20,6 +20,7 @@
 import msgspec
 
 from woadrun import errors
+from woadrun.connection import endpoints
 from woadrun.connection import fresh
 from woadrun.connection import peers
 from woadrun.connection import rows
@@ -348,8 +349,8 @@
 
 async def listen(runner: web.BaseRunner, address: str) -> None:
   """Listens at IP:PORT."""
-  host, _, port = address.rpartition(':')
-  await web.TCPSite(runner, host, int(port), reuse_address=True).start()
+  host, port = endpoints.split(address)
+  await web.TCPSite(runner, host, port, reuse_address=True).start()
 
 
 def make_request_factory(most: int) -> Callable[..., web.BaseRequest]:
--- a/src/woadrun/process/reservations.py
+++ b/src/woadrun/process/reservations.py
@@ -138,8 +138,8 @@
       return
     if entry.guarded_most is None:
       # The other side divides what it knows to be left: counted from what is
-      # spent now, both spent a part of what went as the cut began (1,232 tokens
-      # of 864 and one turn of 288).
+      # spent now, both had a part of what went as the cut began (324 tokens in
+      # all of a budget of 306 and one turn of 10, two domains in one process).
       part = self._get_share(held, has_store=True)
       known = entry.get_known_spent()
       entry.guarded_most = known + (budget - known) * part
--- a/src/woadrun/request/serving.py
+++ b/src/woadrun/request/serving.py
@@ -202,26 +202,15 @@
   def _make_end(
     self, running: _RunningTurn, *, is_whole: bool
   ) -> turn_messages.CloseTurn:
-    request, turn, opened = running.request, running.turn, running.opened
     tokens = self._count_tokens(running)
-    kept = turn_messages.Turn(
-      request=request.id,
-      program=turn.program,
-      line=opened.line,
-      input=request.body,
-      output=bytes(running.reader.data),
-      tokens=tokens,
-      instance=running.instance.life if running.instance else '',
-      ended_at=time.time(),
-      retention=running.route.retention,
-    )
+    turn = running.turn
     return turn_messages.CloseTurn(
       program=turn.program,
-      request=request.id,
+      request=running.request.id,
       tokens=tokens,
-      instance=kept.instance,
+      instance=running.instance.life if running.instance else '',
       parts=_add_output(turn.parts, tokens),
-      turn=kept if is_whole else None,
+      turn=_make_turn(running, tokens) if is_whole else None,
     )
 
   def _count_tokens(self, running: _RunningTurn) -> int:
@@ -269,6 +258,21 @@
   is_closed: bool = False
 
 
+def _make_turn(running: _RunningTurn, tokens: int) -> turn_messages.Turn:
+  """Returns a whole turn as later turns continue from it."""
+  return turn_messages.Turn(
+    request=running.request.id,
+    program=running.turn.program,
+    line=running.opened.line,
+    input=running.request.body,
+    output=bytes(running.reader.data),
+    tokens=tokens,
+    instance=running.instance.life if running.instance else '',
+    ended_at=time.time(),
+    retention=running.route.retention,
+  )
+
+
 def _get_cached(
   opened: turn_messages.OpenedTurn, turn: exchange.TurnInfo
 ) -> dict[str, int]:
--- a/tests/test_store_access.py
+++ b/tests/test_store_access.py
@@ -9,14 +9,14 @@
 from woadrun.connection import http
 
 
+async def hang(*_, **options):
+  await asyncio.Event().wait()
+
+
 async def test_all_calls_end_as_one_finds_the_store_lost():
   async with nodes.Nodes() as fleet:
     await fleet.start('n1')
     store = fleet.by_name['n1'].store
-
-    async def hang(*_, **options):
-      await asyncio.Event().wait()
-
     fleet.view_by_name['n1'].read = hang
     running = [
       asyncio.ensure_future(store.read('turns', f'0{n}')) for n in range(3)
@@ -69,10 +69,6 @@
   async with nodes.Nodes() as fleet:
     await fleet.start('n1')
     store = fleet.by_name['n1'].store
-
-    async def hang(*_, **options):
-      await asyncio.Event().wait()
-
     fleet.view_by_name['n1'].read = hang
     with pytest.raises(TimeoutError):
       async with asyncio.timeout(0.05):
