A program without a row waits for the store even if that is slow

Cause, worked out and shown by a test: with a slow store a turn is reserved at the standby and written behind. Lines of a program come in through several domains; where none has its row yet, each took it for its own, and each spent the whole budget behind.

Change: behind only once the program has a row; until then its turn waits for the write, whose condition lets one domain begin.

The test failed first: 108 tokens of 60 and a turn of 10.

--- a/src/woadrun/process/programs.py
+++ b/src/woadrun/process/programs.py
@@ -124,8 +124,10 @@
       opened = await histories.find(
         ask.parent, cache=self.cache, store=self._turns
       )
-    is_unsure = entry.is_guess and not ask.keeps_history
-    if self._store.is_slow and not ask.is_away and not is_unsure:
+    # A program without a row may begin in another domain at this moment: both
+    # spent the whole budget behind (108 tokens in all of a budget of 60).
+    has_row = entry.ledger.version > 0
+    if self._store.is_slow and not ask.is_away and has_row:
       # The standby's word comes a hundred times sooner than a slow write,
       # which held up each turn by half a second; the store gets it behind.
       # The end of a turn still waits for the store.
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -8,6 +8,8 @@
 import pytest
 
 from woadrun import errors
+from woadrun.process import flusher
+from woadrun.process import store_access
 from woadrun.request import exchange
 
 # What a turn is given: two events of three tokens each.
@@ -221,3 +223,26 @@
 @hypothesis.settings(max_examples=12)
 def test_no_series_of_turns_and_faults_exceeds_a_budget(steps):
   assert asyncio.run(play(steps)) <= 40 + MOST
+
+
+async def test_a_program_begun_twice_while_the_store_is_slow_has_one_budget(
+  monkeypatch,
+):
+  """Its first turns come in through two domains."""
+  monkeypatch.setattr(store_access.StoreAccess, 'is_slow', True)
+  monkeypatch.setattr(flusher, 'FLUSH_SECONDS', 5.0)
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1', 's1')
+
+    async def spend(name):
+      given = 0
+      for number in range(40):
+        try:
+          await fleet.turn(name, f'{name}-{number}', most=MOST, budget=60)
+        except errors.WoadrunError:
+          break
+        given += GIVEN
+      return given
+
+    given = await asyncio.gather(spend('n1'), spend('s1'))
+  assert 0 < sum(given) <= 60 + MOST
