A domain that returns is settled once all its members have spoken

Cause: as a cut heals, a home lifted the bound of a budget as soon as one member of the other domain was heard.

Now each living member must have said, 0.5 s after the return or later, that it hears this side and owes nothing. Digests tell how old the oldest datagram in them is, and which domains any member (not the hub alone) hears nothing of. A daemon that has just started takes its peers' word for who is silent.

--- a/src/woadrun/process/beats.py
+++ b/src/woadrun/process/beats.py
@@ -22,14 +22,17 @@
   `age` is how long ago it was made, in seconds.  `silent`, `leaving` and
   `storeless` name members: those that the hub does not hear, that are about
   to stop, and that the store turns away.  `deaf_to` names the other domains
-  of which nothing is heard.  `is_owing` and `is_behind` say that a member
+  of which a member hears nothing.  `is_owing` and `is_behind` say that a member
   does so in its own datagrams.  `running` sums the requests that the members
-  have at each instance, `failing` the failures that they saw there.
+  have at each instance, `failing` the failures that they saw there.  All this
+  is from datagrams, the oldest of which was `oldest` seconds old when the
+  digest was made; it is None while the hub has not heard of all members.
   """
 
   hub: str
   domain: str
   age: float = 0.0
+  oldest: float | None = None
   silent: tuple[str, ...] = ()
   leaving: tuple[str, ...] = ()
   storeless: tuple[str, ...] = ()
--- a/src/woadrun/process/fleet.py
+++ b/src/woadrun/process/fleet.py
@@ -22,6 +22,7 @@
 from woadrun.process import beats
 from woadrun.process import datagrams
 from woadrun.process import hubs
+from woadrun.process import returns
 from woadrun.process import views
 
 log = logging.getLogger('woadrun.fleet')
@@ -78,6 +79,8 @@
     self._view = views.View(at=-math.inf)
     self._told_at = -math.inf
     self._heard_at_by_domain: dict[str, float] = {}
+    self._returns = returns.Returns()
+    self._started_at = time.monotonic()
     self.datagrams = datagrams.Datagrams(address=me.address)
     self.datagrams.handle(datagrams.BEAT, self._receive)
 
@@ -136,8 +139,7 @@
   def _is_unheard(self, domain: str) -> bool:
     now = time.monotonic()
     heard_at = self._heard_at_by_domain.get(domain, -math.inf)
-    limit = SUSPECT_SECONDS if self.is_mesh else hubs.DIGEST_SECONDS
-    if now - heard_at < limit:
+    if now - heard_at < self._get_silence_limit():
       return False
     known = [
       now - self._known_since.get(member.name, now)
@@ -146,6 +148,9 @@
     ]
     return bool(known) and max(known) >= FIRST_BEAT_SECONDS
 
+  def _get_silence_limit(self) -> float:
+    return SUSPECT_SECONDS if self.is_mesh else hubs.DIGEST_SECONDS
+
   def _get_view(self) -> views.View:
     now = time.monotonic()
     if now - self._view.at >= VIEW_SECONDS:
@@ -182,12 +187,38 @@
   def find_unsettled(self) -> set[str]:
     """Returns the other domains that may spend without the store.
 
-    Those are the silent ones, those that do not hear this domain, and those
-    that have not yet told the store what they spent.
+    Those are the silent ones, those that were until a moment ago, those that
+    do not hear this domain, and those that have not yet told the store what
+    they spent.
     """
     view = self._get_view()
-    told = (view.owing | view.deaf) - {self.me.domain}
-    return set(self.find_silent()) | told
+    told = view.owing | view.deaf
+    if time.monotonic() - self._started_at < FIRST_BEAT_SECONDS:
+      # It cannot tell yet itself who is silent: a daemon that was started
+      # again in a cut took the whole budget for its own.
+      told |= view.called_silent
+    returned = self._returns.find_open(self._get_told_at)
+    return (set(self.find_silent()) | told | returned) - {self.me.domain}
+
+  def _get_told_at(self, domain: str, since: float) -> float:
+    """Returns up to when all living members of a domain have spoken.
+
+    One that has said nothing for a while since the domain is back is not
+    alive: what it decided its standby has, and tells.
+    """
+    if not self.is_mesh:
+      return self._hubs.get_told_at(domain)
+    now = time.monotonic()
+    heard_at = (
+      self.heard_by_name[name].at if name in self.heard_by_name else -math.inf
+      for name, member in self.member_by_name.items()
+      if member.domain == domain
+    )
+    is_late = now - since >= SUSPECT_SECONDS
+    awaited = (
+      at for at in heard_at if not is_late or now - at < SUSPECT_SECONDS
+    )
+    return min(awaited, default=-math.inf)
 
   @property
   def is_settled(self) -> bool:
@@ -455,7 +486,9 @@
       self._on_digest(digest)
 
   def _note_domain(self, domain: str, at: float) -> None:
-    known = self._heard_at_by_domain.get(domain, -math.inf)
+    known = self._heard_at_by_domain.get(domain, at)
+    if domain != self.me.domain and at - known >= self._get_silence_limit():
+      self._returns.note(domain, now=time.monotonic())
     self._heard_at_by_domain[domain] = max(known, at)
 
   def _forget_view(self) -> None:
--- a/src/woadrun/process/hubs.py
+++ b/src/woadrun/process/hubs.py
@@ -13,6 +13,7 @@
 from collections.abc import Iterable
 import functools
 import hashlib
+import math
 import time
 from typing import TypeVar
 
@@ -164,13 +165,18 @@
       for m in known
       if m != self._me and m.name not in heard and is_settled
     ]
+    oldest = max((now - found.at for found in heard.values()), default=0.0)
+    is_whole = is_settled or len(heard) == len(known) - 1
     digest = beats.Digest(
       hub=self._me.name,
       domain=self._me.domain,
+      oldest=round(oldest, 3) if is_whole else None,
       silent=tuple(sorted(silent)),
       leaving=tuple(beat.name for beat in told if beat.is_leaving),
       storeless=tuple(beat.name for beat in told if not beat.has_store),
-      deaf_to=mine.silent,
+      deaf_to=tuple(
+        sorted({domain for beat in told for domain in beat.silent})
+      ),
       is_owing=any(beat.is_owing for beat in told),
       is_behind=any(beat.is_behind for beat in told),
       running=_add_up(beat.running for beat in told),
@@ -197,6 +203,15 @@
     self._drop_old()
     return [digest for digest, _ in self._digest_by_hub.values()]
 
+  def get_told_at(self, domain: str) -> float:
+    """Returns up to when all living members of a domain have spoken."""
+    told_at = (
+      made_at - digest.oldest
+      for digest, made_at in self._digest_by_hub.values()
+      if digest.domain == domain and digest.oldest is not None
+    )
+    return max(told_at, default=-math.inf)
+
   def _drop_old(self) -> None:
     now = time.monotonic()
     self._digest_by_hub = {
--- a/src/woadrun/process/views.py
+++ b/src/woadrun/process/views.py
@@ -15,6 +15,8 @@
   `silent`, `leaving` and `storeless` name members.  `owing`, `behind` and
   `deaf` name domains: with a member that owes the store something, that keeps
   what it lacks, or that hears nothing of this daemon's domain.
+  `called_silent` names those of which a member of this daemon's domain hears
+  nothing.
   `fit_by_domain` keeps which members of a domain may be asked, and
   `silence_by_domain` which other domains are silent: several looks in each
   request need them.
@@ -27,6 +29,7 @@
   owing: set[str] = dataclasses.field(default_factory=set)
   behind: set[str] = dataclasses.field(default_factory=set)
   deaf: set[str] = dataclasses.field(default_factory=set)
+  called_silent: set[str] = dataclasses.field(default_factory=set)
   fit_by_domain: dict[str, list[beats.Member]] = dataclasses.field(
     default_factory=dict
   )
@@ -81,20 +84,26 @@
     view.leaving.add(beat.name)
   if not beat.has_store:
     view.storeless.add(beat.name)
-  _add_domain(view, beat, is_deaf=domain in beat.silent)
+  _add_domain(view, beat, domain, unheard=beat.silent)
 
 
 def _add_digest(view: View, digest: beats.Digest, domain: str) -> None:
   view.leaving.update(digest.leaving)
-  _add_domain(view, digest, is_deaf=domain in digest.deaf_to)
+  _add_domain(view, digest, domain, unheard=digest.deaf_to)
 
 
 def _add_domain(
-  view: View, told: beats.Beat | beats.Digest, *, is_deaf: bool
+  view: View,
+  told: beats.Beat | beats.Digest,
+  domain: str,
+  *,
+  unheard: tuple[str, ...],
 ) -> None:
   if told.is_owing:
     view.owing.add(told.domain)
   if told.is_behind:
     view.behind.add(told.domain)
-  if is_deaf:
+  if domain in unheard:
     view.deaf.add(told.domain)
+  if told.domain == domain:
+    view.called_silent.update(unheard)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -6,6 +6,7 @@
 
 from woadrun.process import beats
 from woadrun.process import fleet
+from woadrun.process import returns
 
 
 def make_fleet(*others, me='n-me'):
@@ -135,3 +136,57 @@
   hear(made, 's-1')
   made._forget_view()
   assert made.find_unsettled() == {'s'}
+
+
+def return_from_silence(made, *names):
+  """Has domains go silent, and hears the first of some members again."""
+  for name in names:
+    hear(made, name, ago=5.0)
+    made._known_since[name] -= fleet.FIRST_BEAT_SECONDS
+    made._heard_at_by_domain[name.partition('-')[0]] -= 5.0
+  made._forget_view()
+  assert made.find_unsettled() == {'s'}
+  hear(made, names[0])
+
+
+def test_a_domain_that_returns_is_settled_once_all_its_members_have_spoken(
+  monkeypatch,
+):
+  made = make_fleet('s-1', 's-2')
+  return_from_silence(made, 's-1', 's-2')
+  now = time.monotonic()
+  monkeypatch.setattr('time.monotonic', lambda: now)
+  # Said before it can have heard this side: it may spend for a moment more.
+  hear(made, 's-2')
+  assert made.find_unsettled() == {'s'}
+  now += returns.HEARING_SECONDS
+  hear(made, 's-1')
+  assert made.find_unsettled() == {'s'}
+  hear(made, 's-2', is_owing=True)
+  assert made.find_unsettled() == {'s'}
+  hear(made, 's-2')
+  assert not made.find_unsettled()
+
+
+def test_a_dead_member_holds_a_domain_up_no_longer_than_silence_takes(
+  monkeypatch,
+):
+  made = make_fleet('s-1', 's-2')
+  return_from_silence(made, 's-1', 's-2')
+  now = time.monotonic() + fleet.SUSPECT_SECONDS - 0.1
+  monkeypatch.setattr('time.monotonic', lambda: now)
+  hear(made, 's-1')
+  assert made.find_unsettled() == {'s'}
+  now += 0.2
+  hear(made, 's-1')
+  assert not made.find_unsettled()
+
+
+def test_a_daemon_that_starts_in_a_cut_takes_its_peers_word_for_it():
+  made = make_fleet('n-1', 's-1')
+  hear(made, 'n-1', silent=('s',))
+  assert made.find_silent() == []
+  assert made.find_unsettled() == {'s'}
+  # Later it hears for itself whether that still holds.
+  made._started_at -= fleet.FIRST_BEAT_SECONDS
+  assert not made.find_unsettled()
--- a/tests/test_hubs.py
+++ b/tests/test_hubs.py
@@ -30,6 +30,9 @@
     names = [f'{domain}-{n}' for domain in domains for n in range(size)]
     self.by_name = {name: self.make(name, names) for name in names}
 
+  def shuffle(self, seed):
+    self._random = random.Random(seed)
+
   def make(self, name, known):
     me = _make_member(name)
 
@@ -194,6 +197,31 @@
   assert all(found.is_settled for found in network.by_name.values())
 
 
+@pytest.mark.parametrize('loss', [0.0, 0.05])
+@pytest.mark.parametrize('seed', range(6))
+def test_a_cut_is_over_for_others_once_no_member_spends_alone(
+  monkeypatch, seed, loss
+):
+  network = Network(monkeypatch)
+  network.shuffle(seed)
+  network.run(4)
+  network.cut_domain = 'w'
+  network.run(2)
+  network.cut_domain = None
+  network.loss = loss
+  cut_off = [f for f in network.by_name.values() if f.me.domain == 'w']
+  others = [f for f in network.by_name.values() if f.me.domain != 'w']
+  # What a member spends while it does not hear the others, it says a beat
+  # later.
+  while any(found.find_silent() for found in cut_off):
+    assert all(found.find_unsettled() for found in others)
+    network.run(0.25)
+  assert all(found.find_unsettled() for found in others)
+  network.loss = 0.0
+  network.run(2.5)
+  assert not any(found.find_unsettled() for found in others)
+
+
 def test_what_one_member_says_is_known_to_all(network):
   network.flags_by_name['s-4'] = {'is_leaving': True, 'is_behind': True}
   network.run(1.5)
