An instance is the better one of a few drawn at random, not the best of all

Cause: hundreds of daemons know the same late counts, and each took the instance that looked emptiest of all.

A choice no longer sums the counts of all instances, and the instances of a service are listed once for each change. tests/test_placement.py replays the load with the real counts of 60 daemons.

--- a/src/woadrun/process/beats.py
+++ b/src/woadrun/process/beats.py
@@ -24,7 +24,8 @@
   to stop, and that the store turns away.  `deaf_to` names the other domains
   of which a member hears nothing.  `is_owing` and `is_behind` say that a member
   does so in its own datagrams.  `running` sums the requests that the members
-  have at each instance, `failing` the failures that they saw there.  All this
+  have at each instance, `failing` the failures that they saw there; both are
+  None where the receiver has them from elsewhere.  All this
   is from datagrams, the oldest of which was `oldest` seconds old when the
   digest was made; it is None while the hub has not heard of all members.
   """
@@ -39,8 +40,8 @@
   deaf_to: tuple[str, ...] = ()
   is_owing: bool = False
   is_behind: bool = False
-  running: dict[str, int] = {}
-  failing: dict[str, float] = {}
+  running: dict[str, int] | None = None
+  failing: dict[str, float] | None = None
 
 
 class Beat(msgspec.Struct, kw_only=True, omit_defaults=True):
@@ -52,7 +53,8 @@
   it hears nothing.  `is_owing` says that it has spent of other domains'
   programs what the store does not have yet, `is_behind` that the store lacks
   anything of what it keeps.  With `wants_digests` the receiver is asked for
-  digests, which come in `digests`.
+  digests, which come in `digests`.  `elsewhere` then sums the requests that
+  all other domains have at each instance.
   """
 
   name: str
@@ -68,6 +70,7 @@
   is_behind: bool = False
   wants_digests: bool = False
   digests: tuple[Digest, ...] = ()
+  elsewhere: dict[str, int] | None = None
 
 
 @dataclasses.dataclass(kw_only=True)
--- a/src/woadrun/process/health.py
+++ b/src/woadrun/process/health.py
@@ -157,6 +157,19 @@
     }
     self._told_by_source['domain'] = (time.monotonic() - age, others)
 
+  def get(self, id: str) -> float:
+    """Returns the failures to heed at one instance."""
+    now = time.monotonic()
+    record = self._record_by_id.get(id)
+    total = 0.0 if record is None else _fade(record, now)
+    for sent in self._sent_by_request.values():
+      if sent.id == id and self._is_overdue(sent, now):
+        total += SILENCE_WEIGHT
+    for at, failing in self._told_by_source.values():
+      if now - at < TOLD_SECONDS:
+        total += failing.get(id, 0.0)
+    return max(0.0, min(MOST_FAILURES, total) - TOLERATED)
+
   def get_all(self) -> dict[str, float]:
     """Returns the failures to heed, of all instances that have any."""
     now = time.monotonic()
--- a/src/woadrun/process/loads.py
+++ b/src/woadrun/process/loads.py
@@ -19,6 +19,7 @@
 import time
 
 from woadrun.connection import turn_messages
+from woadrun.decisions import draws
 from woadrun.decisions import retry_after
 from woadrun.decisions import routing
 from woadrun.process import beats
@@ -95,6 +96,9 @@
     self._told: dict[str, int] = {}
     self._counts_by_peer: dict[str, tuple[float, dict[str, int]]] = {}
     self._shared_at: dict[tuple[str, str], float] = {}
+    self._sharer_by_part: dict[str, str] = {}
+    # Instances with a connection that rested, the last one used last.
+    self._rested: dict[str, None] = {}
 
   def get_running(self) -> dict[str, int]:
     """Returns this daemon's own requests, by instance."""
@@ -116,15 +120,21 @@
 
   def take_digest(self, digest: beats.Digest) -> None:
     """Takes the counts of a domain in, all its members together."""
+    if digest.running is None:
+      return
     counts = dict(digest.running)
     if digest.domain == self._domain:
       # This daemon's own requests are among them, as it told them last.
       for id, running in self._told.items():
         counts[id] = counts.get(id, 0) - running
-      self.health.take_sum(digest.failing, age=digest.age)
+      self.health.take_sum(digest.failing or {}, age=digest.age)
     at = time.monotonic() - digest.age
     self._counts_by_peer[f'domain {digest.domain}'] = (at, counts)
 
+  def take_elsewhere(self, running: dict[str, int]) -> None:
+    """Takes the counts of all other domains in, as a hub sums them."""
+    self._counts_by_peer['elsewhere'] = (time.monotonic(), running)
+
   @contextlib.contextmanager
   def count(self, id: str) -> Iterator[Load]:
     """Counts a request at an instance while the context lasts."""
@@ -143,11 +153,14 @@
     now = time.monotonic()
     load.rested_at = [at for at in load.rested_at if now - at < RESTED_SECONDS]
     load.rested_at.append(now)
+    self._rested.pop(id, None)
+    self._rested[id] = None
 
   def note_prompt(self, id: str, parts: Sequence[turn_messages.Part]) -> None:
     """Takes note of what a prompt that goes to an instance begins with."""
     if parts:
       self._shared_at[id, parts[0].id] = time.monotonic()
+      self._sharer_by_part[parts[0].id] = id
 
   def _count_shared(
     self, id: str, parts: Sequence[turn_messages.Part], now: float
@@ -188,98 +201,156 @@
     self._shared_at = {
       key: at for key, at in self._shared_at.items() if at > limit
     }
+    self._sharer_by_part = {
+      part: id
+      for part, id in self._sharer_by_part.items()
+      if (id, part) in self._shared_at
+    }
+    now = time.monotonic()
+    self._rested = {
+      id: None for id in self._rested if self._get(id).has_rested(now)
+    }
 
   def choose(
     self,
-    found: list[instances.Instance],
+    found: instances.Group,
     *,
     tried: Collection[str],
     prompt: int = 0,
     parts: Sequence[turn_messages.Part] = (),
     cached_by_id: dict[str, int] | None = None,
   ) -> instances.Instance | None:
-    """Returns the instance with the shortest expected time, if any."""
-    by_id = {item.life: item for item in found if item.life not in tried}
+    """Returns the best of a few instances, if any is left to try.
+
+    Those are the ones that hold the prompt, one that holds its shared part, one
+    with a connection at rest, and two drawn at random (`decisions/draws.py`).
+    """
     now = time.monotonic()
-    # A request to a domain that is cut off waits for its deadline: what was
-    # sent may have run there and is not sent again.
-    silent = {d for d in self._get_domains(by_id) if self._is_silent(d)}
-    fresh = [
-      id
-      for id, item in by_id.items()
-      if self._get(id).passed_over_until <= now and item.domain not in silent
+    cached_by_id = cached_by_id or {}
+
+    def is_fit(item: instances.Instance) -> bool:
+      return item.life not in tried and self._is_fit(item, now)
+
+    known = [
+      *cached_by_id,
+      *self._find_sharer(parts, now),
+      *self._find_rested(found, now),
     ]
-    counts = self._sum_counts(now)
-    failing = self.health.get_all()
+    looked_at = {
+      life: item
+      for life in known
+      if (item := found.by_life.get(life)) is not None and is_fit(item)
+    }
+    for item in self._draw(
+      found, lambda item: item.life not in looked_at and is_fit(item)
+    ):
+      looked_at[item.life] = item
+    if not looked_at:
+      # All that are left are unreachable or cut off: any may be back.
+      looked_at = {i.life: i for i in found.all if i.life not in tried}
     candidates = [
       self._make_candidate(
-        by_id[id],
-        counts,
-        risk=FAILURE_SECONDS * failing.get(id, 0.0),
+        item,
+        risk=FAILURE_SECONDS * self.health.get(life),
         cached=max(
-          (cached_by_id or {}).get(id, 0), self._count_shared(id, parts, now)
+          cached_by_id.get(life, 0), self._count_shared(life, parts, now)
         ),
         added=TURN_SECONDS if prompt else 0.0,
+        now=now,
       )
-      for id in fresh or by_id
+      for life, item in looked_at.items()
     ]
     chosen = routing.choose(
       candidates, prompt=prompt, prefill_rate=PREFILL_RATE
     )
-    return by_id[chosen.name] if chosen else None
+    return looked_at[chosen.name] if chosen else None
+
+  def _draw(
+    self,
+    found: instances.Group,
+    is_fit: Callable[[instances.Instance], bool],
+  ) -> list[instances.Instance]:
+    """Returns instances drawn at random, sound ones among them if there are."""
+    near = found.find_near(self._domain)
+    drawn = draws.draw(near, found.all, is_fit=is_fit, pick=random.choice)
+    if not any(self.health.get(item.life) for item in drawn):
+      return drawn
+
+    def is_sound(item: instances.Instance) -> bool:
+      return is_fit(item) and not self.health.get(item.life)
+
+    sound = draws.draw(near, found.all, is_fit=is_sound, pick=random.choice)
+    return [*drawn, *sound]
+
+  def _is_fit(self, item: instances.Instance, now: float) -> bool:
+    """Returns whether an instance can be reached, as far as is known.
+
+    A request to a domain that is cut off waits for its deadline: what was
+    sent may have run there and is not sent again.
+    """
+    passed_over = self._get(item.life).passed_over_until > now
+    return not passed_over and not self._is_silent(item.domain)
+
+  def _find_sharer(
+    self, parts: Sequence[turn_messages.Part], now: float
+  ) -> list[str]:
+    """Returns the instance that was sent a prompt's first part last."""
+    known = self._sharer_by_part.get(parts[0].id) if parts else None
+    if known is None or self._count_shared(known, parts, now) == 0:
+      return []
+    return [known]
+
+  def _find_rested(self, found: instances.Group, now: float) -> list[str]:
+    """Returns the instance of the group that was used last, if it rests."""
+    for life in reversed(self._rested):
+      if life in found.by_life and self._get(life).has_rested(now):
+        return [life]
+    return []
 
   def get_total(self, id: str) -> int:
     """Returns the requests of all daemons at an instance."""
-    return self._add_own(id, self._sum_counts(time.monotonic()))
+    return self._get(id).running + self._count_others(id, time.monotonic())
 
-  def _add_own(self, id: str, counts: dict[str, int]) -> int:
-    return self._get(id).running + counts.get(id, 0)
-
-  def estimate_return(self, found: list[instances.Instance]) -> float:
+  def estimate_return(self, found: instances.Group) -> float:
     """Returns when a refused request should find a free slot, in seconds."""
-    counts = self._sum_counts(time.monotonic())
-    running = sum(self._add_own(item.life, counts) for item in found)
-    seconds = [self._get(item.life).seconds for item in found]
+    running = sum(self.get_total(item.life) for item in found.all)
+    seconds = [self._get(item.life).seconds for item in found.all]
     return retry_after.estimate(
       running=running,
-      slots=sum(item.slots for item in found),
+      slots=sum(item.slots for item in found.all),
       seconds=sum(seconds) / len(seconds) if seconds else 0.0,
     )
 
   def _get(self, id: str) -> Load:
     return self._load_by_id.get(id) or Load()
 
-  def _get_domains(self, by_id: dict[str, instances.Instance]) -> set[str]:
-    return {item.domain for item in by_id.values()}
-
-  def _sum_counts(self, now: float) -> dict[str, int]:
-    total: dict[str, int] = {}
-    for at, counts in self._counts_by_peer.values():
-      if now - at > COUNTS_SECONDS:
-        continue
-      for id, running in counts.items():
-        total[id] = total.get(id, 0) + max(0, running)
-    return total
+  def _count_others(self, id: str, now: float) -> int:
+    """Returns the requests of all other daemons at an instance."""
+    return sum(
+      max(0, counts.get(id, 0))
+      for at, counts in self._counts_by_peer.values()
+      if now - at <= COUNTS_SECONDS
+    )
 
   def _make_candidate(
     self,
     item: instances.Instance,
-    counts: dict[str, int],
     *,
     risk: float,
     cached: int,
     added: float,
+    now: float,
   ) -> routing.Candidate:
     load = self._get(item.life)
     # What a turn takes depends on the load of its engine, which counts by
     # itself here.
     seconds = FIRST_SECONDS if added else load.seconds
-    if not load.has_rested(time.monotonic()):
+    if not load.has_rested(now):
       seconds += CONNECT_SECONDS
     return routing.Candidate(
       name=item.life,
       slots=item.slots,
-      running=self._add_own(item.life, counts),
+      running=load.running + self._count_others(item.life, now),
       waiting=0,
       seconds=seconds + random.uniform(0, JITTER_SECONDS),
       cached=cached,
--- a/src/woadrun/version/instances.py
+++ b/src/woadrun/version/instances.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from collections.abc import Sequence
 import dataclasses
 
 # Ids whose newest life is remembered after their entry went, the most.
@@ -37,6 +38,24 @@
     return f'{self.id}.{self.born}' if self.born else self.id
 
 
+class Group:
+  """Instances among which one is chosen, as a list and by what names them."""
+
+  def __init__(self, found: Sequence[Instance] = ()) -> None:
+    self.all = tuple(found)
+    self.by_life = {instance.life: instance for instance in found}
+    self._by_domain: dict[str, list[Instance]] = {}
+    for instance in found:
+      self._by_domain.setdefault(instance.domain, []).append(instance)
+
+  def __len__(self) -> int:
+    return len(self.all)
+
+  def find_near(self, domain: str) -> Sequence[Instance]:
+    """Returns the instances in a failure domain."""
+    return self._by_domain.get(domain, ())
+
+
 class Directory:
   """All instances known, by id and by service.
 
@@ -51,6 +70,7 @@
     self._ids_by_service: dict[str, dict[str, None]] = {}
     self._missing_since: dict[str, float] = {}
     self._newest_born_by_id: dict[str, int] = {}
+    self._group_by_service: dict[str, Group] = {}
 
   def put(self, instance: Instance) -> None:
     """Takes a new or changed entry in, unless a later life is known."""
@@ -62,6 +82,7 @@
       self.remove(instance.id)
     self._missing_since.pop(instance.id, None)
     self.by_id[instance.id] = instance
+    self._group_by_service.pop(instance.service, None)
     self._ids_by_service.setdefault(instance.service, {})[instance.id] = None
 
   def _remember(self, instance: Instance) -> None:
@@ -83,6 +104,7 @@
     instance = self.by_id.pop(id, None)
     if instance is not None:
       del self._ids_by_service[instance.service][id]
+      self._group_by_service.pop(instance.service, None)
     return instance
 
   def replace(self, instances: Iterable[Instance], *, now: float) -> None:
@@ -107,8 +129,15 @@
     """Returns the ids that the last whole list lacked."""
     return list(self._missing_since)
 
-  def find(self, service: str) -> list[Instance]:
-    """Returns the instances of a service that take requests."""
-    ids = self._ids_by_service.get(service, {})
-    found = (self.by_id[id] for id in ids)
-    return [instance for instance in found if not instance.is_draining]
+  def find(self, service: str) -> Group:
+    """Returns the instances of a service that take requests.
+
+    They are put together once for each change, not for each request.
+    """
+    known = self._group_by_service.get(service)
+    if known is None:
+      ids = self._ids_by_service.get(service, {})
+      found = (self.by_id[id] for id in ids)
+      known = Group([item for item in found if not item.is_draining])
+      self._group_by_service[service] = known
+    return known
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -126,7 +126,7 @@
 
 def choose(load):
   found = [make_instance('bad'), make_instance('good')]
-  return {load.choose(found, tried=()).id for _ in range(40)}
+  return {load.choose(instances.Group(found), tried=()).id for _ in range(40)}
 
 
 def test_an_instance_that_failed_is_left_while_another_is_as_good():
--- a/tests/test_instances.py
+++ b/tests/test_instances.py
@@ -106,18 +106,18 @@
   directory = instances.Directory(grace=1.0)
   directory.put(make_instance(born=2000))
   directory.put(make_instance(born=1000, state='draining'))
-  assert directory.find('models')[0].born == 2000
+  assert directory.find('models').all[0].born == 2000
   directory.remove('e9')
   directory.put(make_instance(born=1000))
-  assert directory.find('models') == []
+  assert directory.find('models').all == ()
 
 
 def test_a_second_life_is_used_after_the_first_one_drained():
   directory = instances.Directory(grace=1.0)
   directory.put(make_instance(born=1000, state='draining'))
-  assert directory.find('models') == []
+  assert directory.find('models').all == ()
   directory.put(make_instance(born=2000))
-  assert directory.find('models')[0].life == 'e9.2000'
+  assert directory.find('models').all[0].life == 'e9.2000'
   directory.remove('e9')
   directory.put(make_instance(born=3000))
   assert directory.get_lives() == {'e9.3000'}
@@ -144,7 +144,9 @@
     await put_entry(fleet, 'e1', {**entry, 'born': 2000})
     await nodes.wait_until(lambda: by_id['e1'].born == 2000)
     assert by_id['e1'].life not in daemon.loads.health.get_all()
-    chosen = daemon.loads.choose([by_id['e1']], tried=(before,))
+    chosen = daemon.loads.choose(
+      instances.Group([by_id['e1']]), tried=(before,)
+    )
     assert chosen.born == 2000
 
 
@@ -163,7 +165,7 @@
     )
     directory = daemon.catalogue.directory
     await nodes.wait_until(lambda: 'e3' in directory.by_id)
-    assert {i.id for i in directory.find('models')} == {'e2', 'e3'}
+    assert {i.id for i in directory.find('models').all} == {'e2', 'e3'}
     assert daemon.catalogue.unreadable == 2
     await fleet.turn('n1', 'a')
 
--- a/tests/test_loads.py
+++ b/tests/test_loads.py
@@ -21,7 +21,7 @@
   load = loads.Loads(domain='north-1')
   load.take_beat(make_beat({'near': 20}))
   found = [make_instance('near'), make_instance('far', domain='north-2')]
-  chosen = load.choose(found, tried=(), prompt=4000)
+  chosen = load.choose(instances.Group(found), tried=(), prompt=4000)
   assert chosen.id == 'far'
 
 
@@ -30,9 +30,13 @@
   found = [make_instance('holder'), make_instance('free')]
   cached = {'holder': 8000}
   load.take_beat(make_beat({'holder': 3}))
-  few = load.choose(found, tried=(), prompt=8000, cached_by_id=cached)
+  few = load.choose(
+    instances.Group(found), tried=(), prompt=8000, cached_by_id=cached
+  )
   load.take_beat(make_beat({'holder': 30}))
-  many = load.choose(found, tried=(), prompt=8000, cached_by_id=cached)
+  many = load.choose(
+    instances.Group(found), tried=(), prompt=8000, cached_by_id=cached
+  )
   assert (few.id, many.id) == ('holder', 'free')
 
 
@@ -41,24 +45,24 @@
   found = [make_instance('a', slots=4), make_instance('b', slots=4)]
   for name in ('one', 'two', 'three'):
     load.take_beat(make_beat({'a': 2}, name=name))
-  assert load.choose(found, tried=()).id == 'b'
+  assert load.choose(instances.Group(found), tried=()).id == 'b'
 
 
 def test_an_unreachable_instance_is_passed_over_while_there_are_others():
   load = loads.Loads(domain='north-1')
   found = [make_instance('a'), make_instance('b')]
   load.note_unreachable('a')
-  assert load.choose(found, tried=()).id == 'b'
-  assert load.choose(found[:1], tried=()).id == 'a'
-  assert load.choose(found, tried=('a', 'b')) is None
+  assert load.choose(instances.Group(found), tried=()).id == 'b'
+  assert load.choose(instances.Group(found[:1]), tried=()).id == 'a'
+  assert load.choose(instances.Group(found), tried=('a', 'b')) is None
 
 
 def test_the_time_to_return_grows_with_what_waits():
   load = loads.Loads(domain='north-1')
   found = [make_instance('a', slots=4)]
-  free = load.estimate_return(found)
+  free = load.estimate_return(instances.Group(found))
   load.take_beat(make_beat({'a': 40}))
-  assert load.estimate_return(found) > free
+  assert load.estimate_return(instances.Group(found)) > free
 
 
 def test_instances_of_a_domain_that_is_cut_off_are_passed_over():
@@ -67,12 +71,16 @@
   )
   found = [make_instance('near'), make_instance('far', domain='north-2')]
   load.take_beat(make_beat({'near': 60}))
-  assert load.choose(found, tried=(), prompt=4000).id == 'near'
-  assert load.choose(found[1:], tried=(), prompt=4000).id == 'far'
+  assert load.choose(instances.Group(found), tried=(), prompt=4000).id == 'near'
+  assert (
+    load.choose(instances.Group(found[1:]), tried=(), prompt=4000).id == 'far'
+  )
 
 
 def choose_often(load, found, times=50):
-  return {load.choose(found, tried=()).id for _ in range(times)}
+  return {
+    load.choose(instances.Group(found), tried=()).id for _ in range(times)
+  }
 
 
 def test_a_rested_connection_decides_between_instances_as_good():
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,137 @@
+"""Many daemons place calls at once, by counts that are late.
+
+Queues of upstreams in virtual time, and the real `Loads` of each daemon.
+"""
+
+import collections
+import heapq
+import random
+import statistics
+
+import pytest
+
+from woadrun.decisions import draws
+from woadrun.process import beats
+from woadrun.process import loads
+from woadrun.version import instances
+
+DOMAINS = ('a', 'b', 'c', 'd', 'e')
+DAEMONS = 60
+UPSTREAMS = 30
+SLOTS = 6
+CALL_SECONDS = 0.25
+# Between two digests of a domain, and how old its counts are at most.
+DIGEST_SECONDS = 0.25
+
+
+class Queues:
+  """Upstreams with slots, first come, first served."""
+
+  def __init__(self, monkeypatch, *, seed):
+    self.now = 1000.0
+    monkeypatch.setattr('time.monotonic', lambda: self.now)
+    self.random = random.Random(seed)
+    random.seed(seed)
+    self.loads = [
+      loads.Loads(domain=DOMAINS[n % len(DOMAINS)]) for n in range(DAEMONS)
+    ]
+    self.group = instances.Group(
+      [
+        instances.Instance(
+          id=f'u{n}',
+          service='tools',
+          address='127.0.0.1:1',
+          domain=DOMAINS[n % len(DOMAINS)],
+          slots=SLOTS,
+        )
+        for n in range(UPSTREAMS)
+      ]
+    )
+    self.running = collections.Counter()
+    self.waiting = {item.id: [] for item in self.group.all}
+    self.waits = []
+    self._ends = []
+    self._number = 0
+
+  def run(self, *, calls, share):
+    """Returns the waits of calls that take a share of all slots, in seconds."""
+    rate = share * UPSTREAMS * SLOTS / CALL_SECONDS
+    next_call = next_digest = self.now
+    while len(self.waits) < calls:
+      ends = self._ends[0][0] if self._ends else next_call
+      self.now = min(next_call, next_digest, ends)
+      if self.now == ends and self._ends:
+        self._end(*heapq.heappop(self._ends)[2:])
+      elif self.now == next_digest:
+        self._tell()
+        next_digest += DIGEST_SECONDS
+      else:
+        self._place(self.random.choice(self.loads))
+        next_call += self.random.expovariate(rate)
+    return self.waits
+
+  def _place(self, load):
+    id = load.choose(self.group, tried=()).id
+    context = load.count(id)
+    context.__enter__()
+    if self.running[id] < SLOTS:
+      self._begin(id, context, self.now)
+    else:
+      self.waiting[id].append((context, self.now))
+
+  def _begin(self, id, context, came_at):
+    self.waits.append(self.now - came_at)
+    self.running[id] += 1
+    self._number += 1
+    end = self.now + self.random.expovariate(1 / CALL_SECONDS)
+    heapq.heappush(self._ends, (end, self._number, id, context))
+
+  def _end(self, id, context):
+    context.__exit__(None, None, None)
+    self.running[id] -= 1
+    if self.waiting[id]:
+      self._begin(id, *self.waiting[id].pop(0))
+
+  def _tell(self):
+    for domain in DOMAINS:
+      running = collections.Counter()
+      for load in self.loads:
+        if load._domain == domain:
+          running.update(load.tell_running())
+      digest = beats.Digest(hub='h', domain=domain, running=dict(running))
+      for load in self.loads:
+        load.take_digest(digest)
+
+
+# With half of the slots in use, a call waits a tenth of its own time at most;
+# with five sixths in use, as long as it takes itself.
+@pytest.mark.parametrize('seed', [1, 2, 3])
+@pytest.mark.parametrize(('share', 'most'), [(0.5, 0.1), (5 / 6, 1.0)])
+def test_calls_of_many_daemons_do_not_all_choose_the_same_upstream(
+  monkeypatch, seed, share, most
+):
+  waits = Queues(monkeypatch, seed=seed).run(calls=3000, share=share)
+  assert statistics.mean(waits) <= most * CALL_SECONDS
+
+
+def test_a_choice_looks_at_few_upstreams_however_many_there_are():
+  looked_at = []
+
+  def is_fit(item):
+    looked_at.append(item)
+    return True
+
+  found = draws.draw(
+    range(1000), range(10_000), is_fit=is_fit, pick=random.choice
+  )
+  assert len(found) == 2
+  assert len(looked_at) <= 3
+
+
+def test_the_only_fit_upstreams_are_found_among_many():
+  found = draws.draw(
+    range(10), range(1000), is_fit={3, 700}.__contains__, pick=random.choice
+  )
+  assert found == [3, 700]
+  found = draws.draw((), range(9), is_fit=lambda n: False, pick=random.choice)
+  assert found == []
--- a/tests/test_prefixes.py
+++ b/tests/test_prefixes.py
@@ -116,7 +116,7 @@
         )
         held = held_by_program[program]
         chosen = load.choose(
-          found,
+          instances.Group(found),
           tried=[],
           prompt=sum(part.tokens for part in parts),
           parts=parts if knows_prefixes else (),
