Short messages between daemons and their answers are datagrams

A daemon keeps the histories of turns that ran through it, so that the next one need not be sent its own.

--- a/src/woadrun/connection/peers.py
+++ b/src/woadrun/connection/peers.py
@@ -4,6 +4,7 @@
 
 from types import ModuleType
 from typing import Any
+from typing import Protocol
 from typing import TypeVar
 
 import aiohttp
@@ -19,6 +20,24 @@
 CONNECT_SECONDS = 0.5
 
 
+class Messenger(Protocol):
+  """Sends messages to other daemons."""
+
+  async def post(
+    self,
+    address: str,
+    path: str,
+    message: Any,
+    *,
+    type: type[T],
+    timeout: float,
+  ) -> T:
+    """Returns a peer's answer to one message, as `Peers.post` does."""
+
+  def note_silence(self, address: str) -> None:
+    """Uses new connections to a peer from now on."""
+
+
 class NoAnswer(errors.WoadrunError):
   """Raised where a peer gave no answer, not even a refusal."""
 
@@ -63,7 +82,7 @@
     message asked for may then have been done.
     """
     host = self._addresses.get_host(address) if self._addresses else address
-    body = self._codec.encode(message)
+    body = self.encode(message)
     self.messages += 1
     self.sent_bytes += len(body)
     try:
@@ -86,14 +105,20 @@
         retry_after=1.0,
       ) from error
     self.received_bytes += len(data)
-    return self._decode(response.status, data, type)
+    return self.decode(response.status, data, type)
 
   def note_silence(self, address: str) -> None:
     """Uses new connections to a peer from now on, if any are known to do."""
     if self._addresses is not None:
       self._addresses.note_silence(address)
 
-  def _decode(self, status: int, data: bytes, type: type[T]) -> T:
+  def encode(self, message: Any) -> bytes:
+    """Returns a message as it is sent."""
+    body: bytes = self._codec.encode(message)
+    return body
+
+  def decode(self, status: int, data: bytes, type: type[T]) -> T:
+    """Returns what a peer answered; raises the error that it answered."""
     if status != 200:
       raise errors.from_body(data)
     found: T = self._codec.decode(data, type=type)
--- a/src/woadrun/process/datagrams.py
+++ b/src/woadrun/process/datagrams.py
@@ -11,9 +11,14 @@
 # A program, for its standby or for another domain.
 COPY = b'c'
 FAR_COPY = b'f'
+# A message that is answered, and its answer.
+CALL = b'q'
+ANSWER = b'a'
 # Larger messages go another way, in bytes: a datagram is split into packets and
 # lost with any of them.
 MOST_BYTES = 8192
+# The same where a lost datagram is sent again: most histories of a turn.
+MOST_ANSWER_BYTES = 32_768
 
 
 class Datagrams:
@@ -31,6 +36,11 @@
     """Hands what comes of a kind to a handler, without its first byte."""
     self._handler_by_kind[kind] = handler
 
+  @property
+  def is_open(self) -> bool:
+    """Whether datagrams can be sent."""
+    return self._transport is not None
+
   async def open(self) -> None:
     """Begins to listen."""
     loop = asyncio.get_running_loop()
--- a/src/woadrun/process/feed_sync.py
+++ b/src/woadrun/process/feed_sync.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 import contextlib
 import logging
+import time
 
 import mode
 
@@ -21,6 +22,7 @@
 from woadrun.process import feed
 from woadrun.process import fleet
 from woadrun.process import store_access
+from woadrun.process import ticks
 
 log = logging.getLogger('woadrun.feed')
 
@@ -40,7 +42,7 @@
     *,
     feeds: list[feed.Feed],
     members: fleet.Fleet,
-    links: peers.Peers,
+    links: peers.Messenger,
     has_store: Callable[[], bool],
   ) -> None:
     super().__init__()
@@ -91,7 +93,8 @@
   async def _catch_up(self) -> None:
     while not self.should_stop:
       with contextlib.suppress(TimeoutError):
-        async with asyncio.timeout(LOOK_SECONDS):
+        rest = ticks.get_rest(LOOK_SECONDS, now=time.monotonic())
+        async with asyncio.timeout(rest):
           await self._told.wait()
       self._told.clear()
       for table, item in self._feed_by_table.items():
--- a/src/woadrun/process/flusher.py
+++ b/src/woadrun/process/flusher.py
@@ -16,6 +16,7 @@
 from woadrun.process import program_copies
 from woadrun.process import program_rows
 from woadrun.process import store_access
+from woadrun.process import ticks
 from woadrun.process import turn_store
 from woadrun.process import unsaved_turns
 
@@ -23,7 +24,7 @@
 
 # Between looks for what the store lacks, in seconds.  Each look wakes the
 # process, so that they are not more frequent than an outage needs.
-FLUSH_SECONDS = 0.2
+FLUSH_SECONDS = 0.25
 # What a turn was given replaces what was reserved for it with the next turn's
 # reservation; a program without a call for so long, in seconds, is written by
 # itself.  Written at once, it took one call of the store more for each turn.
@@ -52,7 +53,7 @@
     self,
     *,
     members: fleet.Fleet,
-    links: peers.Peers,
+    links: peers.Messenger,
     store: store_access.StoreAccess,
     turns: turn_store.TurnStore,
     program_store: program_rows.ProgramRows,
@@ -74,7 +75,7 @@
   @mode.Service.task
   async def _flush_often(self) -> None:
     while not self.should_stop:
-      await asyncio.sleep(FLUSH_SECONDS)
+      await ticks.sleep(FLUSH_SECONDS)
       await self.flush()
 
   async def flush(self) -> bool:
--- a/src/woadrun/process/node.py
+++ b/src/woadrun/process/node.py
@@ -28,13 +28,16 @@
 from woadrun.process import beats
 from woadrun.process import catalogue
 from woadrun.process import counters
+from woadrun.process import datagram_calls
 from woadrun.process import feed_sync
 from woadrun.process import fleet
 from woadrun.process import loads
+from woadrun.process import peer_messages
 from woadrun.process import programs
 from woadrun.process import registration
 from woadrun.process import store_access
 from woadrun.process import sweeper
+from woadrun.process import ticks
 from woadrun.process import turn_store
 from woadrun.request import attempts
 from woadrun.request import exchange
@@ -152,16 +155,23 @@
       incarnation=secrets.token_hex(4),
       store=self.store,
     )
+    self._handler_by_path: dict[str, peer_messages.Handler] = {}
+    self.calls = datagram_calls.DatagramCalls(
+      address=config.peers_address,
+      sent=self.fleet.datagrams,
+      links=self.links,
+      handler_by_path=self._handler_by_path,
+    )
     self.store.use_fleet(self.fleet)
     self.feeds = feed_sync.FeedSync(
       feeds=[*self.catalogue.feeds, self.registration.feed],
       members=self.fleet,
-      links=self.links,
+      links=self.calls,
       has_store=lambda: self.store.is_direct,
     )
     turns = turn_store.TurnStore(store=self.store, row_bytes=config.row_bytes)
     self.programs = programs.Programs(
-      members=self.fleet, store=self.store, turns=turns, links=self.links
+      members=self.fleet, store=self.store, turns=turns, links=self.calls
     )
     self.serving = serving.Serving(
       known=self.catalogue,
@@ -174,13 +184,17 @@
       leave=turn_leave.TurnLeave(
         members=self.fleet,
         local=self.programs,
-        links=self.links,
+        links=self.calls,
         turns=turns,
         get_outage=self._get_outage,
       ),
       domain=config.domain,
       counts=self.counters,
     )
+    self._handler_by_path.update(
+      (path, peer_messages.make_handler(type, answer, codec=CODEC))
+      for path, type, answer in self._get_answers()
+    )
     self.sweeper = sweeper.Sweeper(store=self.store, members=self.fleet)
     self.counters.add_gauges(self._read_gauges)
     self._runner: web.ServerRunner | None = None
@@ -259,26 +273,24 @@
     if self.fleet.is_mesh:
       # In large fleets digests have the sums.
       self.loads.take_beat(beat)
+    elif beat.elsewhere is not None:
+      self.loads.take_elsewhere(beat.elsewhere)
     self.feeds.take_beat(beat)
 
   @mode.Service.task
   async def _forget_often(self) -> None:
     while not self.should_stop:
-      await asyncio.sleep(LOOK_SECONDS)
+      await ticks.sleep(LOOK_SECONDS)
       self.loads.forget(self.catalogue.directory.get_lives())
       self.loads.health.log_changes()
 
   # --- Messages of peers ----------------------------------------------------
 
   async def _listen(self) -> None:
-    handler_by_path = {
-      f'/peer/{path}': _make_handler(type, answer)
-      for path, type, answer in self._get_answers()
-    }
     # Paths are few and fixed: the library's routing and middleware would only
     # add to each message.
     server = web.Server(
-      _make_dispatcher(handler_by_path),
+      _make_dispatcher(self._handler_by_path),
       access_log=None,
       request_factory=make_request_factory(PEER_BYTES),
     )
@@ -372,30 +384,13 @@
 
 
 def _make_dispatcher(
-  handler_by_path: dict[str, Callable[[web.BaseRequest], Any]],
+  handler_by_path: dict[str, peer_messages.Handler],
 ) -> Callable[[web.BaseRequest], Any]:
   async def dispatch(request: web.BaseRequest) -> web.StreamResponse:
-    handler = handler_by_path.get(request.path)
+    handler = handler_by_path.get(request.path.removeprefix('/peer/'))
     if handler is None or request.method != 'POST':
       return web.Response(status=404)
-    response: web.StreamResponse = await handler(request)
-    return response
+    reply = await handler(await request.read())
+    return web.Response(status=reply.status, body=reply.body)
 
   return dispatch
-
-
-def _make_handler(
-  type: Any, answer: Handler
-) -> Callable[[web.BaseRequest], Any]:
-  async def handle(request: web.BaseRequest) -> web.StreamResponse:
-    try:
-      message = CODEC.decode(await request.read(), type=type)
-      found = await answer(message)
-    except errors.WoadrunError as error:
-      return web.Response(body=error.get_body(), status=error.status)
-    except msgspec.MsgspecError as error:
-      wrong = errors.WoadrunError(errors.Code.BAD_REQUEST, str(error))
-      return web.Response(body=wrong.get_body(), status=wrong.status)
-    return web.Response(body=CODEC.encode(found))
-
-  return handle
--- a/src/woadrun/process/program_copies.py
+++ b/src/woadrun/process/program_copies.py
@@ -47,7 +47,7 @@
     self,
     *,
     members: fleet.Fleet,
-    links: peers.Peers,
+    links: peers.Messenger,
     unsaved: unsaved_turns.UnsavedTurns,
   ) -> None:
     self._members = members
--- a/src/woadrun/process/programs.py
+++ b/src/woadrun/process/programs.py
@@ -28,6 +28,7 @@
 from woadrun.process import program_rows
 from woadrun.process import reservations
 from woadrun.process import store_access
+from woadrun.process import ticks
 from woadrun.process import turn_store
 from woadrun.process import unsaved_turns
 from woadrun.version import ledger
@@ -54,7 +55,7 @@
     members: fleet.Fleet,
     store: store_access.StoreAccess,
     turns: turn_store.TurnStore,
-    links: peers.Peers,
+    links: peers.Messenger,
   ) -> None:
     super().__init__()
     self._created_at = time.monotonic()
@@ -115,6 +116,8 @@
     entry = await self._load(ask, is_new=is_new)
     home = entry.ledger.home
     if home != self._members.me.domain and not ask.is_away:
+      if ask.is_brief:
+        return turn_messages.OpenedTurn(home=home)
       known = histories.find_cached(ask.parent, self.cache)
       if known is None:
         return turn_messages.OpenedTurn(home=home)
@@ -313,7 +316,7 @@
   @mode.Service.task
   async def _expire_often(self) -> None:
     while not self.should_stop:
-      await asyncio.sleep(1.0)
+      await ticks.sleep(1.0)
       self.cache.expire()
       limit = time.monotonic() - IDLE_SECONDS
       idle = [
--- a/src/woadrun/request/serving.py
+++ b/src/woadrun/request/serving.py
@@ -190,6 +190,8 @@
     done = self._make_end(running, is_whole=True)
     await self._leave.close(done, home=running.opened.home or self._domain)
     running.is_closed = True
+    if done.turn is not None:
+      self._leave.note_kept(running.opened, done.turn)
     log.info(
       'Turn %s of %s is kept: %d events, %d tokens.',
       running.request.id,
--- a/src/woadrun/request/turn_leave.py
+++ b/src/woadrun/request/turn_leave.py
@@ -23,6 +23,7 @@
 from woadrun.process import programs
 from woadrun.process import turn_store
 from woadrun.request import exchange
+from woadrun.request import recent_lines
 
 log = logging.getLogger('woadrun.turns')
 
@@ -60,7 +61,7 @@
     *,
     members: fleet.Fleet,
     local: programs.Programs,
-    links: peers.Peers,
+    links: peers.Messenger,
     turns: turn_store.TurnStore,
     get_outage: Callable[[], float],
   ) -> None:
@@ -69,6 +70,7 @@
     self._links = links
     self._turns = turns
     self._get_outage = get_outage
+    self._lines = recent_lines.RecentLines()
 
   # --- Before a turn --------------------------------------------------------
 
@@ -80,15 +82,28 @@
     keeps_history: bool = True,
   ) -> turn_messages.OpenedTurn:
     """Returns the history of a turn, if any, once its tokens are reserved."""
+    parent = turn.parent if keeps_history else ''
+    known = self._lines.get(parent)
     ask = turn_messages.OpenTurn(
       program=turn.program,
       request=request.id,
-      parent=turn.parent if keeps_history else '',
+      parent=parent,
       most=turn.most,
       budget=turn.budget,
+      is_brief=known is not None,
       keeps_history=keeps_history,
       parts=turn.parts,
     )
+    opened = await self._open(ask)
+    if known is None:
+      return opened
+    return msgspec.structs.replace(
+      known, home=opened.home, cached_by_instance=opened.cached_by_instance
+    )
+
+  async def _open(
+    self, ask: turn_messages.OpenTurn
+  ) -> turn_messages.OpenedTurn:
     mine = self._members.me.domain
     try:
       opened = await self._open_in(mine, ask)
@@ -102,7 +117,8 @@
       return opened
     try:
       # A history that a copy here has need not come from the other domain.
-      brief = msgspec.structs.replace(ask, is_brief=opened.has_history)
+      is_brief = ask.is_brief or opened.has_history
+      brief = msgspec.structs.replace(ask, is_brief=is_brief)
       granted = await self._open_in(opened.home, brief)
       if not granted.home:
         found = opened if opened.has_history else granted
@@ -208,6 +224,12 @@
 
   # --- After a turn ---------------------------------------------------------
 
+  def note_kept(
+    self, opened: turn_messages.OpenedTurn, turn: turn_messages.Turn
+  ) -> None:
+    """Takes note of a turn that is kept, for the one that follows it."""
+    self._lines.note(opened, turn)
+
   async def close(self, done: turn_messages.CloseTurn, *, home: str) -> None:
     """Keeps a turn: returns once no loss of all daemons can lose it.
 
--- /dev/null
+++ b/tests/test_datagram_calls.py
@@ -0,0 +1,176 @@
+"""Messages between daemons as datagrams, on the loopback address."""
+
+import asyncio
+import contextlib
+import socket
+
+import msgspec
+import pytest
+
+from woadrun import errors
+from woadrun.connection import peers
+from woadrun.connection import turn_messages
+from woadrun.process import datagram_calls
+from woadrun.process import datagrams
+from woadrun.process import peer_messages
+
+CODEC = msgspec.msgpack
+ASK = turn_messages.AskStored(requests=('a',))
+
+
+class Links(peers.Peers):
+  """Messages over HTTP, which are only noted."""
+
+  def __init__(self):
+    super().__init__(session=None, key='', codec=CODEC)
+    self.posted = []
+
+  async def post(self, address, path, message, *, type, timeout):
+    self.posted.append(path)
+    return turn_messages.StoredTurns(stored=('over http',))
+
+
+class Peer:
+  """One end, which answers by `answer`."""
+
+  def __init__(self, answer=None):
+    self.address = f'127.0.0.1:{_find_port()}'
+    self.sent = datagrams.Datagrams(address=self.address)
+    self.links = Links()
+    self.handled = 0
+    self._answer = answer
+    handler = peer_messages.make_handler(
+      turn_messages.AskStored, self._handle, codec=CODEC
+    )
+    self.calls = datagram_calls.DatagramCalls(
+      address=self.address,
+      sent=self.sent,
+      links=self.links,
+      handler_by_path={'ask': handler},
+    )
+
+  async def _handle(self, ask):
+    self.handled += 1
+    return await self._answer(ask)
+
+  async def ask(self, other, *, path='ask', message=ASK, timeout=2.0):
+    return await self.calls.post(
+      other.address,
+      path,
+      message,
+      type=turn_messages.StoredTurns,
+      timeout=timeout,
+    )
+
+
+def _find_port():
+  with socket.socket(type=socket.SOCK_DGRAM) as found:
+    found.bind(('127.0.0.1', 0))
+    return found.getsockname()[1]
+
+
+async def answer_at_once(ask):
+  return turn_messages.StoredTurns(stored=ask.requests)
+
+
+@contextlib.asynccontextmanager
+async def pair(answer=answer_at_once):
+  asker, answerer = Peer(), Peer(answer)
+  await asker.sent.open()
+  await answerer.sent.open()
+  yield asker, answerer
+  asker.sent.close()
+  answerer.sent.close()
+
+
+async def test_a_short_message_is_answered_without_http():
+  async with pair() as (asker, answerer):
+    assert (await asker.ask(answerer)).stored == ('a',)
+    assert not asker.links.posted
+    assert not asker.calls._pending_by_id
+
+
+async def test_a_lost_message_is_sent_again():
+  async with pair() as (asker, answerer):
+    receive, lost = answerer.calls._receive_call, []
+    answerer.sent.handle(
+      datagrams.CALL,
+      lambda data: receive(data) if lost else lost.append(data),
+    )
+    assert (await asker.ask(answerer)).stored == ('a',)
+    assert lost and not asker.links.posted
+
+
+async def test_a_slow_answer_is_waited_for_and_the_message_handled_once():
+  async def answer(ask):
+    await asyncio.sleep(3 * datagram_calls.AGAIN_SECONDS)
+    return turn_messages.StoredTurns(stored=ask.requests)
+
+  async with pair(answer) as (asker, answerer):
+    assert (await asker.ask(answerer)).stored == ('a',)
+    assert answerer.handled == 1
+    assert not asker.links.posted
+
+
+async def test_a_lost_answer_has_the_message_handled_again():
+  async with pair() as (asker, answerer):
+    receive, lost = asker.calls._receive_answer, []
+    asker.sent.handle(
+      datagrams.ANSWER,
+      lambda data: receive(data) if lost else lost.append(data),
+    )
+    assert (await asker.ask(answerer)).stored == ('a',)
+    assert answerer.handled == 2
+
+
+async def test_a_peer_that_is_gone_is_asked_over_http():
+  async with pair() as (asker, answerer):
+    answerer.sent.close()
+    assert (await asker.ask(answerer)).stored == ('over http',)
+    assert asker.links.posted == ['ask']
+
+
+@pytest.mark.parametrize('is_answer', [False, True])
+async def test_what_does_not_fit_a_datagram_goes_over_http(is_answer):
+  large = ('x' * datagrams.MOST_ANSWER_BYTES,)
+
+  async def answer(ask):
+    return turn_messages.StoredTurns(stored=large)
+
+  async with pair(answer) as (asker, answerer):
+    message = ASK if is_answer else turn_messages.AskStored(requests=large)
+    found = await asker.ask(answerer, message=message)
+    assert found.stored == ('over http',)
+    assert answerer.handled == int(is_answer)
+
+
+async def test_the_error_of_a_peer_is_raised():
+  async def answer(ask):
+    raise errors.WoadrunError(errors.Code.NOT_OWNER, 'not here')
+
+  async with pair(answer) as (asker, answerer):
+    with pytest.raises(errors.WoadrunError) as caught:
+      await asker.ask(answerer)
+    assert caught.value.code is errors.Code.NOT_OWNER
+    with pytest.raises(errors.WoadrunError):
+      await asker.ask(answerer, path='nowhere')
+    assert not asker.links.posted
+
+
+async def test_a_handler_that_fails_says_that_the_outcome_is_unknown(caplog):
+  async def answer(ask):
+    raise KeyError('a fault of ours')
+
+  async with pair(answer) as (asker, answerer):
+    with pytest.raises(errors.WoadrunError) as caught:
+      await asker.ask(answerer)
+    assert caught.value.ran is errors.Ran.UNKNOWN
+    assert 'A message of a peer failed' in caplog.text
+
+
+async def test_what_is_no_message_is_ignored():
+  async with pair() as (asker, answerer):
+    answerer.calls._receive_call(b'\xff')
+    asker.calls._receive_answer(b'\xff')
+    asker.calls._receive_answer(CODEC.encode([1, 200, b'']))
+    assert (await asker.ask(answerer)).stored == ('a',)
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -10,6 +10,7 @@
 from woadrun import errors
 from woadrun.connection import turn_messages
 from woadrun.request import exchange
+from woadrun.request import recent_lines
 
 # The tables of what lasts for a while only.
 KEPT_TABLES = ('turns', 'programs')
@@ -470,3 +471,46 @@
       await fleet.turn('n1', 'b', parent='none')
     assert caught.value.status == 503
     assert fleet.find_calls('turns') == [('read', 'turns')]
+
+
+async def test_a_daemon_that_ran_the_turn_before_is_sent_no_history():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1', 'n2', 's1')
+    for name in ('n1', 'n2', 's1'):
+      posted = []
+      calls = fleet.by_name[name].calls
+      post = calls.post
+
+      async def note(
+        address, path, message, *, post=post, posted=posted, **rest
+      ):
+        posted.append((message, await post(address, path, message, **rest)))
+        return posted[-1][1]
+
+      calls.post = note
+      program = f'p-{name}'
+      await fleet.turn(name, f'{name}-a', program=program)
+      await fleet.turn(name, f'{name}-b', program=program, parent=f'{name}-a')
+      expected = f'<{name}-a>{name}-a-0\n{name}-a-1\n<{name}-b>'.encode()
+      assert fleet.get_body(f'{name}-b') == expected
+      asked = [
+        (message, answer)
+        for message, answer in posted
+        if getattr(message, 'parent', '')
+      ]
+      assert all(m.is_brief and not a.history for m, a in asked)
+      # Another daemon has to be told.
+      other = 's1' if name == 'n1' else 'n1'
+      await fleet.turn(other, f'{name}-c', program=program, parent=f'{name}-a')
+      assert fleet.get_body(f'{name}-c') == expected.replace(b'-b>', b'-c>')
+
+
+def test_recent_lines_are_bounded_and_the_oldest_go_first():
+  lines = recent_lines.RecentLines()
+  opened = turn_messages.OpenedTurn(history=b'x' * 300_000)
+  for name in 'abcd':
+    lines.note(opened, turn_messages.Turn(request=name, program='p'))
+  assert lines.get('a') is None
+  assert lines.get('d').line == ('d',)
+  lines.note(opened, turn_messages.Turn(request='d', program='p'))
+  assert lines.get('b') is not None
