A daemon wakes less often, looks at fewer members, and tells counts once

A hub's answer to a member took 8.3 KB with the counts of five domains, two of them in each beat.

Periodic tasks end on common ticks; while callbacks are ready input is looked for in each ninth pass (715 system calls of 1,842 in 3 s); members are kept by domain, and the order of their claims while they stay; views are brought together anew for what changes them only; a hub sums what other domains have, and one hub of the two tells it.

--- a/src/woadrun/platform/__main__.py
+++ b/src/woadrun/platform/__main__.py
@@ -5,11 +5,16 @@
 """
 
 import asyncio
+import gc
 import os
 import sys
 
 from woadrun import errors
 
+# New objects between two looks for garbage.  Most objects of a request are gone
+# when it ends; a look at each 700 of them found next to nothing.
+GARBAGE_OBJECTS = 10_000
+
 
 def main() -> int:
   """Returns the exit code of the daemon."""
@@ -18,10 +23,17 @@
   # daemon took at its peak, mean of 11 on a calm day.
   os.environ['SSL_CERT_FILE'] = os.devnull
   os.environ['SSL_CERT_DIR'] = os.devnull
+  # What is imported stays: looking for garbage in it takes 0.1 s of a start.
+  gc.disable()
   from woadrun.platform import program
+  from woadrun.process import event_loop
 
+  gc.freeze()
+  gc.set_threshold(GARBAGE_OBJECTS)
+  gc.enable()
   try:
-    asyncio.run(program.run())
+    with asyncio.Runner(loop_factory=event_loop.make) as runner:
+      runner.run(program.run())
   except errors.FindingsError as error:
     print(error, file=sys.stderr)
     return 2
--- a/src/woadrun/process/catalogue.py
+++ b/src/woadrun/process/catalogue.py
@@ -18,6 +18,7 @@
 
 from woadrun.connection import rows
 from woadrun.process import feed
+from woadrun.process import ticks
 from woadrun.version import instances
 from woadrun.version import routes
 
@@ -192,7 +193,7 @@
   @mode.Service.task
   async def _drop_missing(self) -> None:
     while not self.should_stop:
-      await asyncio.sleep(LOOK_SECONDS)
+      await ticks.sleep(LOOK_SECONDS)
       if self._listed.is_lost:
         continue
       for instance in self.directory.drop_missing(now=time.monotonic()):
--- a/src/woadrun/process/feed.py
+++ b/src/woadrun/process/feed.py
@@ -16,6 +16,7 @@
 
 from woadrun import errors
 from woadrun.connection import rows
+from woadrun.process import ticks
 
 log = logging.getLogger('woadrun.feed')
 
@@ -106,7 +107,7 @@
     while not self.should_stop:
       if self.version is not None and not self.leads():
         needs_list = False
-        await asyncio.sleep(LOOK_SECONDS)
+        await ticks.sleep(LOOK_SECONDS)
         continue
       self._began = time.monotonic()
       try:
--- a/src/woadrun/process/fleet.py
+++ b/src/woadrun/process/fleet.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable
 from collections.abc import Iterable
 import itertools
@@ -22,7 +21,9 @@
 from woadrun.process import beats
 from woadrun.process import datagrams
 from woadrun.process import hubs
+from woadrun.process import ranks
 from woadrun.process import returns
+from woadrun.process import ticks
 from woadrun.process import views
 
 log = logging.getLogger('woadrun.fleet')
@@ -70,6 +71,8 @@
     self._on_beat = on_beat
     self._on_digest = on_digest
     self.member_by_name: dict[str, beats.Member] = {me.name: me}
+    self._members_by_domain = {me.domain: {me.name: me}}
+    self._ranks_by_domain: dict[str, ranks.Ranks] = {}
     self.heard_by_name: dict[str, beats.Heard] = {}
     self.is_leaving = False
     self._hubs = hubs.Hubs(me=me)
@@ -142,9 +145,8 @@
     if now - heard_at < self._get_silence_limit():
       return False
     known = [
-      now - self._known_since.get(member.name, now)
-      for member in self.member_by_name.values()
-      if member.domain == domain
+      now - self._known_since.get(name, now)
+      for name in self._members_by_domain.get(domain, ())
     ]
     return bool(known) and max(known) >= FIRST_BEAT_SECONDS
 
@@ -166,7 +168,9 @@
   @property
   def domains(self) -> set[str]:
     """All failure domains with a member."""
-    return {member.domain for member in self.member_by_name.values()}
+    return {
+      domain for domain, found in self._members_by_domain.items() if found
+    }
 
   @property
   def is_isolated(self) -> bool:
@@ -211,8 +215,7 @@
     now = time.monotonic()
     heard_at = (
       self.heard_by_name[name].at if name in self.heard_by_name else -math.inf
-      for name, member in self.member_by_name.items()
-      if member.domain == domain
+      for name in self._members_by_domain.get(domain, ())
     )
     is_late = now - since >= SUSPECT_SECONDS
     awaited = (
@@ -258,7 +261,10 @@
     only the keys that it had or gets.
     """
     fit = self._find_fit(domain)
-    return sorted(fit, key=lambda m: hubs.weigh(m.name, key), reverse=True)
+    known = self._ranks_by_domain.get(domain)
+    if known is None or known.members != fit:
+      known = self._ranks_by_domain[domain] = ranks.Ranks(members=fit)
+    return known.get(key)
 
   def _find_fit(self, domain: str) -> list[beats.Member]:
     """Returns a domain's members that are alive and stay."""
@@ -267,10 +273,8 @@
     if known is None:
       known = [
         member
-        for member in self.member_by_name.values()
-        if member.domain == domain
-        and self.is_alive(member.name)
-        and not self._is_leaving(member.name)
+        for member in self._members_by_domain.get(domain, {}).values()
+        if self.is_alive(member.name) and not self._is_leaving(member.name)
       ]
       view.fit_by_domain[domain] = known
     return known
@@ -280,13 +284,20 @@
     return bool(self.find_own([key]))
 
   def find_own(self, keys: Iterable[str]) -> list[str]:
-    """Returns the keys on which this daemon has the first claim of all."""
-    alive = [name for name in self.member_by_name if self.is_alive(name)]
-    return [key for key in keys if self._is_first(key, alive)]
+    """Returns the keys on which this daemon has the first claim of all.
 
-  def _is_first(self, key: str, names: list[str]) -> bool:
-    first = max(names, key=lambda name: hubs.weigh(name, key))
-    return first == self.me.name
+    A key goes to a domain first and to a member of it then: among 195 members
+    at once, 256 keys took 50,000 hashes.
+    """
+    alive_by_domain = {
+      domain: [name for name in found if self.is_alive(name)]
+      for domain, found in self._members_by_domain.items()
+    }
+    domains = [domain for domain, names in alive_by_domain.items() if names]
+    mine = self.me.domain
+    near = (key for key in keys if _find_first(key, domains) == mine)
+    names = alive_by_domain[mine]
+    return [key for key in near if _find_first(key, names) == self.me.name]
 
   @property
   def is_hub(self) -> bool:
@@ -345,7 +356,11 @@
     known = self.member_by_name.get(member.name)
     if known != member:
       log.info('Member %s at %s.', member.name, member.address)
+      if known is not None:
+        del self._members_by_domain[known.domain][known.name]
       self.member_by_name[member.name] = member
+      of_domain = self._members_by_domain.setdefault(member.domain, {})
+      of_domain[member.name] = member
       self.heard_by_name.pop(member.name, None)
       self._known_since[member.name] = time.monotonic()
       self._forget_view()
@@ -354,7 +369,9 @@
     """Drops a member that is not registered any more."""
     if name == self.me.name:
       return
-    self.member_by_name.pop(name, None)
+    member = self.member_by_name.pop(name, None)
+    if member is not None:
+      del self._members_by_domain[member.domain][name]
     self.heard_by_name.pop(name, None)
     self._forget_view()
     log.info('Member %s is gone.', name)
@@ -377,7 +394,7 @@
       self.send_beats()
       if number % BEATS_PER_LOOK == 0:
         self._note_silence()
-      await asyncio.sleep(BEAT_SECONDS)
+      await ticks.sleep(BEAT_SECONDS)
 
   def send_beats(self) -> None:
     """Sends one datagram to each peer that this daemon beats to."""
@@ -389,11 +406,10 @@
   def plan_beats(self) -> list[tuple[beats.Beat, list[beats.Member]]]:
     """Returns the datagrams that are due, each with those who get it."""
     mine = self._make_beat()
-    others = [m for m in self.member_by_name.values() if m != self.me]
     if self.is_mesh:
-      return [(mine, others)]
+      return [(mine, [m for m in self.member_by_name.values() if m != self.me])]
     chosen = self._hubs.choose(
-      self.member_by_name.values(),
+      self._members_by_domain[self.me.domain].values(),
       self.heard_by_name,
       silent=self._get_view().silent,
     )
@@ -402,31 +418,36 @@
     )
     if own is not None:
       self._on_digest(own)
-    return [
-      (
-        msgspec.structs.replace(mine, wants_digests=True, digests=_list(own)),
-        [member for member in chosen if member != self.me],
-      ),
-      (
-        msgspec.structs.replace(
-          mine, running={}, failing={}, digests=self._hubs.find_to_tell()
-        ),
-        self._find_listeners(chosen),
-      ),
-      (
-        msgspec.structs.replace(
-          mine, running={}, failing={}, digests=_list(own)
-        ),
-        self._find_far_hubs() if own is not None else [],
-      ),
-    ]
+    asked = msgspec.structs.replace(
+      mine, wants_digests=True, digests=_list(own)
+    )
+    plan = [(asked, [member for member in chosen if member != self.me])]
+    listeners = self._find_listeners(chosen)
+    if listeners:
+      plan.append((self._make_answer(mine), listeners))
+    if own is not None:
+      told = msgspec.structs.replace(
+        mine, running={}, failing={}, digests=(own,)
+      )
+      plan.append((told, self._find_far_hubs()))
+    return plan
+
+  def _make_answer(self, mine: beats.Beat) -> beats.Beat:
+    """Returns what a hub says to those that ask it for digests."""
+    return msgspec.structs.replace(
+      mine,
+      running={},
+      failing={},
+      digests=self._hubs.find_to_tell(),
+      elsewhere=self._hubs.sum_elsewhere(),
+    )
 
   def _find_due(self) -> list[beats.Member]:
-    """Returns the members of which something should have been heard."""
+    """Returns those of its domain of whom something should have been heard."""
     now = time.monotonic()
     return [
       member
-      for member in self.member_by_name.values()
+      for member in self._members_by_domain[self.me.domain].values()
       if now - self._known_since.get(member.name, -math.inf)
       >= FIRST_BEAT_SECONDS
     ]
@@ -455,8 +476,8 @@
       is_silent = self.is_silent(domain)
       members = [
         member
-        for member in self.member_by_name.values()
-        if member.domain == domain and (is_silent or self.is_alive(member.name))
+        for member in self._members_by_domain[domain].values()
+        if is_silent or self.is_alive(member.name)
       ]
       found.extend(self._hubs.choose_far(members, is_silent=is_silent))
     return found
@@ -475,11 +496,15 @@
     known = self.heard_by_name.get(beat.name)
     self.heard_by_name[beat.name] = beats.Heard(beat=beat, at=time.monotonic())
     self._note_domain(beat.domain, time.monotonic())
+    is_news = views.is_news(known.beat if known else None, beat) or any(
+      views.is_digest_news(self._hubs.get(digest.hub), digest)
+      for digest in beat.digests
+    )
     newer = self._hubs.take(beat.digests)
     for digest in newer:
       self._told_at = time.monotonic()
       self._note_domain(digest.domain, self._told_at - digest.age)
-    if newer or known is None or views.is_news(known.beat, beat):
+    if is_news:
       self._forget_view()
     self._on_beat(beat)
     for digest in newer:
@@ -507,5 +532,9 @@
         log.info('Member %s is heard again.', name)
 
 
+def _find_first(key: str, names: list[str]) -> str:
+  return max(names, key=lambda name: hubs.weigh(name, key))
+
+
 def _list(digest: beats.Digest | None) -> tuple[beats.Digest, ...]:
   return () if digest is None else (digest,)
--- a/src/woadrun/process/hubs.py
+++ b/src/woadrun/process/hubs.py
@@ -67,14 +67,13 @@
     *,
     silent: Container[str],
   ) -> list[beats.Member]:
-    """Returns the hubs of the own domain, this daemon perhaps among them.
+    """Returns the hubs among the members of the own domain.
 
     Those that were asked and do not answer are passed over, and so are those
     that other hubs call `silent`.
     """
     now = time.monotonic()
-    mine = [m for m in members if m.domain == self._me.domain]
-    ranked = sorted(mine, key=lambda m: weigh(m.name, 'hub'), reverse=True)
+    ranked = sorted(members, key=lambda m: weigh(m.name, 'hub'), reverse=True)
     found: list[beats.Member] = []
     for member in ranked:
       if len(found) == HUBS:
@@ -139,7 +138,7 @@
     *,
     is_hub: bool,
   ) -> beats.Digest | None:
-    """Returns the digest of the own domain, where this daemon is its hub.
+    """Returns the digest of the own domain's members, where this is its hub.
 
     It is one if it has a claim and others ask it: a daemon that is alone in
     taking itself for a hub hears nobody, which says nothing of the others.
@@ -151,7 +150,7 @@
       return None
     if self._hub_since is None:
       self._hub_since = now
-    known = [m for m in members if m.domain == self._me.domain]
+    known = list(members)
     heard = {
       m.name: found
       for m in known
@@ -198,6 +197,13 @@
       newer.append(digest)
     return newer
 
+  def get(self, hub: str) -> beats.Digest | None:
+    """Returns the newest digest of a hub that counts now."""
+    known = self._digest_by_hub.get(hub)
+    if known is None or time.monotonic() - known[1] >= DIGEST_SECONDS:
+      return None
+    return known[0]
+
   def find_fresh(self) -> list[beats.Digest]:
     """Returns all digests that count now."""
     self._drop_old()
@@ -221,18 +227,51 @@
     }
 
   def find_to_tell(self) -> tuple[beats.Digest, ...]:
-    """Returns the newest digest of each domain, as it goes to a member."""
+    """Returns the newest digest of each domain, as it goes to a member.
+
+    Counts of requests are in that of the own domain only, and only where this
+    hub is the first that is heard: with those of five domains and 66 instances
+    a datagram took 8.3 KB, 32 of which a second are 2 Mbit/s.
+    """
+    now = time.monotonic()
+    return tuple(
+      msgspec.structs.replace(
+        digest, age=round(now - made_at, 3), running=None, failing=None
+      )
+      if not self.tells_counts or digest.domain != self._me.domain
+      else msgspec.structs.replace(digest, age=round(now - made_at, 3))
+      for digest, made_at in self._find_newest().values()
+    )
+
+  def sum_elsewhere(self) -> dict[str, int] | None:
+    """Returns the requests of other domains, None where another hub tells."""
+    if not self.tells_counts:
+      return None
+    return _add_up(
+      digest.running or {}
+      for digest, _ in self._find_newest().values()
+      if digest.domain != self._me.domain
+    )
+
+  @property
+  def tells_counts(self) -> bool:
+    """Whether no hub with a better claim tells its members the counts."""
     now = time.monotonic()
+    return not any(
+      digest.domain == self._me.domain
+      and now - made_at < SUSPECT_SECONDS
+      and weigh(hub, 'hub') > weigh(self._me.name, 'hub')
+      for hub, (digest, made_at) in self._digest_by_hub.items()
+    )
+
+  def _find_newest(self) -> dict[str, tuple[beats.Digest, float]]:
     newest: dict[str, tuple[beats.Digest, float]] = {}
     self._drop_old()
     for digest, made_at in self._digest_by_hub.values():
       known = newest.get(digest.domain)
       if known is None or known[1] < made_at:
         newest[digest.domain] = (digest, made_at)
-    return tuple(
-      msgspec.structs.replace(digest, age=round(now - made_at, 3))
-      for digest, made_at in newest.values()
-    )
+    return newest
 
 
 def find_askers(heard_by_name: dict[str, beats.Heard], now: float) -> list[str]:
--- a/src/woadrun/process/store_access.py
+++ b/src/woadrun/process/store_access.py
@@ -27,6 +27,7 @@
 from woadrun.connection import turn_messages
 from woadrun.process import beats
 from woadrun.process import fleet
+from woadrun.process import ticks
 
 log = logging.getLogger('woadrun.store')
 
@@ -38,7 +39,7 @@
 # Weight of the newest write in the time that writes take.
 LEARN_WEIGHT = 0.3
 # Between looks whether the store serves this VM again, in seconds.
-PROBE_SECONDS = 0.3
+PROBE_SECONDS = 0.25
 # Until a look counts as failed, in seconds: a store that answers more slowly
 # would hold up each turn for longer than a turn takes.
 PROBE_TIMEOUT_SECONDS = 0.6
@@ -280,7 +281,7 @@
         self._no_way_since = time.monotonic()
       if not self.is_direct:
         await self._look()
-      await asyncio.sleep(PROBE_SECONDS)
+      await ticks.sleep(PROBE_SECONDS)
 
   async def _look(self) -> None:
     try:
--- a/src/woadrun/process/views.py
+++ b/src/woadrun/process/views.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable
 import dataclasses
+import operator
 
 from woadrun.process import beats
 
@@ -64,19 +65,28 @@
   return view
 
 
-def is_news(known: beats.Beat, beat: beats.Beat) -> bool:
+# What a view holds of datagrams and of digests.
+_IN_BEAT = ('has_store', 'is_leaving', 'is_owing', 'is_behind', 'silent')
+_IN_DIGEST = (
+  'silent',
+  'leaving',
+  'storeless',
+  'deaf_to',
+  'is_owing',
+  'is_behind',
+)
+_get_of_beat = operator.attrgetter(*_IN_BEAT)
+_get_of_digest = operator.attrgetter(*_IN_DIGEST)
+
+
+def is_news(known: beats.Beat | None, beat: beats.Beat) -> bool:
   """Returns whether a peer's next datagram changes what a view holds."""
-  return any(
-    getattr(known, field) != getattr(beat, field)
-    for field in (
-      'has_store',
-      'is_leaving',
-      'is_owing',
-      'is_behind',
-      'silent',
-      'domain',
-    )
-  )
+  return known is None or _get_of_beat(known) != _get_of_beat(beat)
+
+
+def is_digest_news(known: beats.Digest | None, digest: beats.Digest) -> bool:
+  """Returns whether a hub's next digest changes what a view holds."""
+  return known is None or _get_of_digest(known) != _get_of_digest(digest)
 
 
 def _add_beat(view: View, beat: beats.Beat, domain: str) -> None:
--- /dev/null
+++ b/tests/test_event_loop.py
@@ -0,0 +1,57 @@
+"""The event loop of a daemon, and sleeps that end together."""
+
+import asyncio
+import math
+import socket
+
+import hypothesis
+from hypothesis import strategies as st
+
+from woadrun.process import event_loop
+from woadrun.process import ticks
+
+
+def test_looks_that_would_not_wait_are_mostly_left_out():
+  selector = event_loop.SparseSelector()
+  near, far = socket.socketpair()
+  with near, far:
+    selector.register(near, 1)
+    far.send(b'x')
+    found = [selector.select(0) for _ in range(event_loop.MOST_SKIPPED + 1)]
+    assert [len(keys) for keys in found] == [0] * event_loop.MOST_SKIPPED + [1]
+    # One that may wait is never left out.
+    assert len(selector.select(None)) == 1
+    assert len(selector.select(1.0)) == 1
+  selector.close()
+
+
+def test_input_comes_through_while_callbacks_never_end():
+  async def run():
+    loop = asyncio.get_running_loop()
+    near, far = socket.socketpair()
+    with near, far:
+      near.setblocking(False)
+      spinning = True
+
+      def spin():
+        if spinning:
+          loop.call_soon(spin)
+
+      spin()
+      far.send(b'x')
+      async with asyncio.timeout(5):
+        assert await loop.sock_recv(near, 1) == b'x'
+      spinning = False
+
+  with asyncio.Runner(loop_factory=event_loop.make) as runner:
+    runner.run(run())
+
+
+@hypothesis.given(
+  now=st.floats(0, 1e6), seconds=st.sampled_from([0.25, 0.5, 1.0])
+)
+def test_a_sleep_ends_on_a_tick_and_lasts_about_as_long_as_asked(now, seconds):
+  rest = ticks.get_rest(seconds, now=now)
+  assert seconds / 2 <= rest <= seconds * 1.5
+  ticks_passed = (now + rest - ticks._PHASE) / seconds
+  assert math.isclose(ticks_passed, round(ticks_passed), abs_tol=1e-6)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -6,6 +6,7 @@
 
 from woadrun.process import beats
 from woadrun.process import fleet
+from woadrun.process import hubs
 from woadrun.process import returns
 
 
@@ -138,6 +139,27 @@
   assert made.find_unsettled() == {'s'}
 
 
+def test_keys_are_divided_by_few_hashes():
+  names = [f'{domain}-{n}' for domain in 'abcde' for n in range(39)]
+  made = make_fleet(*names, me='a-me')
+  keys = [f'{number:02x}' for number in range(256)]
+  hubs.weigh.cache_clear()
+  own = made.find_own(keys)
+  # Five domains for each key, and 40 members for a fifth of the keys.
+  assert hubs.weigh.cache_info().misses < 256 * 5 + 2 * 256 / 5 * 40
+  owners = {
+    key: [
+      name
+      for name in ('a-me', *names)
+      if key
+      in make_fleet(*({'a-me', *names} - {name}), me=name).find_own([key])
+    ]
+    for key in [*keys[:2], *own[:2]]
+  }
+  assert all(len(found) == 1 for found in owners.values())
+  assert all(owners[key] == ['a-me'] for key in own[:2])
+
+
 def return_from_silence(made, *names):
   """Has domains go silent, and hears the first of some members again."""
   for name in names:
