A domain that is only asked for a program does not begin it

Cause: while one domain knows that the store is out and another does not yet, the first asks the others whether they know a new program, and one of them began it as its home although all its callers come in elsewhere. The new test fails without the change.

--- a/src/woadrun/connection/turn_messages.py
+++ b/src/woadrun/connection/turn_messages.py
@@ -43,7 +43,8 @@
   program may, both in tokens.  With `is_away` the program's own domain
   cannot be reached.  With `is_brief` the asker has the history already.
   Without `keeps_history` the turn names none before it: any of them may be
-  the first of its program, or a later one.  `parts` are those of its prompt,
+  the first of its program, or a later one.  Without `begins` a program that
+  nobody knows is not begun there.  `parts` are those of its prompt,
   in order.
   """
 
@@ -55,6 +56,7 @@
   is_away: bool = False
   is_brief: bool = False
   keeps_history: bool = True
+  begins: bool = True
   parts: tuple[Part, ...] = ()
 
 
--- a/src/woadrun/process/programs.py
+++ b/src/woadrun/process/programs.py
@@ -225,13 +225,15 @@
     self, ask: turn_messages.OpenTurn, *, is_new: bool
   ) -> program_rows.Entry:
     is_settled = self._store.is_reached and self._members.is_settled
-    if is_settled and not ask.parent:
+    if is_settled and not ask.parent and ask.begins:
       # A first turn begins a program, or the failed condition of its first
       # write brings the row: nothing has to be read before.
       return program_rows.Entry(
         program=ask.program, ledger=self._rows.make(), is_guess=True
       )
     views = await self._find_views(ask)
+    if not ask.begins:
+      views = [view for view in views if view.version or view.is_dirty]
     for view in views[1:]:
       views[0].merge(view)
     if views:
--- a/src/woadrun/request/turn_leave.py
+++ b/src/woadrun/request/turn_leave.py
@@ -184,8 +184,11 @@
     mine = self._members.me.domain
     domains = {m.domain for m in self._members.member_by_name.values()}
     others = sorted(domains - {mine})
+    # A domain that has not noticed yet that the store is out took a program for
+    # its own that has its callers here.
+    known = msgspec.structs.replace(ask, begins=False)
     results = await asyncio.gather(
-      *(self._open_in(domain, ask) for domain in others),
+      *(self._open_in(domain, known) for domain in others),
       return_exceptions=True,
     )
     for domain, result in zip(others, results, strict=True):
--- a/tests/test_two_owners.py
+++ b/tests/test_two_owners.py
@@ -99,3 +99,19 @@
     await nodes.wait_until(lambda: late.is_ready() and late.store.is_direct)
     await late.programs.open(ask('e'))
     assert late.programs.entry_by_program['p'].ledger.spent == 4 * 6 + 10
+
+
+async def test_a_program_begins_where_its_callers_come_in_as_the_store_is_lost():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1', 's1')
+    north, south = fleet.by_name['n1'], fleet.by_name['s1']
+    # One domain knows that the store is out, the other one not yet.
+    fleet.shared.is_out = True
+    with pytest.raises(errors.WoadrunError):
+      await north.store.change()
+    south.store.is_direct = True
+    status, _ = await fleet.turn('n1', 'a')
+    assert status == 200
+    assert north.programs.entry_by_program['p'].ledger.home == 'north'
+    begun = south.programs.entry_by_program.get('p')
+    assert begun is None or begun.ledger.home == 'north'
