--- a/src/woadrun/process/fleet.py
+++ b/src/woadrun/process/fleet.py
@@ -21,7 +21,7 @@
 from woadrun.process import beats
 from woadrun.process import datagrams
 from woadrun.process import hubs
-from woadrun.process import ranks
+from woadrun.process import members
 from woadrun.process import returns
 from woadrun.process import ticks
 from woadrun.process import views
@@ -70,9 +70,8 @@
     self._make_beat = make_beat
     self._on_beat = on_beat
     self._on_digest = on_digest
-    self.member_by_name: dict[str, beats.Member] = {me.name: me}
-    self._members_by_domain = {me.domain: {me.name: me}}
-    self._ranks_by_domain: dict[str, ranks.Ranks] = {}
+    self._members = members.Members(me=me)
+    self.member_by_name = self._members.by_name
     self.heard_by_name: dict[str, beats.Heard] = {}
     self.is_leaving = False
     self._hubs = hubs.Hubs(me=me)
@@ -146,7 +145,7 @@
       return False
     known = [
       now - self._known_since.get(name, now)
-      for name in self._members_by_domain.get(domain, ())
+      for name in self._members.get_all_of(domain)
     ]
     return bool(known) and max(known) >= FIRST_BEAT_SECONDS
 
@@ -168,9 +167,7 @@
   @property
   def domains(self) -> set[str]:
     """All failure domains with a member."""
-    return {
-      domain for domain, found in self._members_by_domain.items() if found
-    }
+    return self._members.domains
 
   @property
   def is_isolated(self) -> bool:
@@ -215,7 +212,7 @@
     now = time.monotonic()
     heard_at = (
       self.heard_by_name[name].at if name in self.heard_by_name else -math.inf
-      for name in self._members_by_domain.get(domain, ())
+      for name in self._members.get_all_of(domain)
     )
     is_late = now - since >= SUSPECT_SECONDS
     awaited = (
@@ -255,16 +252,8 @@
     self._forget_view()
 
   def rank(self, key: str, domain: str) -> list[beats.Member]:
-    """Returns a domain's live members in the order of their claim on a key.
-
-    The order is by rendezvous hashing: a member that comes or goes moves
-    only the keys that it had or gets.
-    """
-    fit = self._find_fit(domain)
-    known = self._ranks_by_domain.get(domain)
-    if known is None or known.members != fit:
-      known = self._ranks_by_domain[domain] = ranks.Ranks(members=fit)
-    return known.get(key)
+    """Returns a domain's live members in the order of their claim on a key."""
+    return self._members.rank(key, domain, self._find_fit(domain))
 
   def _find_fit(self, domain: str) -> list[beats.Member]:
     """Returns a domain's members that are alive and stay."""
@@ -273,7 +262,7 @@
     if known is None:
       known = [
         member
-        for member in self._members_by_domain.get(domain, {}).values()
+        for member in self._members.get_all_of(domain).values()
         if self.is_alive(member.name) and not self._is_leaving(member.name)
       ]
       view.fit_by_domain[domain] = known
@@ -290,8 +279,10 @@
     at once, 256 keys took 50,000 hashes.
     """
     alive_by_domain = {
-      domain: [name for name in found if self.is_alive(name)]
-      for domain, found in self._members_by_domain.items()
+      domain: [
+        name for name in self._members.get_all_of(domain) if self.is_alive(name)
+      ]
+      for domain in self.domains
     }
     domains = [domain for domain, names in alive_by_domain.items() if names]
     mine = self.me.domain
@@ -353,14 +344,8 @@
 
   def add(self, member: beats.Member) -> None:
     """Takes a member in, or its new address."""
-    known = self.member_by_name.get(member.name)
-    if known != member:
+    if self._members.add(member):
       log.info('Member %s at %s.', member.name, member.address)
-      if known is not None:
-        del self._members_by_domain[known.domain][known.name]
-      self.member_by_name[member.name] = member
-      of_domain = self._members_by_domain.setdefault(member.domain, {})
-      of_domain[member.name] = member
       self.heard_by_name.pop(member.name, None)
       self._known_since[member.name] = time.monotonic()
       self._forget_view()
@@ -369,9 +354,7 @@
     """Drops a member that is not registered any more."""
     if name == self.me.name:
       return
-    member = self.member_by_name.pop(name, None)
-    if member is not None:
-      del self._members_by_domain[member.domain][name]
+    self._members.forget(name)
     self.heard_by_name.pop(name, None)
     self._forget_view()
     log.info('Member %s is gone.', name)
@@ -409,7 +392,7 @@
     if self.is_mesh:
       return [(mine, [m for m in self.member_by_name.values() if m != self.me])]
     chosen = self._hubs.choose(
-      self._members_by_domain[self.me.domain].values(),
+      self._members.get_all_of(self.me.domain).values(),
       self.heard_by_name,
       silent=self._get_view().silent,
     )
@@ -447,7 +430,7 @@
     now = time.monotonic()
     return [
       member
-      for member in self._members_by_domain[self.me.domain].values()
+      for member in self._members.get_all_of(self.me.domain).values()
       if now - self._known_since.get(member.name, -math.inf)
       >= FIRST_BEAT_SECONDS
     ]
@@ -476,7 +459,7 @@
       is_silent = self.is_silent(domain)
       members = [
         member
-        for member in self._members_by_domain[domain].values()
+        for member in self._members.get_all_of(domain).values()
         if is_silent or self.is_alive(member.name)
       ]
       found.extend(self._hubs.choose_far(members, is_silent=is_silent))
--- a/tests/test_two_owners.py
+++ b/tests/test_two_owners.py
@@ -101,7 +101,7 @@
     assert late.programs.entry_by_program['p'].ledger.spent == 4 * 6 + 10
 
 
-async def test_a_program_begins_where_its_callers_come_in_as_the_store_is_lost():
+async def test_a_program_begins_where_its_callers_come_in():
   async with nodes.Nodes() as fleet:
     await fleet.start('n1', 's1')
     north, south = fleet.by_name['n1'], fleet.by_name['s1']
