--- a/src/woadrun/process/hubs.py
+++ b/src/woadrun/process/hubs.py
@@ -230,8 +230,8 @@
     """Returns the newest digest of each domain, as it goes to a member.
 
     Counts of requests are in that of the own domain only, and only where this
-    hub is the first that is heard: with those of five domains and 66 instances
-    a datagram took 8.3 KB, 32 of which a second are 2 Mbit/s.
+    hub is the first that is heard: a member of five domains of 39 daemons
+    receives 19.4 KB/s, and 85.2 with the counts of each domain from both hubs.
     """
     now = time.monotonic()
     return tuple(
