--- a/src/woadrun/platform/__main__.py
+++ b/src/woadrun/platform/__main__.py
@@ -11,8 +11,8 @@
 
 from woadrun import errors
 
-# New objects between two looks for garbage.  Most objects of a request are gone
-# when it ends; a look at each 700 of them found next to nothing.
+# New objects between two looks for garbage.  Most objects of a request are freed
+# as it ends, without one: the library's 700 have a few looks in each request.
 GARBAGE_OBJECTS = 10_000
 
 
@@ -23,7 +23,8 @@
   # daemon took at its peak, mean of 11 on a calm day.
   os.environ['SSL_CERT_FILE'] = os.devnull
   os.environ['SSL_CERT_DIR'] = os.devnull
-  # What is imported stays: looking for garbage in it takes 0.1 s of a start.
+  # What is imported stays: looking for garbage in it takes 0.02 to 0.1 s of a
+  # start (processor time of the imports with and without).
   gc.disable()
   from woadrun.platform import program
   from woadrun.process import event_loop
--- a/src/woadrun/process/event_loop.py
+++ b/src/woadrun/process/event_loop.py
@@ -14,8 +14,8 @@
 class SparseSelector(selectors.DefaultSelector):
   """A selector that passes over most looks that would not wait.
 
-  The loop looks for input in each pass, also while callbacks wait to run; the
-  system call took as long as many of those callbacks.
+  The loop looks for input in each pass, also while callbacks wait to run.  Of
+  1,842 system calls in 3 s with 125 requests 715 are left (a profile).
   """
 
   def __init__(self) -> None:
--- a/src/woadrun/process/ticks.py
+++ b/src/woadrun/process/ticks.py
@@ -1,7 +1,8 @@
 """Sleeps that end together, so that a process wakes seldom.
 
-A daemon has about ten periodic tasks.  Each by its own timer, they woke an
-idle daemon 25 times a second; on common ticks they wake it four times.
+A daemon has about ten periodic tasks.  Each by its own timer, they wake an idle
+daemon some 25 times a second; on common ticks four times (worked out from their
+periods).
 """
 
 from __future__ import annotations
