--- a/src/woadrun/platform/__main__.py
+++ b/src/woadrun/platform/__main__.py
@@ -11,8 +11,8 @@
 
 from woadrun import errors
 
-# New objects between two looks for garbage.  Most objects of a request are freed
-# as it ends, without one: the library's 700 have a few looks in each request.
+# New objects between two looks for garbage.  Most objects of a request are
+# freed as it ends: at the interpreter's 700 each request has some looks.
 GARBAGE_OBJECTS = 10_000
 
 
