--- a/src/woadrun/process/reservations.py
+++ b/src/woadrun/process/reservations.py
@@ -217,10 +217,12 @@
     """Returns whether a program may have begun on the other side of a cut.
 
     Nobody has noticed the cut then, and the other side leaves this one no part:
-    it has the one turn by which a budget may be overrun.
+    it has the one turn by which a budget may be overrun.  A program that is
+    known to be split has a part of its own.
     """
     held = entry.ledger
-    if held.version or held.home != self._members.me.domain:
+    is_home = held.home == self._members.me.domain
+    if held.version or held.saved.is_split or not is_home:
       return False
     if self._members.find_unsettled():
       return entry.unsure_until > -math.inf
