A bound of a budget is logged as it is set, with what it comes from

The logs told what was spent when a turn may run without the store, not which bound held it, from what, nor that a domain away from a program's home took its part. Now each bound is logged once as it is set: what is known to be spent, the part, the row and who is out of sight. No logic is changed.

--- a/src/woadrun/process/reservations.py
+++ b/src/woadrun/process/reservations.py
@@ -117,6 +117,15 @@
     if held.away_most is None and budget < math.inf:
       part = self._get_share(held, has_store=True)
       held.away_most = held.spent + int((budget - held.spent) * part)
+      log.info(
+        'Away from its home %s, %s may have %d: %d spent, part %.3f, row %d.',
+        held.home,
+        entry.program,
+        held.away_most,
+        held.spent,
+        part,
+        held.version,
+      )
     if held.away_most is None:
       return
     if not held.can_reserve(ask.most, most=held.away_most):
@@ -144,6 +153,15 @@
       part = self._get_share(held, has_store=True)
       known = entry.get_known_spent()
       entry.guarded_most = known + (budget - known) * part
+      log.info(
+        'Beside %s, %s may have %.0f: %d known, part %.3f, row %d.',
+        ', '.join(sorted(self._members.find_unsettled())),
+        entry.program,
+        entry.guarded_most,
+        known,
+        part,
+        held.version,
+      )
     if not held.can_reserve(ask.most, most=entry.guarded_most):
       raise errors.WoadrunError(
         errors.Code.OWNER_UNAVAILABLE,
@@ -248,6 +266,16 @@
       known = min(before, entry.get_known_spent())
       entry.offline_most = known + (budget - known) * part
       entry.offline_share = part
+      log.info(
+        'Without the store %s may have %.0f: %d known, part %.3f, row %d, '
+        'unsettled: %s.',
+        entry.program,
+        entry.offline_most,
+        known,
+        part,
+        held.version,
+        ', '.join(sorted(self._members.find_unsettled())) or 'none',
+      )
     most = max(entry.offline_most, ask.most)
     if held.saved.is_split and held.spent - ask.most < entry.offline_most:
       # A program may overrun its budget by one turn, which is used here, where
