A home without the store spends its part only, unless all domains count more

Callers of a program were given more than its budget when its domain was cut off: 1,500 of 864 in a fleet of 66 VMs, where one turn of 288 more is allowed.

Cause: a domain that is cut off loses the store at once and finds the others silent 1.4 to 1.6 s later. In between its home took all that was left, since no domain counted as silent, while the side with the store took half of it. The class: a bound that rests on who is believed to be in sight, which is known only up to a moment ago.

Now a home without the store has half of what was left as others knew it, cut or not. A turn that needs more runs once a member of each other domain counts it; whoever takes a part later divides what is left after it. So it does not matter when a cut is noticed. What others know is what ended turns had been given two seconds before the outage or the silence; what is reserved they are not told.

The check of how long sums are kept is as strict over their new time, 30 s: they are looked back over an outage.

Ruled out: silence noticed sooner (a cut that drops datagrams is noticed no sooner than two of them are late), and half of the budget in each outage (programs whose turns run side by side were refused with all in sight).

--- a/src/woadrun/connection/turn_messages.py
+++ b/src/woadrun/connection/turn_messages.py
@@ -105,8 +105,7 @@
   Answered by `KnownProgram`.  `saved_*` and `version` are what the row store
   had at last, `given` what turns were given since, in tokens by request.
   `is_behind` says that the store lacks something that no stored turn tells,
-  `offline_most` bounds what may be spent without the store, as
-  `offline_share` of what was left.
+  `offline_known` is what other domains know to be spent while the store is out.
   """
 
   program: str
@@ -119,8 +118,7 @@
   is_behind: bool
   version: int
   is_split: bool = False
-  offline_most: float | None = None
-  offline_share: float | None = None
+  offline_known: int | None = None
   turns: tuple[Turn, ...] = ()
   unsaved: tuple[str, ...] = ()
 
--- a/src/woadrun/decisions/shares.py
+++ b/src/woadrun/decisions/shares.py
@@ -7,8 +7,8 @@
 
 from __future__ import annotations
 
-# The home domain's part while it has no store and another domain is out of
-# sight, which may reach the store meanwhile: the other half is for that one.
+# The home domain's part while it has no store: another domain may reach the
+# store meanwhile, and the other half is for that one.
 HOME_SHARE = 0.5
 
 
@@ -34,6 +34,5 @@
     return max(0.0, whole - unsettled * alone)
   if not is_home:
     return alone
-  # While all are heard nobody else spends.  With half of it, a program whose
-  # turns may each take a third of its budget had room for one turn at a time.
-  return HOME_SHARE if unsettled else 1.0
+  # That all are in sight is known only up to a moment ago.
+  return HOME_SHARE if domains > 1 else 1.0
--- a/src/woadrun/process/copy_intake.py
+++ b/src/woadrun/process/copy_intake.py
@@ -65,9 +65,14 @@
   async def take_far_copy(
     self, copy: turn_messages.LedgerCopy
   ) -> turn_messages.KnownProgram:
-    """Keeps what the owner in another domain sent in a request."""
-    self.keep_far_copy(copy)
-    return turn_messages.KnownProgram()
+    """Keeps what the owner in another domain sent in a request.
+
+    Answers with a copy of its own where what is known here counts instead.
+    """
+    if self.keep_far_copy(copy):
+      return turn_messages.KnownProgram()
+    entry = self._entry_by_program[copy.program]
+    return turn_messages.KnownProgram(copy=self._copies.make(entry))
 
   def receive_copy(self, data: bytes) -> None:
     """Keeps what the owner of a program sent in a datagram."""
@@ -97,7 +102,7 @@
       self._entry_by_program[copy.program] = entry
       _take_bounds(entry, copy)
       entry.is_copy = True
-      entry.note_spent()
+      entry.note_settled()
       return turn_messages.KnownProgram()
     is_older = held.version < entry.ledger.version
     lacks = {
@@ -111,7 +116,7 @@
     else:
       entry.ledger = held
       _take_bounds(entry, copy)
-    entry.note_spent()
+    entry.note_settled()
     entry.is_guess = False
     entry.is_copy = True
     entry.used_at = time.monotonic()
@@ -126,8 +131,8 @@
     )
     return turn_messages.KnownProgram(copy=self._copies.make(entry))
 
-  def keep_far_copy(self, copy: turn_messages.LedgerCopy) -> None:
-    """Keeps what the owner in another domain sent.
+  def keep_far_copy(self, copy: turn_messages.LedgerCopy) -> bool:
+    """Returns whether what the owner in another domain sent counts here now.
 
     What is spent here counts on top of it.  The row in the store is the
     home's: a change of ours is brought onto it by a failed condition.
@@ -135,7 +140,7 @@
     self._keep(copy, domain=copy.home)
     entry = self._entry_by_program.get(copy.program)
     if entry is not None and self._is_mine(entry, copy):
-      return
+      return False
     row = ledger.LedgerRow(
       home=copy.home,
       settled=copy.saved_settled + sum(copy.given.values()),
@@ -147,8 +152,9 @@
       entry = program_rows.Entry(program=copy.program, ledger=held)
       self._entry_by_program[copy.program] = entry
     entry.ledger = held
-    entry.note_spent()
+    entry.note_settled()
     entry.used_at = time.monotonic()
+    return True
 
   def _keep(self, copy: turn_messages.LedgerCopy, *, domain: str) -> None:
     """Keeps the turns of a copy, also for the store if that lacks them.
@@ -176,5 +182,4 @@
 ) -> None:
   """Takes over what a copy tells beside the budget itself."""
   entry.needs_flush = copy.is_behind
-  entry.offline_most = copy.offline_most
-  entry.offline_share = copy.offline_share
+  entry.offline_known = copy.offline_known
--- a/src/woadrun/process/program_copies.py
+++ b/src/woadrun/process/program_copies.py
@@ -6,6 +6,8 @@
 from collections.abc import Coroutine
 from collections.abc import Iterable
 import logging
+import math
+import time
 
 import msgspec
 
@@ -24,6 +26,14 @@
 
 # Until a standby that does not acknowledge is passed over, in seconds.
 COPY_SECONDS = 0.6
+# Until a member of another domain that is asked to count what is spent is
+# passed over, in seconds.
+COUNT_SECONDS = 0.4
+# Members of each other domain that are asked so, one after the other.
+MOST_COUNTING = 2
+# A domain of which none answered is not asked again for so long, in seconds:
+# callers whose turns need its word are refused at once meanwhile.
+UNHEARD_SECONDS = 0.5
 # Copies under way that nobody waits for; more are dropped, since the store
 # has what they hold.
 MOST_COPIES = 256
@@ -54,6 +64,7 @@
     self._links = links
     self._unsaved = unsaved
     self._running: set[asyncio.Task[None]] = set()
+    self._unheard_until_by_domain: dict[str, float] = {}
 
   async def send(
     self, entry: program_rows.Entry, turns: tuple[turn_messages.Turn, ...]
@@ -98,6 +109,46 @@
         else:
           self._run(self._try_post(member, 'program/far', message))
 
+  async def tell_domains(self, entry: program_rows.Entry) -> bool:
+    """Returns whether each other domain counts what is spent here.
+
+    What a domain counts and this daemon did not is taken over; it then does not
+    count what it was told.
+    """
+    others = self._members.domains - {self._members.me.domain}
+    if any(self._is_unheard(domain) for domain in others):
+      return False
+    message = self._make_copy(entry, ())
+    results = await asyncio.gather(
+      *(self._tell_domain(entry, domain, message) for domain in sorted(others))
+    )
+    return all(results)
+
+  def _is_unheard(self, domain: str) -> bool:
+    until = self._unheard_until_by_domain.get(domain, -math.inf)
+    return time.monotonic() < until
+
+  async def _tell_domain(
+    self,
+    entry: program_rows.Entry,
+    domain: str,
+    message: turn_messages.LedgerCopy,
+  ) -> bool:
+    for member in self._members.rank(entry.program, domain)[:MOST_COUNTING]:
+      try:
+        known = await self._post(
+          member, 'program/far', message, timeout=COUNT_SECONDS
+        )
+      except errors.WoadrunError as error:
+        log.info('%s does not count %s: %s', member.name, entry.program, error)
+        continue
+      if known.copy is None:
+        return True
+      entry.ledger.merge(decode(known.copy))
+      return False
+    self._unheard_until_by_domain[domain] = time.monotonic() + UNHEARD_SECONDS
+    return False
+
   async def ask(self, program: str) -> list[turn_messages.LedgerCopy]:
     """Returns what other members have of a program that the store lacks."""
     me = self._members.me
@@ -159,14 +210,19 @@
       log.info('No copy of %s: %s', message.program, error.message)
 
   async def _post(
-    self, member: beats.Member, path: str, message: turn_messages.LedgerCopy
+    self,
+    member: beats.Member,
+    path: str,
+    message: turn_messages.LedgerCopy,
+    *,
+    timeout: float = COPY_SECONDS,
   ) -> turn_messages.KnownProgram:
     return await self._links.post(
       member.address,
       path,
       message,
       type=turn_messages.KnownProgram,
-      timeout=COPY_SECONDS,
+      timeout=timeout,
     )
 
   async def try_send(
@@ -194,8 +250,7 @@
       is_behind=entry.needs_flush,
       version=held.version,
       is_split=held.saved.is_split,
-      offline_most=entry.offline_most,
-      offline_share=entry.offline_share,
+      offline_known=entry.offline_known,
       turns=turns,
       unsaved=unsaved,
     )
--- a/src/woadrun/process/program_rows.py
+++ b/src/woadrun/process/program_rows.py
@@ -32,9 +32,11 @@
   """A program in memory.
 
   `attempts` are the ids of writes that may have been done although no
-  answer came.  `offline_most` bounds the budget while the store is out, as
-  `offline_share` of what was left then; `guarded_most` while another domain
-  may spend without it.
+  answer came.  `offline_known` is what other domains know to be spent while
+  the store is out: this one has a part of the rest.  `least_told` is the least
+  that they were told since they were asked last to count what is spent;
+  `telling` is held meanwhile.  `guarded_most` bounds the budget while another
+  domain may spend without the store.
   `needs_flush` says that the row should not wait for the next call.
   `is_copy` says that another daemon told it last; `acted` has the turns that
   this daemon itself decided on and the store does not count yet.
@@ -48,8 +50,9 @@
   ledger: ledger.Ledger
   lock: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
   attempts: set[str] = dataclasses.field(default_factory=set)
-  offline_most: float | None = None
-  offline_share: float | None = None
+  offline_known: int | None = None
+  least_told: float = math.inf
+  telling: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
   guarded_most: float | None = None
   needs_flush: bool = False
   is_copy: bool = False
@@ -65,14 +68,27 @@
     default_factory=spending.Spending
   )
 
-  def note_spent(self) -> None:
-    """Takes note of what is spent now."""
-    self.spending.note(self.ledger.spent, now=time.monotonic())
+  def note_settled(self) -> None:
+    """Takes note of what is settled now."""
+    self.spending.note(self.ledger.settled, now=time.monotonic())
 
-  def get_known_spent(self) -> int:
-    """Returns what other domains surely know to be spent, in tokens."""
-    known = self.spending.get_known(now=time.monotonic())
-    return min(known, self.ledger.spent)
+  def get_known(self, *, lasted: float) -> int:
+    """Returns what other domains surely know to be spent, in tokens.
+
+    An outage or a cut has lasted for `lasted` seconds.
+    """
+    known = self.spending.get_known(now=time.monotonic(), lasted=lasted)
+    return min(known, self.ledger.settled)
+
+  def note_told(self) -> None:
+    """Takes note that other domains are told what is spent now.
+
+    It may be less than what they were told before, once a turn has ended.
+    """
+    spent = self.ledger.spent
+    self.least_told = min(self.least_told, spent)
+    if self.offline_known is not None:
+      self.offline_known = min(self.offline_known, spent)
 
 
 class ProgramRows:
@@ -177,8 +193,7 @@
   def _note_saved(self, entry: Entry) -> None:
     entry.attempts.clear()
     entry.is_guess = False
-    entry.offline_most = None
-    entry.offline_share = None
+    entry.offline_known = None
     entry.needs_flush = False
     held = entry.ledger
     entry.acted = {
--- a/src/woadrun/process/programs.py
+++ b/src/woadrun/process/programs.py
@@ -184,7 +184,8 @@
       )
     entry.used_at = time.monotonic()
     entry.ledger.settle(done.request, done.tokens)
-    entry.note_spent()
+    entry.note_settled()
+    entry.note_told()
     if done.instance:
       entry.prefixes.note(done.instance, done.parts, now=entry.used_at)
     if not done.is_saved:
--- a/src/woadrun/process/reservations.py
+++ b/src/woadrun/process/reservations.py
@@ -2,7 +2,8 @@
 
 With the store in reach each reservation is a conditional write of one row.
 Without it a part of what is left may be spent on the standby's word; the
-rest is kept for the domains that may reach the store meanwhile.
+rest is kept for the domains that may reach the store meanwhile, unless each of
+them counts the turn as well.
 """
 
 from __future__ import annotations
@@ -92,7 +93,7 @@
     held = entry.ledger
     if ask.request in held.reserved:
       return
-    entry.note_spent()
+    entry.note_settled()
     if held.home == self._members.me.domain:
       self._check_guarded(entry, ask, budget)
     elif ask.is_away and self._store.is_reached:
@@ -151,7 +152,7 @@
       # spent now, both had a part of what went as the cut began (324 tokens in
       # all of a budget of 306 and one turn of 10, two domains in one process).
       part = self._get_share(held, has_store=True)
-      known = entry.get_known_spent()
+      known = entry.get_known(lasted=self._get_cut())
       entry.guarded_most = known + (budget - known) * part
       log.info(
         'Beside %s, %s may have %.0f: %d known, part %.3f, row %d.',
@@ -203,10 +204,10 @@
     entry.needs_flush = True
     try:
       self._check_alone(entry.ledger, error)
-      self._check_offline(entry, ask, budget)
+      await self._check_offline(entry, ask, budget)
       await self._copies.send(entry, ())
       # The standby may have told of turns that this daemon did not know.
-      self._check_offline(entry, ask, budget)
+      await self._check_offline(entry, ask, budget)
     except errors.WoadrunError:
       entry.ledger.settle(ask.request, 0)
       raise
@@ -249,7 +250,7 @@
       entry.unsure_until = -math.inf
     return entry.unsure_until > -math.inf
 
-  def _check_offline(
+  async def _check_offline(
     self, entry: program_rows.Entry, ask: turn_messages.OpenTurn, budget: float
   ) -> None:
     held = entry.ledger
@@ -259,34 +260,67 @@
         'The store is out, and the program may have begun elsewhere.',
         retry_after=RETRY_SECONDS,
       )
+    if self._fits_offline(entry, ask, budget):
+      return
+    await self._ask_to_count(entry)
+    if not self._fits_offline(entry, ask, budget):
+      raise errors.WoadrunError(
+        errors.Code.PLATFORM_UNAVAILABLE,
+        'The store is out, and the part of the budget that needs none is '
+        'spent.',
+        retry_after=retry_after.estimate_outage(self._store.outage),
+      )
+
+  def _fits_offline(
+    self, entry: program_rows.Entry, ask: turn_messages.OpenTurn, budget: float
+  ) -> bool:
+    """Returns whether a turn that is reserved may run without the store."""
+    held = entry.ledger
     part = self._get_share(held, has_store=False)
-    # A domain that goes out of sight later has a part of what is left then.
-    if entry.offline_most is None or entry.offline_share != part:
-      before = held.spent - held.reserved.get(ask.request, 0)
-      known = min(before, entry.get_known_spent())
-      entry.offline_most = known + (budget - known) * part
-      entry.offline_share = part
+    if entry.offline_known is None:
+      entry.offline_known = self._get_known(entry, ask)
       log.info(
-        'Without the store %s may have %.0f: %d known, part %.3f, row %d, '
-        'unsettled: %s.',
+        'Without the store %s may have part %.3f of the rest: %d known, '
+        'row %d, unsettled: %s.',
         entry.program,
-        entry.offline_most,
-        known,
         part,
+        entry.offline_known,
         held.version,
         ', '.join(sorted(self._members.find_unsettled())) or 'none',
       )
-    most = max(entry.offline_most, ask.most)
-    if held.saved.is_split and held.spent - ask.most < entry.offline_most:
+    most = entry.offline_known + (budget - entry.offline_known) * part
+    if held.saved.is_split and held.spent - ask.most < most:
       # A program may overrun its budget by one turn, which is used here, where
       # most programs that may have begun elsewhere have not: a quarter of the
       # usual budget is less than the most of one turn, and their second turns
       # were refused until the cut had healed.
-      most = held.spent
-    if held.spent > most:
-      raise errors.WoadrunError(
-        errors.Code.PLATFORM_UNAVAILABLE,
-        'The store is out, and the part of the budget that needs none is '
-        'spent.',
-        retry_after=retry_after.estimate_outage(self._store.outage),
-      )
+      return True
+    return held.spent <= max(most, ask.most)
+
+  def _get_known(
+    self, entry: program_rows.Entry, ask: turn_messages.OpenTurn
+  ) -> int:
+    """Returns what the home and the other domains both know to be spent."""
+    held = entry.ledger
+    if held.home != self._members.me.domain:
+      # All that is known here came from the home.
+      return held.spent - held.reserved.get(ask.request, 0)
+    return entry.get_known(lasted=self._get_cut())
+
+  def _get_cut(self) -> float:
+    """Returns for how long others may have been told nothing, in seconds."""
+    return max(self._store.outage, self._members.get_silence())
+
+  async def _ask_to_count(self, entry: program_rows.Entry) -> None:
+    # A cut is noticed a second after it has begun.  A home that took the rest
+    # as its own until then spent what the side with the store had its part of.
+    held = entry.ledger
+    is_home = held.home == self._members.me.domain
+    if not is_home or held.saved.is_split or self._members.find_unsettled():
+      return
+    async with entry.telling:
+      entry.least_told = spent = held.spent
+      if await self._copies.tell_domains(entry):
+        known = min(spent, entry.least_told)
+        entry.offline_known = max(known, entry.offline_known or 0)
+        log.info('Other domains count %d of %s.', known, entry.program)
--- a/src/woadrun/version/spending.py
+++ b/src/woadrun/version/spending.py
@@ -1,4 +1,4 @@
-"""What a program had spent a moment ago, as far as others surely know it."""
+"""What the turns of a program were given up to a moment ago, as others know."""
 
 from __future__ import annotations
 
@@ -8,24 +8,32 @@
 # counts as cut off 0.9 s after its last datagram, in large fleets after 1.4 s;
 # copies of a turn go out as it ends.
 KNOWN_SECONDS = 2.0
+# Sums are kept for so long, in seconds: cuts and outages are looked back over.
+KEPT_SECONDS = 30.0
 
 
 class Spending:
-  """Sums of spent tokens over the last seconds, the oldest first."""
+  """Sums of what ended turns were given, over the last seconds, oldest first.
+
+  What is reserved does not count: other domains are told as a turn ends.
+  """
 
   def __init__(self) -> None:
     self._marks: collections.deque[tuple[float, int]] = collections.deque()
 
-  def note(self, spent: int, *, now: float) -> None:
-    """Takes note of what is spent at `now`, on the monotonic clock."""
-    if self._marks and self._marks[-1][1] == spent:
+  def note(self, settled: int, *, now: float) -> None:
+    """Takes note of what is settled at `now`, on the monotonic clock."""
+    if self._marks and self._marks[-1][1] == settled:
       return
-    self._marks.append((now, spent))
-    while len(self._marks) > 1 and self._marks[1][0] <= now - KNOWN_SECONDS:
+    self._marks.append((now, settled))
+    while len(self._marks) > 1 and self._marks[1][0] <= now - KEPT_SECONDS:
       self._marks.popleft()
 
-  def get_known(self, *, now: float) -> int:
-    """Returns what was spent by the time that others know of, in tokens."""
-    limit = now - KNOWN_SECONDS
-    known = [spent for at, spent in self._marks if at <= limit]
+  def get_known(self, *, now: float, lasted: float = 0.0) -> int:
+    """Returns what was settled by the time that others know of, in tokens.
+
+    They have been told nothing for `lasted` seconds.
+    """
+    limit = now - lasted - KNOWN_SECONDS
+    known = [settled for at, settled in self._marks if at <= limit]
     return known[-1] if known else 0
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -171,7 +171,7 @@
 
 
 class Nodes:
-  """Daemons by name; `n1` and so on in `north`, `s1` in `south`, `w1` in `west`.
+  """Daemons by name: `n1` in `north`, `s1` in `south`, `w1` in `west`.
 
   Nothing passes between the domains in `cut` and the others.
   """
--- a/tests/test_cut_domains.py
+++ b/tests/test_cut_domains.py
@@ -240,6 +240,12 @@
   assert [seen.get_known(now=at) for at in (14.9, 15.2)] == [300, 250]
   seen.note(500, now=20.0)
   assert seen.get_known(now=20.0) == 400
+  # Nothing has been told since a cut began.
+  assert [seen.get_known(now=20.0, lasted=at) for at in (5.0, 6.0)] == [
+    250,
+    300,
+  ]
+  seen.note(600, now=60.0)
   assert len(seen._marks) == 2
 
 
