A domain's part of a budget counts from what it was told, not from the row alone

Callers were given 504 of a budget of 306 and one turn of 10: the store was out for all and the home spent most of the budget, each turn told to the other domain; then the home was cut off and the store came back for the other side. That one took its part and wrote it, the condition failed, and the row that it took over had none of those turns: half of the whole budget was free again.

Now a domain reads the row before it takes its part, and divides what is left after the larger of the row and what the home told. The bound is kept in the row beside the sum that it was taken from, so that it holds whatever the home brings there later.

--- a/src/woadrun/process/copy_intake.py
+++ b/src/woadrun/process/copy_intake.py
@@ -152,6 +152,7 @@
       entry = program_rows.Entry(program=copy.program, ledger=held)
       self._entry_by_program[copy.program] = entry
     entry.ledger = held
+    entry.told = held.spent
     entry.note_settled()
     entry.used_at = time.monotonic()
     return True
--- a/src/woadrun/process/program_rows.py
+++ b/src/woadrun/process/program_rows.py
@@ -35,8 +35,9 @@
   answer came.  `offline_known` is what other domains know to be spent while
   the store is out: this one has a part of the rest.  `least_told` is the least
   that they were told since they were asked last to count what is spent;
-  `telling` is held meanwhile.  `guarded_most` bounds the budget while another
-  domain may spend without the store.
+  `telling` is held meanwhile.  `told` is what the home in another domain said
+  is spent, which the store may lack.  `guarded_most` bounds the budget while
+  another domain may spend without the store.
   `needs_flush` says that the row should not wait for the next call.
   `is_copy` says that another daemon told it last; `acted` has the turns that
   this daemon itself decided on and the store does not count yet.
@@ -53,6 +54,7 @@
   offline_known: int | None = None
   least_told: float = math.inf
   telling: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
+  told: int = 0
   guarded_most: float | None = None
   needs_flush: bool = False
   is_copy: bool = False
@@ -156,10 +158,13 @@
       return
     entry.refreshed_at = now
     try:
-      found = await self.read(entry.program)
+      await self.read_anew(entry)
     except errors.WoadrunError as error:
       log.info('A budget was not read anew: %s', error.message)
-      return
+
+  async def read_anew(self, entry: Entry) -> None:
+    """Brings an entry up to what the store has; raises where it is not read."""
+    found = await self.read(entry.program)
     entry.is_guess = False
     if found.version > entry.ledger.version:
       entry.ledger.rebase(found.saved, found.version)
--- a/src/woadrun/process/reservations.py
+++ b/src/woadrun/process/reservations.py
@@ -97,7 +97,7 @@
     if held.home == self._members.me.domain:
       self._check_guarded(entry, ask, budget)
     elif ask.is_away and self._store.is_reached:
-      self._check_away(entry, ask, budget)
+      await self._check_away(entry, ask, budget)
     if held.can_reserve(ask.most, most=budget):
       return
     if self._store.is_reached:
@@ -110,20 +110,28 @@
       f'after {held.spent}.',
     )
 
-  def _check_away(
+  async def _check_away(
     self, entry: program_rows.Entry, ask: turn_messages.OpenTurn, budget: float
   ) -> None:
     # The home domain may be spending the other half without the store.
     held = entry.ledger
-    if held.away_most is None and budget < math.inf:
+    is_bounded = budget < math.inf
+    if is_bounded and held.away_most is None and not held.version:
+      await self._rows.read_anew(entry)
+    if is_bounded and held.away_most is None:
       part = self._get_share(held, has_store=True)
-      held.away_most = held.spent + int((budget - held.spent) * part)
+      # The row lacks what the home spent in an outage before it was cut off:
+      # counted from the row alone, that was spent here once more.
+      left = budget - max(entry.told, held.spent)
+      held.away_most = held.spent + int(max(0.0, left) * part)
       log.info(
-        'Away from its home %s, %s may have %d: %d spent, part %.3f, row %d.',
+        'Away from its home %s, %s may have %d: %d spent, %d told, part %.3f, '
+        'row %d.',
         held.home,
         entry.program,
         held.away_most,
         held.spent,
+        entry.told,
         part,
         held.version,
       )
