A home that has not read the row since a cut learns what was spent there

Callers were given 432 of a budget of 306 and one turn of 10: in a cut the side with the store spent its half, which the row tells. As the cut healed, the store went out for all. All domains were in sight and owed the store nothing, so that the home, which still had the row from before, took the whole again.

A copy from an older row no longer replaces a newer one either.

--- a/src/woadrun/process/copy_intake.py
+++ b/src/woadrun/process/copy_intake.py
@@ -173,9 +173,12 @@
   ) -> bool:
     """Returns whether a program is better known here than in a far copy."""
     held = entry.ledger
-    is_home = held.home == self._domain
-    is_newer = is_home and held.version >= copy.version
-    return entry.needs_flush or entry.lock.locked() or is_newer
+    if entry.needs_flush or entry.lock.locked():
+      return True
+    if held.home == self._domain:
+      return held.version >= copy.version
+    # The row has what was spent here in a cut, which the home has not read yet.
+    return held.version > copy.version
 
 
 def _take_bounds(
