A domain cut off spends no more than the turn by which a budget may be overrun

Callers were given 444 of a budget of 306 and one turn of 10, in a fleet of two domains: a home with the store had not noticed that the other domain was cut off and spent the whole budget; that one then had half of what was left by its own word. With three domains it is a quarter, which one turn covers where a budget has room for four turns at the most.

The cause is of the class of the faults before it: the home's bound rests on who is believed to be in sight. Here the other side gives way: without the store and away from home a domain has its part, and no more than one turn's most. Weighed: the home asks the others to count turns with the store as well (an exchange between domains for turns of calm times, near the end of a budget).

--- a/src/woadrun/process/reservations.py
+++ b/src/woadrun/process/reservations.py
@@ -296,7 +296,12 @@
         held.version,
         ', '.join(sorted(self._members.find_unsettled())) or 'none',
       )
-    most = entry.offline_known + (budget - entry.offline_known) * part
+    rest = (budget - entry.offline_known) * part
+    if held.home != self._members.me.domain:
+      # The home may not know of the cut and spend all: what is spent here then
+      # is the one turn by which a budget may be overrun.
+      rest = min(rest, ask.most)
+    most = entry.offline_known + rest
     if held.saved.is_split and held.spent - ask.most < most:
       # A program may overrun its budget by one turn, which is used here, where
       # most programs that may have begun elsewhere have not: a quarter of the
--- a/tests/test_budget_in_a_cut.py
+++ b/tests/test_budget_in_a_cut.py
@@ -115,3 +115,21 @@
   for number in range(turns):
     await fleet.turn(name, f'more{number}', most=MOST, budget=BUDGET)
   return turns
+
+
+async def test_a_domain_cut_off_has_one_turn_where_the_home_spends_all():
+  """A home with the store spent the part of a domain that it still believed in.
+
+  One of two domains was cut off.  The home, which had the store, did not know
+  that yet and spent the whole budget; the other domain then had half of what
+  was left by its own word: 444 of 306 were given.
+  """
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1', 's1')
+    ran = [await begin(fleet, 'n1', 1)]
+    fleet.cut_off('south')
+    ran.append(await spend_all(fleet, 'n1', 'unnoticed'))
+    await wait_for_silence(*fleet.by_name.values())
+    for name in ('n1', 's1'):
+      ran.append(await spend_all(fleet, name, name))
+    assert sum(ran) * GIVEN <= BUDGET + MOST
