--- a/tests/test_budget_in_a_cut.py
+++ b/tests/test_budget_in_a_cut.py
@@ -110,6 +110,24 @@
     assert sum(ran) * GIVEN <= BUDGET + MOST
 
 
+async def test_a_program_begun_before_a_cut_is_noticed_has_one_budget():
+  """A program was begun anew where nobody could have heard of it.
+
+  Its home, which had the store, did not know yet that the other domain was cut
+  off, and let it spend the whole budget at once.  The other domain, which knew
+  nothing of the program, gave it a part and one turn beyond: 444 of 306 were
+  given.
+  """
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1', 's1')
+    fleet.cut_off('south')
+    ran = [await spend_all(fleet, 'n1', 'unnoticed')]
+    await wait_for_silence(*fleet.by_name.values())
+    for name in ('s1', 'n1'):
+      ran.append(await spend_all(fleet, name, name))
+    assert sum(ran) * GIVEN <= BUDGET + MOST
+
+
 async def begin_more(fleet, name, turns):
   """Returns how many further turns a program ran."""
   for number in range(turns):
