A program that other domains have not heard of leaves them their part

Callers were given 444 of a budget of 306 and one turn of 10 (and 84 of 72 and 9 in a schedule of cuts): a program began at a home with the store, a domain had just been cut off, which nobody had noticed, and the home let all of the budget be spent. The other side had not heard of the program, began it anew and gave it the part of a domain and the one turn by which a budget may be overrun.

The cause is of the class of the faults before it, what is sent taken for what has come. Each other domain acknowledges now that it has heard of a new program; until it has, it counts as one that may spend. That costs one short message to each other domain for a program, in place of a datagram to two.

The test of a program that begins as a cut begins let messages pass that a cut holds up; they are refused there now, as datagrams were dropped, and its bounds are as they were.

--- a/src/woadrun/process/program_copies.py
+++ b/src/woadrun/process/program_copies.py
@@ -119,10 +119,24 @@
     if any(self._is_unheard(domain) for domain in others):
       return False
     message = self._make_copy(entry, ())
-    results = await asyncio.gather(
+    answers = await asyncio.gather(
       *(self._tell_domain(entry, domain, message) for domain in sorted(others))
     )
-    return all(results)
+    return all(answer is not None and answer.copy is None for answer in answers)
+
+  def tell_begin_behind(self, entry: program_rows.Entry) -> None:
+    """Tells the domains in `unknown_in` of a program; nobody waits for it."""
+    if entry.unknown_in:
+      self._run(self._tell_begin(entry))
+
+  async def _tell_begin(self, entry: program_rows.Entry) -> None:
+    message = self._make_copy(entry, ())
+
+    async def tell(domain: str) -> None:
+      if await self._tell_domain(entry, domain, message) is not None:
+        entry.unknown_in.discard(domain)
+
+    await asyncio.gather(*(tell(domain) for domain in sorted(entry.unknown_in)))
 
   def _is_unheard(self, domain: str) -> bool:
     until = self._unheard_until_by_domain.get(domain, -math.inf)
@@ -133,7 +147,11 @@
     entry: program_rows.Entry,
     domain: str,
     message: turn_messages.LedgerCopy,
-  ) -> bool:
+  ) -> turn_messages.KnownProgram | None:
+    """Returns what a member of a domain answers, None where none does.
+
+    What is known there and not here is taken over.
+    """
     for member in self._members.rank(entry.program, domain)[:MOST_COUNTING]:
       try:
         known = await self._post(
@@ -142,12 +160,11 @@
       except errors.WoadrunError as error:
         log.info('%s does not count %s: %s', member.name, entry.program, error)
         continue
-      if known.copy is None:
-        return True
-      entry.ledger.merge(decode(known.copy))
-      return False
+      if known.copy is not None:
+        entry.ledger.merge(decode(known.copy))
+      return known
     self._unheard_until_by_domain[domain] = time.monotonic() + UNHEARD_SECONDS
-    return False
+    return None
 
   async def ask(self, program: str) -> list[turn_messages.LedgerCopy]:
     """Returns what other members have of a program that the store lacks."""
--- a/src/woadrun/process/program_rows.py
+++ b/src/woadrun/process/program_rows.py
@@ -36,8 +36,9 @@
   the store is out: this one has a part of the rest.  `least_told` is the least
   that they were told since they were asked last to count what is spent;
   `telling` is held meanwhile.  `told` is what the home in another domain said
-  is spent, which the store may lack.  `guarded_most` bounds the budget while
-  another domain may spend without the store.
+  is spent, which the store may lack.  `unknown_in` names the other domains that
+  may not have heard of a program that began here.  `guarded_most` bounds the
+  budget while another domain may spend without the store.
   `needs_flush` says that the row should not wait for the next call.
   `is_copy` says that another daemon told it last; `acted` has the turns that
   this daemon itself decided on and the store does not count yet.
@@ -55,6 +56,7 @@
   least_told: float = math.inf
   telling: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
   told: int = 0
+  unknown_in: set[str] = dataclasses.field(default_factory=set)
   guarded_most: float | None = None
   needs_flush: bool = False
   is_copy: bool = False
--- a/src/woadrun/process/programs.py
+++ b/src/woadrun/process/programs.py
@@ -145,7 +145,8 @@
         await self._reserve(entry, ask)
       if is_new and home == entry.ledger.home:
         # A cut that begins now finds the program known on its other side.
-        self._copies.send_far_behind(entry, ())
+        entry.unknown_in = self._members.domains - {home}
+        self._copies.tell_begin_behind(entry)
     log.debug(
       'Turn %s of %s may run: %d spent with it, row %d.',
       ask.request,
@@ -199,6 +200,7 @@
       await self._copies.send(entry, turns)
     if entry.ledger.home == self._members.me.domain:
       self._copies.send_far_behind(entry, turns)
+      self._copies.tell_begin_behind(entry)
     return turn_messages.Closed()
 
   def keep(self, done: turn_messages.CloseTurn) -> None:
--- a/src/woadrun/process/reservations.py
+++ b/src/woadrun/process/reservations.py
@@ -119,7 +119,7 @@
     if is_bounded and held.away_most is None and not held.version:
       await self._rows.read_anew(entry)
     if is_bounded and held.away_most is None:
-      part = self._get_share(held, has_store=True)
+      part = self._get_share(entry, has_store=True)
       # The row lacks what the home spent in an outage before it was cut off:
       # counted from the row alone, that was spent here once more.
       left = budget - max(entry.told, held.spent)
@@ -149,7 +149,8 @@
   ) -> None:
     # A domain that is cut off may be spending what its own part allows.
     held = entry.ledger
-    if not self._members.find_unsettled():
+    unsettled = self._find_unsettled(entry)
+    if not unsettled:
       entry.guarded_most = None
       # All are back and owe nothing.  Kept, the bound of one cut left other
       # domains nothing to spend in the next one.
@@ -159,12 +160,12 @@
       # The other side divides what it knows to be left: counted from what is
       # spent now, both had a part of what went as the cut began (324 tokens in
       # all of a budget of 306 and one turn of 10, two domains in one process).
-      part = self._get_share(held, has_store=True)
+      part = self._get_share(entry, has_store=True)
       known = entry.get_known(lasted=self._get_cut())
       entry.guarded_most = known + (budget - known) * part
       log.info(
         'Beside %s, %s may have %.0f: %d known, part %.3f, row %d.',
-        ', '.join(sorted(self._members.find_unsettled())),
+        ', '.join(sorted(unsettled)),
         entry.program,
         entry.guarded_most,
         known,
@@ -178,12 +179,20 @@
         retry_after=retry_after.estimate_outage(self._members.get_silence()),
       )
 
-  def _get_share(self, held: ledger.Ledger, *, has_store: bool) -> float:
+  def _find_unsettled(self, entry: program_rows.Entry) -> set[str]:
+    """Returns the other domains that may spend without this one's knowledge.
+
+    One that has not heard of a program may begin it anew.
+    """
+    return self._members.find_unsettled() | entry.unknown_in
+
+  def _get_share(self, entry: program_rows.Entry, *, has_store: bool) -> float:
+    held = entry.ledger
     is_home = held.home == self._members.me.domain
     if held.saved.is_split and not has_store:
       # Another domain may take itself for the home as well.
       is_home = False
-    unsettled = len(self._members.find_unsettled() - {held.home})
+    unsettled = len(self._find_unsettled(entry) - {held.home})
     return shares.get_share(
       is_home=is_home,
       has_store=has_store,
@@ -284,7 +293,7 @@
   ) -> bool:
     """Returns whether a turn that is reserved may run without the store."""
     held = entry.ledger
-    part = self._get_share(held, has_store=False)
+    part = self._get_share(entry, has_store=False)
     if entry.offline_known is None:
       entry.offline_known = self._get_known(entry, ask)
       log.info(
--- a/tests/test_cut_domains.py
+++ b/tests/test_cut_domains.py
@@ -12,6 +12,7 @@
 from woadrun.decisions import shares
 from woadrun.process import datagrams
 from woadrun.process import histories
+from woadrun.process import peer_messages
 from woadrun.process import program_copies
 from woadrun.version import spending
 
@@ -190,6 +191,7 @@
     south.store._find_relays = list
     for daemon in (north, south):
       daemon.fleet.datagrams.handle(datagrams.FAR_COPY, lambda data: None)
+      daemon._handler_by_path['program/far'] = refuse
     names, statuses = ('n1', 's1'), (402, 503)
     ran = [
       await spend_all(fleet, name, name, statuses=statuses) for name in names
@@ -315,6 +317,12 @@
     await nodes.wait_until(lambda: north.fleet.find_unsettled() == {'south'})
 
 
+async def refuse(body):
+  """Answers a message as if it had not come."""
+  lost = errors.WoadrunError(errors.Code.OWNER_UNAVAILABLE, 'Cut off.')
+  return peer_messages.Reply(status=lost.status, body=lost.get_body())
+
+
 async def spend_all(fleet, name, prefix, *, statuses=(503,)):
   """Returns how many turns a daemon lets run before it refuses."""
   for number in range(60):
