--- a/tests/test_budget_in_a_cut.py
+++ b/tests/test_budget_in_a_cut.py
@@ -151,3 +151,38 @@
     for name in ('n1', 's1'):
       ran.append(await spend_all(fleet, name, name))
     assert sum(ran) * GIVEN <= BUDGET + MOST
+
+
+async def test_what_a_domain_spent_without_the_store_outlasts_its_daemons():
+  """A domain whose daemons were all lost forgot what it had spent.
+
+  The store was out, so that what turns were given was known to the daemons of
+  the home, and to the other domain that was told.  All daemons of the home were
+  killed and started again; they asked each other and the store, not the other
+  domain, and had the budget anew.
+  """
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1', 's1', 's2')
+    ran = [await begin(fleet, 's1', 1)]
+    fleet.shared.is_out = True
+    await nodes.wait_until(
+      lambda: not any(d.store.is_reached for d in fleet.by_name.values())
+    )
+    ran.append(await begin_more(fleet, 's1', 40))
+    north = fleet.by_name['n1'].programs
+    await nodes.wait_until(lambda: north.cache.get('more39') is not None)
+    for name in ('s1', 's2'):
+      await fleet.stop(name)
+    fleet.shared.is_out = False
+    for name in ('s3', 's4'):
+      await fleet.start_alone(name)
+    await nodes.wait_until(
+      lambda: all(
+        fleet.by_name[name].is_ready()
+        and fleet.by_name[name].store.is_direct
+        and 'n1' in fleet.by_name[name].fleet.heard_by_name
+        for name in ('s3', 's4')
+      )
+    )
+    ran.append(await spend_all(fleet, 's3', 'again'))
+    assert sum(ran) * GIVEN <= BUDGET + MOST
