A daemon that has just started asks other domains what was spent

Callers were given 540 of a budget of 306 and one turn of 10: while the store was out all daemons of a program's home were killed and started again. What the home had spent without the store was known in another domain, which was told of each turn, but a new owner asked only its own domain and the store.

The views are brought together by request, so that nothing counts twice.

--- a/src/woadrun/connection/turn_messages.py
+++ b/src/woadrun/connection/turn_messages.py
@@ -126,10 +126,12 @@
 class AskProgram(msgspec.Struct, frozen=True, kw_only=True):
   """Asks what a member has of a program that the store lacks.
 
-  Answered by `KnownProgram`.
+  Answered by `KnownProgram`.  With `is_far` the asker is of the program's home,
+  and wants back what that told another domain.
   """
 
   program: str
+  is_far: bool = False
 
 
 class KnownProgram(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/woadrun/process/copy_intake.py
+++ b/src/woadrun/process/copy_intake.py
@@ -5,6 +5,8 @@
 import logging
 import time
 
+import msgspec
+
 from woadrun.connection import turn_messages
 from woadrun.process import program_copies
 from woadrun.process import program_rows
@@ -42,7 +44,11 @@
   ) -> turn_messages.KnownProgram:
     """Returns what this daemon has of a program that the store lacks."""
     entry = self._entry_by_program.get(ask.program)
-    if entry is None or not (entry.needs_flush and entry.ledger.is_dirty):
+    if entry is None:
+      return turn_messages.KnownProgram()
+    if ask.is_far:
+      return turn_messages.KnownProgram(copy=entry.far)
+    if not (entry.needs_flush and entry.ledger.is_dirty):
       return turn_messages.KnownProgram()
     return turn_messages.KnownProgram(copy=self._copies.make(entry))
 
@@ -152,7 +158,8 @@
       entry = program_rows.Entry(program=copy.program, ledger=held)
       self._entry_by_program[copy.program] = entry
     entry.ledger = held
-    entry.told = held.spent
+    # The turns have been kept already.
+    entry.far = msgspec.structs.replace(copy, turns=(), unsaved=())
     entry.note_settled()
     entry.used_at = time.monotonic()
     return True
--- a/src/woadrun/process/program_copies.py
+++ b/src/woadrun/process/program_copies.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Coroutine
 from collections.abc import Iterable
+from collections.abc import Iterator
 import logging
 import math
 import time
@@ -101,13 +102,11 @@
     """
     message = self._make_copy(entry, turns)
     data = _encode_small(message)
-    others = self._members.domains - {self._members.me.domain}
-    for domain in choose_domains(entry.program, others):
-      for member in self._members.rank(entry.program, domain)[:1]:
-        if data is not None:
-          self._members.datagrams.send(member.address, datagrams.FAR_COPY, data)
-        else:
-          self._run(self._try_post(member, 'program/far', message))
+    for member in self._find_far(entry.program):
+      if data is not None:
+        self._members.datagrams.send(member.address, datagrams.FAR_COPY, data)
+      else:
+        self._run(self._try_post(member, 'program/far', message))
 
   async def tell_domains(self, entry: program_rows.Entry) -> bool:
     """Returns whether each other domain counts what is spent here.
@@ -166,23 +165,39 @@
     self._unheard_until_by_domain[domain] = time.monotonic() + UNHEARD_SECONDS
     return None
 
-  async def ask(self, program: str) -> list[turn_messages.LedgerCopy]:
-    """Returns what other members have of a program that the store lacks."""
+  async def ask(
+    self, program: str, *, is_young: bool = False
+  ) -> list[turn_messages.LedgerCopy]:
+    """Returns what other members have of a program that the store lacks.
+
+    A daemon that `is_young` asks other domains as well.
+    """
     me = self._members.me
-    ranked = self._members.rank(program, me.domain)[:MOST_ASKED]
+    near = self._members.rank(program, me.domain)[:MOST_ASKED]
+    asked = [(m, False) for m in near if m.name != me.name]
+    if is_young:
+      # All daemons of a domain that was lost in an outage had forgotten what
+      # they had spent, and gave the budget anew.
+      asked += ((member, True) for member in self._find_far(program))
     results = await asyncio.gather(
-      *(self._ask_at(m, program) for m in ranked if m.name != me.name)
+      *(self._ask_at(m, program, is_far=is_far) for m, is_far in asked)
     )
     return [copy for copy in results if copy is not None]
 
+  def _find_far(self, program: str) -> Iterator[beats.Member]:
+    """Yields the members of other domains that get copies of a program."""
+    others = self._members.domains - {self._members.me.domain}
+    for domain in choose_domains(program, others):
+      yield from self._members.rank(program, domain)[:1]
+
   async def _ask_at(
-    self, member: beats.Member, program: str
+    self, member: beats.Member, program: str, *, is_far: bool
   ) -> turn_messages.LedgerCopy | None:
     try:
       known = await self._links.post(
         member.address,
         'program/ask',
-        turn_messages.AskProgram(program=program),
+        turn_messages.AskProgram(program=program, is_far=is_far),
         type=turn_messages.KnownProgram,
         timeout=COPY_SECONDS,
       )
--- a/src/woadrun/process/program_rows.py
+++ b/src/woadrun/process/program_rows.py
@@ -13,6 +13,7 @@
 
 from woadrun import errors
 from woadrun.connection import rows
+from woadrun.connection import turn_messages
 from woadrun.process import store_access
 from woadrun.process import turn_store
 from woadrun.version import ledger
@@ -35,8 +36,8 @@
   answer came.  `offline_known` is what other domains know to be spent while
   the store is out: this one has a part of the rest.  `least_told` is the least
   that they were told since they were asked last to count what is spent;
-  `telling` is held meanwhile.  `told` is what the home in another domain said
-  is spent, which the store may lack.  `unknown_in` names the other domains that
+  `telling` is held meanwhile.  `far` is what the home in another domain told
+  last, which the store may lack.  `unknown_in` names the other domains that
   may not have heard of a program that began here.  `guarded_most` bounds the
   budget while another domain may spend without the store.
   `needs_flush` says that the row should not wait for the next call.
@@ -55,7 +56,7 @@
   offline_known: int | None = None
   least_told: float = math.inf
   telling: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
-  told: int = 0
+  far: turn_messages.LedgerCopy | None = None
   unknown_in: set[str] = dataclasses.field(default_factory=set)
   guarded_most: float | None = None
   needs_flush: bool = False
--- a/src/woadrun/process/programs.py
+++ b/src/woadrun/process/programs.py
@@ -257,14 +257,18 @@
       raise errors.WoadrunError(
         errors.Code.NOT_OWNER, 'The program is not known here.'
       )
-    is_young = time.monotonic() - self._created_at < YOUNG_SECONDS
-    is_split = is_young or bool(self._members.find_unsettled())
+    is_split = self._is_young or bool(self._members.find_unsettled())
     return program_rows.Entry(
       program=ask.program,
       ledger=self._rows.make(is_split=is_split),
       unsure_until=time.monotonic() + UNSURE_SECONDS - self._store.outage,
     )
 
+  @property
+  def _is_young(self) -> bool:
+    """Whether this daemon may have forgotten programs that still run."""
+    return time.monotonic() - self._created_at < YOUNG_SECONDS
+
   async def _find_views(
     self, ask: turn_messages.OpenTurn
   ) -> list[ledger.Ledger]:
@@ -275,7 +279,7 @@
       self._rows.read(
         ask.program, is_split=bool(self._members.find_unsettled())
       ),
-      self._copies.ask(ask.program),
+      self._copies.ask(ask.program, is_young=self._is_young),
       return_exceptions=True,
     )
     if isinstance(copies, BaseException):
--- a/src/woadrun/process/reservations.py
+++ b/src/woadrun/process/reservations.py
@@ -122,7 +122,8 @@
       part = self._get_share(entry, has_store=True)
       # The row lacks what the home spent in an outage before it was cut off:
       # counted from the row alone, that was spent here once more.
-      left = budget - max(entry.told, held.spent)
+      told = program_copies.decode(entry.far).spent if entry.far else 0
+      left = budget - max(told, held.spent)
       held.away_most = held.spent + int(max(0.0, left) * part)
       log.info(
         'Away from its home %s, %s may have %d: %d spent, %d told, part %.3f, '
@@ -131,7 +132,7 @@
         entry.program,
         held.away_most,
         held.spent,
-        entry.told,
+        told,
         part,
         held.version,
       )
