A program without a budget goes on away from its home

Since a domain that is cut off has no more than one turn's most of a budget, a program without one was refused there after its first turn. Nothing bounds it now; the test failed first. What is counted from is read where it is set.

--- a/src/woadrun/process/reservations.py
+++ b/src/woadrun/process/reservations.py
@@ -159,8 +159,7 @@
       return
     if entry.guarded_most is None:
       # The other side divides what it knows to be left: counted from what is
-      # spent now, both had a part of what went as the cut began (324 tokens in
-      # all of a budget of 306 and one turn of 10, two domains in one process).
+      # spent now, both had a part of what went as the cut began.
       part = self._get_share(entry, has_store=True)
       known = entry.get_known(lasted=self._get_cut())
       entry.guarded_most = known + (budget - known) * part
@@ -293,25 +292,17 @@
     self, entry: program_rows.Entry, ask: turn_messages.OpenTurn, budget: float
   ) -> bool:
     """Returns whether a turn that is reserved may run without the store."""
+    if budget == math.inf:
+      return True
     held = entry.ledger
     part = self._get_share(entry, has_store=False)
-    if entry.offline_known is None:
-      entry.offline_known = self._get_known(entry, ask)
-      log.info(
-        'Without the store %s may have part %.3f of the rest: %d known, '
-        'row %d, unsettled: %s.',
-        entry.program,
-        part,
-        entry.offline_known,
-        held.version,
-        ', '.join(sorted(self._members.find_unsettled())) or 'none',
-      )
-    rest = (budget - entry.offline_known) * part
+    known = self._get_offline_known(entry, ask, part)
+    rest = (budget - known) * part
     if held.home != self._members.me.domain:
       # The home may not know of the cut and spend all: what is spent here then
       # is the one turn by which a budget may be overrun.
       rest = min(rest, ask.most)
-    most = entry.offline_known + rest
+    most = known + rest
     if held.saved.is_split and held.spent - ask.most < most:
       # A program may overrun its budget by one turn, which is used here, where
       # most programs that may have begun elsewhere have not: a quarter of the
@@ -320,7 +311,24 @@
       return True
     return held.spent <= max(most, ask.most)
 
-  def _get_known(
+  def _get_offline_known(
+    self, entry: program_rows.Entry, ask: turn_messages.OpenTurn, part: float
+  ) -> int:
+    """Returns what this side counts from: it stays until the row is saved."""
+    if entry.offline_known is None:
+      entry.offline_known = self._find_known(entry, ask)
+      log.info(
+        'Without the store %s may have part %.3f of the rest: %d known, '
+        'row %d, unsettled: %s.',
+        entry.program,
+        part,
+        entry.offline_known,
+        entry.ledger.version,
+        ', '.join(sorted(self._members.find_unsettled())) or 'none',
+      )
+    return entry.offline_known
+
+  def _find_known(
     self, entry: program_rows.Entry, ask: turn_messages.OpenTurn
   ) -> int:
     """Returns what the home and the other domains both know to be spent."""
--- a/tests/test_budget_in_a_cut.py
+++ b/tests/test_budget_in_a_cut.py
@@ -186,3 +186,15 @@
     )
     ran.append(await spend_all(fleet, 's3', 'again'))
     assert sum(ran) * GIVEN <= BUDGET + MOST
+
+
+async def test_a_program_without_a_budget_goes_on_away_from_its_home():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1', 's1')
+    await fleet.turn('n1', 'a', budget=None)
+    south = fleet.by_name['s1']
+    await nodes.wait_until(lambda: south.programs.cache.get('a') is not None)
+    fleet.cut_off('south')
+    await wait_for_silence(south)
+    for number in range(3):
+      await fleet.turn('s1', f'b{number}', parent='a', budget=None)
