--- a/src/woadrun/decisions/draws.py
+++ b/src/woadrun/decisions/draws.py
@@ -2,14 +2,10 @@
 
 Load pattern: hundreds of daemons place short calls on a few dozen upstreams of
 a few slots each, by counts that are a quarter of a second old.  If each takes
-the emptiest of all, all of them take the same one until the counts catch up:
-with 30 upstreams of six slots in five domains, calls of 0.25 s and half of the
-slots in use, calls then wait 112 ms in the mean and 516 ms in the
-95th percentile; at 0.85 in use 693 and 2,015 ms.  The better one of two that
-are drawn at random, one nearby and one anywhere, leaves 9 and 65 ms, and 123
-and 444 ms (a model of these queues whose callers
-know counts 0.3 to 0.55 s old and nothing else).  More draws are
-worse again: of two nearby and two anywhere 18 and 131 ms, 211 and 702 ms.
+the emptiest of all, all of them take the same one until the counts catch up,
+and calls wait there while others are empty.  The better one of two that are
+drawn at random, one nearby and one anywhere, spreads them.  More draws come
+nearer to the emptiest of all again.
 """
 
 from __future__ import annotations
--- a/src/woadrun/decisions/retry_after.py
+++ b/src/woadrun/decisions/retry_after.py
@@ -7,9 +7,8 @@
 LEAST_SECONDS = 0.1
 MOST_SECONDS = 2.0
 # The shortest time after which an outage is worth another try, in seconds.
-# What is told as one has lasted for 0.9 s of silence already, and outages and
-# cuts last seconds.  A turn has some six tries: sent back after 0.5 s, callers
-# had spent them in 2 s, and 2.8% of a day's programs failed where 1.9% do.
+# Outages and cuts last seconds, and a caller has few tries: sent back sooner it
+# had spent them before the end.
 LEAST_OUTAGE_SECONDS = 1.5
 
 
--- a/src/woadrun/platform/__main__.py
+++ b/src/woadrun/platform/__main__.py
@@ -12,19 +12,17 @@
 from woadrun import errors
 
 # New objects between two looks for garbage.  Most objects of a request are
-# freed as it ends: at the interpreter's 700 each request has some looks.
+# freed as it ends, and by the interpreter's own number each has some looks.
 GARBAGE_OBJECTS = 10_000
 
 
 def main() -> int:
   """Returns the exit code of the daemon."""
   # All peers of a daemon speak plain HTTP.  The client library reads the
-  # machine's certificates when it is imported: 1.5 MB of the 34.2 MB that a
-  # daemon took at its peak, mean of 11 on a calm day.
+  # machine's certificates when it is imported, which nobody needs.
   os.environ['SSL_CERT_FILE'] = os.devnull
   os.environ['SSL_CERT_DIR'] = os.devnull
-  # What is imported stays: looking for garbage in it takes 0.02 to 0.1 s of a
-  # start (processor time of the imports with and without).
+  # What is imported stays: to look for garbage in it makes a start longer.
   gc.disable()
   from woadrun.platform import program
   from woadrun.process import event_loop
--- a/src/woadrun/process/catalogue.py
+++ b/src/woadrun/process/catalogue.py
@@ -93,8 +93,8 @@
     """Returns once they were told, or cannot be expected soon.
 
     After a loss of all daemons callers come back to processes that have just
-    started.  Refused for half a second they were late, or out of tries, though
-    routes were known 0.1 s later.
+    started.  Refused at once they were late, or out of tries, though routes
+    were known a moment later.
     """
     left = self._started_at + START_SECONDS - time.monotonic()
     if self.is_known or left <= 0:
--- a/src/woadrun/process/event_loop.py
+++ b/src/woadrun/process/event_loop.py
@@ -7,15 +7,14 @@
 
 # Passes of the loop in a row that may go by without a look for new input while
 # callbacks are ready.  A request takes some fifteen, each of a fraction of a
-# millisecond (1,842 in 3 s with 125 requests, a profile).
+# millisecond.
 MOST_SKIPPED = 8
 
 
 class SparseSelector(selectors.DefaultSelector):
   """A selector that passes over most looks that would not wait.
 
-  The loop looks for input in each pass, also while callbacks wait to run.  In
-  1,842 passes 715 looks are left (a profile of 3 s with 125 requests).
+  The loop looks for input in each pass, also while callbacks wait to run.
   """
 
   def __init__(self) -> None:
--- a/src/woadrun/process/feed.py
+++ b/src/woadrun/process/feed.py
@@ -32,8 +32,8 @@
 # Changes that come within this time are taken by one call, in seconds.
 GATHER_SECONDS = 0.1
 # Between looks whether this daemon should follow the store itself, in seconds:
-# a daemon that follows is known to be lost after 0.9 s, and each look of each
-# table wakes the process.
+# one that follows and is lost is missed no sooner, and each look of each table
+# wakes the process.
 LOOK_SECONDS = 0.5
 # Removed rows that are remembered, for daemons that ask what changed.
 MOST_REMOVED = 1000
@@ -216,7 +216,7 @@
 
     Only what differs counts as changed: as the store forgot its history, lists
     read anew had all daemons ask for whole tables, and hubs with small links
-    were 2.9 s late with a routing table (logs of 200 daemons).
+    were late with a routing table.
     """
     if self.version is None:
       self._row_by_name = {row.key.name: row for row in found}
--- a/src/woadrun/process/feed_sync.py
+++ b/src/woadrun/process/feed_sync.py
@@ -146,8 +146,7 @@
       )
     )
     # Who follows the store tells its peers, or its hubs, which tell the rest.
-    # Told by all who learned of it, a change cost a fleet of 66 two datagrams
-    # for each daemon (worked out from the plan of beats).
+    # Told by all who learned of it, a change cost datagrams of each daemon.
     if is_changed and self._members.is_hub:
       self._members.send_beats()
 
--- a/src/woadrun/process/fleet.py
+++ b/src/woadrun/process/fleet.py
@@ -275,8 +275,8 @@
   def find_own(self, keys: Iterable[str]) -> list[str]:
     """Returns the keys on which this daemon has the first claim of all.
 
-    A key goes to a domain first and to a member of it then: among 195 members
-    at once, 256 keys took 50,000 hashes.
+    A key goes to a domain first and to a member of it then, so that not each
+    key is hashed with each of hundreds of members.
     """
     alive_by_domain = {
       domain: [
--- a/src/woadrun/process/flusher.py
+++ b/src/woadrun/process/flusher.py
@@ -31,7 +31,7 @@
 SETTLE_SECONDS = 1.5
 PARALLEL_FLUSHES = 16
 # Looks since the store is in reach before a daemon asks after the turns that
-# another one should have brought there: 0.5 s, of the second or two that all
+# another one should have brought there: well within the second or two that all
 # daemons may have until they are lost together.
 LOOKS_BEFORE_ASKING = 3
 # Until a member that does not tell which turns it stored counts as lost, in
@@ -44,9 +44,8 @@
 
   `entry_by_program` and `unsaved` are those of the daemon's programs.  Up to
   five daemons keep a turn of an outage: the first member in its domain stores
-  it, the others ask.  With all of them storing it, the return of the store cost
-  3,235 calls for at most 957 turns of an outage (a fleet of 66, from its logs),
-  and the store refused other calls for their rate.
+  it, the others ask.  With all of them storing it, the store refused other
+  calls for their rate as it came back.
   """
 
   def __init__(
--- a/src/woadrun/process/health.py
+++ b/src/woadrun/process/health.py
@@ -31,9 +31,8 @@
 LEAST_FAILURES = 0.2
 # A request without the head of an answer counts as failed after so many times
 # the longest that one took of late at its service, and not before so many
-# seconds.  Measured against the mean, one call in ten that was only large
-# counted, and requests went round among instances that were all well: 734 new
-# connections in place of 294 on a calm day with 11 daemons.
+# seconds.  By the mean, calls that were only large counted, and requests went
+# round among instances that were all well, over new connections.
 TIMES_LONGEST = 2.0
 LEAST_OVERDUE_SECONDS = 1.0
 # The longest time counts half as much after so long, in seconds.
--- a/src/woadrun/process/hubs.py
+++ b/src/woadrun/process/hubs.py
@@ -2,9 +2,7 @@
 
 Where all daemons send datagrams to all others, their number grows with the
 square of the fleet.  In large fleets each daemon sends to the hubs of its own
-domain only; the hubs answer with digests of all domains.  Measured with 64
-daemons: 20 datagrams in a beat to neighbours and far peers before, 2 from
-all but the hubs since.
+domain only; the hubs answer with digests of all domains.
 """
 
 from __future__ import annotations
@@ -231,8 +229,7 @@
 
     That is the newest digest of each domain.  Counts of requests are in that of
     the own domain, and summed for all others, only where this hub is the first
-    that is heard: a member of five domains of 39 daemons receives 19.4 KB/s,
-    and 85.2 with the counts of each domain from both hubs.
+    that is heard: they are the largest part of what a member receives.
     """
     newest = self._find_newest()
     tells_counts = self._tells_counts()
--- a/src/woadrun/process/program_copies.py
+++ b/src/woadrun/process/program_copies.py
@@ -41,10 +41,9 @@
 # Members that are asked about a program that is new to this one: owner and
 # standby before the last change of members.
 MOST_ASKED = 3
-# Other domains that get a copy of each turn.  Four took a quarter of the
-# daemons' processor time (worked out: 17,800 turns, some 2 ms a message at both
-# ends, of 552 s); in regions of five domains a domain that is cut off then goes
-# on with half of the others' programs.
+# Other domains that get a copy of each turn: each takes processor time at both
+# ends.  In regions of five domains one that is cut off goes on with half of the
+# others' programs.
 MOST_DOMAINS = 2
 
 
--- a/src/woadrun/process/program_rows.py
+++ b/src/woadrun/process/program_rows.py
@@ -153,8 +153,7 @@
     """Brings an entry up to what the store has, if that can be reached.
 
     It is not read again at once: programs that loop without end ask again and
-    again after their budget is spent, and took a sixth of all calls of the
-    store on a calm day (718 of 4,006, a fleet of 66, counted by caller).
+    again after their budget is spent.
     """
     now = time.monotonic()
     if now - entry.refreshed_at < REFRESH_SECONDS:
--- a/src/woadrun/process/programs.py
+++ b/src/woadrun/process/programs.py
@@ -41,8 +41,8 @@
 # run, in seconds: what it does not know is new only if the store says so.
 YOUNG_SECONDS = 20.0
 # A program that begins while a cut begins may begin on its other side as well,
-# for so long, in seconds: a call of the store is lost after 0.8 s, and a domain
-# that is cut off is silent 1.65 s later at the most.
+# for so long, in seconds: until a call of the store is lost, and until a domain
+# that was cut off then is silent.
 UNSURE_SECONDS = 2.5
 PARALLEL_HANDOVERS = 16
 # A program without a call for so long is not handed over at a planned stop,
@@ -132,7 +132,7 @@
         ask.parent, cache=self.cache, store=self._turns
       )
     # A program without a row may begin in another domain at this moment: both
-    # spent the whole budget behind (108 tokens in all of a budget of 60).
+    # spent the whole budget behind.
     has_row = entry.ledger.version > 0
     if self._store.is_slow and not ask.is_away and has_row:
       # The standby's word comes a hundred times sooner than a slow write,
@@ -166,8 +166,7 @@
       if entry.is_guess and not entry.ledger.spent:
         # The next call asks the others.  What was spent must not be forgotten:
         # as a cut began, programs that loop had their budget anew after each
-        # refusal (744 tokens of 306 and a turn of 10, two domains in one
-        # process).
+        # refusal.
         self.entry_by_program.pop(ask.program, None)
 
   async def close(self, done: turn_messages.CloseTurn) -> turn_messages.Closed:
--- a/src/woadrun/process/ranks.py
+++ b/src/woadrun/process/ranks.py
@@ -13,8 +13,7 @@
 class Ranks:
   """Orders by rendezvous hashing, remembered while the members stay.
 
-  Each turn asks for the order of its program in three domains, several times:
-  to sort 39 members took 0.1 ms for a new key and 0.02 ms again (timeit).
+  Each turn asks for the order of its program in several domains, several times.
   """
 
   def __init__(self, *, members: list[beats.Member]) -> None:
--- a/src/woadrun/process/store_access.py
+++ b/src/woadrun/process/store_access.py
@@ -37,8 +37,7 @@
 # seconds: a store in good order takes a tenth of it.
 SLOW_SECONDS = 0.1
 # Who can do without a write takes it for lost after so long, in seconds, before
-# it is: as the store went silent, turns that waited longer had no event within
-# 2 s, and their callers gave them up.
+# it is: as the store went silent, callers gave up turns that waited for longer.
 HANGING_SECONDS = 0.3
 # Weight of the newest write in the time that writes take.
 LEARN_WEIGHT = 0.3
@@ -55,8 +54,8 @@
 MOST_RELAYS = 2
 # Until a peer that makes a call counts as without the store, in seconds: one
 # that has it answers in some ten milliseconds.  As a store goes silent for all,
-# peers still say that they have it: each call waited for two of them, 1.3 s
-# each, before it counted as lost, and ends of turns were 1.9 s late.
+# peers still say that they have it, and the ends of turns waited for each of
+# them.
 RELAY_SECONDS = 0.4
 # After that no peer is asked for so long, in seconds: until the next datagrams
 # tell who has the store.
--- a/src/woadrun/process/ticks.py
+++ b/src/woadrun/process/ticks.py
@@ -1,8 +1,7 @@
 """Sleeps that end together, so that a process wakes seldom.
 
-A daemon has about ten periodic tasks.  Each by its own timer, they wake an idle
-daemon some 25 times a second; on common ticks four times (worked out from their
-periods).
+A daemon has about ten periodic tasks, which would each wake an idle daemon by a
+timer of its own.
 """
 
 from __future__ import annotations
--- a/src/woadrun/request/recent_lines.py
+++ b/src/woadrun/request/recent_lines.py
@@ -9,8 +9,7 @@
 
 from woadrun.connection import turn_messages
 
-# What is kept at most, in bytes of histories: a few dozen programs, beside some
-# 30 MB that a daemon takes.
+# What is kept at most, in bytes of histories: those of a few dozen programs.
 MOST_BYTES = 1_000_000
 
 
--- a/src/woadrun/request/turn_leave.py
+++ b/src/woadrun/request/turn_leave.py
@@ -323,7 +323,7 @@
     except peers.NoAnswer:
       # A peer that refuses is well.  Counted as lost, the owners of programs
       # whose part of a budget was spent were left aside in a cut, until their
-      # daemons took themselves for isolated and refused all: 55 turns in 5 s.
+      # daemons took themselves for isolated and refused all.
       self._members.note_failure(member.name)
       raise
     finally:
--- a/src/woadrun/version/spending.py
+++ b/src/woadrun/version/spending.py
@@ -4,9 +4,8 @@
 
 import collections
 
-# What was spent so long ago is known in other domains, in seconds.  A domain
-# counts as cut off 0.9 s after its last datagram, in large fleets after 1.4 s;
-# copies of a turn go out as it ends.
+# What was spent so long ago is known in other domains, in seconds: copies of a
+# turn go out as it ends, and a domain that is cut off counts as silent sooner.
 KNOWN_SECONDS = 2.0
 # Sums are kept for so long, in seconds: cuts and outages are looked back over.
 KEPT_SECONDS = 30.0
