--- a/bench/faults/callers.py
+++ b/bench/faults/callers.py
@@ -173,13 +173,16 @@
         prompt=9,
       ),
     )
+    has_head = False
     try:
       async with site.daemon.serving.answer(request) as answer:
+        has_head = True
         async for chunk in answer.chunks:
           self._take(turn, chunk)
         turn.status = answer.status
     except errors.WoadrunError as error:
-      turn.status = error.status
+      # Once its head has gone out, an answer can only be broken off.
+      turn.status = 502 if has_head else error.status
     except exchange.Lost:
       turn.status = 502
 
