--- a/tests/test_two_owners.py
+++ b/tests/test_two_owners.py
@@ -1,10 +1,14 @@
 """Two daemons that both act for a program in an outage spend no token twice."""
 
+import asyncio
+
 import nodes
 import pytest
 
 from woadrun import errors
 from woadrun.connection import turn_messages
+from woadrun.process import datagrams
+from woadrun.process import program_rows
 
 
 def ask(request, *, most=10, budget=1000):
@@ -115,3 +119,85 @@
     assert north.programs.entry_by_program['p'].ledger.home == 'north'
     begun = south.programs.entry_by_program.get('p')
     assert begun is None or begun.ledger.home == 'north'
+
+
+async def lose_the_owner(fleet):
+  """Returns the names of an owner that was started again, and of its standby.
+
+  The store was out when it was killed; the standby let turns run since.  The
+  owner has the store again, and hears nobody yet.
+  """
+  await fleet.start('n1', 's1', 's2')
+  await fleet.turn('s1', 'a', most=10, budget=306)
+  ranked = fleet.by_name['s1'].fleet.rank('p', 'south')
+  owner, standby = [member.name for member in ranked]
+  fleet.shared.is_out = True
+  await fleet.stop(owner)
+  left = fleet.by_name[standby]
+  await nodes.wait_until(
+    lambda: not left.store.is_reached and not left.fleet.is_alive(owner)
+  )
+  for number in range(40):
+    await fleet.turn(standby, f'b{number}', most=10, budget=306)
+  # The turns are brought to the store by the one that looks after them next.
+  left.programs.flusher.flush = asyncio.Event().wait
+  again = await fleet.start_alone(owner)
+  again.fleet.datagrams.handle(datagrams.BEAT, lambda data: None)
+  fleet.shared.is_out = False
+  await nodes.wait_until(
+    lambda: (
+      again.is_ready()
+      and again.store.is_direct
+      and standby in again.fleet.member_by_name
+      and left.fleet.is_alive(owner)
+    )
+  )
+  return owner, standby
+
+
+async def spend_all(fleet, name):
+  """Returns how many turns a daemon lets run before it refuses."""
+  for number in range(60):
+    try:
+      await fleet.turn(name, f'c{number}', most=10, budget=306)
+    except errors.WoadrunError as error:
+      assert error.status in (402, 503)
+      return number
+  raise AssertionError('Nothing was refused.')
+
+
+async def test_an_owner_that_hears_nobody_yet_asks_what_was_spent():
+  """A daemon that joined a moment ago took the store's word for all.
+
+  It was killed and started again while the store was out, and its standby let
+  turns run.  Once the store was back it heard nobody yet, so that nobody seemed
+  to keep what the store lacked, and it began from the row: 540 of 306 were
+  given.
+  """
+  async with nodes.Nodes() as fleet:
+    owner, _ = await lose_the_owner(fleet)
+    ran = 41 + await spend_all(fleet, owner)
+    assert ran * 6 <= 306 + 10
+
+
+async def test_a_standby_tells_the_owner_what_that_does_not_count():
+  """An owner was not told of turns that its standby counted.
+
+  A copy of a program comes as a datagram, which had no answer: the standby
+  logged that the owner lacked 15 turns, at each of them.
+  """
+  async with nodes.Nodes() as fleet:
+    owner, _ = await lose_the_owner(fleet)
+    again = fleet.by_name[owner]
+    again.programs._find = lambda ask, *, is_new: begin_from_row(again, ask)
+    await fleet.turn(owner, 'c', most=10, budget=306)
+    await nodes.wait_until(
+      lambda: again.programs.entry_by_program['p'].ledger.spent >= 42 * 6
+    )
+
+
+async def begin_from_row(daemon, ask):
+  """Returns a program as a daemon finds it that takes itself for settled."""
+  return program_rows.Entry(
+    program=ask.program, ledger=daemon.programs._rows.make(), is_guess=True
+  )
