A daemon that joined a moment ago does not take itself for settled

Callers were given 540 of a budget of 306 and one turn of 10: an owner was killed while the store was out and started again; its standby let turns run. As the store came back the owner joined, had heard no datagram of anybody yet, and so nobody seemed to keep what the store lacked: it began from the row and asked no one.

--- a/src/woadrun/process/fleet.py
+++ b/src/woadrun/process/fleet.py
@@ -77,6 +77,7 @@
     self._hubs = hubs.Hubs(me=me)
     self._failed_until: dict[str, float] = {}
     self._known_since: dict[str, float] = {}
+    self._newest_since = -math.inf
     self._silent_since: dict[str, float] = {}
     self._view = views.View(at=-math.inf)
     self._told_at = -math.inf
@@ -229,7 +230,27 @@
     Otherwise each new program asks the store and two others while members
     are stopped and started in turn.
     """
-    return not self._get_view().behind and not self.find_unsettled()
+    return (
+      not self._get_view().behind
+      and not self.find_unsettled()
+      and not self._has_unheard()
+    )
+
+  def _has_unheard(self) -> bool:
+    """Returns whether a member may still say for the first time what it keeps.
+
+    A daemon that joined after an outage, and had heard nobody, took the store's
+    word for what its standby had let be spent.
+    """
+    now = time.monotonic()
+    if now - self._newest_since >= FIRST_BEAT_SECONDS:
+      return False
+    return any(
+      now - since < FIRST_BEAT_SECONDS
+      and name in self.member_by_name
+      and not self._is_told_of(name)
+      for name, since in self._known_since.items()
+    )
 
   def get_silence(self) -> float:
     """Returns for how long a whole domain has been silent, in seconds.
@@ -348,6 +369,7 @@
       log.info('Member %s at %s.', member.name, member.address)
       self.heard_by_name.pop(member.name, None)
       self._known_since[member.name] = time.monotonic()
+      self._newest_since = self._known_since[member.name]
       self._forget_view()
 
   def forget(self, name: str) -> None:
