A standby tells its owner of turns that a copy lacks, also by datagram

The standby counted turns that it had let run while the owner was away, and logged at each copy that the owner lacked them (15 turns, row after row): copies are datagrams, which had no answer, so that callers had the budget anew until the standby was asked. It sends its own copy back, to the owner alone, which answers none: no two daemons go on answering each other.

--- a/src/woadrun/process/copy_intake.py
+++ b/src/woadrun/process/copy_intake.py
@@ -81,10 +81,16 @@
     return turn_messages.KnownProgram(copy=self._copies.make(entry))
 
   def receive_copy(self, data: bytes) -> None:
-    """Keeps what the owner of a program sent in a datagram."""
+    """Keeps what the owner of a program sent in a datagram.
+
+    An owner that lacks turns gets a copy back: it was never told of those that
+    its standby let run while it was away.
+    """
     copy = program_copies.decode_datagram(data)
-    if copy is not None:
-      self.keep_copy(copy)
+    if copy is None or self.keep_copy(copy).copy is None:
+      return
+    if not self._copies.is_first(copy.program):
+      self._copies.send_behind(self._entry_by_program[copy.program], ())
 
   def receive_far_copy(self, data: bytes) -> None:
     """Keeps what the owner in another domain sent in a datagram."""
--- a/src/woadrun/process/flusher.py
+++ b/src/woadrun/process/flusher.py
@@ -148,7 +148,7 @@
       for entry in self._entry_by_program.values()
       if entry.needs_flush
       and (entry.ledger.owes or entry.used_at < limit)
-      and self.is_first(entry.program)
+      and self._copies.is_first(entry.program)
     ]
     slots = asyncio.Semaphore(PARALLEL_FLUSHES)
 
@@ -166,9 +166,3 @@
     failures = [r for r in results if isinstance(r, BaseException)]
     for failure in failures[:1]:
       log.warning('%d budgets not stored yet: %s', len(failures), failure)
-
-  def is_first(self, program: str) -> bool:
-    """Returns whether this daemon has the first claim on a program."""
-    me = self._members.me
-    ranked = self._members.rank(program, me.domain)
-    return not ranked or ranked[0] == me
--- a/src/woadrun/process/program_copies.py
+++ b/src/woadrun/process/program_copies.py
@@ -223,6 +223,12 @@
         self._members.datagrams.send(member.address, datagrams.COPY, data)
         return
 
+  def is_first(self, program: str) -> bool:
+    """Returns whether this daemon has the first claim on a program."""
+    me = self._members.me
+    ranked = self._members.rank(program, me.domain)
+    return not ranked or ranked[0] == me
+
   def _run(self, sending: Coroutine[None, None, None]) -> None:
     if len(self._running) >= MOST_COPIES:
       log.warning('A copy is left out: %d are under way.', len(self._running))
--- a/src/woadrun/process/programs.py
+++ b/src/woadrun/process/programs.py
@@ -343,7 +343,7 @@
         program
         for program, entry in self.entry_by_program.items()
         if entry.used_at < limit
-        and not (entry.needs_flush and self.flusher.is_first(program))
+        and not (entry.needs_flush and self._copies.is_first(program))
       ]
       for program in idle:
         del self.entry_by_program[program]
