An answer that only names a program's home is no leave

Callers were given 93 of a budget of 72 and 9: four turns ran that no domain had counted. A daemon of a domain that was cut off did not know the program, its peers were silent, and it meant to begin the program; the store was back by then, and the answer named another domain as the home. It was taken for leave.

Such an answer leads to that home now, and where that is out of reach to the part of this domain, as any other that names one.

--- a/src/woadrun/request/turn_leave.py
+++ b/src/woadrun/request/turn_leave.py
@@ -115,6 +115,13 @@
       return await self._open_anywhere(ask, error)
     if not opened.home:
       return opened
+    return await self._open_at_home(ask, opened)
+
+  async def _open_at_home(
+    self, ask: turn_messages.OpenTurn, opened: turn_messages.OpenedTurn
+  ) -> turn_messages.OpenedTurn:
+    """Returns leave of the home that `opened` names, or of this domain."""
+    mine = self._members.me.domain
     try:
       # A history that a copy here has need not come from the other domain.
       is_brief = ask.is_brief or opened.has_history
@@ -198,7 +205,10 @@
         raise result
     owners = self._members.rank(ask.program, mine)
     if owners and not ask.parent and failure.code is errors.Code.NOT_OWNER:
-      return await self._open_at(owners[0], ask, is_new=True)
+      begun = await self._open_at(owners[0], ask, is_new=True)
+      # The store may have told meanwhile whose it is: turns ran that no domain
+      # had counted.
+      return await self._open_at_home(ask, begun) if begun.home else begun
     raise self._refuse(failure)
 
   async def _open_at(
--- a/tests/test_budget_in_a_cut.py
+++ b/tests/test_budget_in_a_cut.py
@@ -198,3 +198,32 @@
     await wait_for_silence(south)
     for number in range(3):
       await fleet.turn('s1', f'b{number}', parent='a', budget=None)
+
+
+async def test_an_answer_that_only_names_a_home_is_no_leave():
+  """Turns ran that nobody had counted.
+
+  A daemon that knew nothing of a program, and whose peers were silent, meant to
+  begin it; the store was back by then and named another domain as its home.
+  That answer was taken for leave, so that the turn ran without a reservation:
+  four of them in a row after a cut, 93 given of 72 and 9.
+  """
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1', 's1')
+    await begin(fleet, 'n1', 1)
+    north, south = fleet.by_name['n1'], fleet.by_name['s1']
+    south.programs.entry_by_program.clear()
+    leave = south.serving._leave
+    open_in, silent = leave._open_in, ['south', 'north']
+
+    async def miss_once(domain, ask):
+      if domain in silent:
+        silent.remove(domain)
+        raise errors.WoadrunError(errors.Code.NOT_OWNER, 'Not known.')
+      return await open_in(domain, ask)
+
+    leave._open_in = miss_once
+    await fleet.turn('s1', 'b', most=MOST, budget=BUDGET)
+    await nodes.wait_until(
+      lambda: north.programs.entry_by_program['p'].ledger.spent == 2 * GIVEN
+    )
