A program that has a home is not begun anew beside it

Its home refused, the member that knew of it in the callers' domain refused, and the next one, which did not, took the missing row for a new program with a budget of its own.

Who is asked beside a home, or after a member that knows the program, does not begin it. Found by a schedule of kills in an outage; the test failed first.

--- a/src/woadrun/request/turn_leave.py
+++ b/src/woadrun/request/turn_leave.py
@@ -154,8 +154,9 @@
         error.message,
       )
     try:
+      # It has a home: where the store has no row yet, it is not new for that.
       return await self._open_in(
-        mine, msgspec.structs.replace(ask, is_away=True)
+        mine, msgspec.structs.replace(ask, is_away=True, begins=False)
       )
     except errors.WoadrunError as error:
       raise self._refuse(error) from error
@@ -171,6 +172,11 @@
       except errors.WoadrunError as error:
         if error.code not in UNSURE or self._is_certain(error):
           raise
+        if error.code is errors.Code.OWNER_UNAVAILABLE and not isinstance(
+          error, peers.NoAnswer
+        ):
+          # This one knows the program: the next must not begin it anew.
+          ask = msgspec.structs.replace(ask, begins=False)
         # That a turn is not found says more than that nobody knows.
         if failure is None or failure.code is not errors.Code.UNKNOWN_PROGRAM:
           failure = error
@@ -324,7 +330,7 @@
           if task.done():
             return task.result()
         if not self._members.is_alive(member.name):
-          raise errors.WoadrunError(
+          raise peers.NoAnswer(
             errors.Code.OWNER_UNAVAILABLE, f'{member.name} is silent.'
           )
         if len(tasks) == 1 and time.monotonic() - began > AGAIN_SECONDS:
--- a/tests/test_budget_in_a_cut.py
+++ b/tests/test_budget_in_a_cut.py
@@ -4,6 +4,7 @@
 import pytest
 
 from woadrun import errors
+from woadrun.connection import turn_messages
 
 BUDGET = 306
 MOST = 10
@@ -227,3 +228,24 @@
     await nodes.wait_until(
       lambda: north.programs.entry_by_program['p'].ledger.spent == 2 * GIVEN
     )
+
+
+async def test_a_program_that_has_a_home_is_not_begun_anew_beside_it():
+  """A domain began a program that it had just been told has a home elsewhere.
+
+  It began in an outage, so that the store had no row of it yet.  The home was
+  out of reach; the first member of this domain, which knew of the program,
+  refused, and the next one took the missing row for a new program: 150 of 120
+  were given.
+  """
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1', 's1')
+    fleet.cut.add('north')
+    leave = fleet.by_name['s1'].serving._leave
+    ask = turn_messages.OpenTurn(
+      program='p', request='a', most=MOST, budget=BUDGET
+    )
+    with pytest.raises(errors.WoadrunError) as caught:
+      await leave._open_at_home(ask, turn_messages.OpenedTurn(home='north'))
+    assert caught.value.status == 503
+    assert not fleet.by_name['s1'].programs.entry_by_program
