A member that is alone waits for a store that is slow

Callers were given 84 of a budget of 72 and 9: a domain had just been started again, the store lost answers and so was slow, and two members each took the other for dead for half a second. A slow store is passed over where a standby has the turn; with none alive each went on by its own word, one of them from a row that the other had long replaced.

Without another member alive the row is written before the turn runs.

--- a/src/woadrun/process/program_copies.py
+++ b/src/woadrun/process/program_copies.py
@@ -223,6 +223,10 @@
         self._members.datagrams.send(member.address, datagrams.COPY, data)
         return
 
+  def has_standby(self, program: str) -> bool:
+    """Returns whether another member of this domain is alive."""
+    return len(self._members.rank(program, self._members.me.domain)) > 1
+
   def is_first(self, program: str) -> bool:
     """Returns whether this daemon has the first claim on a program."""
     me = self._members.me
--- a/src/woadrun/process/programs.py
+++ b/src/woadrun/process/programs.py
@@ -134,7 +134,11 @@
     # A program without a row may begin in another domain at this moment: both
     # spent the whole budget behind.
     has_row = entry.ledger.version > 0
-    if self._store.is_slow and not ask.is_away and has_row:
+    # Alone, a slow store is the only witness: two members that each took the
+    # other for dead spent the same budget.
+    has_standby = self._copies.has_standby(ask.program)
+    is_slow = self._store.is_slow and has_standby
+    if is_slow and not ask.is_away and has_row:
       # The standby's word comes a hundred times sooner than a slow write,
       # which held up each turn by half a second; the store gets it behind.
       # The end of a turn still waits for the store.
--- a/tests/test_two_owners.py
+++ b/tests/test_two_owners.py
@@ -201,3 +201,26 @@
   return program_rows.Entry(
     program=ask.program, ledger=daemon.programs._rows.make(), is_guess=True
   )
+
+
+async def test_a_member_that_is_alone_waits_for_a_slow_store():
+  """Two members that each took the other for dead went on without the store.
+
+  It was slow, not out: each let turns run on its own word, one of them from a
+  row that the other had long replaced, and 84 of 72 were given.
+  """
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1', 'n2')
+    await fleet.turn('n1', 'a', most=10, budget=306)
+    fleet.shared.delay = 0.2
+    await fleet.turn('n1', 'b', most=10, budget=306)
+    owner = fleet.by_name['n1'].fleet.rank('p', 'north')[0].name
+    daemon = fleet.by_name[owner]
+    await nodes.wait_until(lambda: daemon.store.is_slow)
+    daemon.fleet.is_alive = lambda name: name == owner
+    daemon.fleet._forget_view()
+    before = daemon.programs.entry_by_program['p'].ledger.version
+    await daemon.programs.open(ask('c', budget=306))
+    entry = daemon.programs.entry_by_program['p']
+    assert 'c' in entry.ledger.saved.reserved
+    assert entry.ledger.version > before
