--- a/bench/faults/fleet.py
+++ b/bench/faults/fleet.py
@@ -127,7 +127,13 @@
     )
 
   async def start(self, name: str) -> None:
-    """Starts a daemon, or one that was killed anew, at another address."""
+    """Starts a daemon, or one that was killed anew, at another address.
+
+    One that another fault has started again meanwhile stays.
+    """
+    known = self.site_by_name.get(name)
+    if known is not None and not known.is_dead:
+      return
     view = outside.StoreView(
       shared=self.store, name=name, domain=self.get_domain(name)
     )
@@ -175,14 +181,20 @@
     await site.daemon.stop()
 
   async def leave(self, name: str) -> None:
-    """Stops a daemon as planned."""
+    """Stops a daemon as planned; returns too once it is killed meanwhile."""
     site = self.site_by_name[name]
     if site.is_dead:
       return
-    await site.daemon.leave()
-    await asyncio.sleep(1.0)
-    await site.daemon.finish()
-    await self.kill(name)
+    await asyncio.wait([site.run(_leave(site.daemon))])
+    if not site.is_dead:
+      await self.kill(name)
+
+
+async def _leave(daemon: node.Node) -> None:
+  """Returns once a daemon has done what a planned stop asks of it."""
+  await daemon.leave()
+  await asyncio.sleep(1.0)
+  await daemon.finish()
 
 
 def _make_instance(
--- a/bench/faults/schedule.py
+++ b/bench/faults/schedule.py
@@ -22,6 +22,8 @@
 # Callers go on for so long after the last fault, in seconds.
 CALM_SECONDS = 2.0
 MOST_FAULTS = 5
+# A run that lasts longer, in seconds of its clock, hangs.
+MOST_SECONDS = 60.0
 # Without faults of the store or the network for so long, in seconds, daemons
 # have brought to the store what it lacked.
 KEPT_SECONDS = 2.0
@@ -103,7 +105,16 @@
   # The phase of periodic tasks is drawn as the module is imported.
   ticks._PHASE = random.random()
   with clock.run_by(clock.Clock()) as loop:
-    return loop.run_until_complete(_play(schedule))
+    return loop.run_until_complete(_play_bounded(schedule))
+
+
+async def _play_bounded(schedule: Schedule) -> Result:
+  try:
+    async with asyncio.timeout(MOST_SECONDS):
+      return await _play(schedule)
+  except TimeoutError:
+    hung = f'hang: not over after {MOST_SECONDS:.0f} s'
+    return Result(broken=(hung,), count_by_status={})
 
 
 async def _play(schedule: Schedule) -> Result:
