An outcome ends the attempt that it names, not the next one

Callers saw: a call answered with 200 was missing from its program's history, and its tokens were not spent. An action in the same place lost its record while it ran, so that a third request with its id would be sent once more.

Cause: a Finished record named the request. The owner records "not run" anew each time its commit times out, in the background; when the caller's next attempt was already accepted, the record took that one back, and its own outcome was ignored as unknown.

Ruled out: an old copy at the standby; the living owner itself lacked the call.

Why it works: the record names the attempt by a value that each Accepted draws anew, so that applying it late, twice or at another owner changes nothing. Records of earlier versions name none and act as before.

--- a/src/woadrun/request/runner.py
+++ b/src/woadrun/request/runner.py
@@ -212,6 +212,7 @@
     record = program.Finished(
       program=accepted.program,
       request=accepted.request,
+      attempt=accepted.attempt,
       outcome=program.NOT_RUN,
       time=self.clock(),
     )
@@ -384,6 +385,7 @@
     return program.Finished(
       program=accepted.program,
       request=accepted.request,
+      attempt=accepted.attempt,
       outcome=program.NOT_RUN,
       time=now,
       used=used,
@@ -392,6 +394,7 @@
   return program.Finished(
     program=accepted.program,
     request=accepted.request,
+    attempt=accepted.attempt,
     outcome=program.UNKNOWN if is_unknown else program.FAILED,
     time=now,
     status=error.status,
--- a/src/woadrun/request/upstreams.py
+++ b/src/woadrun/request/upstreams.py
@@ -188,6 +188,7 @@
     return program.Finished(
       program=accepted.program,
       request=accepted.request,
+      attempt=accepted.attempt,
       outcome=program.OK,
       time=time.time(),
       answer=completion.decode(),
@@ -357,6 +358,7 @@
   return program.Finished(
     program=accepted.program,
     request=accepted.request,
+    attempt=accepted.attempt,
     outcome=program.OK,
     time=time.time(),
     status=reply.status,
--- a/src/woadrun/version/program.py
+++ b/src/woadrun/version/program.py
@@ -41,7 +41,10 @@
 
 
 class Accepted(msgspec.Struct, frozen=True, kw_only=True, tag='accepted'):
-  """A call will be sent; for an action that is its committed intent."""
+  """An attempt of a call will be sent; for an action, its committed intent.
+
+  `stream` is drawn anew for each attempt of a request.
+  """
 
   program: str
   request: str
@@ -58,9 +61,18 @@
   body: str = ''
   messages: list[Message] = []
 
+  @property
+  def attempt(self) -> str:
+    """Returns what tells this attempt from others of the same request."""
+    return self.stream
+
 
 class Finished(msgspec.Struct, frozen=True, kw_only=True, tag='finished'):
-  """A call has its outcome; `not run` makes room for a retry."""
+  """An attempt has its outcome; `not run` makes room for the next one.
+
+  `attempt` is that of its `Accepted`.  Records of earlier versions have none
+  and end whichever attempt is running.
+  """
 
   program: str
   request: str
@@ -71,6 +83,7 @@
   used: int = 0
   history_tokens: int = 0
   messages: list[Message] = []
+  attempt: str = ''
 
 
 class Ended(msgspec.Struct, frozen=True, kw_only=True, tag='ended'):
@@ -93,7 +106,7 @@
 
 
 class Request(msgspec.Struct, kw_only=True):
-  """One call of a program: its intent and, once known, its outcome."""
+  """One call of a program: its last attempt and, once known, its outcome."""
 
   accepted: Accepted
   outcome: str = ''
@@ -105,6 +118,10 @@
     """Returns whether the call has no outcome yet."""
     return not self.outcome
 
+  def is_ended_by(self, record: Finished) -> bool:
+    """Returns whether a record is the outcome of the attempt under way."""
+    return self.is_running and record.attempt in ('', self.accepted.attempt)
+
 
 class Program(msgspec.Struct, kw_only=True):
   """The state of a program that its records add up to."""
@@ -185,7 +202,9 @@
 def _finish(state: SlotState, record: Finished, answers: int) -> None:
   program = state.program_by_id.get(record.program)
   request = program.request_by_id.get(record.request) if program else None
-  if program is None or request is None or not request.is_running:
+  if program is None or request is None or not request.is_ended_by(record):
+    # An outcome may be recorded late, or twice, when the next attempt of the
+    # request is already under way.
     return
   program.last_active = record.time
   program.spent += record.used
--- /dev/null
+++ b/tests/test_call_attempts.py
@@ -0,0 +1,185 @@
+"""Records that come late or twice end the attempt they name, and no other.
+
+A caller's call was answered with 200 and was missing from its program: the
+owner had recorded "not run" for the call's first attempt anew while the second
+one was running.  Of the owner's records, in order:
+
+    accepted r   finished r not run   accepted r   finished r not run (again)
+    finished r ok (ignored: the request is not known)
+"""
+
+import asyncio
+
+import pytest
+import test_membership as members
+
+from woadrun import errors
+from woadrun.process import slots
+from woadrun.request import calls
+from woadrun.request import execution
+from woadrun.version import program
+from woadrun.version import roster
+
+PROGRAM = 'north.000.a'
+BUDGET = 100
+RESERVE = 20
+USED = 7
+SHORT_SECONDS = 0.1
+
+
+def make_state():
+  state = program.SlotState()
+  started = program.Started(
+    program=PROGRAM,
+    team='t',
+    kind='k',
+    budget=BUDGET,
+    deadline_at=2.0**33,
+    time=0.0,
+  )
+  state.apply([started], answers=9)
+  return state
+
+
+def make_accepted(attempt, *, repeatable=True, ordinal=1):
+  return program.Accepted(
+    program=PROGRAM,
+    request='r',
+    ordinal=ordinal,
+    call=program.MODEL if repeatable else program.SERVICE,
+    target='s/act',
+    digest=make_call(repeatable=repeatable).get_digest(),
+    reserve=RESERVE,
+    repeatable=repeatable,
+    time=0.0,
+    stream=attempt,
+    body='{}',
+  )
+
+
+def make_finished(attempt, outcome, **fields):
+  return program.Finished(
+    program=PROGRAM,
+    request='r',
+    attempt=attempt,
+    outcome=outcome,
+    time=0.0,
+    **fields,
+  )
+
+
+def make_ok(attempt, text='said'):
+  return make_finished(
+    attempt,
+    program.OK,
+    used=USED,
+    answer=f'"{text}"',
+    messages=[{'role': 'assistant', 'content': text}],
+  )
+
+
+def make_call(*, repeatable=True):
+  return calls.Call(
+    program=PROGRAM,
+    request='r',
+    call=program.MODEL if repeatable else program.SERVICE,
+    target='s/act',
+    body=b'{}',
+    teams=['*'],
+    repeatable=repeatable,
+  )
+
+
+def make_owner(state):
+  """Returns an owner of slot 0 whose standby acknowledges nothing."""
+  found, _ = members.make_membership(None, '127.0.0.1:8000')
+  timing = found._config.timing.model_copy(update={'commit': SHORT_SECONDS})
+  found._config = found._config.model_copy(update={'timing': timing})
+  run = members.make_recovery(found, members.Links(refuse))
+  holding = slots.Holding(
+    number=0, version=roster.Version(1), standby='127.0.0.1:8001', state=state
+  )
+  holding.opened.set()
+  run._held.holding_by_slot[0] = holding
+  return run, holding
+
+
+def refuse(path, message):
+  raise errors.WoadrunError(errors.Code.OWNER_UNAVAILABLE, 'Silent.')
+
+
+# --- Records -----------------------------------------------------------------
+
+
+def test_a_late_outcome_of_one_attempt_does_not_end_the_next():
+  state = make_state()
+  records = [
+    make_accepted('first'),
+    make_finished('first', program.NOT_RUN),
+    make_accepted('second'),
+    make_finished('first', program.NOT_RUN),
+    make_ok('second'),
+  ]
+  for record in records:
+    state.apply([record], answers=9)
+  found = state.get_program(PROGRAM)
+  assert [m['content'] for m in found.history] == ['said']
+  assert (found.spent, found.calls) == (USED, 1)
+  assert found.request_by_id['r'].outcome == program.OK
+
+
+@pytest.mark.parametrize('outcome', [program.OK, program.FAILED])
+def test_an_answer_of_an_earlier_attempt_does_not_replace_the_next(outcome):
+  state = make_state()
+  records = [
+    make_accepted('first'),
+    make_finished('first', program.NOT_RUN),
+    make_accepted('second'),
+    make_finished('first', outcome, answer='"late"'),
+  ]
+  for record in records:
+    state.apply([record], answers=9)
+  found = state.get_program(PROGRAM)
+  assert found.request_by_id['r'].is_running
+  assert found.reserved == RESERVE
+
+
+def test_records_of_earlier_versions_end_whichever_attempt_is_running():
+  state = make_state()
+  for record in (make_accepted('first'), make_ok('')):
+    state.apply([record], answers=9)
+  assert state.get_program(PROGRAM).request_by_id['r'].outcome == program.OK
+
+
+# --- The owner ---------------------------------------------------------------
+
+
+@pytest.mark.parametrize('repeatable', [True, False])
+async def test_an_attempt_under_way_is_not_taken_back_with_the_one_before(
+  repeatable,
+):
+  """An action so taken back was accepted and sent once more."""
+  state = make_state()
+  run, holding = make_owner(state)
+  first = make_accepted('first', repeatable=repeatable)
+  state.apply([first], answers=9)
+  error = slots.make_not_committed('Nobody has it.', retry_after=0.1)
+  before = state.sequence
+  await run._runner._take_back(first, error)
+  while state.sequence == before:
+    await asyncio.sleep(0)
+  # The caller's next attempt is committed at the standby, and sent.
+  second = make_accepted('second', repeatable=repeatable)
+  ticket = run._held.append(holding, [second])
+  await asyncio.sleep(2 * SHORT_SECONDS)
+  holding.settle(ticket.append.sequence, slots.Held.STANDBY)
+  while run._runner._keeping:
+    await asyncio.sleep(SHORT_SECONDS / 10)
+    holding.settle(state.sequence, slots.Held.STANDBY)
+  run._held.append(holding, [make_ok('second')])
+  found = state.get_program(PROGRAM)
+  call = make_call(repeatable=repeatable)
+  assert execution.get_stored(
+    found, call, call.get_digest(), is_stream=False
+  ), 'the next request with the same id would run again'
+  assert found.spent == USED
