A call is cared for until its last attempt is recorded

Callers would see: a call that a new owner resumed is answered, and then missing from the program, or run twice.

Cause: which outcomes are under way was kept by request. The end of one attempt's record took the next attempt's out as well. The giver of a slot then tells its new owner that it has nothing left to finish, the owner resumes the attempt, and the giver's "not run" takes it back.

Why it works: outcomes under way are counted, so that each takes out its own. The test failed before: nothing was told to be under way.

--- a/src/woadrun/request/recovery.py
+++ b/src/woadrun/request/recovery.py
@@ -117,9 +117,7 @@
     """Returns which of the calls this daemon still brings to their end."""
     return messages.Requests(
       requests=[
-        key
-        for key in message.requests
-        if key in self._runner.execution_by_key or key in self._runner.finishing
+        key for key in message.requests if self._runner.is_under_way(key)
       ]
     )
 
@@ -134,11 +132,7 @@
           self.add_future(self._recover(key, request.accepted))
 
   def _is_cared_for(self, key: Key) -> bool:
-    return (
-      key in self._runner.execution_by_key
-      or key in self._runner.finishing
-      or key in self._recovering
-    )
+    return self._runner.is_under_way(key) or key in self._recovering
 
   @mode.Service.task
   async def _find_orphans(self) -> None:
--- a/src/woadrun/request/runner.py
+++ b/src/woadrun/request/runner.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 from collections.abc import Callable
 import logging
 import secrets
@@ -64,8 +65,9 @@
     self._back = back
     self.turns = execution.Turns()
     self.execution_by_key: dict[Key, execution.Execution] = {}
-    # Calls whose outcome is on its way into the records.
-    self.finishing: set[Key] = set()
+    # Outcomes on their way into the records: one attempt's may be recorded
+    # while the next attempt runs, or ends as well.
+    self._finishing: collections.Counter[Key] = collections.Counter()
     self._keeping: set[asyncio.Task[bool]] = set()
     self._retry_budget_by_row: dict[str, admission.RetryBudget] = {}
     self.clock: Callable[[], float] = time.time
@@ -81,6 +83,10 @@
     running.task = asyncio.ensure_future(self._execute(running))
     return running
 
+  def is_under_way(self, key: Key) -> bool:
+    """Returns whether this daemon brings a call to its end."""
+    return key in self.execution_by_key or self._finishing[key] > 0
+
   def cancel(self, name: str, reason: str) -> None:
     """Breaks off all calls of a program."""
     for (owner, _), running in list(self.execution_by_key.items()):
@@ -216,10 +222,12 @@
       outcome=program.NOT_RUN,
       time=self.clock(),
     )
-    self.finishing.add((accepted.program, accepted.request))
+    key = (accepted.program, accepted.request)
+    self._finishing[key] += 1
     keeping = asyncio.ensure_future(self._keep(record))
     self._keeping.add(keeping)
     keeping.add_done_callback(self._keeping.discard)
+    keeping.add_done_callback(lambda _: self._note_recorded(key))
     if accepted.repeatable:
       await asyncio.wait({keeping}, timeout=self._config.timing.commit)
       is_kept = keeping.done() and keeping.result()
@@ -291,11 +299,16 @@
   async def finish(self, finished: program.Finished) -> None:
     """Returns once a call's outcome is committed, here or by its owner."""
     key = (finished.program, finished.request)
-    self.finishing.add(key)
+    self._finishing[key] += 1
     try:
       await self._finish(finished)
     finally:
-      self.finishing.discard(key)
+      self._note_recorded(key)
+
+  def _note_recorded(self, key: Key) -> None:
+    self._finishing[key] -= 1
+    if not self._finishing[key]:
+      del self._finishing[key]
 
   async def _finish(self, finished: program.Finished) -> None:
     _, number = calls.split_program_id(finished.program)
--- a/tests/test_call_attempts.py
+++ b/tests/test_call_attempts.py
@@ -14,6 +14,7 @@
 import test_membership as members
 
 from woadrun import errors
+from woadrun.connection import messages
 from woadrun.process import slots
 from woadrun.request import calls
 from woadrun.request import execution
@@ -183,3 +184,25 @@
     found, call, call.get_digest(), is_stream=False
   ), 'the next request with the same id would run again'
   assert found.spent == USED
+
+
+async def test_a_call_is_cared_for_until_its_last_attempt_is_recorded():
+  """A new owner resumed an attempt that its giver was about to take back."""
+  state = make_state()
+  run, holding = make_owner(state)
+  state.apply([make_accepted('first')], answers=9)
+  ask = messages.Requests(requests=[(PROGRAM, 'r')])
+  first = make_finished('first', program.NOT_RUN)
+  one = asyncio.ensure_future(run._runner.finish(first))
+  await asyncio.sleep(0)
+  sequence = state.sequence
+  state.apply([make_accepted('second')], answers=9)
+  second = make_finished('second', program.NOT_RUN)
+  other = asyncio.ensure_future(run._runner.finish(second))
+  await asyncio.sleep(0)
+  holding.settle(sequence, slots.Held.STANDBY)
+  await one
+  assert run.find_running(ask).requests == [(PROGRAM, 'r')]
+  holding.settle(state.sequence, slots.Held.STANDBY)
+  await other
+  assert run.find_running(ask).requests == []
