Recovery resumes the attempt that is left, not the one it began to wait for

Callers would see: a model call sent once more beside the caller's own next try, whose answer a third try could get; or "outcome unknown" for an action that its first owner was still executing.

Cause: a new owner waits for the giver's attempt by the request's id. When the giver takes that attempt back and the caller begins the next one, the wait ends and the first attempt was resumed, in place of the second one's execution. In the other direction a late record of an earlier attempt ended the wait for the one that the giver still executed.

Why it works: what is resumed must be the attempt that the records have as running, both when the wait ends and when its turn comes, and nothing else of the request may be under way here.

--- a/src/woadrun/request/recovery.py
+++ b/src/woadrun/request/recovery.py
@@ -109,8 +109,10 @@
   async def note_finished(self, message: messages.Finish) -> messages.Done:
     """Commits the outcome of a call that its giver finished."""
     done = await self._runner.note_finished(message)
-    record = message.record
-    self._elsewhere.pop((record.program, record.request), None)
+    key = (message.record.program, message.record.request)
+    if self._find_running(key) is None:
+      # Else its giver recorded an earlier attempt, and executes this one.
+      self._elsewhere.pop(key, None)
     return done
 
   def find_running(self, message: messages.Requests) -> messages.Requests:
@@ -154,12 +156,23 @@
     while key in self._elsewhere:
       await asyncio.sleep(self._config.timing.heartbeat / 10)
 
-  def _begin_again(self, key: Key, accepted: program.Accepted) -> None:
-    _, number = calls.split_program_id(accepted.program)
+  def _find_running(self, key: Key) -> program.Accepted | None:
+    """Returns the attempt of a call that has no outcome here, if any."""
+    _, number = calls.split_program_id(key[0])
     holding = self._held.holding_by_slot.get(number)
     found = holding.state.program_by_id.get(key[0]) if holding else None
     request = found.request_by_id.get(key[1]) if found else None
     if request is None or not request.is_running:
+      return None
+    return request.accepted
+
+  def _is_left(self, key: Key, accepted: program.Accepted) -> bool:
+    """Returns whether an attempt has no outcome and no newer one after it."""
+    found = self._find_running(key)
+    return found is not None and found.attempt == accepted.attempt
+
+  def _begin_again(self, key: Key, accepted: program.Accepted) -> None:
+    if not self._is_left(key, accepted) or self._runner.is_under_way(key):
       return
     call = calls.Call(
       program=accepted.program,
@@ -182,6 +195,8 @@
     key = (accepted.program, accepted.request)
     await self._runner.turns.enter(accepted.program)
     try:
+      if not self._is_left(key, accepted):
+        raise runner.make_superseded(accepted.request)
       await self._resume(running, accepted)
     except errors.WoadrunError as error:
       running.fail(error)
--- a/src/woadrun/request/runner.py
+++ b/src/woadrun/request/runner.py
@@ -35,8 +35,8 @@
 log = logging.getLogger('woadrun.runner')
 
 POLL_SECONDS = 0.01
-# How often calls are looked for that nobody finishes.
-ORPHAN_SECONDS = 5.0
+# When a caller may ask for an outcome that another daemon recorded.
+SUPERSEDED_SECONDS = 0.1
 
 Key = tuple[str, str]
 
@@ -439,3 +439,16 @@
   return errors.WoadrunError(
     errors.Code.CANCELLED, f'The call was broken off: {reason}.', ran=ran
   )
+
+
+def make_superseded(request: str) -> errors.WoadrunError:
+  """Returns the error of an attempt whose request has another outcome.
+
+  The next try under the same id gets that one.
+  """
+  return errors.WoadrunError(
+    errors.Code.OWNER_UNAVAILABLE,
+    f'Request {request} was brought to its end elsewhere.',
+    ran=errors.Ran.UNKNOWN,
+    retry_after=SUPERSEDED_SECONDS,
+  )
--- a/tests/test_call_attempts.py
+++ b/tests/test_call_attempts.py
@@ -206,3 +206,53 @@
   holding.settle(state.sequence, slots.Held.STANDBY)
   await other
   assert run.find_running(ask).requests == []
+
+
+async def test_an_attempt_that_was_followed_by_another_is_not_resumed():
+  """It ran again beside the newer one, whose caller got its answer."""
+  state = make_state()
+  run, _ = make_owner(state)
+  first = make_accepted('first')
+  state.apply([first], answers=9)
+  key = (PROGRAM, 'r')
+  run._elsewhere[key] = None
+  recovering = asyncio.ensure_future(run._recover(key, first))
+  await asyncio.sleep(0)
+  # The giver takes the first attempt back; the caller's next one begins here.
+  records = [
+    make_finished('first', program.NOT_RUN),
+    make_accepted('second'),
+  ]
+  state.apply(records, answers=9)
+  newer = execution.make_execution(make_call())
+  run._runner.execution_by_key[key] = newer
+  del run._elsewhere[key]
+  await recovering
+  is_kept = run._runner.execution_by_key[key] is newer
+  assert is_kept
+
+
+async def test_an_attempt_of_the_giver_is_waited_for_after_one_before_it():
+  """An action that its giver still executed was recorded as unknown."""
+  state = make_state()
+  run, holding = make_owner(state)
+  records = [
+    make_accepted('first', repeatable=False),
+    make_finished('first', program.NOT_RUN),
+    make_accepted('second', repeatable=False),
+  ]
+  state.apply(records, answers=9)
+  key = (PROGRAM, 'r')
+  run._elsewhere[key] = None
+
+  async def note(record):
+    message = messages.Finish(slot=0, record=record)
+    noted = asyncio.ensure_future(run.note_finished(message))
+    await asyncio.sleep(0)
+    holding.settle(state.sequence, slots.Held.STANDBY)
+    await noted
+
+  await note(make_finished('first', program.NOT_RUN))
+  assert key in run._elsewhere
+  await note(make_ok('second'))
+  assert key not in run._elsewhere
