A request that another owner took meanwhile is not accepted again

Callers would see: a call run twice, an action that must not be repeated among them.

Cause: an owner looks a request up before the call waits for its turn and its permits, and not again before it accepts it. If the slot is given away and comes back meanwhile, and the caller's next try was served by the other owner, the record of that one was overwritten and the call sent once more.

Why it works: the look and the record now lie in one step. The refusal makes the gateway ask again, which gets the answer that is kept. The test failed before: the second record was being made.

--- a/src/woadrun/request/runner.py
+++ b/src/woadrun/request/runner.py
@@ -151,6 +151,10 @@
       holding = await self._held.open(number)
       found = holding.state.get_program(call.program)
       self._check_call(found)
+      if call.request in found.request_by_id:
+        # While it waited here, the slot was away and another owner took the
+        # caller's next try.
+        raise make_superseded(call.request)
       if call.ordinal and call.ordinal != found.calls + 1:
         raise make_out_of_order(found.calls)
       accepted = self._back.make_accepted(
--- a/tests/test_call_attempts.py
+++ b/tests/test_call_attempts.py
@@ -9,6 +9,7 @@
 """
 
 import asyncio
+import contextlib
 
 import pytest
 import test_membership as members
@@ -18,8 +19,10 @@
 from woadrun.process import slots
 from woadrun.request import calls
 from woadrun.request import execution
+from woadrun.request import placing
 from woadrun.version import program
 from woadrun.version import roster
+from woadrun.version import rows
 
 PROGRAM = 'north.000.a'
 BUDGET = 100
@@ -105,6 +108,27 @@
   return run, holding
 
 
+class Places:
+  """Room for every call, at one upstream."""
+
+  def plan(self, call, found, row):
+    return placing.Plan(names=['s'])
+
+  @contextlib.asynccontextmanager
+  async def permits(self, *_):
+    yield placing.Place(name='s')
+
+  async def enter(self, *_):
+    pass
+
+
+class Table:
+  """One row for all teams."""
+
+  def get_row(self, team, kind):
+    return rows.Row(key='t')
+
+
 def refuse(path, message):
   raise errors.WoadrunError(errors.Code.OWNER_UNAVAILABLE, 'Silent.')
 
@@ -256,3 +280,22 @@
   assert key in run._elsewhere
   await note(make_ok('second'))
   assert key not in run._elsewhere
+
+
+@pytest.mark.parametrize('repeatable', [True, False])
+async def test_a_request_that_another_owner_took_is_not_accepted_again(
+  repeatable,
+):
+  """Its slot was given away and came back while it waited for its turn."""
+  state = make_state()
+  run, _ = make_owner(state)
+  run._runner._table, run._runner._places = Table(), Places()
+  records = [make_accepted('elsewhere', repeatable=repeatable)]
+  state.apply([*records, make_ok('elsewhere')], answers=9)
+  running = execution.make_execution(make_call(repeatable=repeatable))
+  with pytest.raises(errors.WoadrunError) as refusal:
+    await run._runner._run(running)
+  # The gateway asks again by this code, and gets the answer that is kept.
+  assert refusal.value.code is errors.Code.OWNER_UNAVAILABLE
+  assert refusal.value.ran is errors.Ran.UNKNOWN
+  assert state.get_program(PROGRAM).request_by_id['r'].outcome == program.OK
