Callers are told the outcome that their program has

Callers would see: an answer that their program's history does not have, or "not run" for a call that ran.

Cause: whoever executes a call records its outcome and tells its callers, without a look at whether the record took effect. An owner that was frozen, and whose slot another one took over, told its own answer after that one's; a refusal said "not run" although the new owner had resumed the call.

Why it works: the owner answers whether the call has the outcome that was sent. Where it has another one, the caller's try is refused in a way that makes the gateway ask again, and that gets what is kept.

--- a/src/woadrun/connection/messages.py
+++ b/src/woadrun/connection/messages.py
@@ -181,12 +181,21 @@
 
 
 class Finish(msgspec.Struct, frozen=True, kw_only=True):
-  """The outcome of a call that an earlier owner of the slot finished."""
+  """The outcome of a call that an earlier owner of the slot finished.
+
+  Answered by `Recorded`.
+  """
 
   slot: int
   record: program.Finished
 
 
+class Recorded(msgspec.Struct, frozen=True, kw_only=True):
+  """Tells whether the call has the outcome that was sent, or another one."""
+
+  has_outcome: bool = True
+
+
 class Acquire(msgspec.Struct, frozen=True, kw_only=True):
   """Asks for a permit to use an upstream; answered by `Granted`.
 
--- a/src/woadrun/request/recovery.py
+++ b/src/woadrun/request/recovery.py
@@ -106,14 +106,14 @@
       return keys if is_alive else set()
     return set(answer.requests)
 
-  async def note_finished(self, message: messages.Finish) -> messages.Done:
+  async def note_finished(self, message: messages.Finish) -> messages.Recorded:
     """Commits the outcome of a call that its giver finished."""
-    done = await self._runner.note_finished(message)
+    recorded = await self._runner.note_finished(message)
     key = (message.record.program, message.record.request)
     if self._find_running(key) is None:
       # Else its giver recorded an earlier attempt, and executes this one.
       self._elsewhere.pop(key, None)
-    return done
+    return recorded
 
   def find_running(self, message: messages.Requests) -> messages.Requests:
     """Returns which of the calls this daemon still brings to their end."""
@@ -220,12 +220,15 @@
       return
     outcome = await self._back.ask_outcome(accepted)
     if outcome is not None:
-      await self._runner.finish(outcome)
+      if not await self._runner.finish(outcome):
+        raise runner.make_superseded(accepted.request)
       self._runner.pass_on(running, outcome)
       return
     error = upstreams.make_unknown(accepted)
     now = self._runner.clock()
-    await self._runner.finish(runner.make_failed(accepted, error, now=now))
+    failed = runner.make_failed(accepted, error, now=now)
+    if not await self._runner.finish(failed):
+      raise runner.make_superseded(accepted.request)
     raise error
 
   def dump(self) -> dict[str, object]:
--- a/src/woadrun/request/runner.py
+++ b/src/woadrun/request/runner.py
@@ -241,11 +241,10 @@
   async def _keep(self, finished: program.Finished) -> bool:
     """Returns whether an outcome was committed."""
     try:
-      await self.finish(finished)
+      return await self.finish(finished)
     except errors.WoadrunError as error:
       log.warning('Outcome of %s not kept: %s', finished.request, error)
       return False
-    return True
 
   async def perform(
     self,
@@ -272,7 +271,9 @@
       failed = make_failed(accepted, error, now=self.clock(), used=place.wasted)
       await self.finish(failed)
       raise
-    await self.finish(finished)
+    if not await self.finish(finished):
+      # Callers are told what the program has, not what ran in vain.
+      raise make_superseded(accepted.request)
     self.pass_on(running, finished)
 
   def _get_known(self, name: str) -> program.Program:
@@ -300,12 +301,15 @@
       running.events.finish()
     running.finish_whole(finished.answer.encode(), status=finished.status)
 
-  async def finish(self, finished: program.Finished) -> None:
-    """Returns once a call's outcome is committed, here or by its owner."""
+  async def finish(self, finished: program.Finished) -> bool:
+    """Returns whether a call has an outcome, once that is committed.
+
+    The call's owner may have brought it to another one meanwhile.
+    """
     key = (finished.program, finished.request)
     self._finishing[key] += 1
     try:
-      await self._finish(finished)
+      return await self._finish(finished)
     finally:
       self._note_recorded(key)
 
@@ -314,13 +318,13 @@
     if not self._finishing[key]:
       del self._finishing[key]
 
-  async def _finish(self, finished: program.Finished) -> None:
+  async def _finish(self, finished: program.Finished) -> bool:
     _, number = calls.split_program_id(finished.program)
     deadline = time.monotonic() + self._config.timing.hold * 2
     while True:
       try:
-        await self._finish_once(number, finished)
-        return
+        recorded = await self._finish_once(number, finished)
+        return recorded.has_outcome
       except errors.WoadrunError as error:
         if time.monotonic() > deadline:
           raise errors.WoadrunError(
@@ -330,26 +334,33 @@
           ) from error
       await asyncio.sleep(self._config.timing.heartbeat / 5)
 
-  async def _finish_once(self, number: int, finished: program.Finished) -> None:
+  async def _finish_once(
+    self, number: int, finished: program.Finished
+  ) -> messages.Recorded:
+    message = messages.Finish(slot=number, record=finished)
     if number in self._held.holding_by_slot:
-      await self.note_finished(messages.Finish(slot=number, record=finished))
-      return
+      return await self.note_finished(message)
     owner = self._members.directory.get_owner(self._members.domain, number)
-    await self._links.post(
+    return await self._links.post(
       owner,
       'finish',
-      messages.Finish(slot=number, record=finished),
-      type=messages.Done,
+      message,
+      type=messages.Recorded,
       timeout=self._config.timing.commit + 1.0,
     )
 
-  async def note_finished(self, message: messages.Finish) -> messages.Done:
+  async def note_finished(self, message: messages.Finish) -> messages.Recorded:
     """Commits the outcome of a call, whoever executed it."""
     record = message.record
     holding = await self._held.open(message.slot)
     ticket = self._held.append(holding, [record])
     await self._held.settle(ticket, is_strong=False)
-    return messages.Done()
+    found = holding.state.program_by_id.get(record.program)
+    # A program that is no longer kept had its outcomes.
+    has_outcome = found is None or found.has_outcome(record)
+    if not has_outcome:
+      log.info('Request %s has another outcome.', record.request)
+    return messages.Recorded(has_outcome=has_outcome)
 
   def _get_retry_budget(self, row: rows.Row) -> admission.RetryBudget:
     return self._retry_budget_by_row.setdefault(
--- a/src/woadrun/version/program.py
+++ b/src/woadrun/version/program.py
@@ -149,6 +149,18 @@
     """Returns the tokens that a new call or sub-agent may reserve."""
     return self.started.budget - self.spent - self.reserved - self.carved
 
+  def has_outcome(self, record: Finished) -> bool:
+    """Returns whether an attempt has the outcome that a record tells.
+
+    `not run` leaves nothing of its attempt; answers are kept for a while.
+    """
+    request = self.request_by_id.get(record.request)
+    names = ('', request.accepted.attempt) if request else ()
+    if request is None or record.attempt not in names:
+      return record.outcome == NOT_RUN
+    is_same = request.outcome == record.outcome
+    return is_same and request.answer in (None, record.answer)
+
   def get_running(self) -> Iterator[Request]:
     """Yields the calls that have no outcome yet."""
     return (r for r in self.request_by_id.values() if r.is_running)
--- a/tests/test_call_attempts.py
+++ b/tests/test_call_attempts.py
@@ -122,6 +122,13 @@
     pass
 
 
+class Service:
+  """Answers each call in its own words."""
+
+  async def run_service(self, accepted, row, retries):
+    return make_ok(accepted.attempt, text='mine')
+
+
 class Table:
   """One row for all teams."""
 
@@ -299,3 +306,41 @@
   assert refusal.value.code is errors.Code.OWNER_UNAVAILABLE
   assert refusal.value.ran is errors.Ran.UNKNOWN
   assert state.get_program(PROGRAM).request_by_id['r'].outcome == program.OK
+
+
+@pytest.mark.parametrize('theirs', [program.OK, program.NOT_RUN])
+async def test_callers_are_told_the_outcome_that_the_program_has(theirs):
+  """An owner that was frozen told its own answer after another one's."""
+  state = make_state()
+  run, holding = make_owner(state)
+  run._runner._back = Service()
+  accepted = make_accepted('first', repeatable=False)
+  record = make_finished('first', theirs, answer='"theirs"')
+  state.apply([accepted, record], answers=9)
+  running = execution.make_execution(make_call(repeatable=False))
+  ending = asyncio.ensure_future(
+    run._runner.perform(
+      running, accepted, placing.Place(name='s'), rows.Row(key='t')
+    )
+  )
+  while not holding.tickets:
+    await asyncio.sleep(0)
+  holding.settle(state.sequence, slots.Held.STANDBY)
+  with pytest.raises(errors.WoadrunError) as refusal:
+    await ending
+  assert refusal.value.code is errors.Code.OWNER_UNAVAILABLE
+  assert not running.whole.size
+
+
+async def test_a_refusal_says_not_run_only_where_the_call_has_no_outcome():
+  state = make_state()
+  run, holding = make_owner(state)
+  accepted = make_accepted('first')
+  state.apply([accepted, make_ok('first')], answers=9)
+  error = slots.make_not_owner('The slot changes hands.')
+  taking = asyncio.ensure_future(run._runner._take_back(accepted, error))
+  while not holding.tickets:
+    await asyncio.sleep(0)
+  holding.settle(state.sequence, slots.Held.STANDBY)
+  await taking
+  assert error.ran is errors.Ran.UNKNOWN
