A turn that one owner refuses and another lets run is counted

Callers would see: a program given more tokens than its budget allows, one turn's for each such refusal. Found by looking in the platform's daemon for the fault of ended attempts: records that name a request where they mean one try.

Cause: an owner that set a turn's tokens aside without the store, and then refused it, recorded it as ended with 0 tokens. The next member, or the caller's own domain, may let the turn run: brought together, the views had it as ended, the reservation was taken back and the turn's end settled nothing. The same owner, asked again, set nothing aside.

Why it works: a refusal is withdrawn without a record; what was set aside by another owner stays until its turn ends.

--- a/src/woadrun/process/reservations.py
+++ b/src/woadrun/process/reservations.py
@@ -68,7 +68,7 @@
         return
       # Another daemon changed the row: what fitted before may not fit now.
       if ask.request not in entry.ledger.saved.reserved:
-        entry.ledger.reserved.pop(ask.request, None)
+        entry.ledger.withdraw(ask.request)
     raise errors.WoadrunError(
       errors.Code.NOT_COMMITTED,
       'Too many daemons write to the program.',
@@ -210,7 +210,7 @@
     if entry.is_guess and not ask.keeps_history:
       # It may have spent its budget elsewhere: taken for new, each domain
       # let it begin anew.
-      entry.ledger.settle(ask.request, 0)
+      entry.ledger.withdraw(ask.request)
       raise errors.WoadrunError(
         errors.Code.NOT_OWNER,
         f'Whether the program is new is not known: {error.message}',
@@ -226,7 +226,7 @@
       # The standby may have told of turns that this daemon did not know.
       await self._check_offline(entry, ask, budget)
     except errors.WoadrunError:
-      entry.ledger.settle(ask.request, 0)
+      entry.ledger.withdraw(ask.request)
       raise
     log.info(
       'Turn %s of %s may run without the store: %d spent, row %d (%s).',
--- a/src/woadrun/version/ledger.py
+++ b/src/woadrun/version/ledger.py
@@ -101,6 +101,14 @@
     if request not in self.given:
       self.reserved.setdefault(request, tokens)
 
+  def withdraw(self, request: str) -> None:
+    """Takes back what was set aside for a turn that gets no leave here.
+
+    Nothing is recorded of it: another owner may give it leave, and a turn that
+    ended with 0 here would end that reservation as well.
+    """
+    self.reserved.pop(request, None)
+
   def settle(self, request: str, tokens: int) -> None:
     """Puts what a turn was given in place of what was set aside for it."""
     if self.reserved.pop(request, None) is not None:
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -119,3 +119,53 @@
       pass
   final = ledger.Ledger(saved=shared.row, version=shared.version)
   assert final.spent == sum(expected.values())
+
+
+def make_views(count):
+  row = ledger.LedgerRow(home='a')
+  return [ledger.Ledger(saved=row, version=0) for _ in range(count)]
+
+
+def test_leave_that_one_owner_refuses_does_not_end_what_another_gave():
+  """A turn ran uncounted: its first owner had recorded it as ended with 0.
+
+  The first owner set tokens aside, reached no standby and refused; the second
+  one gave leave.  Brought together, the two views had the turn as ended.
+  """
+  first, second = make_views(2)
+  first.reserve('r', 10)
+  first.withdraw('r')
+  second.reserve('r', 10)
+  second.merge(copy.deepcopy(first))
+  first.merge(copy.deepcopy(second))
+  assert (first.spent, second.spent) == (10, 10)
+  second.settle('r', 6)
+  first.merge(copy.deepcopy(second))
+  assert (first.spent, second.spent) == (6, 6)
+
+
+def test_leave_that_another_domain_gave_through_the_store_stays_counted():
+  shared = Shared()
+  first, second = make_views(2)
+  first.reserve('r', 10)
+  first.withdraw('r')
+  second.reserve('r', 10)
+  assert shared.save(second)
+  first.reserve('s', 10)
+  assert not shared.save(first)
+  assert shared.save(first)
+  second.settle('r', 6)
+  assert not shared.save(second)
+  assert shared.save(second)
+  final = ledger.Ledger(saved=shared.row, version=shared.version)
+  assert final.spent == 10 + 6
+
+
+def test_an_owner_that_refused_a_turn_may_give_leave_to_it_later():
+  [held] = make_views(1)
+  held.reserve('r', 10)
+  held.withdraw('r')
+  assert held.spent == 0
+  held.reserve('r', 10)
+  held.settle('r', 6)
+  assert held.spent == 6
--- a/tests/test_two_owners.py
+++ b/tests/test_two_owners.py
@@ -6,6 +6,7 @@
 import pytest
 
 from woadrun import errors
+from woadrun.connection import peers
 from woadrun.connection import turn_messages
 from woadrun.process import datagrams
 from woadrun.process import program_rows
@@ -224,3 +225,30 @@
     entry = daemon.programs.entry_by_program['p']
     assert 'c' in entry.ledger.saved.reserved
     assert entry.ledger.version > before
+
+
+async def test_a_turn_that_one_owner_refuses_and_another_lets_run_counts():
+  """A program was given the tokens of such a turn beside its budget.
+
+  The owner reached no standby and refused; the member asked next gave leave.
+  The owner's view, in which the turn had ended with 0 tokens, then took the
+  reservation back, and the end of the turn found nothing to settle.
+  """
+  async with nodes.Nodes() as fleet:
+    owner, standby, third = await begin(fleet)
+
+    async def lose(*_, **__):
+      raise peers.NoAnswer(errors.Code.OWNER_UNAVAILABLE, 'Lost.')
+
+    post, owner.programs._copies._post = owner.programs._copies._post, lose
+    await fleet.turn(third.config.name, 'b')
+    owner.programs._copies._post = post
+    owner.fleet._failed_until.clear()
+    await fleet.turn(third.config.name, 'c')
+    spent = [
+      daemon.programs.entry_by_program['p'].ledger.spent
+      for daemon in (owner, standby)
+    ]
+    # The standby may count what it set aside for the turn.
+    assert spent[0] == 3 * 6
+    assert spent[1] >= 2 * 6
