A copy of a slot that is acknowledged is used

Callers would see: a call told as committed and lost when the slot's owner dies, or a slot that nobody takes over.

Cause: an owner may learn of a new pair before its standby does. The standby then gets the slot's state under the new epoch, acknowledges it, and dropped it when the roster came, since it accepted only copies of the epoch before. In the other direction it acknowledged a copy of an epoch that it knew to be over: an owner that wakes counted it as held although another one had the slot.

Why it works: a copy of the same epoch is used, one of an earlier epoch or of a slot served here is refused. What is dropped is logged. Both tests failed before.

Ruled out as the cause of the frozen owner that nobody replaced: dumps of three such failures show a copy of each of its slots at a living standby.

--- a/src/woadrun/process/copies.py
+++ b/src/woadrun/process/copies.py
@@ -8,6 +8,7 @@
 
 import collections
 from collections.abc import Callable
+import logging
 
 from woadrun import errors
 from woadrun.connection import messages
@@ -16,6 +17,8 @@
 from woadrun.version import program
 from woadrun.version import roster
 
+log = logging.getLogger('woadrun.ownership')
+
 
 class Copies:
   """The slots that this daemon stands by for, or is about to."""
@@ -55,17 +58,29 @@
       return slots.Verdict.STALE
     replica = self.replica_by_slot.get(append.slot)
     if replica is None:
+      log.info(
+        'Slot %d: batch %d of epoch %d came, but no copy is here.',
+        append.slot,
+        append.sequence,
+        append.epoch,
+      )
       return slots.Verdict.GAP
     return replica.receive(append, answers=self._answers)
 
   def learn(self, message: messages.Sync) -> messages.Done:
-    """Takes the copy of a slot that this daemon is to stand by for."""
+    """Takes the copy of a slot that this daemon is to stand by for.
+
+    Whoever gets this answer counts the copy as held: one that will not be
+    used must be refused.
+    """
     replica = self.replica_by_slot.get(message.slot)
     if replica is not None and replica.is_fenced:
       raise make_stale('This daemon is taking the slot over.')
+    if self._is_held(message.slot):
+      raise make_stale('This daemon serves the slot itself.')
+    if self._members.roster.slots[message.slot].epoch > message.version.epoch:
+      raise make_stale('This daemon knows a newer pair of the slot.')
     if self._is_standby_of(message):
-      if self._is_held(message.slot):
-        raise make_stale('This daemon serves the slot itself.')
       if replica is not None and replica.version > message.version:
         raise make_stale('This daemon stands by for a newer owner.')
       self.replica_by_slot[message.slot] = slots.Replica(
@@ -122,9 +137,11 @@
     self, number: int, entry: roster.Slot, state: program.SlotState
   ) -> None:
     """Stands by for a slot that this daemon owned before."""
-    self.follow(number, entry)
-    if entry.standby == self._address:
-      self._stand_by(number, entry, state, [])
+    if entry.standby != self._address:
+      self.follow(number, entry)
+      return
+    self._learner_by_slot.pop(number, None)
+    self._stand_by(number, entry, roster.Version(entry.epoch), state, [])
 
   def follow(self, number: int, entry: roster.Slot) -> None:
     """Keeps the copy of a slot that the roster, or a claim, wants here."""
@@ -138,19 +155,30 @@
     if not is_standby:
       return
     learner = self._learner_by_slot.pop(number, None)
-    if learner is not None and learner.version.epoch == entry.before:
-      self._stand_by(number, entry, learner.state, learner.tail)
+    version = roster.Version(entry.epoch)
+    if learner is not None and learner.version.epoch == entry.epoch:
+      # Its owner learned of the change of the pair before this daemon did.
+      version = learner.version
+    elif learner is None or learner.version.epoch != entry.before:
+      log.warning(
+        'Slot %d: this daemon stands by from epoch %d on, without a copy.',
+        number,
+        entry.epoch,
+      )
+      return
+    self._stand_by(number, entry, version, learner.state, learner.tail)
 
   def _stand_by(
     self,
     number: int,
     entry: roster.Slot,
+    version: roster.Version,
     state: program.SlotState,
     tail: list[messages.Append],
   ) -> None:
     self.replica_by_slot[number] = slots.Replica(
       owner=entry.owner,
-      version=roster.Version(entry.epoch),
+      version=version,
       state=state,
       tail=collections.deque(tail),
     )
--- /dev/null
+++ b/tests/test_slot_copies.py
@@ -0,0 +1,73 @@
+"""The one of a pair that stands by has a copy of its slot, or gets one."""
+
+import pytest
+import test_membership as members
+
+from woadrun import errors
+from woadrun.connection import messages
+from woadrun.process import copies
+from woadrun.version import program
+from woadrun.version import roster
+
+OWNER, STANDBY, THIRD = (f'127.0.0.1:{8000 + n}' for n in range(3))
+
+
+def make_roster(version, *entries):
+  return roster.Roster(
+    domain='north',
+    version=version,
+    incarnations=dict.fromkeys((OWNER, STANDBY, THIRD), 'i'),
+    slots=entries,
+  )
+
+
+def make_entry(epoch, before=0, *, owner=OWNER, standby=STANDBY):
+  return roster.Slot(owner=owner, standby=standby, epoch=epoch, before=before)
+
+
+def make_copies(address, known):
+  found, _ = members.make_membership(None, address)
+  found.adopt(known)
+  return found, copies.Copies(
+    members=found, address=address, answers=9, is_held=lambda number: False
+  )
+
+
+def make_sync(epoch, *, sequence=0):
+  return messages.Sync(
+    sender=OWNER,
+    slot=0,
+    version=roster.Version(epoch),
+    state=program.SlotState(sequence=sequence),
+  )
+
+
+# --- Copies that come around a change of the pair ----------------------------
+
+
+def test_a_copy_that_comes_before_the_change_of_its_pair_is_kept():
+  """A call was told as committed, and its standby dropped it.
+
+  The owner learns of a new pair first.  Its standby, which does not know yet
+  that it is one, misses a batch, gets the slot anew, and dropped that copy when
+  the roster came: the copy was of the new epoch, not of the one before.
+  """
+  found, held = make_copies(STANDBY, make_roster(1, make_entry(1, standby='')))
+  held.learn(make_sync(1))
+  held.learn(make_sync(2, sequence=7))
+  new = make_roster(2, make_entry(2, 1))
+  found.adopt(new)
+  held.follow(0, new.slots[0])
+  replica = held.replica_by_slot[0]
+  assert replica.owner == OWNER
+  assert (replica.version, replica.state.sequence) == (roster.Version(2), 7)
+
+
+def test_a_copy_of_an_earlier_pair_is_refused():
+  """An owner that wakes took it for held, though another one had the slot."""
+  _, held = make_copies(
+    STANDBY, make_roster(2, make_entry(2, 1, owner=STANDBY, standby=THIRD))
+  )
+  with pytest.raises(errors.WoadrunError) as refusal:
+    held.learn(make_sync(1, sequence=7))
+  assert refusal.value.code is errors.Code.STALE_EPOCH
