Tests: a frozen daemon stays frozen when the shell ends

Seen: test_a_frozen_owner_that_wakes_sends_nothing_again, now and then beside load, nobody took over; test_actions_go_on_when_a_silent_standby_is_back once, an action ran that should have been refused.

Cause: the daemons were in the process group of the tests. When the shell that had started those ended, the group was orphaned, and the kernel sends SIGHUP and SIGCONT to a group that is orphaned with a stopped member: the frozen daemon was awake.

Ruled out: a standby without a copy, a watch that waits on the frozen one.

Why it works: each daemon has a process group of its own, which no shell's end orphans. Both listed tests are unchanged.

--- a/bench/fleet_soak/daemons.py
+++ b/bench/fleet_soak/daemons.py
@@ -59,9 +59,12 @@
       'bounds': {'grace_s': GRACE_SECONDS},
     }
     self._settings.write_text(json.dumps(settings))
-    # Begun without a pause, so that no process is left to nobody.
+    # Begun without a pause, so that no process is left to nobody; in a process
+    # group of its own, since the kernel wakes the frozen members of a group
+    # whose starter ends.
     self.process = subprocess.Popen(  # noqa: ASYNC220
       [sys.executable, '-m', 'woadrun.platform'],
+      process_group=0,
       stdout=self._log,
       stderr=self._log,
       env={**os.environ, 'WOADRUN_CONFIG': str(self._settings)},
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -117,9 +117,11 @@
   async def start(self, node: Node) -> None:
     """Starts the process of a daemon."""
     log = open(self.folder / f'{node.host}.log', 'ab')  # noqa: SIM115, ASYNC230
+    # In a process group of its own: the kernel wakes the frozen members of a
+    # group whose starter ends.
     node.process = await asyncio.create_subprocess_exec(
       sys.executable, '-m', 'woadrun', 'serve', '--config', str(node.config),
-      stderr=log,
+      stderr=log, process_group=0,
     )  # fmt: skip
 
   async def list_vms(self, *leaving: Node) -> None:
