A standby that was named without a copy gets one

Callers would see: a program whose owner died and that nobody serves any more. Found by reading while tracing the frozen owner; shown by a test.

Cause: when the write of a new pair fails, the owner tells the new standby to drop its copy, which would fall behind. If only the write's answer was lost, the pair changed all the same, and the standby named has no copy until the next batch. A slot that is not written to stays without.

Why it works: an owner that learns of a standby whom it gave no copy in the same step, or that begins with one, sends it a batch without records; a standby without a copy objects, and gets the slot. The test failed before: nothing was sent.

--- a/src/woadrun/process/ownership.py
+++ b/src/woadrun/process/ownership.py
@@ -253,7 +253,9 @@
       return
     copy = self.copies.take(number, entry.owner_before)
     if copy is not None:
-      self._begin(_make_holding(number, entry, copy.state), copy.tail)
+      holding = _make_holding(number, entry, copy.state)
+      self._begin(holding, copy.tail)
+      self.add_future(self._check_standby(holding))
     elif entry.before == 0:
       # Nobody has ever held the slot: it is empty.
       self._begin(_make_holding(number, entry, program.SlotState()))
@@ -270,9 +272,25 @@
     standby, sequence = holding.synced
     if standby and standby == entry.standby:
       holding.settle(sequence, slots.Held.STANDBY)
+    elif entry.standby:
+      self.add_future(self._check_standby(holding))
     for ticket in holding.tickets:
       self.add_future(self._settle_alone(holding, ticket))
 
+  async def _check_standby(self, holding: slots.Holding) -> None:
+    """Sends a batch without records, to which a standby without a copy objects.
+
+    A pair may change by a write whose answer was lost, after the new standby
+    was told to drop its copy.  A slot that is not written to would stay without
+    one, and nobody could take it over.
+    """
+    try:
+      current = await self.open(holding.number)
+      if current.standby:
+        self.append(current, [])
+    except errors.WoadrunError as error:
+      log.debug('Slot %d not checked: %s', holding.number, error)
+
   def _begin(
     self, holding: slots.Holding, tail: Iterable[messages.Append] = ()
   ) -> None:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -74,6 +74,9 @@
   def get_written(self, slot):
     return 0
 
+  def get_unwritten(self, slot):
+    return []
+
 
 class Clock:
   def __init__(self):
--- a/tests/test_slot_copies.py
+++ b/tests/test_slot_copies.py
@@ -1,11 +1,14 @@
 """The one of a pair that stands by has a copy of its slot, or gets one."""
 
+import asyncio
+
 import pytest
 import test_membership as members
 
 from woadrun import errors
 from woadrun.connection import messages
 from woadrun.process import copies
+from woadrun.process import ownership
 from woadrun.version import program
 from woadrun.version import roster
 
@@ -71,3 +74,44 @@
   with pytest.raises(errors.WoadrunError) as refusal:
     held.learn(make_sync(1, sequence=7))
   assert refusal.value.code is errors.Code.STALE_EPOCH
+
+
+# --- A pair that changed without its owner's doing ----------------------------
+
+
+class Sent:
+  """What an owner sends; the standby answers that it has no copy."""
+
+  def __init__(self):
+    self.by_path = {}
+
+  async def post(self, address, path, message, **_):
+    self.by_path.setdefault(path, []).append((address, message))
+    if path != 'replicate':
+      return messages.Done()
+    acks = [
+      messages.Ack(slot=a.slot, sequence=a.sequence, verdict='gap')
+      for a in message.appends
+    ]
+    return messages.Replicated(acks=acks)
+
+
+async def test_a_standby_that_was_named_without_a_copy_gets_one():
+  """A slot that was not written to had no copy anywhere when its owner died.
+
+  The answer to the write of a new pair was lost, the owner told the standby to
+  drop its copy, and learned later that the write had been done.
+  """
+  found, _ = members.make_membership(None, OWNER)
+  links = Sent()
+  held = ownership.Ownership(
+    config=found._config, members=found, links=links, store=members.Store()
+  )
+  found.adopt(make_roster(1, make_entry(1, standby='')))
+  assert held.holding_by_slot[0].standby == ''
+  found.adopt(make_roster(2, make_entry(2, 1)))
+  for _ in range(9):
+    await asyncio.sleep(0)
+  [(address, copy)] = links.by_path['sync']
+  assert address == STANDBY
+  assert copy.version == roster.Version(2)
