A slot is taken over whose standby has no copy of it

Callers would see: a program whose owner died and that nobody serves any more.

Cause: members take over what they have copies of, and adopt slots of which no holder lives. A slot whose owner is silent, and whose standby lives without a copy, was neither.

Why it works: the standby adopts such a slot as orphans are adopted: nobody hears the owner, no other member has a copy, and the table still names the pair; then it is read from the platform. The test failed before: nothing was adopted.

--- a/src/woadrun/process/transitions.py
+++ b/src/woadrun/process/transitions.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from collections.abc import Iterable
+from collections.abc import Iterator
 import contextlib
 import functools
 import logging
@@ -243,12 +244,19 @@
   async def _adopt_orphans(self, silent: set[str]) -> None:
     known = self._members.roster
     live = set(known.incarnations) - self._members.get_unfit()
-    mine = {
-      number: (known.slots[number].epoch, self._address, '')
+    orphans = [
+      number
       for number in roster.find_orphans(known, silent)
       if roster.rank(f'adopt/{number}', live)[:1] == [self._address]
+    ]
+    uncopied = list(self._find_uncopied(silent))
+    if uncopied:
+      log.warning('Slots %s have a silent owner and no copy.', uncopied)
+    mine = {
+      number: (known.slots[number].epoch, self._address, '')
+      for number in (*orphans, *uncopied)
     }
-    for holder in self._get_holders(mine) - {''}:
+    for holder in self._get_holders(mine) - {'', self._address}:
       if await self._members.is_heard_by_others(holder):
         return
     for number in await self._find_copied(mine):
@@ -258,6 +266,20 @@
         lambda current: roster.with_pairs(current, mine)
       )
 
+  def _find_uncopied(self, silent: set[str]) -> Iterator[int]:
+    """Yields the slots that this daemon stands by for without a copy.
+
+    Their owner is silent.  They count as held while this daemon lives.
+    """
+    for number, entry in enumerate(self._members.roster.slots):
+      is_mine = entry.standby == self._address and entry.owner in silent
+      is_here = (
+        number in self._held.replica_by_slot
+        or number in self._held.holding_by_slot
+      )
+      if is_mine and not is_here:
+        yield number
+
   async def _find_copied(self, numbers: Iterable[int]) -> set[int]:
     """Returns which orphans some member has a copy of, made without the table.
 
--- a/tests/test_slot_copies.py
+++ b/tests/test_slot_copies.py
@@ -9,6 +9,7 @@
 from woadrun.connection import messages
 from woadrun.process import copies
 from woadrun.process import ownership
+from woadrun.process import transitions
 from woadrun.version import program
 from woadrun.version import roster
 
@@ -115,3 +116,39 @@
   [(address, copy)] = links.by_path['sync']
   assert address == STANDBY
   assert copy.version == roster.Version(2)
+
+
+async def test_a_slot_is_taken_over_whose_standby_has_no_copy(monkeypatch):
+  """Nobody took it over: it counted as held, since its standby was alive."""
+  found, clock = members.make_membership(monkeypatch, STANDBY)
+  entry = make_entry(1)
+  found.adopt(make_roster(1, entry, make_entry(1, standby=THIRD)))
+  clock.now += 5.0
+  found.note_heartbeat(members.make_beat(THIRD))
+  assert found.get_silent() == {OWNER}
+
+  def answer(path, message):
+    if path == 'copies':
+      return messages.Copies(slots=[])
+    raise errors.WoadrunError(errors.Code.OWNER_UNAVAILABLE, 'dead')
+
+  links = found._links = members.Links(answer)
+  held = ownership.Ownership(
+    config=found._config, members=found, links=links, store=members.Store()
+  )
+  moves = transitions.Transitions(
+    config=found._config,
+    members=found,
+    links=links,
+    held=held,
+    without_table=None,
+  )
+  changed = []
+
+  async def change(step):
+    changed.append(step(found.roster))
+
+  monkeypatch.setattr(found, 'change', change)
+  await moves._adopt_orphans({OWNER})
+  [new] = changed
+  assert roster.get_owned(new, STANDBY) == [0]
