A late word to drop a copy leaves the next one

Callers would see: a program whose owner died and that nobody serves any more. Worked out from the code; shown by a test.

Cause: the message that drops the copy of a pair that did not come about names no copy. It is given up after a second, and may arrive behind the copy of the next attempt: the standby dropped that one, while the owner counted it as held.

Why it works: each attempt's copies have a name, and the message drops only those. The test failed before.

--- a/src/woadrun/connection/messages.py
+++ b/src/woadrun/connection/messages.py
@@ -132,7 +132,8 @@
   """The whole state of a slot, for a standby to be; answered by `Done`.
 
   `version` is that at which the sender holds the slot, `tail` the batches
-  within the state that the platform may not have yet.
+  within the state that the platform may not have yet.  `copy` tells one copy
+  from others of the same version; to forget one, only it counts.
   """
 
   sender: str
@@ -140,6 +141,7 @@
   version: roster.Version
   state: program.SlotState
   tail: list[Append] = []
+  copy: str = ''
 
 
 class Copies(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/woadrun/process/copies.py
+++ b/src/woadrun/process/copies.py
@@ -96,6 +96,7 @@
         version=message.version,
         state=message.state,
         tail=message.tail,
+        copy=message.copy,
       )
     return messages.Done()
 
@@ -109,7 +110,9 @@
   def forget(self, message: messages.Sync) -> messages.Done:
     """Drops a copy whose change of the pair did not come about."""
     learner = self._learner_by_slot.get(message.slot)
-    if learner is not None and learner.sender == message.sender:
+    # Given up after its time, the message may come behind the next copy.
+    sent = (message.sender, message.copy)
+    if learner is not None and (learner.sender, learner.copy) == sent:
       del self._learner_by_slot[message.slot]
     replica = self.replica_by_slot.get(message.slot)
     if (
--- a/src/woadrun/process/ownership.py
+++ b/src/woadrun/process/ownership.py
@@ -355,14 +355,17 @@
 
   # --- Copying ---------------------------------------------------------------
 
-  async def copy(self, holding: slots.Holding, standby: str) -> None:
-    """Sends an owned slot's state to a standby to be."""
+  async def copy(
+    self, holding: slots.Holding, standby: str, *, copy: str = ''
+  ) -> None:
+    """Sends an owned slot's state to a standby to be, as the named copy."""
     message = messages.Sync(
       sender=self._address,
       slot=holding.number,
       version=holding.version,
       state=holding.state,
       tail=self._store.get_unwritten(holding.number),
+      copy=copy,
     )
     await self._send_copy(message, standby)
 
--- a/src/woadrun/process/slots.py
+++ b/src/woadrun/process/slots.py
@@ -161,12 +161,16 @@
 
 @dataclasses.dataclass(eq=False, kw_only=True)
 class Learner:
-  """A copy sent ahead of a change of the pair, of the sender's version."""
+  """A copy sent ahead of a change of the pair, of the sender's version.
+
+  `copy` tells it from others of the same version.
+  """
 
   sender: str
   version: roster.Version
   state: program.SlotState
   tail: list[messages.Append]
+  copy: str = ''
 
 
 async def wait_settled(holding: Holding, timeout: float) -> None:
--- a/src/woadrun/process/transitions.py
+++ b/src/woadrun/process/transitions.py
@@ -13,6 +13,7 @@
 import contextlib
 import functools
 import logging
+import secrets
 
 import mode
 
@@ -64,31 +65,37 @@
     """Returns whether the slots have a new standby that has their state."""
     held = [h for n in numbers if (h := self._held.holding_by_slot.get(n))]
     pairs = {h.number: (h.epoch, self._address, standby) for h in held}
+    copy = secrets.token_hex(4)
     for holding in held:
       holding.opened.clear()
     try:
       copied = held if standby else []
-      await asyncio.gather(*(self._held.copy(h, standby) for h in copied))
+      await asyncio.gather(
+        *(self._held.copy(h, standby, copy=copy) for h in copied)
+      )
       for holding in held:
         holding.synced = (standby, holding.state.sequence)
       return await self._members.change(
         lambda current: roster.with_pairs(current, pairs)
       )
     except errors.WoadrunError:
-      await self._forget(held, standby)
+      await self._forget(held, standby, copy)
       raise
     finally:
       for holding in held:
         holding.synced = ('', 0)
         holding.opened.set()
 
-  async def _forget(self, held: list[slots.Holding], standby: str) -> None:
+  async def _forget(
+    self, held: list[slots.Holding], standby: str, copy: str
+  ) -> None:
     for holding in held if standby else ():
       message = messages.Sync(
         sender=self._address,
         slot=holding.number,
         version=holding.version,
         state=program.SlotState(),
+        copy=copy,
       )
       with contextlib.suppress(errors.WoadrunError):
         await self._links.post(
--- a/tests/test_slot_copies.py
+++ b/tests/test_slot_copies.py
@@ -37,12 +37,13 @@
   )
 
 
-def make_sync(epoch, *, sequence=0):
+def make_sync(epoch, *, sequence=0, copy=''):
   return messages.Sync(
     sender=OWNER,
     slot=0,
     version=roster.Version(epoch),
     state=program.SlotState(sequence=sequence),
+    copy=copy,
   )
 
 
@@ -77,6 +78,19 @@
   assert refusal.value.code is errors.Code.STALE_EPOCH
 
 
+def test_a_late_word_to_drop_a_copy_leaves_the_next_one():
+  """A standby was named without a copy, which its owner took for sent."""
+  found, held = make_copies(STANDBY, make_roster(1, make_entry(1, standby='')))
+  first, second = (make_sync(1, copy=name) for name in ('first', 'second'))
+  held.learn(first)
+  held.learn(second)
+  held.forget(first)
+  new = make_roster(2, make_entry(2, 1))
+  found.adopt(new)
+  held.follow(0, new.slots[0])
+  assert 0 in held.replica_by_slot
+
+
 # --- A pair that changed without its owner's doing ----------------------------
 
 
