--- a/bench/faults/__main__.py
+++ b/bench/faults/__main__.py
@@ -11,6 +11,8 @@
 
 # How many daemons a schedule has, and in how many failure domains.
 DAEMONS, DOMAINS = 6, 3
+# Between two lines that tell how far a run is.
+TELL_SECONDS = 10.0
 
 
 def main() -> int:
@@ -23,7 +25,12 @@
     logging.basicConfig(format='%(name)s %(message)s')
   began = time.perf_counter()
   failed = 0
-  for seed in range(options.seed, options.seed + options.schedules):
+  told_at = began
+  for number in range(options.schedules):
+    if time.perf_counter() - told_at > TELL_SECONDS:
+      told_at = time.perf_counter()
+      _tell(f'{number} of {options.schedules} schedules: {failed} failed')
+    seed = options.seed + number
     drawn = schedule.draw(
       seed,
       daemons=options.daemons,
@@ -59,6 +66,10 @@
   return parser.parse_args()
 
 
+def _tell(line: str) -> None:
+  print(line, file=sys.stderr, flush=True)
+
+
 def _run(drawn: schedule.Schedule, *, is_short: bool) -> bool:
   found = schedule.play(drawn)
   if not found.broken:
