--- a/bench/faults/network.py
+++ b/bench/faults/network.py
@@ -19,6 +19,8 @@
 WAY_SECONDS = (0.0005, 0.002)
 # Until a message to a process that is gone, or over a cut that resets, fails.
 RESET_SECONDS = 0.002
+# Longer than anybody waits for a message, in seconds.
+HANG_SECONDS = 3_600.0
 
 
 @dataclasses.dataclass(kw_only=True, eq=False)
@@ -55,7 +57,8 @@
   """The ways between daemons, as faults leave them.
 
   `loss` is the share of datagrams that are lost, `delay` what each way takes
-  on top, in seconds.
+  on top, in seconds.  Messages of the daemons in `unsent_by`, and the answers
+  to messages of those in `unanswered_by`, never arrive; datagrams do.
   """
 
   def __init__(self, *, dice: random.Random) -> None:
@@ -64,6 +67,8 @@
     self.cuts: list[Cut] = []
     self.loss = 0.0
     self.delay = 0.0
+    self.unsent_by: set[str] = set()
+    self.unanswered_by: set[str] = set()
 
   def join(self, site: Site) -> None:
     """Carries what a daemon sends and brings it what others send."""
@@ -117,9 +122,11 @@
     timeout: float,
   ) -> T:
     links = source.daemon.links
+    name = source.daemon.config.name
     try:
       async with asyncio.timeout(timeout):
         body = links.encode(message)
+        await _hang_if(name in self.unsent_by)
         target = await self._pass(source, self.site_by_address.get(address))
         handler = target.daemon._handler_by_path[path]
         work = target.run(handler(body))
@@ -129,6 +136,7 @@
           if work.cancelled():
             raise _lose(address) from None
           raise
+        await _hang_if(name in self.unanswered_by)
         await self._pass(target, source)
     except TimeoutError:
       raise _lose(address) from None
@@ -145,8 +153,7 @@
     if cut is not None and cut.is_reset:
       await asyncio.sleep(RESET_SECONDS)
       raise _lose(target.daemon.config.name)
-    if cut is not None:
-      await asyncio.sleep(3_600.0)
+    await _hang_if(cut is not None)
     await asyncio.sleep(self._draw_way())
     return target
 
@@ -167,6 +174,12 @@
     """Does nothing: the process's end is the network's."""
 
 
+async def _hang_if(is_lost: bool) -> None:
+  """Returns at once, or after the time of any message."""
+  if is_lost:
+    await asyncio.sleep(HANG_SECONDS)
+
+
 def _lose(address: str) -> peers.NoAnswer:
   return peers.NoAnswer(
     errors.Code.OWNER_UNAVAILABLE,
--- a/bench/faults/schedule.py
+++ b/bench/faults/schedule.py
@@ -251,6 +251,16 @@
   served.network.delay = 0.0
 
 
+async def _silence_messages(served: fleet.Fleet, fault: Fault) -> None:
+  """Loses the messages of a daemon, or their answers, but no datagrams."""
+  name = _find_daemon(served, fault)
+  ways = served.network
+  lost = ways.unanswered_by if fault.how % 2 else ways.unsent_by
+  lost.add(name)
+  await asyncio.sleep(fault.seconds)
+  lost.discard(name)
+
+
 async def _kill(served: fleet.Fleet, fault: Fault) -> None:
   """Kills a daemon, which is started anew under its name."""
   name = _find_daemon(served, fault)
@@ -303,6 +313,7 @@
   'lose-answers': _lose_answers,
   'lose-datagrams': _lose_datagrams,
   'replace': _replace,
+  'silence': _silence_messages,
   'store-out': _lose_store,
   'store-slow': _slow_store,
   'store-some': _turn_away,
