Tests that are told to end also end their daemons

Daemons have process groups of their own, so that a signal to the group of the tests does not reach them: seven stayed after a run was terminated.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,3 +1,5 @@
+import signal
+
 import hypothesis
 
 # A slow machine must not turn a test red.
@@ -9,3 +11,7 @@
   suppress_health_check=[hypothesis.HealthCheck.too_slow],
 )
 hypothesis.settings.load_profile('ci')
+
+# A run that is told to end ends its daemons, which have process groups of their
+# own.
+signal.signal(signal.SIGTERM, signal.default_int_handler)
