--- a/src/woadrun/request/recovery.py
+++ b/src/woadrun/request/recovery.py
@@ -110,7 +110,7 @@
     """Commits the outcome of a call that its giver finished."""
     recorded = await self._runner.note_finished(message)
     key = (message.record.program, message.record.request)
-    if self._find_running(key) is None:
+    if self._find_attempt(key) is None:
       # Else its giver recorded an earlier attempt, and executes this one.
       self._elsewhere.pop(key, None)
     return recorded
@@ -156,7 +156,7 @@
     while key in self._elsewhere:
       await asyncio.sleep(self._config.timing.heartbeat / 10)
 
-  def _find_running(self, key: Key) -> program.Accepted | None:
+  def _find_attempt(self, key: Key) -> program.Accepted | None:
     """Returns the attempt of a call that has no outcome here, if any."""
     _, number = calls.split_program_id(key[0])
     holding = self._held.holding_by_slot.get(number)
@@ -168,7 +168,7 @@
 
   def _is_left(self, key: Key, accepted: program.Accepted) -> bool:
     """Returns whether an attempt has no outcome and no newer one after it."""
-    found = self._find_running(key)
+    found = self._find_attempt(key)
     return found is not None and found.attempt == accepted.attempt
 
   def _begin_again(self, key: Key, accepted: program.Accepted) -> None:
