Orphans are adopted beside a slot whose owner others hear

Callers would see: programs of a dead owner that nobody serves for as long as another owner is out of one member's hearing.

Cause: a member adopts its orphans together, and left all of them where others hear the holder of one.

Why it works: each slot is left for its own holders only. The test failed before: nothing was adopted.

--- a/src/woadrun/process/transitions.py
+++ b/src/woadrun/process/transitions.py
@@ -257,22 +257,32 @@
       if roster.rank(f'adopt/{number}', live)[:1] == [self._address]
     ]
     uncopied = list(self._find_uncopied(silent))
-    if uncopied:
-      log.warning('Slots %s have a silent owner and no copy.', uncopied)
     mine = {
       number: (known.slots[number].epoch, self._address, '')
       for number in (*orphans, *uncopied)
     }
-    for holder in self._get_holders(mine) - {'', self._address}:
-      if await self._members.is_heard_by_others(holder):
-        return
+    heard = await self._find_heard(self._get_holders(mine) - {self._address})
+    for number in list(mine):
+      entry = known.slots[number]
+      if {entry.owner, entry.standby} & heard:
+        del mine[number]
     for number in await self._find_copied(mine):
       del mine[number]
+    for number in mine.keys() & set(uncopied):
+      log.warning('Slot %d has a silent owner and no copy.', number)
     if mine:
       await self._members.change(
         lambda current: roster.with_pairs(current, mine)
       )
 
+  async def _find_heard(self, members: set[str]) -> set[str]:
+    """Returns those members of which somebody hears after all."""
+    asked = sorted(members - {''})
+    answers = await asyncio.gather(
+      *(self._members.is_heard_by_others(member) for member in asked)
+    )
+    return {m for m, is_heard in zip(asked, answers, strict=True) if is_heard}
+
   def _find_uncopied(self, silent: set[str]) -> Iterator[int]:
     """Yields the slots that this daemon stands by for without a copy.
 
@@ -317,11 +327,7 @@
     # replaces a standby, which may have taken over, it has to ask.
     silent = self._members.get_silent()
     standbys = {h.standby for h in self._held.holding_by_slot.values()}
-    asked = sorted(standbys & silent & unfit)
-    answers = await asyncio.gather(
-      *(self._members.is_heard_by_others(m) for m in asked)
-    )
-    return {m for m, is_heard in zip(asked, answers, strict=True) if is_heard}
+    return await self._find_heard(standbys & silent & unfit)
 
   def _get_holders(self, numbers: Iterable[int]) -> set[str]:
     entries = [self._members.roster.slots[n] for n in numbers]
--- a/tests/test_slot_copies.py
+++ b/tests/test_slot_copies.py
@@ -132,18 +132,23 @@
   assert copy.version == roster.Version(2)
 
 
-async def test_a_slot_is_taken_over_whose_standby_has_no_copy(monkeypatch):
-  """Nobody took it over: it counted as held, since its standby was alive."""
+def make_transitions(monkeypatch, known, *, alive=()):
+  """Returns a standby's transitions, and the rosters that it wrote.
+
+  It hears only the third member; `alive` are those that others hear.
+  """
   found, clock = members.make_membership(monkeypatch, STANDBY)
-  entry = make_entry(1)
-  found.adopt(make_roster(1, entry, make_entry(1, standby=THIRD)))
+  found.adopt(known)
   clock.now += 5.0
   found.note_heartbeat(members.make_beat(THIRD))
-  assert found.get_silent() == {OWNER}
 
   def answer(path, message):
     if path == 'copies':
       return messages.Copies(slots=[])
+    if path == 'alive':
+      return messages.Alive(
+        is_heard=message.address in alive, roster_version=known.version
+      )
     raise errors.WoadrunError(errors.Code.OWNER_UNAVAILABLE, 'dead')
 
   links = found._links = members.Links(answer)
@@ -163,6 +168,35 @@
     changed.append(step(found.roster))
 
   monkeypatch.setattr(found, 'change', change)
+  return moves, changed
+
+
+async def test_a_slot_is_taken_over_whose_standby_has_no_copy(monkeypatch):
+  """Nobody took it over: it counted as held, since its standby was alive."""
+  known = make_roster(1, make_entry(1), make_entry(1, standby=THIRD))
+  moves, changed = make_transitions(monkeypatch, known)
   await moves._adopt_orphans({OWNER})
   [new] = changed
   assert roster.get_owned(new, STANDBY) == [0]
+
+
+async def test_a_slot_is_left_whose_owner_others_hear(monkeypatch):
+  known = make_roster(1, make_entry(1))
+  moves, changed = make_transitions(monkeypatch, known, alive=[OWNER])
+  await moves._adopt_orphans({OWNER})
+  assert changed == []
+
+
+async def test_orphans_are_adopted_beside_a_slot_whose_owner_others_hear(
+  monkeypatch,
+):
+  """One owner that only this member did not hear kept all others waiting."""
+  dead = '127.0.0.1:8003'
+  orphans = [make_entry(1, owner=dead, standby='') for _ in range(8)]
+  known = make_roster(1, make_entry(1), *orphans)
+  known.incarnations[dead] = 'i'
+  moves, changed = make_transitions(monkeypatch, known, alive=[OWNER])
+  await moves._adopt_orphans({OWNER, dead})
+  [new] = changed
+  owned = roster.get_owned(new, STANDBY)
+  assert owned and 0 not in owned
