A process that stood still says so

The logs of one failure (an action that a frozen and replaced owner answered) do not tell which process stood still, and for how long: neither that a daemon was frozen nor that it was awake shows in them. A daemon whose heartbeats come late by half of the time after which it counts as silent now logs it.

--- a/src/woadrun/process/membership.py
+++ b/src/woadrun/process/membership.py
@@ -382,7 +382,15 @@
         task = self._beating.get(address)
         if task is None or task.done():
           self._beating[address] = asyncio.ensure_future(self._beat(address))
-      await self.sleep(self._config.timing.heartbeat * random.uniform(0.9, 1.1))
+      pause = self._config.timing.heartbeat * random.uniform(0.9, 1.1)
+      due = time.monotonic() + pause
+      await self.sleep(pause)
+      self._note_late(time.monotonic() - due)
+
+  def _note_late(self, seconds: float) -> None:
+    """Logs that this process was frozen or had no processor for long."""
+    if seconds > self._config.timing.silent_after / 2:
+      log.warning('This process stood still for %.1f s.', seconds)
 
   def _choose_foreign(self) -> list[str]:
     # Now and then a daemon of another region, else one of this region.
