Tests: the pair protocol's broken forms break by scripts, not by chance

Seen: test_forms_without_the_mechanism_break[UnfencedMachine] failed in a run of seven test files and passes in a run of its own file or of all, each time the same way: hypothesis takes constants from the modules that are imported, so that a search that must find a fault depends on which tests run beside it.

The random search over the whole protocol stays. Each broken form now breaks by a script, which the whole protocol passes with the action run once: as strict, and the same verdict in any run.

--- a/tests/test_claim_machine.py
+++ b/tests/test_claim_machine.py
@@ -274,36 +274,24 @@
       self.claimed.discard(name)
 
 
-class Picks:
-  """Draws what a script names, in order."""
-
-  def __init__(self, *names):
-    self.names = list(names)
-
-  def draw(self, strategy):
-    name = self.names.pop(0)
-    assert name in strategy.elements
-    return name
-
-
 def claim_and_call(machine):
   """The owner falls silent; its standby claims the slot and serves."""
   machine.the_table_goes_out()
   machine.a_daemon_falls_silent(name='a')
-  machine.a_standby_claims(Picks('b'))
-  machine.a_caller_calls(Picks('b'))
+  machine.a_standby_claims(pairs.Picks('b'))
+  machine.a_caller_calls(pairs.Picks('b'))
 
 
 def come_back_too_late(machine):
   """A standby wakes that has missed what its owner did alone."""
   machine.the_table_goes_out()
   machine.a_daemon_falls_silent(name='b')
-  machine.an_owner_goes_on_alone(Picks('a'))
-  machine.a_caller_calls(Picks('a'))
+  machine.an_owner_goes_on_alone(pairs.Picks('a'))
+  machine.a_caller_calls(pairs.Picks('a'))
   machine.the_silent_daemon_wakes()
   machine.heartbeats_arrive()
   machine.a_daemon_falls_silent(name='a')
-  machine.a_standby_claims(Picks('b'))
+  machine.a_standby_claims(pairs.Picks('b'))
 
 
 CASES = hypothesis.settings(max_examples=150, stateful_step_count=30)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -139,13 +139,13 @@
   assert members[12] in found.get_silent()
 
 
-async def test_a_process_that_stood_still_says_so(monkeypatch, caplog):
+async def test_a_late_event_loop_is_logged(monkeypatch, caplog):
   """Without it no log tells whether a silent daemon was frozen or cut off."""
   found, _ = make_membership(monkeypatch, '127.0.0.1:8000')
   found._note_late(0.1)
   assert not caplog.records
   found._note_late(5.3)
-  assert 'stood still for 5.3 s' in caplog.text
+  assert 'late by 5.3 s' in caplog.text
 
 
 async def test_a_rumour_of_silence_is_not_passed_on(monkeypatch):
--- a/tests/test_pair_machine.py
+++ b/tests/test_pair_machine.py
@@ -285,21 +285,64 @@
   fences = False
 
 
+class Picks:
+  """Draws what a script names, in order."""
+
+  def __init__(self, *picks):
+    self.picks = list(picks)
+
+  def draw(self, strategy):
+    pick = self.picks.pop(0)
+    elements = getattr(strategy, 'elements', None)
+    assert elements is None or pick in elements
+    return pick
+
+
+def deliver(machine, sender):
+  """Brings the last record of an owner to its standby, and the word back."""
+  index = max(n for n, m in enumerate(machine.flying) if m.sender == sender)
+  machine.a_record_arrives(Picks(index), is_doubled=False)
+  machine.a_word_arrives(Picks(len(machine.acks) - 1))
+  while machine.ready:
+    machine.an_action_is_sent(Picks(0))
+
+
+def send_at_once(machine):
+  """A standby takes over before it has an action's record."""
+  machine.a_caller_acts(Picks('a'))
+  while machine.ready:
+    machine.an_action_is_sent(Picks(0))
+  machine.a_record_is_lost(Picks(0))
+  machine.a_standby_takes_over(Picks('b'))
+  machine.a_caller_tries_again(Picks('b', 1))
+  deliver(machine, 'b')
+
+
+def acknowledge_late(machine):
+  """A record comes to a standby that has taken over."""
+  machine.a_caller_acts(Picks('a'))
+  machine.a_standby_takes_over(Picks('b'))
+  deliver(machine, 'a')
+  machine.a_caller_tries_again(Picks('b', 1))
+  deliver(machine, 'b')
+
+
 CASES = hypothesis.settings(max_examples=200, stateful_step_count=30)
-# It is enough that a fault is found; no shorter way to it is looked for.
-FINDING = hypothesis.settings(
-  max_examples=2000,
-  stateful_step_count=30,
-  phases=[hypothesis.Phase.generate],
-  report_multiple_bugs=False,
-)
 
 
 def test_the_pair_protocol_holds():
   stateful.run_state_machine_as_test(PairMachine, settings=CASES)
 
 
-@pytest.mark.parametrize('machine', [NaiveMachine, UnfencedMachine])
-def test_forms_without_the_mechanism_break(machine):
+@pytest.mark.parametrize(
+  ('script', 'naive'),
+  [(send_at_once, NaiveMachine), (acknowledge_late, UnfencedMachine)],
+)
+def test_forms_without_the_mechanism_break(script, naive):
+  whole, broken = PairMachine(), naive()
+  script(whole)
+  assert whole.runs == {'x1': 1}
+  whole.what_was_told_is_known_to_the_owner()
+  script(broken)
   with pytest.raises(AssertionError):
-    stateful.run_state_machine_as_test(machine, settings=FINDING)
+    broken.each_action_ran_at_most_once()
--- a/tests/test_slot_copies.py
+++ b/tests/test_slot_copies.py
@@ -37,13 +37,13 @@
   )
 
 
-def make_sync(epoch, *, sequence=0, copy=''):
+def make_sync(epoch, *, sequence=0, copy_id=''):
   return messages.Sync(
     sender=OWNER,
     slot=0,
     version=roster.Version(epoch),
     state=program.SlotState(sequence=sequence),
-    copy=copy,
+    copy_id=copy_id,
   )
 
 
@@ -81,7 +81,7 @@
 def test_a_late_word_to_drop_a_copy_leaves_the_next_one():
   """A standby was named without a copy, which its owner took for sent."""
   found, held = make_copies(STANDBY, make_roster(1, make_entry(1, standby='')))
-  first, second = (make_sync(1, copy=name) for name in ('first', 'second'))
+  first, second = (make_sync(1, copy_id=name) for name in ('first', 'second'))
   held.learn(first)
   held.learn(second)
   held.forget(first)
