--- a/src/woadrun/connection/messages.py
+++ b/src/woadrun/connection/messages.py
@@ -132,8 +132,9 @@
   """The whole state of a slot, for a standby to be; answered by `Done`.
 
   `version` is that at which the sender holds the slot, `tail` the batches
-  within the state that the platform may not have yet.  `copy` tells one copy
-  from others of the same version; to forget one, only it counts.
+  within the state that the platform may not have yet.  `copy_id` names one of
+  several copies of the same version, so that a late request to drop it leaves
+  those sent after it.
   """
 
   sender: str
@@ -141,7 +142,7 @@
   version: roster.Version
   state: program.SlotState
   tail: list[Append] = []
-  copy: str = ''
+  copy_id: str = ''
 
 
 class Copies(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/woadrun/process/copies.py
+++ b/src/woadrun/process/copies.py
@@ -59,7 +59,7 @@
     replica = self.replica_by_slot.get(append.slot)
     if replica is None:
       log.info(
-        'Slot %d: batch %d of epoch %d came, but no copy is here.',
+        'Slot %d: no copy for batch %d of epoch %d, asking for one.',
         append.slot,
         append.sequence,
         append.epoch,
@@ -70,8 +70,8 @@
   def learn(self, message: messages.Sync) -> messages.Done:
     """Takes the copy of a slot that this daemon is to stand by for.
 
-    Whoever gets this answer counts the copy as held: one that will not be
-    used must be refused.
+    The sender counts an acknowledged copy as held, so a copy that would not
+    be used is refused.
     """
     replica = self.replica_by_slot.get(message.slot)
     if replica is not None and replica.is_fenced:
@@ -96,7 +96,7 @@
         version=message.version,
         state=message.state,
         tail=message.tail,
-        copy=message.copy,
+        copy_id=message.copy_id,
       )
     return messages.Done()
 
@@ -110,9 +110,9 @@
   def forget(self, message: messages.Sync) -> messages.Done:
     """Drops a copy whose change of the pair did not come about."""
     learner = self._learner_by_slot.get(message.slot)
-    # Given up after its time, the message may come behind the next copy.
-    sent = (message.sender, message.copy)
-    if learner is not None and (learner.sender, learner.copy) == sent:
+    # A request to drop a copy may arrive after the next copy.
+    sent = (message.sender, message.copy_id)
+    if learner is not None and (learner.sender, learner.copy_id) == sent:
       del self._learner_by_slot[message.slot]
     replica = self.replica_by_slot.get(message.slot)
     if (
@@ -160,11 +160,11 @@
     learner = self._learner_by_slot.pop(number, None)
     version = roster.Version(entry.epoch)
     if learner is not None and learner.version.epoch == entry.epoch:
-      # Its owner learned of the change of the pair before this daemon did.
+      # The owner learned of the new pair before this daemon did.
       version = learner.version
     elif learner is None or learner.version.epoch != entry.before:
       log.warning(
-        'Slot %d: this daemon stands by from epoch %d on, without a copy.',
+        'Slot %d: named as standby in epoch %d without a copy.',
         number,
         entry.epoch,
       )
--- a/src/woadrun/process/membership.py
+++ b/src/woadrun/process/membership.py
@@ -388,9 +388,12 @@
       self._note_late(time.monotonic() - due)
 
   def _note_late(self, seconds: float) -> None:
-    """Logs that this process was frozen or had no processor for long."""
+    """Logs a long delay of the event loop, in which heartbeats are missed."""
     if seconds > self._config.timing.silent_after / 2:
-      log.warning('This process stood still for %.1f s.', seconds)
+      log.warning(
+        'Event loop was late by %.1f s: frozen, or short of processor time.',
+        seconds,
+      )
 
   def _choose_foreign(self) -> list[str]:
     # Now and then a daemon of another region, else one of this region.
--- a/src/woadrun/process/ownership.py
+++ b/src/woadrun/process/ownership.py
@@ -278,11 +278,11 @@
       self.add_future(self._settle_alone(holding, ticket))
 
   async def _check_standby(self, holding: slots.Holding) -> None:
-    """Sends a batch without records, to which a standby without a copy objects.
+    """Sends an empty batch, which a standby without a copy reports as a gap.
 
-    A pair may change by a write whose answer was lost, after the new standby
-    was told to drop its copy.  A slot that is not written to would stay without
-    one, and nobody could take it over.
+    The write of a pair may succeed although its answer is lost and the standby
+    was told to drop its copy.  A slot without calls would stay without a copy,
+    and nobody could take it over.
     """
     try:
       current = await self.open(holding.number)
@@ -356,16 +356,16 @@
   # --- Copying ---------------------------------------------------------------
 
   async def copy(
-    self, holding: slots.Holding, standby: str, *, copy: str = ''
+    self, holding: slots.Holding, standby: str, *, copy_id: str = ''
   ) -> None:
-    """Sends an owned slot's state to a standby to be, as the named copy."""
+    """Sends an owned slot's state to a standby to be."""
     message = messages.Sync(
       sender=self._address,
       slot=holding.number,
       version=holding.version,
       state=holding.state,
       tail=self._store.get_unwritten(holding.number),
-      copy=copy,
+      copy_id=copy_id,
     )
     await self._send_copy(message, standby)
 
--- a/src/woadrun/process/slots.py
+++ b/src/woadrun/process/slots.py
@@ -163,14 +163,14 @@
 class Learner:
   """A copy sent ahead of a change of the pair, of the sender's version.
 
-  `copy` tells it from others of the same version.
+  `copy_id` tells it from others of the same version.
   """
 
   sender: str
   version: roster.Version
   state: program.SlotState
   tail: list[messages.Append]
-  copy: str = ''
+  copy_id: str = ''
 
 
 async def wait_settled(holding: Holding, timeout: float) -> None:
--- a/src/woadrun/process/transitions.py
+++ b/src/woadrun/process/transitions.py
@@ -65,13 +65,13 @@
     """Returns whether the slots have a new standby that has their state."""
     held = [h for n in numbers if (h := self._held.holding_by_slot.get(n))]
     pairs = {h.number: (h.epoch, self._address, standby) for h in held}
-    copy = secrets.token_hex(4)
+    copy_id = secrets.token_hex(4)
     for holding in held:
       holding.opened.clear()
     try:
       copied = held if standby else []
       await asyncio.gather(
-        *(self._held.copy(h, standby, copy=copy) for h in copied)
+        *(self._held.copy(h, standby, copy_id=copy_id) for h in copied)
       )
       for holding in held:
         holding.synced = (standby, holding.state.sequence)
@@ -79,7 +79,7 @@
         lambda current: roster.with_pairs(current, pairs)
       )
     except errors.WoadrunError:
-      await self._forget(held, standby, copy)
+      await self._forget(held, standby, copy_id)
       raise
     finally:
       for holding in held:
@@ -87,7 +87,7 @@
         holding.opened.set()
 
   async def _forget(
-    self, held: list[slots.Holding], standby: str, copy: str
+    self, held: list[slots.Holding], standby: str, copy_id: str
   ) -> None:
     for holding in held if standby else ():
       message = messages.Sync(
@@ -95,7 +95,7 @@
         slot=holding.number,
         version=holding.version,
         state=program.SlotState(),
-        copy=copy,
+        copy_id=copy_id,
       )
       with contextlib.suppress(errors.WoadrunError):
         await self._links.post(
@@ -269,14 +269,14 @@
     for number in await self._find_copied(mine):
       del mine[number]
     for number in mine.keys() & set(uncopied):
-      log.warning('Slot %d has a silent owner and no copy.', number)
+      log.warning('Slot %d: silent owner and no copy, loading it.', number)
     if mine:
       await self._members.change(
         lambda current: roster.with_pairs(current, mine)
       )
 
   async def _find_heard(self, members: set[str]) -> set[str]:
-    """Returns those members of which somebody hears after all."""
+    """Returns the members that a fresh round trip shows to be alive."""
     asked = sorted(members - {''})
     answers = await asyncio.gather(
       *(self._members.is_heard_by_others(member) for member in asked)
@@ -284,9 +284,9 @@
     return {m for m, is_heard in zip(asked, answers, strict=True) if is_heard}
 
   def _find_uncopied(self, silent: set[str]) -> Iterator[int]:
-    """Yields the slots that this daemon stands by for without a copy.
+    """Yields slots of silent owners for which this standby has no copy.
 
-    Their owner is silent.  They count as held while this daemon lives.
+    `find_orphans` leaves them out, since their standby is alive.
     """
     for number, entry in enumerate(self._members.roster.slots):
       is_mine = entry.standby == self._address and entry.owner in silent
--- a/src/woadrun/request/recovery.py
+++ b/src/woadrun/request/recovery.py
@@ -111,7 +111,8 @@
     recorded = await self._runner.note_finished(message)
     key = (message.record.program, message.record.request)
     if self._find_attempt(key) is None:
-      # Else its giver recorded an earlier attempt, and executes this one.
+      # Otherwise the record was an earlier attempt's, and the giver still
+      # executes this one.
       self._elsewhere.pop(key, None)
     return recorded
 
@@ -157,7 +158,7 @@
       await asyncio.sleep(self._config.timing.heartbeat / 10)
 
   def _find_attempt(self, key: Key) -> program.Accepted | None:
-    """Returns the attempt of a call that has no outcome here, if any."""
+    """Returns the running attempt of a call, or None."""
     _, number = calls.split_program_id(key[0])
     holding = self._held.holding_by_slot.get(number)
     found = holding.state.program_by_id.get(key[0]) if holding else None
@@ -166,13 +167,13 @@
       return None
     return request.accepted
 
-  def _is_left(self, key: Key, accepted: program.Accepted) -> bool:
-    """Returns whether an attempt has no outcome and no newer one after it."""
+  def _is_current(self, key: Key, accepted: program.Accepted) -> bool:
+    """Returns whether an attempt is still the running one of its request."""
     found = self._find_attempt(key)
     return found is not None and found.attempt == accepted.attempt
 
   def _begin_again(self, key: Key, accepted: program.Accepted) -> None:
-    if not self._is_left(key, accepted) or self._runner.is_under_way(key):
+    if not self._is_current(key, accepted) or self._runner.is_under_way(key):
       return
     call = calls.Call(
       program=accepted.program,
@@ -195,7 +196,7 @@
     key = (accepted.program, accepted.request)
     await self._runner.turns.enter(accepted.program)
     try:
-      if not self._is_left(key, accepted):
+      if not self._is_current(key, accepted):
         raise runner.make_superseded(accepted.request)
       await self._resume(running, accepted)
     except errors.WoadrunError as error:
--- a/src/woadrun/request/runner.py
+++ b/src/woadrun/request/runner.py
@@ -35,7 +35,7 @@
 log = logging.getLogger('woadrun.runner')
 
 POLL_SECONDS = 0.01
-# When a caller may ask for an outcome that another daemon recorded.
+# Retry-After of a request whose outcome another daemon recorded, in seconds.
 SUPERSEDED_SECONDS = 0.1
 
 Key = tuple[str, str]
@@ -65,8 +65,7 @@
     self._back = back
     self.turns = execution.Turns()
     self.execution_by_key: dict[Key, execution.Execution] = {}
-    # Outcomes on their way into the records: one attempt's may be recorded
-    # while the next attempt runs, or ends as well.
+    # Counts outcomes being recorded: two attempts of a request may overlap.
     self._finishing: collections.Counter[Key] = collections.Counter()
     self._keeping: set[asyncio.Task[bool]] = set()
     self._retry_budget_by_row: dict[str, admission.RetryBudget] = {}
@@ -152,8 +151,8 @@
       found = holding.state.get_program(call.program)
       self._check_call(found)
       if call.request in found.request_by_id:
-        # While it waited here, the slot was away and another owner took the
-        # caller's next try.
+        # The slot may have moved away and back while the call waited, and
+        # another owner served the caller's retry.
         raise make_superseded(call.request)
       if call.ordinal and call.ordinal != found.calls + 1:
         raise make_out_of_order(found.calls)
@@ -272,7 +271,7 @@
       await self.finish(failed)
       raise
     if not await self.finish(finished):
-      # Callers are told what the program has, not what ran in vain.
+      # Another owner recorded an outcome first; callers must get that one.
       raise make_superseded(accepted.request)
     self.pass_on(running, finished)
 
@@ -302,9 +301,9 @@
     running.finish_whole(finished.answer.encode(), status=finished.status)
 
   async def finish(self, finished: program.Finished) -> bool:
-    """Returns whether a call has an outcome, once that is committed.
+    """Returns whether an outcome took effect, once it is committed.
 
-    The call's owner may have brought it to another one meanwhile.
+    It does not where another owner recorded one for the call before.
     """
     key = (finished.program, finished.request)
     self._finishing[key] += 1
@@ -457,9 +456,9 @@
 
 
 def make_superseded(request: str) -> errors.WoadrunError:
-  """Returns the error of an attempt whose request has another outcome.
+  """Returns the error of an attempt that lost to another of its request.
 
-  The next try under the same id gets that one.
+  A retry under the same id gets the recorded answer.
   """
   return errors.WoadrunError(
     errors.Code.OWNER_UNAVAILABLE,
--- a/src/woadrun/version/ledger.py
+++ b/src/woadrun/version/ledger.py
@@ -102,10 +102,10 @@
       self.reserved.setdefault(request, tokens)
 
   def withdraw(self, request: str) -> None:
-    """Takes back what was set aside for a turn that gets no leave here.
+    """Removes the reservation of a turn that is refused here.
 
-    Nothing is recorded of it: another owner may give it leave, and a turn that
-    ended with 0 here would end that reservation as well.
+    Unlike `settle` it records nothing: another owner may have reserved tokens
+    for the same turn, and must keep them.
     """
     self.reserved.pop(request, None)
 
--- a/src/woadrun/version/program.py
+++ b/src/woadrun/version/program.py
@@ -150,9 +150,10 @@
     return self.started.budget - self.spent - self.reserved - self.carved
 
   def has_outcome(self, record: Finished) -> bool:
-    """Returns whether an attempt has the outcome that a record tells.
+    """Returns whether a recorded outcome took effect.
 
-    `not run` leaves nothing of its attempt; answers are kept for a while.
+    `not run` removes its attempt; of other outcomes the answer is dropped
+    after a while.
     """
     request = self.request_by_id.get(record.request)
     names = ('', request.accepted.attempt) if request else ()
@@ -215,8 +216,8 @@
   program = state.program_by_id.get(record.program)
   request = program.request_by_id.get(record.request) if program else None
   if program is None or request is None or not request.is_ended_by(record):
-    # An outcome may be recorded late, or twice, when the next attempt of the
-    # request is already under way.
+    # Outcomes are recorded until committed, so one may come again after the
+    # next attempt has begun.
     return
   program.last_active = record.time
   program.spent += record.used
