Tests: outcomes recorded again in any order, beside retries

No machine had a caller that tries again, which is why the missing call was not found. Without the comparison of attempts the machine fails.

--- a/tests/test_call_attempts.py
+++ b/tests/test_call_attempts.py
@@ -11,6 +11,9 @@
 import asyncio
 import contextlib
 
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
 import pytest
 import test_membership as members
 
@@ -344,3 +347,89 @@
   holding.settle(state.sequence, slots.Held.STANDBY)
   await taking
   assert error.ran is errors.Ran.UNKNOWN
+
+
+# --- Records in any order ----------------------------------------------------
+
+
+class AttemptMachine(stateful.RuleBasedStateMachine):
+  """An owner accepts, records outcomes late and again, and callers retry."""
+
+  names_attempts = True
+
+  def __init__(self):
+    super().__init__()
+    self.state = make_state()
+    self.count = 0
+    self.outcomes = []
+    self.told = []
+
+  def apply(self, record):
+    self.state.apply([record], answers=9)
+
+  @stateful.precondition(lambda self: 'r' not in self.get_requests())
+  @stateful.rule()
+  def a_caller_tries(self):
+    self.count += 1
+    self.apply(make_accepted(f'a{self.count}', ordinal=1))
+
+  def get_requests(self):
+    return self.state.get_program(PROGRAM).request_by_id
+
+  @stateful.precondition(
+    lambda self: any(r.is_running for r in self.get_requests().values())
+  )
+  @stateful.rule(is_ok=strategies.booleans())
+  def an_attempt_ends(self, is_ok):
+    attempt = self.get_requests()['r'].accepted.attempt
+    name = attempt if self.names_attempts else ''
+    record = make_ok(name) if is_ok else make_finished(name, program.NOT_RUN)
+    self.outcomes.append(record)
+    self.apply(record)
+    if is_ok:
+      self.told.append(attempt)
+
+  @stateful.precondition(lambda self: self.outcomes)
+  @stateful.rule(data=strategies.data())
+  def an_outcome_is_recorded_again(self, data):
+    index = data.draw(strategies.integers(0, len(self.outcomes) - 1))
+    self.apply(self.outcomes[index])
+
+  @stateful.invariant()
+  def a_running_attempt_ends_only_by_its_own_outcome(self):
+    request = self.get_requests().get('r')
+    is_ended = any(o.attempt == f'a{self.count}' for o in self.outcomes)
+    if self.count and self.names_attempts and not is_ended:
+      assert request is not None and request.is_running
+
+  @stateful.invariant()
+  def what_was_told_is_in_the_history_and_spent(self):
+    found = self.state.get_program(PROGRAM)
+    assert len(found.history) == len(self.told)
+    assert found.spent == USED * len(self.told)
+
+
+class NamelessMachine(AttemptMachine):
+  """Outcomes name the request only, as in records of earlier versions."""
+
+  names_attempts = False
+
+
+def test_outcomes_that_are_recorded_again_change_nothing():
+  stateful.run_state_machine_as_test(
+    AttemptMachine,
+    settings=hypothesis.settings(max_examples=100, stateful_step_count=20),
+  )
+
+
+@pytest.mark.parametrize(
+  ('machine', 'has_lost'), [(AttemptMachine, False), (NamelessMachine, True)]
+)
+def test_an_outcome_must_name_its_attempt(machine, has_lost):
+  played = machine()
+  played.a_caller_tries()
+  played.an_attempt_ends(is_ok=False)
+  played.a_caller_tries()
+  played.apply(played.outcomes[0])
+  is_lost = 'r' not in played.get_requests()
+  assert is_lost == has_lost
