Rates of teams, granted one request at a time by one keeper for each team

A request asks the keeper of its team's rate, found by rendezvous hashing over the domains in sight, which has one bucket. A request whose unit comes within half a second waits for it, any other is refused at once with the time at which it comes. Sides of a cut keep shares by the number of domains that they see; a domain whose keeper is lost goes by its own share until another one is known; a daemon that hears nobody grants nothing. A bucket that is new, regained, or of a process that stood still begins empty. A program begins only where the rate holds what it and those under way send a second, learned from those that ended.

Found on the way by tests that failed first: daemons that had just started each took themselves for the keeper (125 requests of 120 after a loss of all), and a domain's own share saved up a burst for each loss of a keeper (199 of 152).

--- a/bench/faults/fleet.py
+++ b/bench/faults/fleet.py
@@ -12,6 +12,7 @@
 
 from faults import network
 from faults import outside
+from faults import tenancy
 from woadrun.connection import fresh
 from woadrun.connection import rows
 from woadrun.platform import discovery
@@ -75,8 +76,9 @@
     config: dict[str, Any] | None = None,
     revocation: float | None = None,
   ) -> None:
-    self._config = config or CONFIG
-    self._revocation = revocation
+    self.tenancy = tenancy.Tenancy(dice=dice)
+    self._config = config
+    self.revocation = revocation
     self.domains = [f'd{number}' for number in range(domains)]
     self.names = [
       f'{self.domains[number % domains]}-{number // domains}'
@@ -111,10 +113,7 @@
     """Starts all daemons and returns once each knows all others."""
     await self.store.rows.change(
       writes=[
-        (
-          rows.Key('op', '', 'config'),
-          operator.seal(msgspec.json.encode(self._config)),
-        ),
+        self._make_table(),
         *(_make_instance('models', n, self.domains) for n in range(MODELS)),
         *(_make_instance('tools', n, self.domains) for n in range(TOOLS)),
       ]
@@ -127,6 +126,19 @@
       while not self._is_settled():
         await asyncio.sleep(0.1)
 
+  async def change_teams(self) -> None:
+    """Puts the teams as they are now in force."""
+    await self.store.rows.change(writes=[self._make_table()])
+
+  def _make_table(self) -> tuple[rows.Key, bytes]:
+    teams = {
+      'version': self.tenancy.version,
+      'tenants': self.tenancy.list_teams(),
+    }
+    config = self._config or {**CONFIG, **teams}
+    value = operator.seal(msgspec.json.encode(config))
+    return rows.Key('op', '', 'config'), value
+
   def _is_settled(self) -> bool:
     daemons = [site.daemon for site in self.site_by_name.values()]
     return all(
@@ -179,7 +191,7 @@
       store_address='127.0.0.1:1',
       row_bytes=2048,
       grace=3.0,
-      revocation=self._revocation,
+      revocation=self.revocation,
     )
 
   async def kill(self, name: str) -> None:
--- a/bench/faults/outside.py
+++ b/bench/faults/outside.py
@@ -108,7 +108,7 @@
 
 
 class Instances:
-  """All instances: they keep the body of each request that they ran.
+  """All instances: they keep body and team of each request that they ran.
 
   `is_cut_off` tells whether a daemon cannot send to an instance's domain.
   """
@@ -116,6 +116,7 @@
   def __init__(self, *, dice: random.Random) -> None:
     self._dice = dice
     self.bodies_by_request: dict[str, list[bytes]] = {}
+    self.team_by_request: dict[str, str | None] = {}
 
   def make_way(self, site: network.Site | None) -> exchange.Upstreams:
     """Returns one daemon's way to all instances."""
@@ -135,6 +136,7 @@
       return
     id = sending.request.id
     self.bodies_by_request.setdefault(id, []).append(sending.body)
+    self.team_by_request[id] = sending.team
     is_torn = drawn > 1 - TORN
     yield _make_reply(200, self._stream(id, is_torn=is_torn), has_run=True)
 
--- a/bench/faults/schedule.py
+++ b/bench/faults/schedule.py
@@ -15,6 +15,7 @@
 from faults import clock
 from faults import fleet
 from faults import network
+from faults import tenancy
 from woadrun.process import ticks
 
 # Faults begin and end within so long after the callers begin, in seconds.
@@ -120,10 +121,18 @@
 async def _play(schedule: Schedule) -> Result:
   dice = random.Random(schedule.seed)
   served = fleet.Fleet(
-    dice=dice, daemons=schedule.daemons, domains=schedule.domains
+    dice=dice,
+    daemons=schedule.daemons,
+    domains=schedule.domains,
+    # Where the age of tables is bounded, cuts end before budgets are at stake.
+    revocation=tenancy.REVOCATION_SECONDS if schedule.seed % 2 else None,
   )
   await served.start_all()
-  around = callers.Callers(dice=dice, served=served)
+  around = callers.Callers(
+    dice=dice,
+    served=served,
+    calls=any(fault.kind == 'limit' for fault in schedule.faults),
+  )
   calling = asyncio.ensure_future(around.run())
   await asyncio.gather(
     *(_play_fault(served, fault) for fault in schedule.faults)
@@ -302,6 +311,26 @@
     await served.start(name)
 
 
+async def _revoke(served: fleet.Fleet, fault: Fault) -> None:
+  """Replaces a key now and another one at the end, or swaps two teams'."""
+  names = tenancy.NAMES
+  one, other = (names[(fault.place + n) % len(names)] for n in (0, 1))
+  if fault.how == 3:
+    served.tenancy.swap_keys(one, other)
+    await served.change_teams()
+    return
+  for name in (one, other):
+    served.tenancy.replace_key(name, asyncio.get_running_loop().time())
+    await served.change_teams()
+    await asyncio.sleep(fault.seconds)
+
+
+async def _limit(served: fleet.Fleet, fault: Fault) -> None:
+  rate = tenancy.RATES[fault.how % len(tenancy.RATES)]
+  served.tenancy.set_rate(rate, asyncio.get_running_loop().time())
+  await served.change_teams()
+
+
 _PLAY_BY_KIND: dict[str, Callable[[fleet.Fleet, Fault], Awaitable[None]]] = {
   'cut': _cut_domain,
   'cut-one-way': _cut_one_way,
@@ -310,9 +339,11 @@
   'kill': _kill,
   'kill-all': _kill_all,
   'kill-domain': _kill_domain,
+  'limit': _limit,
   'lose-answers': _lose_answers,
   'lose-datagrams': _lose_datagrams,
   'replace': _replace,
+  'revoke': _revoke,
   'silence': _silence_messages,
   'store-out': _lose_store,
   'store-slow': _slow_store,
--- a/src/woadrun/errors.py
+++ b/src/woadrun/errors.py
@@ -40,6 +40,7 @@
   BUDGET_EXCEEDED = 'budget_exceeded'
   LIMIT_REACHED = 'limit_reached'
   OVERLOADED = 'overloaded'
+  RATE_EXCEEDED = 'rate_exceeded'
   DEADLINE_PASSED = 'deadline_passed'
   UPSTREAM_UNAVAILABLE = 'upstream_unavailable'
   UPSTREAM_FAILED = 'upstream_failed'
@@ -76,6 +77,7 @@
   Code.BUDGET_EXCEEDED: 402,
   Code.LIMIT_REACHED: 429,
   Code.OVERLOADED: 429,
+  Code.RATE_EXCEEDED: 429,
   Code.DEADLINE_PASSED: 504,
   Code.UPSTREAM_UNAVAILABLE: 503,
   Code.UPSTREAM_FAILED: 502,
--- a/src/woadrun/process/fleet.py
+++ b/src/woadrun/process/fleet.py
@@ -289,6 +289,14 @@
       view.fit_by_domain[domain] = known
     return known
 
+  def find_staying(self) -> list[str]:
+    """Returns the names of all members that are alive and stay, sorted."""
+    return sorted(
+      member.name
+      for domain in self.domains
+      for member in self._find_fit(domain)
+    )
+
   def is_first_of_all(self, key: str) -> bool:
     """Returns whether this daemon has the first claim in all domains."""
     return bool(self.find_own([key]))
--- a/src/woadrun/process/node.py
+++ b/src/woadrun/process/node.py
@@ -23,6 +23,7 @@
 from woadrun.connection import endpoints
 from woadrun.connection import fresh
 from woadrun.connection import peers
+from woadrun.connection import quota_messages
 from woadrun.connection import rows
 from woadrun.connection import turn_messages
 from woadrun.process import beats
@@ -34,6 +35,7 @@
 from woadrun.process import loads
 from woadrun.process import peer_messages
 from woadrun.process import programs
+from woadrun.process import rate_keeper
 from woadrun.process import registration
 from woadrun.process import store_access
 from woadrun.process import store_clock
@@ -43,6 +45,7 @@
 from woadrun.request import attempts
 from woadrun.request import authorization
 from woadrun.request import exchange
+from woadrun.request import rates
 from woadrun.request import serving
 from woadrun.request import turn_leave
 from woadrun.version import instances
@@ -186,9 +189,16 @@
       members=self.fleet, store=self.store, turns=turns, links=self.calls
     )
     access = authorization.Authorization(known=self.catalogue)
+    self.rate_keeper = rate_keeper.RateKeeper(
+      members=self.fleet,
+      is_told=lambda: self.registration.feed.version is not None,
+    )
     self.serving = serving.Serving(
       known=self.catalogue,
       access=access,
+      limits=rates.Rates(
+        members=self.fleet, local=self.rate_keeper, links=self.calls
+      ),
       send=attempts.Attempts(
         known=self.catalogue,
         load=self.loads,
@@ -224,6 +234,7 @@
       self.catalogue,
       self.feeds,
       self.programs,
+      self.rate_keeper,
       self.sweeper,
     ):
       await self.add_runtime_dependency(part)
@@ -261,7 +272,9 @@
       'instances_known': len(self.catalogue.directory.by_id),
       'instances_avoided': len(self.loads.health.avoided),
       'instance_rows_unreadable': self.catalogue.unreadable,
+      'rates_kept': len(self.rate_keeper),
       'table_version': self.catalogue.version,
+      'table_age_seconds': self.catalogue.age.get(),
       'store_is_direct': self.store.is_direct,
       'peer_messages': self.links.messages + self.calls.messages,
       'rows_swept': self.sweeper.removed,
@@ -342,6 +355,7 @@
       ('store/change', turn_messages.StoreChange, self.relay.change),
       ('store/read', turn_messages.StoreRead, self.relay.read),
       ('store/follow', turn_messages.StoreFollow, self.relay.follow),
+      ('rate/take', quota_messages.TakeUnit, self.rate_keeper.answer),
       ('feed', turn_messages.AskFeed, self.feeds.answer),
     ]
 
--- a/src/woadrun/request/authorization.py
+++ b/src/woadrun/request/authorization.py
@@ -11,6 +11,7 @@
 
 from woadrun import errors
 from woadrun.decisions import retry_after
+from woadrun.decisions import urgency
 from woadrun.process import catalogue
 from woadrun.request import exchange
 from woadrun.version import routes
@@ -42,10 +43,10 @@
 
   @property
   def priority(self) -> int:
-    """The priority of the team, else of the route."""
+    """The priority of the route, behind that of the team."""
     if self.team is None or self.team.priority is None:
       return self.route.priority
-    return self.team.priority
+    return urgency.combine(self.team.priority, self.route.priority)
 
 
 class Authorization:
--- a/src/woadrun/request/serving.py
+++ b/src/woadrun/request/serving.py
@@ -19,6 +19,7 @@
 from woadrun.request import authorization
 from woadrun.request import events
 from woadrun.request import exchange
+from woadrun.request import rates
 from woadrun.request import turn_leave
 from woadrun.version import instances
 from woadrun.version import routes
@@ -40,6 +41,7 @@
     *,
     known: catalogue.Catalogue,
     access: authorization.Authorization,
+    limits: rates.Rates,
     send: attempts.Attempts,
     leave: turn_leave.TurnLeave,
     domain: str,
@@ -48,6 +50,7 @@
     self._counts = counts
     self._known = known
     self._access = access
+    self._limits = limits
     self._send = send
     self._leave = leave
     self._domain = domain
@@ -103,6 +106,7 @@
     granted: authorization.Grant,
     deadline: float,
   ) -> AsyncIterator[exchange.Answer]:
+    await self._limits.take(request, granted, deadline=deadline)
     service = routes.choose_service(granted.route, random.random())
     async with self._send.send(
       request, granted, service=service, deadline=deadline
@@ -129,11 +133,13 @@
       program=teams.scope(granted.team_name, turn.program),
       parent=teams.scope(granted.team_name, turn.parent),
     )
+    taken_at = await self._limits.take(request, granted, deadline=deadline)
     opened = await self._open(id, route, turn, deadline)
     running = _RunningTurn(
       request=request, id=id, turn=turn, route=route, opened=opened
     )
     try:
+      await self._limits.renew(taken_at, request, granted, deadline=deadline)
       service = routes.choose_service(route, random.random())
       async with self._send.send(
         request,
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -8,9 +8,14 @@
 from faults import clock
 from faults import fleet
 from faults import schedule
+from faults import tenancy
 import pytest
 
+from woadrun.process import catalogue
+from woadrun.process import rate_keeper
 from woadrun.process import reservations
+from woadrun.request import rates
+from woadrun.version import teams
 
 
 def make_fault(kind, *, at=1.0, seconds=2.0, place=0, how=0):
@@ -73,13 +78,27 @@
 # --- What callers check -------------------------------------------------------
 
 
-def check(*, status=200, body=b'data: t-0\n', runs=(b'<t>',), parent=''):
+def check(
+  *,
+  status=200,
+  body=b'data: t-0\n',
+  runs=(b'<t>',),
+  parent='',
+  team='red',
+  key='red',
+  late=0.0,
+):
   served = fleet.Fleet(dice=random.Random(1), daemons=1, domains=1)
   around = callers.Callers(dice=random.Random(1), served=served)
   program = callers.Program(
     id='p', budget=9, most=9, path=fleet.CHAT, domain='d0'
   )
   served.instances.bodies_by_request['t'] = list(runs)
+  served.instances.team_by_request['t'] = team
+  served.revocation = tenancy.REVOCATION_SECONDS
+  given = served.tenancy.get_key(key) if key else None
+  if late:
+    given.revoked_at = 0.0
   around._check(
     callers.Turn(
       id='t',
@@ -88,6 +107,9 @@
       parent=parent,
       status=status,
       body=body,
+      key=given,
+      sent_at=late,
+      ended_at=late + 1.0,
     )
   )
   return around.broken
@@ -105,6 +127,11 @@
     ({'status': 404, 'runs': (), 'parent': 'a'}, 'lost'),
     ({'runs': (b'<a><t>',)}, 'history'),
     ({'body': b'data: u-0\n'}, 'mixed'),
+    ({'team': 'blue'}, 'unasked'),
+    ({'key': None}, 'unasked'),
+    ({'status': 401, 'runs': ()}, 'denied'),
+    ({'late': tenancy.REVOCATION_SECONDS + 0.01}, 'revoked'),
+    ({'team': 'blue', 'key': 'blue', 'parent': 'a'}, 'foreign'),
   ],
 )
 def test_each_broken_promise_is_told(turn, word):
@@ -123,3 +150,68 @@
   assert around.broken == []
   around._take(turn, b'data: a\n')
   assert around.broken == ['budget: p was given 21 of 9 and 9']
+
+
+def test_a_key_may_be_used_for_a_while_after_it_was_revoked():
+  assert check(late=tenancy.REVOCATION_SECONDS) == []
+
+
+def test_requests_beyond_a_limit_are_told():
+  known = tenancy.Tenancy(dice=random.Random(1))
+  allowed = int(tenancy.RATE * 6 * 1.1 + tenancy.OVER_REQUESTS)
+  known.ran_at = [100.0 + n / 1_000 for n in range(allowed)]
+  assert known.find_excess() == ''
+  known.ran_at.append(101.0)
+  assert known.find_excess()
+
+
+def test_a_lowered_limit_counts_once_it_must_be_in_force():
+  known = tenancy.Tenancy(dice=random.Random(1))
+  known.set_rate(3.0, 200.0)
+  for at, is_allowed in ((205.0, True), (214.0, False)):
+    known.ran_at = [at + n / 1_000 for n in range(60)]
+    assert (known.find_excess() == '') is is_allowed
+
+
+# --- What it finds with a part switched off -----------------------------------
+
+
+def find_broken(kinds, *, seeds, seed_step=2):
+  for seed in range(1, seeds, seed_step):
+    drawn = schedule.draw(seed, daemons=6, domains=3, kinds=kinds)
+    broken = schedule.play(drawn).broken
+    if broken:
+      return broken[0].partition(':')[0]
+  return ''
+
+
+def test_a_table_of_any_age_is_found(monkeypatch):
+  monkeypatch.setattr(catalogue.Catalogue, 'is_fresh', lambda _: True)
+  played = (
+    schedule.play(
+      make_schedule(
+        make_fault('cut', at=0.6, seconds=5.0, place=seed),
+        make_fault('revoke', at=1.0, seconds=0.5, place=seed),
+        seed=seed,
+      )
+    )
+    for seed in range(1, 20, 2)
+  )
+  broken = (line for result in played for line in result.broken)
+  assert next(broken, '').startswith('revoked:')
+
+
+def test_turns_that_are_found_by_their_id_alone_are_found(monkeypatch):
+  monkeypatch.setattr(teams, 'scope', lambda team, id: id)
+  assert find_broken(('revoke',), seeds=10) in ('foreign', 'budget')
+
+
+def test_rates_that_each_daemon_keeps_by_itself_are_found(monkeypatch):
+  async def answer_here(self, member, ask):
+    return await self._local.answer(ask)
+
+  monkeypatch.setattr(rates.Rates, '_ask_at', answer_here)
+  monkeypatch.setattr(
+    rate_keeper.RateKeeper, '_get_share', lambda self, team: 1.0
+  )
+  assert find_broken(('limit',), seeds=20) == 'rate'
