--- a/src/woadrun/decisions/program_need.py
+++ b/src/woadrun/decisions/program_need.py
@@ -18,7 +18,7 @@
 LEAST_SECONDS = 0.1
 # How much slower programs may become by waiting for their rate: one request
 # after the other, each program waits instead of being refused.
-SLOWDOWN = 1.4
+SLOWDOWN = 2.0
 
 
 @dataclasses.dataclass(kw_only=True)
