Lent places: messages name the state that they tell

The cause, until now by reading only: a holder gave its place back while the answer to its request for another one was on its way, and a report that came behind the next request undid it.

Messages of a holder are numbered; a report is only sent while no answer is awaited, one older than a request is ignored, a request older than a report is refused, and lending never counts less than the holder may have by an answer under way. What a replaced keeper lent meanwhile is not taken over.

--- a/src/woadrun/connection/messages.py
+++ b/src/woadrun/connection/messages.py
@@ -250,13 +250,15 @@
   """Asks the keeper of a row's limits for places and calls.
 
   `in_use` counts the places that the holder has, `is_more` tells whether
-  it needs another one; answered by `Lent`.
+  it needs another one; answered by `Lent`.  `number` rises with each message
+  of the holder about the row: it tells which one has its newer state.
   """
 
   holder: str
   row: str
   in_use: int
   is_more: bool
+  number: int = 0
 
 
 class Lent(msgspec.Struct, frozen=True, kw_only=True):
@@ -267,10 +269,14 @@
 
 
 class Holds(msgspec.Struct, frozen=True, kw_only=True):
-  """Tells the keeper how many places the holder keeps of each row."""
+  """Tells the keeper how many places the holder keeps of each row.
+
+  `number` is as in `Borrow`.  No answer to a lower one is waited for.
+  """
 
   holder: str
   places_by_row: dict[str, int]
+  number: int = 0
 
 
 class Programs(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/woadrun/process/limits.py
+++ b/src/woadrun/process/limits.py
@@ -46,12 +46,21 @@
 MOST_ASKS = 3
 
 
+@dataclasses.dataclass(eq=False, kw_only=True)
+class Heard:
+  """The newest messages of a holder about a row: any, and a report."""
+
+  number: int = 0
+  reported: int = 0
+
+
 @dataclasses.dataclass(eq=False, kw_only=True)
 class Keeping:
   """What is lent of one row's limits, by holder."""
 
   begun_at: float
   places_by_holder: dict[str, int] = dataclasses.field(default_factory=dict)
+  heard_by_holder: dict[str, Heard] = dataclasses.field(default_factory=dict)
   bucket: admission.Bucket | None = None
 
 
@@ -60,7 +69,8 @@
   """What this daemon has of one row's limits.
 
   `most` is the most places in use since the last time that spare ones
-  were given back.
+  were given back.  `number` is that of the last message about them; `asks` are
+  without an answer, and what has become spare meanwhile `is_spare`.
   """
 
   keeper: str = ''
@@ -68,6 +78,9 @@
   calls: int = 0
   most: int = 0
   in_use: set[str] = dataclasses.field(default_factory=set)
+  number: int = 0
+  asks: int = 0
+  is_spare: bool = False
 
   def take(self, permit: str) -> bool:
     """Returns whether there was a place and a call left to take."""
@@ -110,13 +123,30 @@
     for _ in range(MOST_ASKS):
       if borrowed.take(permit):
         return
-      lent = await self._borrow(row, borrowed)
-      borrowed.places = max(borrowed.places, lent.places)
-      borrowed.calls += lent.calls
+      await self._borrow_more(row, borrowed)
     # Each time others took what was lent while the answer was on its way.
     if not borrowed.take(permit):
       raise make_limit_reached(row.key, CONCURRENCY_RETRY_SECONDS)
 
+  async def _borrow_more(self, row: rows.Row, borrowed: Borrowed) -> None:
+    """Takes over what the row's keeper lends."""
+    borrowed.asks += 1
+    try:
+      lent = await self._borrow(row, borrowed)
+      borrowed.places = max(borrowed.places, lent.places)
+      borrowed.calls += lent.calls
+    finally:
+      borrowed.asks -= 1
+      if borrowed.is_spare and not borrowed.asks:
+        # Its turn comes after the calls that wait for the answer.
+        asyncio.get_running_loop().call_soon(
+          self._give_back_spare, row.key, borrowed
+        )
+
+  def _give_back_spare(self, key: str, borrowed: Borrowed) -> None:
+    if borrowed.is_spare:
+      self._give_back(key, borrowed, spare=0)
+
   async def _borrow(self, row: rows.Row, borrowed: Borrowed) -> messages.Lent:
     """Returns what the row's keeper lends, or the next keeper if that left."""
     until = self.clock() + TIMEOUT
@@ -126,7 +156,10 @@
         raise make_limit_reached(row.key, CONCURRENCY_RETRY_SECONDS)
       borrowed.keeper = keeper
       try:
-        return await self._ask(keeper, row, borrowed)
+        lent = await self._ask(keeper, row, borrowed)
+        # A keeper that was replaced meanwhile has lent what nobody counts.
+        if self._get_keeper(row) == keeper:
+          return lent
       except errors.WoadrunError as error:
         if error.code is not errors.Code.OWNER_UNAVAILABLE:
           raise
@@ -149,11 +182,13 @@
     self, keeper: str, row: rows.Row, borrowed: Borrowed
   ) -> messages.Lent:
     self.asked += 1
+    borrowed.number += 1
     ask = messages.Borrow(
       holder=self._members.process_name,
       row=row.key,
       in_use=max(len(borrowed.in_use), borrowed.places),
       is_more=len(borrowed.in_use) >= borrowed.places,
+      number=borrowed.number,
     )
     if keeper == self._address:
       return await self.lend(ask)
@@ -172,13 +207,25 @@
       self._give_back(row.key, borrowed, spare=0)
 
   def _give_back(self, key: str, borrowed: Borrowed, *, spare: int) -> None:
+    if borrowed.asks:
+      # The keeper counts what it lends by the answer under way, which would
+      # bring back what is given back now.
+      borrowed.is_spare = True
+      return
+    borrowed.is_spare = False
     borrowed.places = min(borrowed.places, len(borrowed.in_use) + spare)
     borrowed.most = len(borrowed.in_use)
+    self._tell_places(key, borrowed)
+
+  def _tell_places(self, key: str, borrowed: Borrowed) -> None:
     row = self._get_row(key)
     keeper = self._get_keeper(row) if row else ''
     borrowed.keeper = keeper
+    borrowed.number += 1
     message = messages.Holds(
-      holder=self._members.process_name, places_by_row={key: borrowed.places}
+      holder=self._members.process_name,
+      places_by_row={key: borrowed.places},
+      number=borrowed.number,
     )
     if keeper == self._address:
       self.note_held(message)
@@ -206,14 +253,21 @@
     self, row: rows.Row, keeping: Keeping, ask: messages.Borrow
   ) -> int:
     lent = keeping.places_by_holder
+    heard = keeping.heard_by_holder.setdefault(ask.holder, Heard())
+    if 0 < ask.number < heard.reported:
+      # The holder has given the answer up: it would take nothing over.
+      raise make_limit_reached(row.key, CONCURRENCY_RETRY_SECONDS)
+    # The holder may not know yet what an answer under way lends.
+    held = max(ask.in_use, lent.get(ask.holder, 0))
+    heard.number = max(heard.number, ask.number)
     others = sum(lent.values()) - lent.get(ask.holder, 0)
-    free = self._get_share(row) - others - ask.in_use
+    free = self._get_share(row) - others - held
     wanted = 0
     if ask.is_more:
       if free < 1:
         raise make_limit_reached(row.key, CONCURRENCY_RETRY_SECONDS)
       wanted = 1 + admission.get_spare(free - 1, self._count_members())
-    lent[ask.holder] = ask.in_use + wanted
+    lent[ask.holder] = held + wanted
     return lent[ask.holder]
 
   def _lend_calls(self, row: rows.Row, keeping: Keeping) -> int:
@@ -228,7 +282,12 @@
   def note_held(self, message: messages.Holds) -> messages.Done:
     """Takes in how many places a daemon keeps of each row."""
     for key, places in message.places_by_row.items():
-      lent = self._get_keeping(key).places_by_holder
+      keeping = self._get_keeping(key)
+      heard = keeping.heard_by_holder.setdefault(message.holder, Heard())
+      if 0 < message.number < heard.number:
+        continue
+      heard.number = heard.reported = message.number
+      lent = keeping.places_by_holder
       if places:
         lent[message.holder] = places
       else:
@@ -278,24 +337,31 @@
     for key, borrowed in self._borrowed_by_row.items():
       row = self._get_row(key)
       if row is not None and self._get_keeper(row) != borrowed.keeper:
-        self._give_back(key, borrowed, spare=borrowed.places)
+        # At once, whatever is under way to the keeper before: the new one lends
+        # soon what it has not heard of.
+        self._tell_places(key, borrowed)
 
   @mode.Service.task
   async def _reconcile(self) -> None:
     while not self.should_stop:
       await self.sleep(RECONCILE_SECONDS)
-      self._drop_gone()
-      for key, borrowed in self._borrowed_by_row.items():
-        if borrowed.places or borrowed.keeper:
-          spare = borrowed.most - len(borrowed.in_use)
-          self._give_back(key, borrowed, spare=spare)
-          borrowed.keeper = borrowed.keeper if borrowed.places else ''
+      self.report()
+
+  def report(self) -> None:
+    """Tells keepers what is held here, and forgets holders that are gone."""
+    self._drop_gone()
+    for key, borrowed in self._borrowed_by_row.items():
+      if borrowed.places or borrowed.keeper:
+        spare = borrowed.most - len(borrowed.in_use)
+        self._give_back(key, borrowed, spare=spare)
+        borrowed.keeper = borrowed.keeper if borrowed.places else ''
 
   def _drop_gone(self) -> None:
     known = self._members.directory.get_known_processes()
     for keeping in self._keeping_by_row.values():
-      for holder in set(keeping.places_by_holder) - known:
-        del keeping.places_by_holder[holder]
+      for holder in set(keeping.heard_by_holder) - known:
+        keeping.places_by_holder.pop(holder, None)
+        del keeping.heard_by_holder[holder]
 
   async def _send(self, keeper: str, message: messages.Holds) -> None:
     with contextlib.suppress(errors.WoadrunError):
