A routing table that cannot be read leaves no key in use

A newer table may have taken a key away, also one that this daemon cannot read; with the older one in force and confirmed, such a key would have been used on.

--- a/src/woadrun/process/catalogue.py
+++ b/src/woadrun/process/catalogue.py
@@ -97,6 +97,7 @@
     )
     self._refreshing: asyncio.Task[bool] | None = None
     self._refreshed_at = -math.inf
+    self._is_behind = False
     self._listed = feed.Feed(
       store=store,
       table=instance_table,
@@ -156,7 +157,10 @@
       table = self._decode_table(value)
     except msgspec.MsgspecError as error:
       log.error('A routing table is unreadable: %s', error)
+      # It may have taken keys away.
+      self._is_behind = True
       return
+    self._is_behind = False
     if table.version <= self.version:
       return
     log.info(
@@ -171,6 +175,8 @@
     """Returns whether no known key can have been revoked too long ago."""
     if self._revocation is None:
       return True
+    if self._is_behind:
+      return False
     return self.age.get() <= self._revocation - AGE_MARGIN_SECONDS
 
   def tell_confirmed(self) -> tuple[float, int] | None:
--- a/tests/test_teams.py
+++ b/tests/test_teams.py
@@ -221,6 +221,21 @@
       assert not any(secret.encode() in text for text in told)
 
 
+async def test_a_table_that_cannot_be_read_leaves_no_key_in_use():
+  async with nodes.Nodes(config=make_config(), revocation=5.0) as fleet:
+    await fleet.start('n1')
+    request = nodes.make_request('a', path='/look/', key=RED)
+    assert (await fleet.ask('n1', request))[0] == 200
+    await fleet.configure({'version': 'two'})
+    known = fleet.by_name['n1'].catalogue
+    await nodes.wait_until(lambda: not known.is_fresh())
+    with pytest.raises(errors.WoadrunError) as caught:
+      await fleet.ask('n1', request)
+    assert caught.value.code is errors.Code.TABLE_TOO_OLD
+    await fleet.configure(make_config(3))
+    await nodes.wait_until(known.is_fresh)
+
+
 async def test_a_team_that_loses_its_last_key_is_refused():
   async with nodes.Nodes(config=make_config()) as fleet:
     await fleet.start('n1')
