A daemon that is back at another address registers there

After a loss of all daemons, each knew the old addresses of the others only and took itself for isolated until its row was removed, 15 s later: a row under its own name was there, so that it wrote no new one. The test failed first.

--- a/src/woadrun/process/registration.py
+++ b/src/woadrun/process/registration.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Coroutine
+import contextlib
 import logging
 from typing import Annotated
 from typing import Any
@@ -51,6 +52,7 @@
     self._incarnation = incarnation
     self._store = store
     self._version_by_name: dict[str, int] = {}
+    self._is_misplaced = asyncio.Event()
     self.feed = feed.Feed(
       store=store,
       table=fleet.TABLE,
@@ -87,7 +89,10 @@
       if not is_known and not self._members.is_leaving:
         await self._try(self.register())
       await self._remove_gone()
-      await asyncio.sleep(LOOK_SECONDS)
+      with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(LOOK_SECONDS):
+          await self._is_misplaced.wait()
+      self._is_misplaced.clear()
 
   async def _try(self, change: Coroutine[Any, Any, object]) -> None:
     try:
@@ -124,13 +129,17 @@
       self._forget(name)
       return
     self._version_by_name[name] = row.version
-    if name == self._me.name:
-      return
     try:
       found = msgspec.json.decode(row.value, type=MemberRow)
     except msgspec.MsgspecError as error:
       log.error('The row of member %s is unreadable: %s', name, error)
       return
+    if name == self._me.name:
+      if found.address != self._me.address:
+        # Its row from before a restart at another address: registers anew.
+        self._forget(name)
+        self._is_misplaced.set()
+      return
     self._members.add(
       beats.Member(name=name, address=found.address, domain=found.domain)
     )
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -3,6 +3,7 @@
 import time
 
 import msgspec
+import nodes
 
 from woadrun.process import beats
 from woadrun.process import fleet
@@ -212,3 +213,17 @@
   # Later it hears for itself whether that still holds.
   made._started_at -= fleet.FIRST_BEAT_SECONDS
   assert not made.find_unsettled()
+
+
+async def test_a_daemon_that_is_back_at_another_address_registers_there():
+  """After a loss of all daemons each knew the old addresses only.
+
+  A row under its name was there, so that nobody wrote a new one for 15 s.
+  """
+  async with nodes.Nodes() as served:
+    await served.start('n1', 's1')
+    for name in ('n1', 's1'):
+      await served.stop(name)
+    await served.start_alone('n1')
+    await served.start_alone('s1')
+    await served.wait_for_all()
