Callers wait a moment for the keeper of their team's rate

While a daemon is young, a request waits up to a second until the keepers know each other, at other times a quarter; without any it is refused with 503 and a time. A daemon that does not keep a rate is not lost: only one without an answer is passed over. A bucket that is new begins no sooner than its keeper may have granted anything.

--- a/src/woadrun/process/rate_keeper.py
+++ b/src/woadrun/process/rate_keeper.py
@@ -159,9 +159,8 @@
       raise errors.WoadrunError(
         errors.Code.NOT_OWNER, f'Another daemon keeps the rate of {ask.team}.'
       )
-    kept = self._get(
-      self._kept_by_team, ask, share=share, since=self._changed_at
-    )
+    since = max(self._changed_at, self._started_at + YOUNG_SECONDS)
+    kept = self._get(self._kept_by_team, ask, share=share, since=since)
     self._set_share(kept, share, now)
     return kept
 
--- a/src/woadrun/request/rates.py
+++ b/src/woadrun/request/rates.py
@@ -28,6 +28,13 @@
 # A granted request that is not sent for so long is asked for anew, in seconds.
 GRANT_SECONDS = 1.0
 NO_KEEPER_SECONDS = 0.5
+# A request waits so long for a keeper, in seconds: two daemons may differ for a
+# moment on who that is.
+PATIENCE_SECONDS = 0.25
+# The same where this daemon started less than twice as long ago: after a loss
+# of all daemons callers come back before these know each other.
+START_PATIENCE_SECONDS = 1.0
+AGAIN_SECONDS = 0.1
 
 
 class Rates:
@@ -44,6 +51,7 @@
     self._local = local
     self._links = links
     self._lost_until: dict[str, float] = {}
+    self._started_at = time.monotonic()
 
   async def take(
     self,
@@ -60,13 +68,13 @@
     ask = _make_ask(request, granted)
     if ask is None:
       return time.monotonic()
-    if self._members.is_isolated:
+    if self._members.is_isolated and not self._is_young:
       raise errors.WoadrunError(
         errors.Code.ISOLATED,
         'No other daemon is heard: the rate of the team is kept elsewhere.',
         retry_after=retry_after.LEAST_OUTAGE_SECONDS,
       )
-    unit = await self._ask(ask)
+    unit = await self._ask_patiently(ask, deadline)
     is_in_time = time.monotonic() + unit.wait < deadline
     if not unit.is_granted or not is_in_time:
       raise errors.WoadrunError(
@@ -90,6 +98,28 @@
     if time.monotonic() - granted_at > GRANT_SECONDS:
       await self.take(request, granted, deadline=deadline)
 
+  async def _ask_patiently(
+    self, ask: quota_messages.TakeUnit, deadline: float
+  ) -> quota_messages.Unit:
+    patience = START_PATIENCE_SECONDS if self._is_young else PATIENCE_SECONDS
+    until = min(deadline, time.monotonic() + patience)
+    while True:
+      try:
+        return await self._ask(ask)
+      except errors.WoadrunError as error:
+        if time.monotonic() + AGAIN_SECONDS >= until:
+          raise errors.WoadrunError(
+            errors.Code.OWNER_UNAVAILABLE,
+            f'Nobody keeps the rate of {ask.team}: {error.message}',
+            retry_after=NO_KEEPER_SECONDS,
+          ) from error
+      await asyncio.sleep(AGAIN_SECONDS)
+
+  @property
+  def _is_young(self) -> bool:
+    age = time.monotonic() - self._started_at
+    return age < 2 * START_PATIENCE_SECONDS
+
   async def _ask(self, ask: quota_messages.TakeUnit) -> quota_messages.Unit:
     keeper = rate_keeper.find_keeper(self._members, ask.team)
     if keeper is not None and not self._is_lost(keeper):
@@ -97,7 +127,9 @@
         return await self._ask_at(keeper, ask)
       except errors.WoadrunError as error:
         log.info('Rate of %s at %s: %s', ask.team, keeper.name, error.message)
-        self._lost_until[keeper.name] = time.monotonic() + PASSED_OVER_SECONDS
+        if isinstance(error, peers.NoAnswer):
+          until = time.monotonic() + PASSED_OVER_SECONDS
+          self._lost_until[keeper.name] = until
     return await self._ask_alone(msgspec.structs.replace(ask, is_alone=True))
 
   async def _ask_alone(
@@ -110,8 +142,7 @@
     if not near:
       raise errors.WoadrunError(
         errors.Code.OWNER_UNAVAILABLE,
-        f'Nobody keeps the rate of {ask.team}.',
-        retry_after=NO_KEEPER_SECONDS,
+        'No member of this domain is alive.',
       )
     return await self._ask_at(near[0], ask)
 
--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -83,13 +83,18 @@
       return
     request = nodes.make_request(id, path=fleet.ACT, key=KEY)
     site = dice.choice(alive)
+    # It ends with its daemon's process.
+    work = site.run(self._answer(site.daemon, request))
+    await asyncio.wait([work])
+    if id in self.served.instances.bodies_by_request:
+      self.ran_at.append(time.monotonic())
+
+  async def _answer(self, daemon, request):
     try:
-      async with site.daemon.serving.answer(request):
+      async with daemon.serving.answer(request):
         pass
     except errors.WoadrunError as error:
       self.codes.append(error.code)
-    if id in self.served.instances.bodies_by_request:
-      self.ran_at.append(time.monotonic())
 
   async def configure(self, config):
     value = operator.seal(msgspec.json.encode(config))
@@ -233,6 +238,44 @@
   play(scenario, per_second=RATE * 5)
 
 
+def test_callers_that_come_back_to_daemons_just_started_wait_for_a_keeper():
+  """They were refused with 421, without a time, until the keepers knew all."""
+
+  async def scenario(found):
+    await asyncio.sleep(2.0)
+    for name in found.served.names:
+      await found.served.kill(name)
+    await asyncio.sleep(0.3)
+    found.codes.clear()
+    for name in found.served.names:
+      await found.served.start(name)
+    await asyncio.sleep(6.0)
+    assert errors.Code.NOT_OWNER not in found.codes
+    assert errors.Code.OWNER_UNAVAILABLE not in found.codes
+
+  play(scenario, per_second=RATE * 0.5)
+
+
+def test_without_any_keeper_a_request_is_refused_with_a_time():
+  async def scenario(found):
+    await asyncio.sleep(1.0)
+    site = found.served.get_alive()[0]
+
+    async def refuse(member, ask):
+      raise errors.WoadrunError(errors.Code.NOT_OWNER, 'Not here.')
+
+    site.daemon.serving._limits._ask_at = refuse
+    with pytest.raises(errors.WoadrunError) as caught:
+      request = nodes.make_request('x', path=fleet.ACT, key=KEY)
+      async with site.daemon.serving.answer(request):
+        pass
+    assert caught.value.code is errors.Code.OWNER_UNAVAILABLE
+    assert caught.value.ran is errors.Ran.NOT_RUN
+    assert caught.value.retry_after
+
+  play(scenario, per_second=RATE * 0.5)
+
+
 # --- Buckets ------------------------------------------------------------------
 
 
