A team that comes from a lost keeper brings no burst

Between two looks at the members a keeper that got a team by a cut took it for its own of long ago, with a full bucket, while the one before had granted its own. The test failed first (a unit was granted without a wait).

--- a/src/woadrun/process/rate_keeper.py
+++ b/src/woadrun/process/rate_keeper.py
@@ -105,7 +105,7 @@
       raise errors.WoadrunError(
         errors.Code.NOT_OWNER, 'This daemon does not know the others yet.'
       )
-    self._look(now)
+    self._look(now, is_due=ask.team not in self._kept_by_team)
     kept = self._find(ask, now)
     kept.used_at = now
     kept.accrue(now)
@@ -216,9 +216,13 @@
       self._forget(now)
       await ticks.sleep(LOOK_SECONDS)
 
-  def _look(self, now: float) -> None:
-    """Takes note of changes of members, and of a time without running."""
-    if now - self._looked_at < LOOK_SECONDS / 2:
+  def _look(self, now: float, *, is_due: bool = False) -> None:
+    """Takes note of changes of members, and of a time without running.
+
+    Before a team's bucket is made it `is_due`: the team may have come here by a
+    change that the last look has not seen.
+    """
+    if now - self._looked_at < LOOK_SECONDS / 2 and not is_due:
       return
     stood_still = now - self._looked_at > FROZEN_SECONDS
     self._looked_at = now
--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -22,6 +22,7 @@
 from woadrun.decisions import program_need
 from woadrun.decisions import rate_limit
 from woadrun.platform import operator
+from woadrun.process import beats
 from woadrun.process import rate_keeper
 from woadrun.request import exchange
 
@@ -461,3 +462,40 @@
     assert len(asked) == 1
     await limits.renew(taken_at - 2.0, request, granted, deadline=deadline)
     assert len(asked) == 2
+
+
+class Members:
+  """Members of two domains; `north` may be out of sight."""
+
+  def __init__(self):
+    self.me = beats.Member(name='s1', address='x', domain='south')
+    self.other = beats.Member(name='n1', address='y', domain='north')
+    self.domains = {'north', 'south'}
+    self.is_north_silent = False
+
+  def find_silent(self):
+    return ['north'] if self.is_north_silent else []
+
+  def rank(self, key, domain):
+    return [self.me if domain == 'south' else self.other]
+
+  def find_staying(self):
+    return ['s1'] if self.is_north_silent else ['n1', 's1']
+
+
+async def test_a_team_that_comes_from_a_lost_keeper_brings_no_burst():
+  """Its keeper beyond a cut may just have granted all that it had saved."""
+  members = Members()
+  keeper = rate_keeper.RateKeeper(members=members, is_told=lambda: True)
+  keeper._started_at -= 100.0
+  keeper._changed_at -= 100.0
+  team = next(
+    f'team{number}'
+    for number in range(100)
+    if rate_keeper.find_keeper(members, f'team{number}') == members.other
+  )
+  keeper._look(time.monotonic() + rate_keeper.LOOK_SECONDS)
+  keeper._changed_at -= 100.0
+  members.is_north_silent = True
+  unit = await keeper.answer(make_ask(team=team))
+  assert unit.wait > 0.0
