A lost keeper of a domain's share of a rate is passed over

Only the keeper of all domains was remembered as lost; requests went to a member of the own domain that did not answer again and again, and were refused.

--- a/src/woadrun/request/rates.py
+++ b/src/woadrun/request/rates.py
@@ -127,9 +127,6 @@
         return await self._ask_at(keeper, ask)
       except errors.WoadrunError as error:
         log.info('Rate of %s at %s: %s', ask.team, keeper.name, error.message)
-        if isinstance(error, peers.NoAnswer):
-          until = time.monotonic() + PASSED_OVER_SECONDS
-          self._lost_until[keeper.name] = until
     return await self._ask_alone(msgspec.structs.replace(ask, is_alone=True))
 
   async def _ask_alone(
@@ -154,13 +151,18 @@
   ) -> quota_messages.Unit:
     if member == self._members.me:
       return await self._local.answer(ask)
-    return await self._links.post(
-      member.address,
-      'rate/take',
-      ask,
-      type=quota_messages.Unit,
-      timeout=ASK_SECONDS,
-    )
+    try:
+      return await self._links.post(
+        member.address,
+        'rate/take',
+        ask,
+        type=quota_messages.Unit,
+        timeout=ASK_SECONDS,
+      )
+    except peers.NoAnswer:
+      until = time.monotonic() + PASSED_OVER_SECONDS
+      self._lost_until[member.name] = until
+      raise
 
 
 def _make_ask(
--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -17,6 +17,7 @@
 import pytest
 
 from woadrun import errors
+from woadrun.connection import peers
 from woadrun.connection import quota_messages
 from woadrun.connection import rows
 from woadrun.decisions import program_need
@@ -25,6 +26,7 @@
 from woadrun.process import beats
 from woadrun.process import rate_keeper
 from woadrun.request import exchange
+from woadrun.request import rates
 
 WINDOW = 5.0
 RATE = 20.0
@@ -499,3 +501,29 @@
   members.is_north_silent = True
   unit = await keeper.answer(make_ask(team=team))
   assert unit.wait > 0.0
+
+
+async def test_a_lost_keeper_of_a_domains_share_is_passed_over():
+  asked = []
+
+  class Links:
+    async def post(self, address, *_, **__):
+      asked.append(address)
+      if address != 'z':
+        raise peers.NoAnswer(errors.Code.OWNER_UNAVAILABLE, 'Gone.')
+      return quota_messages.Unit(is_granted=True)
+
+  class Lost(Members):
+    """Both the keeper and the first member of the own domain are lost."""
+
+    def rank(self, key, domain):
+      found = [('n1', 'y'), ('s2', 'w'), ('s3', 'z')]
+      return [
+        beats.Member(name=name, address=address, domain=domain)
+        for name, address in found
+      ]
+
+  limits = rates.Rates(members=Lost(), local=None, links=Links())
+  unit = await limits._ask_patiently(make_ask(), time.monotonic() + 3.0)
+  assert unit.is_granted
+  assert asked == ['y', 'w', 'z']
