Keepers of rates grant 0.3 s after their start, not 0.75 s

A daemon that has started knows all members as soon as it has their list, and then names the same keepers as the others; it grants nothing before.

--- a/src/woadrun/process/rate_keeper.py
+++ b/src/woadrun/process/rate_keeper.py
@@ -34,7 +34,7 @@
 ALONE_SECONDS = 0.5
 # A daemon knows the others so long after its start, in seconds: before that
 # each takes itself for the keeper.
-YOUNG_SECONDS = 0.75
+YOUNG_SECONDS = 0.3
 # A team without a request for so long is forgotten, in seconds.
 IDLE_SECONDS = 30.0
 
