--- a/bench/rates.py
+++ b/bench/rates.py
@@ -74,7 +74,10 @@
 
 
 def make_bucket(
-  rate: float, *, slowdown: float | None = None, most_wait: float = 0.5
+  rate: float,
+  *,
+  slowdown_by_kind: dict[str, float] | None = None,
+  most_wait: float = 0.5,
 ) -> Way:
   """Returns one exact bucket, which may refuse whole programs."""
   bucket = rate_limit.Bucket(level=rate, at=0.0)
@@ -83,10 +86,14 @@
   def take(ask: Ask) -> rate_limit.Outcome:
     rate_limit.accrue(bucket, rate=rate, burst=rate, now=ask.now)
     known.end_idle(ask.now)
-    if ask.begins and slowdown and not known.is_running(ask.program):
-      # The module's own factor is taken out by the rate.
-      scaled = rate * slowdown / program_need.SLOWDOWN
-      excess = known.get_excess(ask.kind, level=bucket.level, rate=scaled)
+    begins = ask.begins and not known.is_running(ask.program)
+    if begins and slowdown_by_kind:
+      excess = known.get_excess(
+        ask.kind,
+        level=bucket.level,
+        rate=rate,
+        slowdown=slowdown_by_kind[ask.kind],
+      )
       if excess > 0:
         seconds = known.estimate_return(ask.kind, excess=excess)
         return rate_limit.Outcome(is_granted=False, retry_after=seconds)
@@ -152,11 +159,20 @@
   'one bucket, no wait': lambda rate: make_bucket(rate, most_wait=0.0),
   'one bucket': make_bucket,
   'one bucket, wait 1 s': lambda rate: make_bucket(rate, most_wait=1.0),
-  'and programs at 1.0': lambda rate: make_bucket(rate, slowdown=1.0),
-  'and programs at 1.4': lambda rate: make_bucket(rate, slowdown=1.4),
-  'and programs at 2.0': lambda rate: make_bucket(rate, slowdown=2.0),
-  'programs at 2.0, wait 1 s': lambda rate: make_bucket(
-    rate, slowdown=2.0, most_wait=1.0
+  'and programs at 1.0': lambda rate: make_bucket(
+    rate, slowdown_by_kind={'short': 1.0, 'long': 1.0}
+  ),
+  'and programs at 1.4': lambda rate: make_bucket(
+    rate, slowdown_by_kind={'short': 1.4, 'long': 1.4}
+  ),
+  'and programs at 2.0': lambda rate: make_bucket(
+    rate, slowdown_by_kind={'short': 2.0, 'long': 2.0}
+  ),
+  'at 2.0, wait 1 s': lambda rate: make_bucket(
+    rate, slowdown_by_kind={'short': 2.0, 'long': 2.0}, most_wait=1.0
+  ),
+  'urgent ones at 2.3, else 1.7': lambda rate: make_bucket(
+    rate, slowdown_by_kind={'short': 1.7, 'long': 2.3}
   ),
 }
 
--- a/src/woadrun/connection/quota_messages.py
+++ b/src/woadrun/connection/quota_messages.py
@@ -14,8 +14,9 @@
 
   `version` is that of the routing table with `per_second` and `burst`.  The
   request belongs to `program`, if to any, and with `begins` may begin it;
-  `kind` names its route.  With `is_alone` the keeper of all domains cannot be
-  reached, and the receiver has its own domain's share.
+  `kind` names its route and `priority` is that of the route.  With `is_alone`
+  the keeper of all domains cannot be reached, and the receiver has its own
+  domain's share.
   """
 
   team: str
@@ -24,6 +25,7 @@
   burst: float
   program: str = ''
   kind: str = ''
+  priority: int = 0
   begins: bool = False
   is_alone: bool = False
 
--- a/src/woadrun/decisions/program_need.py
+++ b/src/woadrun/decisions/program_need.py
@@ -17,8 +17,16 @@
 # The shortest time of a program that is learned, in seconds.
 LEAST_SECONDS = 0.1
 # How much slower programs may become by waiting for their rate: one request
-# after the other, each program waits instead of being refused.
-SLOWDOWN = 2.0
+# after the other, each program waits instead of being refused.  The most urgent
+# ones begin beside more others than less urgent ones do, so that these are
+# refused first.
+SLOWDOWN = 2.3
+STEP = 0.6
+
+
+def get_slowdown(priority: int) -> float:
+  """Returns how much slower programs may become as one begins."""
+  return max(1.0, SLOWDOWN - STEP * priority)
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -90,11 +98,13 @@
     need.requests += LEARN_WEIGHT * (ended.requests - need.requests)
     need.seconds += LEARN_WEIGHT * (seconds - need.seconds)
 
-  def get_excess(self, kind: str, *, level: float, rate: float) -> float:
+  def get_excess(
+    self, kind: str, *, level: float, rate: float, slowdown: float
+  ) -> float:
     """Returns by how many requests a second one more program is too much.
 
     `level` units are there and `rate` come a second.  In the time of the
-    program they cover what it and all under way send.
+    program they cover what it and all under way send, `slowdown` times slower.
     """
     need = self.need_by_kind.get(kind)
     if need is None:
@@ -105,7 +115,7 @@
       if running.kind in self.need_by_kind
     )
     spare = max(0.0, level) / max(LEAST_SECONDS, need.seconds)
-    return under_way + need.per_second - rate * SLOWDOWN - spare
+    return under_way + need.per_second - rate * slowdown - spare
 
   def estimate_return(self, kind: str, *, excess: float) -> float:
     """Returns the seconds until so much of what is under way has ended."""
--- a/src/woadrun/process/rate_keeper.py
+++ b/src/woadrun/process/rate_keeper.py
@@ -138,7 +138,10 @@
       return None
     rate = kept.per_second * kept.share
     excess = kept.programs.get_excess(
-      ask.kind, level=kept.bucket.level, rate=rate
+      ask.kind,
+      level=kept.bucket.level,
+      rate=rate,
+      slowdown=program_need.get_slowdown(ask.priority),
     )
     if excess <= 0:
       return None
--- a/src/woadrun/request/rates.py
+++ b/src/woadrun/request/rates.py
@@ -180,5 +180,6 @@
     burst=team.rate.burst,
     program=request.program,
     kind=granted.route.name,
+    priority=granted.route.priority,
     begins=bool(turn and granted.route.keeps_history and not turn.parent),
   )
--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -325,7 +325,7 @@
 
 def test_what_programs_need_is_learned_from_those_that_ended():
   known = program_need.Programs()
-  assert known.get_excess('chat', level=0.0, rate=1.0) == 0
+  assert known.get_excess('chat', level=0.0, rate=1.0, slowdown=1.0) == 0
   run_program(known, 'a', at=0.0)
   known.end_idle(3.0)
   assert not known.need_by_kind
@@ -343,10 +343,12 @@
   run_program(known, 'a', at=0.0)
   known.end_idle(10.0)
   for number in range(8):
-    assert known.get_excess('chat', level=0.0, rate=20.0) <= 0
+    assert known.get_excess('chat', level=0.0, rate=20.0, slowdown=2.0) <= 0
     known.note(f'p{number}', 'chat', 10.0)
-  assert known.get_excess('chat', level=0.0, rate=20.0) == pytest.approx(5.0)
-  assert known.get_excess('chat', level=10.0, rate=20.0) <= 0
+  assert known.get_excess(
+    'chat', level=0.0, rate=20.0, slowdown=2.0
+  ) == pytest.approx(5.0)
+  assert known.get_excess('chat', level=10.0, rate=20.0, slowdown=2.0) <= 0
   seconds = known.estimate_return('chat', excess=5.0)
   assert seconds == pytest.approx(2.0 / 8)
 
@@ -366,7 +368,7 @@
   known.need_by_kind['short'] = program_need.Need(requests=5, seconds=1.0)
   known.end_idle(20.0)
   known.note('b', 'chat', 20.0)
-  assert known.get_excess('short', level=0.0, rate=8.0) <= 0
+  assert known.get_excess('short', level=0.0, rate=8.0, slowdown=2.0) <= 0
 
 
 def get_keeper(served):
@@ -406,6 +408,26 @@
       assert (await keeper.answer(ask)).is_granted
 
 
+async def test_less_urgent_programs_are_refused_first():
+  async with nodes.Nodes() as served:
+    await served.start('n1')
+    keeper = get_keeper(served)
+    await keeper.answer(make_ask(program='old'))
+    kept = keeper._kept_by_team['red']
+    # One is under way, and each sends as much as the rate holds.
+    kept.programs.need_by_kind['chat'] = program_need.Need(
+      requests=100, seconds=10.0
+    )
+    kept.bucket.level = 0.0
+    answers = [
+      await keeper.answer(
+        make_ask(program=f'p{priority}', priority=priority, begins=True)
+      )
+      for priority in (1, 0)
+    ]
+    assert [unit.is_granted for unit in answers] == [False, True]
+
+
 async def test_only_one_daemon_keeps_the_whole_rate():
   async with nodes.Nodes() as served:
     await served.start('n1', 's1', 'w1')
