--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -408,6 +408,18 @@
       assert (await keeper.answer(ask)).is_granted
 
 
+async def test_a_daemon_with_an_older_table_does_not_bring_an_old_limit_back():
+  async with nodes.Nodes() as served:
+    await served.start('n1')
+    keeper = get_keeper(served)
+    await keeper.answer(make_ask(version=1, per_second=100.0, burst=100.0))
+    await keeper.answer(make_ask(version=2, per_second=5.0, burst=5.0))
+    await keeper.answer(make_ask(version=1, per_second=100.0, burst=100.0))
+    kept = keeper._kept_by_team['red']
+    assert (kept.version, kept.per_second) == (2, 5.0)
+    assert kept.bucket.level <= 5.0
+
+
 async def test_less_urgent_programs_are_refused_first():
   async with nodes.Nodes() as served:
     await served.start('n1')
