--- a/bench/faults/schedule.py
+++ b/bench/faults/schedule.py
@@ -124,8 +124,7 @@
     dice=dice,
     daemons=schedule.daemons,
     domains=schedule.domains,
-    # Where the age of tables is bounded, cuts end before budgets are at stake.
-    revocation=tenancy.REVOCATION_SECONDS if schedule.seed % 2 else None,
+    revocation=_get_revocation(schedule),
   )
   await served.start_all()
   around = callers.Callers(
@@ -145,6 +144,17 @@
   )
 
 
+def _get_revocation(schedule: Schedule) -> float | None:
+  """Returns how long keys may be used after they are revoked, None for ever.
+
+  Where that is bounded, cuts end before budgets are at stake: only every second
+  schedule with a revocation is.
+  """
+  has_revocation = any(fault.kind == 'revoke' for fault in schedule.faults)
+  is_bounded = has_revocation and schedule.seed % 2
+  return tenancy.REVOCATION_SECONDS if is_bounded else None
+
+
 async def _play_fault(served: fleet.Fleet, fault: Fault) -> None:
   await asyncio.sleep(fault.at)
   await _PLAY_BY_KIND[fault.kind](served, fault)
