--- a/src/woadrun/connection/packing.py
+++ b/src/woadrun/connection/packing.py
@@ -1,8 +1,7 @@
 """Large values of rows, compressed while they are kept and handed on.
 
-A routing table of a thousand routes compresses to a tenth.  Uncompressed, a
-daemon that handed it to all others of its domain at once held one copy for each
-of them, and a small link was busy for seconds.
+A routing table of a thousand routes is 0.4 MB, and goes to all daemons of a
+domain at once: uncompressed it keeps a small link busy for seconds.
 """
 
 from __future__ import annotations
@@ -12,7 +11,7 @@
 
 from woadrun.connection import rows
 
-# Smaller values gain little, in bytes.
+# Smaller values are kept as they are, in bytes.
 LEAST_BYTES = 4096
 LEVEL = 1
 
--- a/src/woadrun/process/catalogue.py
+++ b/src/woadrun/process/catalogue.py
@@ -33,11 +33,11 @@
 # A daemon knows routes and instances so soon after its start, or the store is
 # out, in seconds; callers that come in between wait for that.
 START_SECONDS = 1.0
-# Answers of the store that confirm the routing table, for each time that it may
-# be without one.
+# Confirmations of the routing table within the time for which a revoked key may
+# still be used.
 CONFIRMATIONS = 10
-# Between two looks for a newer routing table, in seconds, however many requests
-# want one.
+# Between two refreshes of the routing table, in seconds, however many requests
+# ask for one.
 REFRESH_SECONDS = 0.25
 REFRESH_TIMEOUT_SECONDS = 1.0
 # A table counts as too old so long before it is, in seconds: clocks drift, and
@@ -157,7 +157,7 @@
       table = self._decode_table(value)
     except msgspec.MsgspecError as error:
       log.error('A routing table is unreadable: %s', error)
-      # It may have taken keys away.
+      # The unreadable table may revoke keys of the one in force.
       self._is_behind = True
       return
     self._is_behind = False
--- a/src/woadrun/process/limits.py
+++ b/src/woadrun/process/limits.py
@@ -138,7 +138,7 @@
     finally:
       borrowed.asks -= 1
       if borrowed.is_spare and not borrowed.asks:
-        # Its turn comes after the calls that wait for the answer.
+        # Runs after the calls that wait for the answer, which may take it.
         asyncio.get_running_loop().call_soon(
           self._give_back_spare, row.key, borrowed
         )
@@ -157,7 +157,7 @@
       borrowed.keeper = keeper
       try:
         lent = await self._ask(keeper, row, borrowed)
-        # A keeper that was replaced meanwhile has lent what nobody counts.
+        # Nobody counts what a replaced keeper has lent.
         if self._get_keeper(row) == keeper:
           return lent
       except errors.WoadrunError as error:
@@ -208,8 +208,8 @@
 
   def _give_back(self, key: str, borrowed: Borrowed, *, spare: int) -> None:
     if borrowed.asks:
-      # The keeper counts what it lends by the answer under way, which would
-      # bring back what is given back now.
+      # Waits for the answer under way: its places are counted by the keeper,
+      # and a report sent now would not include them.
       borrowed.is_spare = True
       return
     borrowed.is_spare = False
@@ -255,9 +255,9 @@
     lent = keeping.places_by_holder
     heard = keeping.heard_by_holder.setdefault(ask.holder, Heard())
     if 0 < ask.number < heard.reported:
-      # The holder has given the answer up: it would take nothing over.
+      # The holder no longer waits for the answer.
       raise make_limit_reached(row.key, CONCURRENCY_RETRY_SECONDS)
-    # The holder may not know yet what an answer under way lends.
+    # Includes places in an answer that the holder has not received yet.
     held = max(ask.in_use, lent.get(ask.holder, 0))
     heard.number = max(heard.number, ask.number)
     others = sum(lent.values()) - lent.get(ask.holder, 0)
@@ -337,8 +337,8 @@
     for key, borrowed in self._borrowed_by_row.items():
       row = self._get_row(key)
       if row is not None and self._get_keeper(row) != borrowed.keeper:
-        # At once, whatever is under way to the keeper before: the new one lends
-        # soon what it has not heard of.
+        # Without waiting for answers of the old keeper: the new one lends after
+        # a grace period what nobody reports.
         self._tell_places(key, borrowed)
 
   @mode.Service.task
--- a/src/woadrun/process/rate_keeper.py
+++ b/src/woadrun/process/rate_keeper.py
@@ -26,14 +26,14 @@
 
 log = logging.getLogger('woadrun.rates')
 
-# Between two looks at who keeps what, in seconds.
-LOOK_SECONDS = 0.25
-# A process that did not run for so long may have been replaced, in seconds.
+# Between two polls of the members, in seconds.
+POLL_SECONDS = 0.25
+# Without running for so long, in seconds, a keeper may have been replaced.
 FROZEN_SECONDS = 0.9
-# A domain's own share that was not asked for so long begins anew, in seconds.
+# A domain's own share starts empty after so long without a request, in seconds.
 ALONE_SECONDS = 0.5
-# A daemon knows the others so long after its start, in seconds: before that
-# each takes itself for the keeper.
+# Grants nothing for so long after the start, in seconds: before it hears of the
+# others, each daemon takes itself for the keeper.
 YOUNG_SECONDS = 0.3
 # A team without a request for so long is forgotten, in seconds.
 IDLE_SECONDS = 30.0
@@ -89,7 +89,7 @@
     self._started_at = time.monotonic()
     self._kept_by_team: dict[str, _Kept] = {}
     self._alone_by_team: dict[str, _Kept] = {}
-    self._looked_at = self._changed_at = time.monotonic()
+    self._polled_at = self._changed_at = time.monotonic()
     self._known: list[str] = []
 
   def __len__(self) -> int:
@@ -105,8 +105,8 @@
       raise errors.WoadrunError(
         errors.Code.NOT_OWNER, 'This daemon does not know the others yet.'
       )
-    self._look(now, is_due=ask.team not in self._kept_by_team)
-    kept = self._find(ask, now)
+    self._poll_members(now, is_due=ask.team not in self._kept_by_team)
+    kept = self._find_kept(ask, now)
     kept.used_at = now
     kept.accrue(now)
     if ask.version > kept.version:
@@ -148,13 +148,13 @@
     retry_after = kept.programs.estimate_return(ask.kind, excess=excess)
     return quota_messages.Unit(is_granted=False, retry_after=retry_after)
 
-  def _find(self, ask: quota_messages.TakeUnit, now: float) -> _Kept:
+  def _find_kept(self, ask: quota_messages.TakeUnit, now: float) -> _Kept:
     if ask.is_alone:
       share = 1.0 / max(1, len(self._members.domains))
-      kept = self._get(self._alone_by_team, ask, share=share, since=now)
+      kept = self._get_or_make(self._alone_by_team, ask, share=share, since=now)
       self._set_share(kept, share, now)
       if now - kept.used_at > ALONE_SECONDS:
-        # Until now the keeper of all domains has granted the rate.
+        # The keeper of all domains granted the rate in the meantime.
         kept.bucket = rate_limit.Bucket(level=0.0, at=now)
       return kept
     share = self._get_share(ask.team)
@@ -163,11 +163,11 @@
         errors.Code.NOT_OWNER, f'Another daemon keeps the rate of {ask.team}.'
       )
     since = max(self._changed_at, self._started_at + YOUNG_SECONDS)
-    kept = self._get(self._kept_by_team, ask, share=share, since=since)
+    kept = self._get_or_make(self._kept_by_team, ask, share=share, since=since)
     self._set_share(kept, share, now)
     return kept
 
-  def _get(
+  def _get_or_make(
     self,
     kept_by_team: dict[str, _Kept],
     ask: quota_messages.TakeUnit,
@@ -205,30 +205,30 @@
       return
     kept.accrue(now)
     if not kept.share:
-      # Another daemon has granted the rate meanwhile, and its burst.
+      # Another daemon granted the rate in the meantime, burst included.
       kept.bucket.level = min(0.0, kept.bucket.level)
     kept.share = share
 
   # --- Who keeps what -------------------------------------------------------
 
   @mode.Service.task
-  async def _look_often(self) -> None:
+  async def _poll_often(self) -> None:
     while not self.should_stop:
       now = time.monotonic()
-      self._look(now)
+      self._poll_members(now)
       self._forget(now)
-      await ticks.sleep(LOOK_SECONDS)
+      await ticks.sleep(POLL_SECONDS)
 
-  def _look(self, now: float, *, is_due: bool = False) -> None:
+  def _poll_members(self, now: float, *, is_due: bool = False) -> None:
     """Takes note of changes of members, and of a time without running.
 
-    Before a team's bucket is made it `is_due`: the team may have come here by a
-    change that the last look has not seen.
+    It `is_due` before a bucket is made: the team may have moved here since the
+    last poll.
     """
-    if now - self._looked_at < LOOK_SECONDS / 2 and not is_due:
+    if now - self._polled_at < POLL_SECONDS / 2 and not is_due:
       return
-    stood_still = now - self._looked_at > FROZEN_SECONDS
-    self._looked_at = now
+    stood_still = now - self._polled_at > FROZEN_SECONDS
+    self._polled_at = now
     known = self._members.find_staying()
     if known != self._known or stood_still:
       self._known = known
@@ -237,10 +237,10 @@
       self._set_share(kept, self._get_share(team), now)
     if stood_still:
       log.warning('This process stood still: rates begin anew.')
-      self._empty(now)
+      self._reset_buckets(now)
 
-  def _empty(self, now: float) -> None:
-    """Forgets what may be granted: another keeper may have granted it."""
+  def _reset_buckets(self, now: float) -> None:
+    """Drops all saved units: another keeper may have granted them."""
     for kept in (*self._kept_by_team.values(), *self._alone_by_team.values()):
       kept.bucket.level = min(0.0, kept.bucket.level)
       kept.bucket.at = now
--- a/src/woadrun/process/registration.py
+++ b/src/woadrun/process/registration.py
@@ -136,7 +136,7 @@
       return
     if name == self._me.name:
       if found.address != self._me.address:
-        # Its row from before a restart at another address: registers anew.
+        # The row is from before a restart at another address.
         self._forget(name)
         self._is_misplaced.set()
       return
--- a/src/woadrun/request/authorization.py
+++ b/src/woadrun/request/authorization.py
@@ -18,8 +18,7 @@
 from woadrun.version import teams
 
 NO_TABLE_SECONDS = 0.5
-# A table that may lack what was just added is known to be the newest one within
-# so long, in seconds, unless the store is out.
+# Until the routing table should be confirmed again, in seconds.
 UNSURE_SECONDS = 0.5
 
 
--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -464,8 +464,8 @@
     await keeper.answer(make_ask())
     kept = keeper._kept_by_team['red']
     kept.bucket.level = 10.0
-    keeper._looked_at -= rate_keeper.FROZEN_SECONDS
-    keeper._look(time.monotonic())
+    keeper._polled_at -= rate_keeper.FROZEN_SECONDS
+    keeper._poll_members(time.monotonic())
     assert kept.bucket.level <= 0.0
 
 
@@ -530,7 +530,7 @@
     for number in range(100)
     if rate_keeper.find_keeper(members, f'team{number}') == members.other
   )
-  keeper._look(time.monotonic() + rate_keeper.LOOK_SECONDS)
+  keeper._poll_members(time.monotonic() + rate_keeper.POLL_SECONDS)
   keeper._changed_at -= 100.0
   members.is_north_silent = True
   unit = await keeper.answer(make_ask(team=team))
