Token buckets fill by one formula; a plan's route follows from its grant

The bucket of rates wrote again what that of rows' limits had; a plan kept its route beside the grant that holds it; the count of programs under way was never asked for. Behaviour is the same.

--- a/src/woadrun/decisions/admission.py
+++ b/src/woadrun/decisions/admission.py
@@ -44,6 +44,11 @@
   return max(0.5, waiting / max(1, slots) * seconds)
 
 
+def fill(level: float, *, seconds: float, rate: float, burst: float) -> float:
+  """Returns the level of a token bucket after some seconds."""
+  return min(burst, level + seconds * rate)
+
+
 @dataclasses.dataclass(kw_only=True)
 class Bucket:
   """A token bucket; `rate` in units a second."""
@@ -55,8 +60,9 @@
 
   def take(self, now: float) -> float:
     """Returns 0 and takes one unit, or the seconds until there is one."""
-    self.level = min(
-      self.burst, self.level + (now - self.filled_at) * self.rate
+    seconds = now - self.filled_at
+    self.level = fill(
+      self.level, seconds=seconds, rate=self.rate, burst=self.burst
     )
     self.filled_at = now
     if self.level >= 1.0:
--- a/src/woadrun/decisions/program_need.py
+++ b/src/woadrun/decisions/program_need.py
@@ -61,9 +61,6 @@
     self.need_by_kind: dict[str, Need] = {}
     self._running_by_id: dict[str, _Running] = {}
 
-  def __len__(self) -> int:
-    return len(self._running_by_id)
-
   def note(self, id: str, kind: str, now: float, *, wait: float = 0.0) -> None:
     """Takes note of a request of a program, sent after `wait` seconds."""
     running = self._running_by_id.get(id)
--- a/src/woadrun/decisions/rate_limit.py
+++ b/src/woadrun/decisions/rate_limit.py
@@ -9,6 +9,8 @@
 
 import dataclasses
 
+from woadrun.decisions import admission
+
 # A request that would wait longer is refused, in seconds: its caller does
 # better to come back.
 MOST_WAIT_SECONDS = 0.5
@@ -45,8 +47,12 @@
 
 def accrue(bucket: Bucket, *, rate: float, burst: float, now: float) -> None:
   """Adds to a bucket what came at `rate` a second until now."""
-  grown = bucket.level + max(0.0, now - bucket.at) * rate
-  bucket.level = min(get_capacity(burst), grown)
+  bucket.level = admission.fill(
+    bucket.level,
+    seconds=max(0.0, now - bucket.at),
+    rate=rate,
+    burst=get_capacity(burst),
+  )
   bucket.at = now
 
 
--- a/src/woadrun/request/attempts.py
+++ b/src/woadrun/request/attempts.py
@@ -55,7 +55,6 @@
   """
 
   request: exchange.Request
-  route: routes.Route
   service: str
   deadline: float
   body: bytes
@@ -66,6 +65,11 @@
   cause: Exception | None = None
   may_have_run: bool = False
 
+  @property
+  def route(self) -> routes.Route:
+    """The route that was granted."""
+    return self.granted.route
+
 
 class Attempts:
   """Finds instances for requests, sends, and sends again.
@@ -110,7 +114,6 @@
     route = granted.route
     plan = _Plan(
       request=request,
-      route=route,
       service=service,
       deadline=deadline,
       body=body if body is not None else request.body,
