--- a/bench/faults/network.py
+++ b/bench/faults/network.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Coroutine
+from collections.abc import Iterable
 import dataclasses
 import random
 from typing import Any
@@ -53,6 +54,18 @@
     return source in self.sources and target in self.targets
 
 
+def make_cuts(
+  domain: str, domains: Iterable[str], *, is_reset: bool
+) -> list[Cut]:
+  """Returns the cuts by which a domain and all others lose each other."""
+  alone = frozenset({domain})
+  others = frozenset(domains) - alone
+  return [
+    Cut(sources=a, targets=b, is_reset=is_reset)
+    for a, b in ((alone, others), (others, alone))
+  ]
+
+
 class Network:
   """The ways between daemons, as faults leave them.
 
--- a/bench/faults/schedule.py
+++ b/bench/faults/schedule.py
@@ -198,13 +198,8 @@
 async def _cut_domain(served: fleet.Fleet, fault: Fault) -> None:
   """Cuts a domain off, from the store as well but for one way in four."""
   domain = _find_domain(served, fault)
-  alone = frozenset({domain})
-  others = frozenset(served.domains) - alone
   is_reset = fault.how % 2 == 0
-  cuts = [
-    network.Cut(sources=a, targets=b, is_reset=is_reset)
-    for a, b in ((alone, others), (others, alone))
-  ]
+  cuts = network.make_cuts(domain, served.domains, is_reset=is_reset)
   lost = served.store.domains_without
   with contextlib.ExitStack() as stack:
     for cut in cuts:
--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -32,6 +32,7 @@
 RATE = 20.0
 # What the operators allow beyond a limit while something fails.
 FAULT_SHARE, FAULT_REQUESTS = 0.1, 20
+ALLOWED_IN_FAULTS = (RATE * WINDOW + RATE) * (1 + FAULT_SHARE) + FAULT_REQUESTS
 KEY = 'key'
 
 
@@ -105,14 +106,20 @@
     await self.served.store.rows.change(writes=[(key, value)])
 
   def cut(self, domain):
-    alone = frozenset({domain})
-    others = frozenset(self.served.domains) - alone
-    self.served.network.cuts += [
-      network.Cut(sources=a, targets=b, is_reset=False)
-      for a, b in ((alone, others), (others, alone))
-    ]
+    self.served.network.cuts += network.make_cuts(
+      domain, self.served.domains, is_reset=False
+    )
     self.served.store.domains_without.add(domain)
 
+  async def restart_all(self):
+    """Kills all daemons and starts them; `codes` has what comes after that."""
+    for name in self.served.names:
+      await self.served.kill(name)
+    await asyncio.sleep(0.3)
+    self.codes.clear()
+    for name in self.served.names:
+      await self.served.start(name)
+
   def heal(self):
     self.served.network.cuts.clear()
     self.served.store.domains_without.clear()
@@ -160,8 +167,7 @@
     await asyncio.sleep(5.0)
     found.heal()
     await asyncio.sleep(6.0)
-    allowed = (RATE * WINDOW + RATE) * (1 + FAULT_SHARE) + FAULT_REQUESTS
-    assert find_worst_window(found.ran_at) <= allowed
+    assert find_worst_window(found.ran_at) <= ALLOWED_IN_FAULTS
 
   play(scenario, per_second=RATE * 5, daemons=daemons)
 
@@ -169,11 +175,7 @@
 def test_the_rate_holds_as_all_daemons_are_killed():
   async def scenario(found):
     await asyncio.sleep(6.0)
-    for name in found.served.names:
-      await found.served.kill(name)
-    await asyncio.sleep(0.3)
-    for name in found.served.names:
-      await found.served.start(name)
+    await found.restart_all()
     await asyncio.sleep(8.0)
     assert find_worst_window(found.ran_at) <= RATE * WINDOW + RATE
 
@@ -190,8 +192,7 @@
       await asyncio.sleep(0.6)
       await found.served.start(keeper)
       await asyncio.sleep(1.0)
-    allowed = (RATE * WINDOW + RATE) * (1 + FAULT_SHARE) + FAULT_REQUESTS
-    assert find_worst_window(found.ran_at) <= allowed
+    assert find_worst_window(found.ran_at) <= ALLOWED_IN_FAULTS
 
   play(scenario, per_second=RATE * 5)
 
@@ -246,12 +247,7 @@
 
   async def scenario(found):
     await asyncio.sleep(2.0)
-    for name in found.served.names:
-      await found.served.kill(name)
-    await asyncio.sleep(0.3)
-    found.codes.clear()
-    for name in found.served.names:
-      await found.served.start(name)
+    await found.restart_all()
     await asyncio.sleep(6.0)
     assert errors.Code.NOT_OWNER not in found.codes
     assert errors.Code.OWNER_UNAVAILABLE not in found.codes
--- a/tests/test_revocation.py
+++ b/tests/test_revocation.py
@@ -79,13 +79,10 @@
     return time.monotonic()
 
   def cut(self, domain, *, from_domains=True, from_store=True):
-    alone = frozenset({domain})
-    others = frozenset(self.served.domains) - alone
     if from_domains:
-      self.served.network.cuts += [
-        network.Cut(sources=a, targets=b, is_reset=False)
-        for a, b in ((alone, others), (others, alone))
-      ]
+      self.served.network.cuts += network.make_cuts(
+        domain, self.served.domains, is_reset=False
+      )
     if from_store:
       self.served.store.domains_without.add(domain)
 
