Process: what is known of instances' load and health stands in process/load

Cause: process/ holds 58 modules, and those on load are spread among them. Change: loads.py and health.py move to process/load/; imports follow.

--- a/src/woadrun/process/loads.py
+++ b/src/woadrun/process/load/loads.py
@@ -31,7 +31,7 @@
 from woadrun.decisions import retry_after
 from woadrun.decisions import routing
 from woadrun.process import fleet_heartbeats
-from woadrun.process import health
+from woadrun.process.load import health
 from woadrun.version import instances
 
 # Weight of the newest request in the moving average of an instance's request
--- a/src/woadrun/process/node.py
+++ b/src/woadrun/process/node.py
@@ -40,7 +40,6 @@
 from woadrun.process import feed_sync
 from woadrun.process import fleet
 from woadrun.process import fleet_heartbeats
-from woadrun.process import loads
 from woadrun.process import peer_messages
 from woadrun.process import programs
 from woadrun.process import rate_owner
@@ -50,6 +49,7 @@
 from woadrun.process import sweeper
 from woadrun.process import ticks
 from woadrun.process import turn_store
+from woadrun.process.load import loads
 from woadrun.request import attempts
 from woadrun.request import authorization
 from woadrun.request import exchange
--- a/src/woadrun/request/attempts.py
+++ b/src/woadrun/request/attempts.py
@@ -26,8 +26,8 @@
 from woadrun.decisions import hedging
 from woadrun.decisions import urgency
 from woadrun.process import catalogue
-from woadrun.process import health
-from woadrun.process import loads
+from woadrun.process.load import health
+from woadrun.process.load import loads
 from woadrun.request import authorization
 from woadrun.request import exchange
 from woadrun.request import partition_monitor
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -8,8 +8,8 @@
 
 from woadrun import errors
 from woadrun.process import fleet_heartbeats
-from woadrun.process import health
-from woadrun.process import loads
+from woadrun.process.load import health
+from woadrun.process.load import loads
 from woadrun.request import exchange
 from woadrun.version import instances
 
--- a/tests/test_loads.py
+++ b/tests/test_loads.py
@@ -1,7 +1,7 @@
 """Placement of requests by the load that all daemons report."""
 
 from woadrun.process import fleet_heartbeats
-from woadrun.process import loads
+from woadrun.process.load import loads
 from woadrun.version import instances
 
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -13,7 +13,7 @@
 
 from woadrun.decisions import random_sampling
 from woadrun.process import fleet_heartbeats
-from woadrun.process import loads
+from woadrun.process.load import loads
 from woadrun.version import instances
 
 DOMAINS = ('a', 'b', 'c', 'd', 'e')
--- a/tests/test_prefixes.py
+++ b/tests/test_prefixes.py
@@ -8,7 +8,7 @@
 
 from woadrun.connection import turn_messages
 from woadrun.platform import wire
-from woadrun.process import loads
+from woadrun.process.load import loads
 from woadrun.request import exchange
 from woadrun.version import instances
 from woadrun.version import prefixes
