Tests: no task outlives its event loop

Cause: tasks that tests left were closed by the garbage collector while hypothesis parsed source code; the logged traceback parses too, and the interpreter fails with a SystemError. Change: the virtual loop cancels until no task is left and raises if some remain; a test that leaves an unfinished task behind a closed loop fails.

--- a/bench/faults/clock.py
+++ b/bench/faults/clock.py
@@ -15,6 +15,8 @@
 # Initial readings of the monotonic clock and of the time of day.
 INITIAL_MONOTONIC_SECONDS = 1_000.0
 INITIAL_TIME_OF_DAY_SECONDS = 1_800_000_000.0
+# Tasks that are cancelled may start further ones, a few levels deep.
+MAX_CANCEL_ROUNDS = 20
 
 
 class Clock:
@@ -67,8 +69,18 @@
 
 
 def _cancel_tasks(loop: asyncio.AbstractEventLoop) -> None:
+  """Cancels tasks until none is left; raises RuntimeError if some remain.
+
+  Tasks that are cancelled may start others.  A task that outlives its loop is
+  closed by the garbage collector, in the middle of whatever runs then.
+  """
+  for _ in range(MAX_CANCEL_ROUNDS):
+    tasks = asyncio.all_tasks(loop)
+    if not tasks:
+      return
+    for task in tasks:
+      task.cancel()
+    loop.run_until_complete(asyncio.wait(tasks, timeout=60.0))
   tasks = asyncio.all_tasks(loop)
-  for task in tasks:
-    task.cancel()
   if tasks:
-    loop.run_until_complete(asyncio.wait(tasks, timeout=60.0))
+    raise RuntimeError(f'{len(tasks)} tasks cannot be cancelled: {tasks}')
