Faults found by reading: permits, outcomes, codes and numbers

Cause: a recovered call that fails over kept its permit; waiting permits counted as held at a new keeper; refused connections of services counted as fast successes; an uncommitted 'not run' was reported as 'ran'; callers could get not_owner; numbers that are not finite raised OverflowError. Change: each mended where it arises; HeldPermits names waiting permits apart.

--- a/src/woadrun/connection/messages.py
+++ b/src/woadrun/connection/messages.py
@@ -306,14 +306,17 @@
 
 
 class HeldPermits(msgspec.Struct, frozen=True, kw_only=True):
-  """Reports all permits that the sender holds, by upstream.
+  """Reports all permits of the sender, by upstream.
 
   Answered by `Done`.  The receiver, which keeps the queues of these upstreams,
-  releases the permits of `holder` that are not listed.
+  releases the permits of `holder` that are not listed.  `held` has the permits
+  that were granted, `waiting` those that were requested and whose grant has not
+  arrived.  Earlier releases list both in `held`.
   """
 
   holder: str
   held: dict[str, list[str]]
+  waiting: dict[str, list[str]] = {}
 
 
 class Borrow(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/woadrun/platform/wire.py
+++ b/src/woadrun/platform/wire.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+import math
 import time
 
 import multidict
@@ -263,15 +264,19 @@
 ) -> float | None:
   """Returns a header's number, or None without the header.
 
-  Negative numbers are read as 0.  Raises `bad_request` if it is no number.
+  Negative numbers are read as 0.  Raises `bad_request` if it is no finite
+  number.
   """
   text = headers.get(name)
   if text is None:
     return None
   try:
-    return max(0.0, float(text))
+    number = float(text)
   except ValueError:
-    raise _make_bad_request(name, 'Expected a number.') from None
+    number = math.nan
+  if not math.isfinite(number):
+    raise _make_bad_request(name, 'Expected a finite number.')
+  return max(0.0, number)
 
 
 def _make_bad_request(place: str, message: str) -> errors.WoadrunError:
--- a/src/woadrun/process/dispatcher.py
+++ b/src/woadrun/process/dispatcher.py
@@ -133,7 +133,10 @@
     self._slots_by_name = {u.name: u.slots for u in upstreams}
     self.domain_by_name = {u.name: u.domain for u in upstreams}
     self.upstream_by_name: dict[str, Upstream] = {}
+    # The permits of this daemon's calls, and those of them that are not granted
+    # yet.
     self._permits_by_upstream: dict[str, set[str]] = {}
+    self._waiting_permits: set[str] = set()
     self._keeper_by_name: dict[str, str] = {}
     self._releases_by_keeper: dict[str, list[messages.Release]] = {}
     self.clock: Callable[[], float] = time.monotonic
@@ -161,6 +164,7 @@
     self._permits_by_upstream.setdefault(request.upstream, set()).add(
       request.permit
     )
+    self._waiting_permits.add(request.permit)
     try:
       if keeper == self._address:
         await self.queue(request)
@@ -178,6 +182,8 @@
         )
       )
       raise
+    finally:
+      self._waiting_permits.discard(request.permit)
 
   async def _request_permit(
     self, keeper: str, request: messages.Acquire
@@ -308,11 +314,13 @@
     now = self.clock()
     for name, permits in message.held.items():
       upstream = self._get_upstream(name)
+      # The grant of a waiting permit may be on its way to the holder.
+      listed = {*permits, *message.waiting.get(name, ())}
       for permit, holder in list(upstream.holder_by_permit.items()):
-        if holder == message.holder and permit not in permits:
+        if holder == message.holder and permit not in listed:
           del upstream.holder_by_permit[permit]
       for permit in permits:
-        # A holder also reports permits that it still waits for.
+        # Holders of earlier releases also list waiting permits as held.
         if permit not in upstream.waiter_by_permit:
           upstream.holder_by_permit[permit] = message.holder
       upstream.grant(now)
@@ -360,15 +368,26 @@
     self._report_permits(moved)
 
   def _report_permits(self, names: Iterable[str]) -> None:
-    report_by_keeper: dict[str, dict[str, list[str]]] = {}
+    names_by_keeper: dict[str, list[str]] = {}
     for name in names:
       keeper = self.get_keeper(name)
       self._keeper_by_name[name] = keeper
       if keeper:
-        permits = sorted(self._permits_by_upstream[name])
-        report_by_keeper.setdefault(keeper, {})[name] = permits
-    for keeper, permits_by_upstream in report_by_keeper.items():
-      self.add_future(self._send_hold(keeper, permits_by_upstream))
+        names_by_keeper.setdefault(keeper, []).append(name)
+    for keeper, kept in names_by_keeper.items():
+      self.add_future(self._send_hold(keeper, self._make_hold(kept)))
+
+  def _make_hold(self, names: Iterable[str]) -> messages.HeldPermits:
+    """Returns the report of this daemon's permits of some upstreams."""
+    held: dict[str, list[str]] = {}
+    waiting: dict[str, list[str]] = {}
+    for name in names:
+      permits = sorted(self._permits_by_upstream[name])
+      held[name] = [p for p in permits if p not in self._waiting_permits]
+      waiting[name] = [p for p in permits if p in self._waiting_permits]
+    return messages.HeldPermits(
+      holder=self._members.process_name, held=held, waiting=waiting
+    )
 
   @mode.Service.task
   async def _reconcile(self) -> None:
@@ -379,11 +398,8 @@
         upstream.grant(self.clock())
 
   async def _send_hold(
-    self, keeper: str, permits_by_upstream: dict[str, list[str]]
+    self, keeper: str, message: messages.HeldPermits
   ) -> None:
-    message = messages.HeldPermits(
-      holder=self._members.process_name, held=permits_by_upstream
-    )
     if keeper == self._address:
       self.apply_hold(message)
       return
--- a/src/woadrun/request/placing.py
+++ b/src/woadrun/request/placing.py
@@ -230,8 +230,7 @@
       place.name = self.choose_upstream(plan.upstream_names, found, prompt)
       yield place
     except errors.WoadrunError as error:
-      # An unknown outcome, such as a timeout, is a failure of the upstream.
-      place.is_ok = place.is_ok and error.ran is not errors.RunStatus.UNKNOWN
+      place.is_ok = place.is_ok and not _is_upstream_failure(call, error)
       raise
     finally:
       self.release_slot(place)
@@ -319,3 +318,19 @@
     return {
       name: count for name, count in self._calls_by_upstream.items() if count
     }
+
+
+def _is_upstream_failure(call: calls.Call, error: errors.WoadrunError) -> bool:
+  """Returns whether an error of a call is a failure of its upstream.
+
+  A refused connection or a 5xx status of a service takes little time: counted
+  as successes, such calls made the estimated duration of a call too short.  A
+  failed engine is recorded when its call is moved to another engine.
+  """
+  # An unknown outcome is a failure, for example a timeout.
+  if error.ran is errors.RunStatus.UNKNOWN:
+    return True
+  return call.call == program.SERVICE and error.code in (
+    errors.Code.UPSTREAM_UNAVAILABLE,
+    errors.Code.UPSTREAM_FAILED,
+  )
--- a/src/woadrun/request/recovery.py
+++ b/src/woadrun/request/recovery.py
@@ -268,7 +268,12 @@
       place = self._places.make_resumed_assignment(
         accepted.upstream, is_resumed=True
       )
-      await self._runner.perform(running, accepted, place, row)
+      try:
+        await self._runner.perform(running, accepted, place, row)
+      finally:
+        # The assignment begins without a permit, but acquires one if the call
+        # is moved to another engine.
+        self._places.release_slot(place)
       return
     outcome = await self._upstreams.query_outcome(accepted)
     if outcome is not None:
--- a/src/woadrun/request/runner.py
+++ b/src/woadrun/request/runner.py
@@ -398,11 +398,7 @@
         return recorded.has_outcome
       except errors.WoadrunError as error:
         if time.monotonic() > deadline:
-          raise errors.WoadrunError(
-            errors.Code.OUTCOME_UNKNOWN,
-            'The call ran, but its outcome could not be committed.',
-            ran=errors.RunStatus.RAN,
-          ) from error
+          raise _make_uncommitted(finished) from error
       await asyncio.sleep(self._config.timing.heartbeat / 5)
 
   async def _record_once(
@@ -480,6 +476,20 @@
 # --- Records and errors -----------------------------------------------------
 
 
+def _make_uncommitted(finished: program.Finished) -> errors.WoadrunError:
+  """Returns the error for a call whose outcome could not be committed.
+
+  A call whose outcome is not a success or a failure is reported as unknown: as
+  long as the outcome is not committed, another owner may resume the call.
+  """
+  has_run = finished.outcome in (program.OK, program.FAILED)
+  return errors.WoadrunError(
+    errors.Code.OUTCOME_UNKNOWN,
+    'The outcome of the call could not be committed.',
+    ran=errors.RunStatus.RAN if has_run else errors.RunStatus.UNKNOWN,
+  )
+
+
 def make_failed(
   accepted: program.Accepted,
   error: errors.WoadrunError,
--- a/src/woadrun/request/turn_client.py
+++ b/src/woadrun/request/turn_client.py
@@ -255,7 +255,11 @@
     # other one: this domain starts the program.
     owners = self._members.rank(message.program, own_domain)
     if owners and not message.parent and failure.code is errors.Code.NOT_OWNER:
-      opened = await self._open_at(owners[0], message, is_new=True)
+      try:
+        opened = await self._open_at(owners[0], message, is_new=True)
+      except errors.WoadrunError as error:
+        # Callers must not see `not_owner`: it is meant for other daemons.
+        raise self._make_refusal(error) from error
       # The store may be back by now, and its row may name another domain as the
       # home.  Such an answer reserves nothing, so the home must be asked: when
       # turns ran after such an answer alone, no domain counted their tokens.
--- a/tests/test_call_attempts.py
+++ b/tests/test_call_attempts.py
@@ -378,6 +378,69 @@
   assert error.ran is errors.RunStatus.UNKNOWN
 
 
+class FakePermits:
+  """Counts the permits that are released; none is ever refused."""
+
+  def __init__(self):
+    self.released = []
+
+  def make_resumed_assignment(self, name, *, is_resumed):
+    return placing.UpstreamAssignment(name=name, is_resumed=is_resumed)
+
+  def release_slot(self, place):
+    if place.acquire is not None:
+      self.released.append(place.acquire)
+      place.acquire = None
+
+
+async def test_recovered_call_that_fails_over_releases_its_permit():
+  """Guards against a permit that stays taken until the process ends."""
+  state = make_state()
+  run, _ = make_owner(state)
+  accepted = make_accepted('first')
+  state.apply([accepted], answers=9)
+  run._table, run._places = FakeTable(), FakePermits()
+
+  async def fail_over(running, accepted, place, row):
+    place.acquire = 'permit'
+    raise errors.WoadrunError(errors.Code.UPSTREAM_FAILED, 'No engine is left.')
+
+  run._runner.perform = fail_over
+  running = execution.make_execution(make_call())
+  with pytest.raises(errors.WoadrunError):
+    await run._resume(running, accepted)
+  assert run._places.released == ['permit']
+
+
+@pytest.mark.parametrize(
+  ('outcome', 'ran'),
+  [
+    (program.NOT_RUN, errors.RunStatus.UNKNOWN),
+    (program.UNKNOWN, errors.RunStatus.UNKNOWN),
+    (program.FAILED, errors.RunStatus.RAN),
+    (program.OK, errors.RunStatus.RAN),
+  ],
+)
+async def test_uncommitted_outcome_is_reported_as_ran_only_if_the_call_ran(
+  outcome, ran
+):
+  """Guards against a caller that never retries a call which was not sent."""
+  run, _ = make_owner(make_state())
+  run._runner._config = run._runner._config.model_copy(
+    update={
+      'timing': run._runner._config.timing.model_copy(update={'hold': 0.0})
+    }
+  )
+
+  async def refuse(slot, finished):
+    raise slots.make_not_owner_error('The slot has no owner.')
+
+  run._runner._record_once = refuse
+  with pytest.raises(errors.WoadrunError) as failure:
+    await run._runner.record_outcome(make_finished('first', outcome))
+  assert failure.value.ran is ran
+
+
 # --- Records in any order ----------------------------------------------------
 
 
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -4,9 +4,11 @@
 import contextlib
 
 from aiohttp import web
+import multidict
 import nodes
 import pytest
 
+from woadrun import errors
 from woadrun.platform import ingress
 from woadrun.platform import program
 from woadrun.platform import wire
@@ -184,3 +186,21 @@
       await nodes.wait_until(lambda: fleet.engines.sent)
       asyncio.get_running_loop().call_later(0.5, gate.set)
     assert (await task).endswith(b'whole\r\n0\r\n\r\n')
+
+
+@pytest.mark.parametrize('number', ['inf', '-inf', 'nan', '1e999', 'many'])
+@pytest.mark.parametrize('name', ['Token-Budget', 'Finish-Ms', 'Deadline-Ms'])
+def test_number_that_is_not_finite_is_rejected(name, number):
+  """Guards against an OverflowError, which closed the connection."""
+  headers = multidict.CIMultiDict(
+    {'Request-Id': 'r', 'Program-Id': 'p', 'Token-Usage': '1,1', name: number}
+  )
+  with pytest.raises(errors.WoadrunError) as refusal:
+    wire.decode_request(
+      method='POST',
+      target='/',
+      headers=multidict.CIMultiDictProxy(headers),
+      body=b'',
+    )
+  assert refusal.value.code is errors.Code.BAD_REQUEST
+  assert refusal.value.place == name
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -329,6 +329,27 @@
     assert max(counts) == 12
 
 
+async def test_caller_gets_no_redirect_between_daemons():
+  """Guards against a caller that gets `not_owner`, which daemons send.
+
+  The daemon that is asked to create the program refuses, as it does when it is
+  not the one that may.
+  """
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1', 's1')
+    fleet.shared.is_out = True
+
+    async def refuse(ask, *, is_new=False):
+      raise errors.WoadrunError(errors.Code.NOT_OWNER, 'Not known here.')
+
+    for item in fleet.by_name.values():
+      item.programs.open_turn = refuse
+    with pytest.raises(errors.WoadrunError) as refusal:
+      await fleet.turn('n1', 'a')
+    assert refusal.value.code is errors.Code.OWNER_UNAVAILABLE
+    assert refusal.value.retry_after
+
+
 async def test_planned_stop_hands_programs_over_before_an_outage():
   async with nodes.Nodes() as fleet:
     await fleet.start('n1', 'n2')
