Decisions: fair shares and admission of programs

Cause: a turn with a single attempt that finds all instances full fails its program. Nothing calls it yet.

--- /dev/null
+++ b/src/woadrun/decisions/program_admission.py
@@ -0,0 +1,321 @@
+"""Admission of new programs to a service when demand exceeds its capacity.
+
+Load pattern: programs of several turns whose turns have a single attempt each.
+A turn that finds all instances full fails its program, and the turns that it
+has already spent are wasted.  Each decider therefore refuses some programs at
+their first turn.  It computes the fraction from sums over all deciders, which
+are up to 0.5 s old.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+import dataclasses
+import hashlib
+import math
+from typing import NamedTuple
+
+from woadrun.decisions import fair_shares
+
+# Turns are placed by counts up to 0.5 s old, so that some instances have more
+# turns than slots when the mean is above nine tenths.
+USABLE_FRACTION = 0.9
+# The difference between capacity and programs under way is made up over this
+# time.  It is longer than the age of the sums (0.5 s), so that hundreds of
+# deciders approach the capacity without oscillating.
+ADJUST_SECONDS = 1.0
+# Each priority gets at least this fraction of its proportional part.
+MIN_PRIORITY_FRACTION = 0.25
+# Older sums are not used.
+MAX_SUMS_AGE_SECONDS = 1.5
+# Before anything was measured.
+INITIAL_TURNS_PER_PROGRAM = 1.0
+INITIAL_DURATION_RATIO = 0.75
+TURNS_HALF_LIFE_SECONDS = 2.0
+RATE_HALF_LIFE_SECONDS = 1.0
+# A program is under way until this long after its last turn ended.
+IDLE_SECONDS = 0.5
+# The first request of a refused program is remembered for this long.
+TICKET_SECONDS = 3.0
+MIN_RETRY_SECONDS = 0.1
+MAX_RETRY_SECONDS = 1.0
+# The heaviest teams are named in sums; all others count as this one team.
+MAX_NAMED_TEAMS = 16
+OTHER_TEAMS = ''
+
+RETURNING_IN_TIME = 0
+NEW = 1
+RETURNING_LATE = 2
+
+
+class ClassKey(NamedTuple):
+  """A class of programs of one team.
+
+  `priority` is that of the route, 0 the most urgent.  `order` is the order
+  within the priority: `RETURNING_IN_TIME`, `NEW` or `RETURNING_LATE`.  `team`
+  may be `OTHER_TEAMS`.
+  """
+
+  priority: int
+  order: int
+  team: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ServiceState:
+  """What a decider knows of a service, summed over all reachable deciders.
+
+  `slots` and `running` are those of the usable instances, `programs` counts
+  the programs under way.  `asked_per_second` counts each request for
+  admission, also those of returning programs.
+  """
+
+  slots: float
+  running: float
+  programs: float
+  ended_per_second: float
+  asked_per_second: dict[ClassKey, float]
+  turns_per_program: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Plan:
+  """The fraction of the programs of each class that is admitted.
+
+  `capacity` is in programs, `budget` in programs per second.
+  `min_fraction` is that of a class which is not in `fraction_by_class` and
+  ranks after all others.
+  """
+
+  capacity: float
+  budget: float
+  fraction_by_class: dict[ClassKey, float]
+  min_fraction: float = 1.0
+
+  def get_fraction(self, key: ClassKey) -> float:
+    """Returns the fraction of a class that is admitted.
+
+    A team that the sums do not name has the fraction of the other teams.  A
+    class without any demand in the sums has that of the class served best
+    among those that rank the same or later.
+    """
+    fraction = self.fraction_by_class.get(key)
+    if fraction is None:
+      fraction = self.fraction_by_class.get(key._replace(team=OTHER_TEAMS))
+    if fraction is not None:
+      return fraction
+    return max(
+      (
+        fraction
+        for other, fraction in self.fraction_by_class.items()
+        if other[:2] >= key[:2]
+      ),
+      default=self.min_fraction,
+    )
+
+
+def estimate_capacity(*, slots: float, turns_per_program: float) -> float:
+  """Returns the number of programs that a service can have under way."""
+  return USABLE_FRACTION * slots / max(1e-3, turns_per_program)
+
+
+def get_lone_limit(*, capacity: float, members: int) -> int:
+  """Returns how many programs a decider without recent sums has under way.
+
+  This is its part of the capacity among all live members, at least 1.
+  """
+  return max(1, int(capacity / max(1, members)))
+
+
+def make_plan(
+  state: ServiceState, *, weight_by_team: Mapping[str, float]
+) -> Plan:
+  """Divides the programs that may begin among the classes that ask.
+
+  `weight_by_team` has the configured rate of each team that has one.
+  """
+  capacity = estimate_capacity(
+    slots=state.slots, turns_per_program=state.turns_per_program
+  )
+  gap = capacity - state.programs
+  budget = max(0.0, state.ended_per_second + gap / ADJUST_SECONDS)
+  asked = sum(state.asked_per_second.values())
+  if asked <= budget:
+    return Plan(
+      capacity=capacity,
+      budget=budget,
+      fraction_by_class=dict.fromkeys(state.asked_per_second, 1.0),
+    )
+  min_fraction = MIN_PRIORITY_FRACTION * budget / asked
+  return Plan(
+    capacity=capacity,
+    budget=budget,
+    fraction_by_class=_divide_budget(
+      budget,
+      asked_by_class=state.asked_per_second,
+      min_fraction=min_fraction,
+      weight_by_team=weight_by_team,
+    ),
+    min_fraction=min_fraction,
+  )
+
+
+def _divide_budget(
+  budget: float,
+  *,
+  asked_by_class: Mapping[ClassKey, float],
+  min_fraction: float,
+  weight_by_team: Mapping[str, float],
+) -> dict[ClassKey, float]:
+  """Returns the fraction of each class, by priority, order and team."""
+  asked_by_rank: dict[int, dict[int, dict[str, float]]] = {}
+  for key, asked in asked_by_class.items():
+    by_order = asked_by_rank.setdefault(key.priority, {})
+    by_order.setdefault(key.order, {})[key.team] = asked
+  asked_by_priority = {
+    priority: sum(sum(by_team.values()) for by_team in by_order.values())
+    for priority, by_order in asked_by_rank.items()
+  }
+  reserved = min_fraction * sum(asked_by_priority.values())
+  left = budget
+  fraction_by_class: dict[ClassKey, float] = {}
+  for priority in sorted(asked_by_rank):
+    reserved -= min_fraction * asked_by_priority[priority]
+    room = min(asked_by_priority[priority], max(0.0, left - reserved))
+    left -= room
+    for order in sorted(asked_by_rank[priority]):
+      asked_by_team = asked_by_rank[priority][order]
+      share_by_team = fair_shares.divide(room, asked_by_team, weight_by_team)
+      room = max(0.0, room - sum(share_by_team.values()))
+      for team, asked in asked_by_team.items():
+        share = share_by_team[team]
+        fraction = min(1.0, share / asked) if asked > 0 else 1.0
+        fraction_by_class[ClassKey(priority, order, team)] = fraction
+  return fraction_by_class
+
+
+def can_be_in_time(
+  *, allowed: float | None, left: float | None, ratio: float
+) -> bool:
+  """Returns whether a program that begins now can end by its finish time.
+
+  `allowed` is the time that it had at its first request, `left` the time left
+  now, and `ratio` the learned ratio of the duration of programs of its kind to
+  the time that they had.  A program without a finish time is never late.
+  """
+  if allowed is None or left is None:
+    return True
+  return ratio * allowed <= left
+
+
+def get_order(
+  *,
+  is_returning: bool,
+  allowed: float | None,
+  left: float | None,
+  ratio: float,
+) -> int:
+  """Returns the order of a program within its priority.
+
+  The arguments are those of `can_be_in_time`; `is_returning` tells whether the
+  program was refused before.
+  """
+  if not is_returning:
+    return NEW
+  if can_be_in_time(allowed=allowed, left=left, ratio=ratio):
+    return RETURNING_IN_TIME
+  return RETURNING_LATE
+
+
+def estimate_retry_after(
+  *, waiting: float, budget: float, can_be_in_time: bool
+) -> float:
+  """Returns the seconds after which a refused program should return.
+
+  `waiting` counts the programs refused and not yet back, `budget` is in
+  programs per second.  `can_be_in_time` tells whether the program can still be
+  in time when it returns.
+  """
+  if not can_be_in_time or budget <= 0:
+    return MAX_RETRY_SECONDS
+  return min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, waiting / budget))
+
+
+def get_initial_credit(member: str, rank: tuple[int, int]) -> float:
+  """Returns the initial credit of a class at a decider, in [0, 1).
+
+  Hundreds of deciders see one or two programs per second each.  If all credits
+  began at 0, all deciders would refuse their first program and admit the
+  following ones at the same time.
+  """
+  name = f'{member}/{rank[0]}/{rank[1]}'.encode()
+  digest = hashlib.blake2b(name, digest_size=4).digest()
+  return int.from_bytes(digest, 'big') / 2**32
+
+
+@dataclasses.dataclass(kw_only=True)
+class Credit:
+  """Admits a fraction of programs, without random numbers.
+
+  A decider has one for each priority and order, not for each team: it sees a
+  program of one team too rarely for a credit to reach 1.
+  """
+
+  level: float = 0.0
+
+  def take(self, fraction: float) -> bool:
+    """Adds the fraction of one program; returns whether it is admitted."""
+    self.level += fraction
+    if self.level < 1.0:
+      return False
+    self.level -= 1.0
+    return True
+
+
+@dataclasses.dataclass(kw_only=True)
+class DecayedRate:
+  """Events per second, as an exponentially decayed mean."""
+
+  half_life: float = RATE_HALF_LIFE_SECONDS
+  _value: float = dataclasses.field(init=False, default=0.0)
+  _updated_at: float = dataclasses.field(init=False, default=0.0)
+
+  def record(self, now: float, count: float = 1.0) -> None:
+    """Records `count` events at the time `now`, in seconds."""
+    self._value = self.get(now) + count * math.log(2) / self.half_life
+    self._updated_at = now
+
+  def get(self, now: float) -> float:
+    """Returns the events per second at the time `now`."""
+    seconds = max(0.0, now - self._updated_at)
+    return float(self._value * 0.5 ** (seconds / self.half_life))
+
+
+@dataclasses.dataclass(kw_only=True)
+class DecayedRatio:
+  """The ratio of two quantities, by decayed sums over time.
+
+  `initial` is the ratio before anything was recorded.
+  """
+
+  half_life: float = TURNS_HALF_LIFE_SECONDS
+  initial: float = INITIAL_TURNS_PER_PROGRAM
+  _numerator: float = dataclasses.field(init=False, default=0.0)
+  _denominator: float = dataclasses.field(init=False, default=0.0)
+  _updated_at: float | None = dataclasses.field(init=False, default=None)
+
+  def record(self, numerator: float, denominator: float, now: float) -> None:
+    """Records both quantities as they are since the previous record."""
+    if self._updated_at is None:
+      self._numerator, self._denominator = numerator, denominator
+    else:
+      decay = 0.5 ** (max(0.0, now - self._updated_at) / self.half_life)
+      self._numerator = decay * self._numerator + (1 - decay) * numerator
+      self._denominator = decay * self._denominator + (1 - decay) * denominator
+    self._updated_at = now
+
+  def get(self) -> float:
+    """Returns the ratio, or `initial` before any record."""
+    if self._denominator <= 0:
+      return self.initial
+    return self._numerator / self._denominator
