Programs: the owner of a program decides whether it may begin

Cause: on routes with a single attempt, a turn that finds all engines full fails its program, and the turns that it has already used are wasted.

Change: ProgramGate decides at the first turn, by the demand that heartbeats and digests carry for each service. A refusal is service_full (503) with a time to return. Other routes are served as before.

--- a/src/woadrun/connection/turn_messages.py
+++ b/src/woadrun/connection/turn_messages.py
@@ -37,6 +37,26 @@
   tokens: int
 
 
+class AdmissionRequest(msgspec.Struct, frozen=True, kw_only=True):
+  """What the owner of a program needs to decide whether the program may begin.
+
+  The turn is for `service`; `kind` and `priority` are those of its route,
+  `weight` is the share of its team against other teams.  `seconds_left` is the
+  time until the program should end, None if it has no such time, and
+  `turn_seconds` the time until the turn's deadline.  `is_first` says that the
+  turn does not continue from another one.
+  """
+
+  service: str
+  kind: str
+  team: str = ''
+  weight: float = 1.0
+  priority: int = 0
+  seconds_left: float | None = None
+  turn_seconds: float = 0.0
+  is_first: bool = True
+
+
 class OpenTurn(msgspec.Struct, frozen=True, kw_only=True):
   """Asks the owner of a program to admit a turn and reserve its tokens.
 
@@ -50,7 +70,8 @@
   when the sender already has the history, which the answer then omits.  Without
   `keeps_history` the turn has no parent although it need not be the first of
   its program.  Without `begins` the receiver does not create a program that is
-  not known.
+  not known.  `admission` is set if a program may only begin when its service
+  has room for it.
   """
 
   program: str
@@ -63,6 +84,7 @@
   keeps_history: bool = True
   begins: bool = True
   parts: tuple[PromptPart, ...] = ()
+  admission: AdmissionRequest | None = None
 
 
 class OpenedTurn(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/woadrun/errors.py
+++ b/src/woadrun/errors.py
@@ -41,6 +41,7 @@
   LIMIT_REACHED = 'limit_reached'
   OVERLOADED = 'overloaded'
   RATE_EXCEEDED = 'rate_exceeded'
+  SERVICE_FULL = 'service_full'
   DEADLINE_PASSED = 'deadline_passed'
   UPSTREAM_UNAVAILABLE = 'upstream_unavailable'
   UPSTREAM_FAILED = 'upstream_failed'
@@ -78,6 +79,7 @@
   Code.LIMIT_REACHED: 429,
   Code.OVERLOADED: 429,
   Code.RATE_EXCEEDED: 429,
+  Code.SERVICE_FULL: 503,
   Code.DEADLINE_PASSED: 504,
   Code.UPSTREAM_UNAVAILABLE: 503,
   Code.UPSTREAM_FAILED: 502,
--- a/src/woadrun/process/counters.py
+++ b/src/woadrun/process/counters.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Mapping
 import time
+from typing import NamedTuple
 
 import prometheus_client
 from prometheus_client import core
@@ -25,6 +27,13 @@
 )
 
 
+class GaugeKey(NamedTuple):
+  """The name of a gauge, and the names and values of its labels."""
+
+  name: str
+  labels: tuple[tuple[str, str], ...]
+
+
 class Counters:
   """The metrics of one daemon, in a registry of its own."""
 
@@ -43,6 +52,17 @@
       buckets=LATENCY_BUCKETS_SECONDS,
       registry=self.registry,
     )
+    self._programs = prometheus_client.Counter(
+      'woadrun_programs',
+      'Programs that asked this daemon to begin, by outcome.',
+      ('service', 'kind', 'outcome'),
+      registry=self.registry,
+    )
+
+  def record_program(self, service: str, kind: str, is_admitted: bool) -> None:
+    """Records that a program was admitted to a service, or refused."""
+    outcome = 'admitted' if is_admitted else 'refused'
+    self._programs.labels(service, kind, outcome).inc()
 
   def record_answer(self, kind: str, outcome: str, started: float) -> None:
     """Records an answer and its latency.
@@ -56,6 +76,12 @@
     """Registers gauges; `read` is called on each collection."""
     self.registry.register(_Gauges(read=read))
 
+  def add_labelled_gauges(
+    self, read: Callable[[], Mapping[GaugeKey, float]]
+  ) -> None:
+    """Registers gauges with labels; `read` is called on each collection."""
+    self.registry.register(_LabelledGauges(read=read))
+
   def encode(self) -> bytes:
     """Returns all metrics in the Prometheus text format."""
     return prometheus_client.generate_latest(self.registry)
@@ -73,3 +99,22 @@
       core.GaugeMetricFamily(f'woadrun_{name}', name, value=value)
       for name, value in self._read().items()
     ]
+
+
+class _LabelledGauges(registry.Collector):
+  """Collects gauges with labels from a callback."""
+
+  def __init__(self, *, read: Callable[[], Mapping[GaugeKey, float]]) -> None:
+    self._read = read
+
+  def collect(self) -> list[core.Metric]:
+    """Returns the current values of the gauges."""
+    family_by_name: dict[str, core.GaugeMetricFamily] = {}
+    for key, value in self._read().items():
+      family = family_by_name.get(key.name)
+      if family is None:
+        family = family_by_name[key.name] = core.GaugeMetricFamily(
+          f'woadrun_{key.name}', key.name, labels=[n for n, _ in key.labels]
+        )
+      family.add_metric([label for _, label in key.labels], value)
+    return list(family_by_name.values())
--- a/src/woadrun/process/fleet_heartbeats.py
+++ b/src/woadrun/process/fleet_heartbeats.py
@@ -16,6 +16,21 @@
   domain: str
 
 
+class ServiceDemand(msgspec.Struct, kw_only=True, omit_defaults=True):
+  """The demand for one service, at one daemon or summed over many.
+
+  `programs` counts the programs under way, `waiting` those that were refused
+  and are about to return, `ended` the programs that ended per second.  `asked`
+  has the programs that asked to begin per second, by class; a class is encoded
+  as PRIORITY.ORDER.TEAM (`decisions/program_admission.py`).
+  """
+
+  programs: int = 0
+  waiting: int = 0
+  ended: float = 0.0
+  asked: dict[str, float] = {}
+
+
 class Digest(msgspec.Struct, kw_only=True, omit_defaults=True):
   """The state of all members of a domain, as one hub of it reports.
 
@@ -26,11 +41,12 @@
   are set in the heartbeat of any member.  `running` sums the requests that the
   members have in progress at each instance, `failing` the failures that they
   saw there; both are None where the receiver gets them from another hub or, for
-  other domains, as the sum `elsewhere` of a heartbeat.  `confirmed` is the
-  newest value of all members.  `oldest` is the age of the oldest heartbeat in
-  the digest when the digest was made, in seconds; it is None until the hub has
-  heard all members, or has been a hub for long enough to call the others
-  silent.
+  other domains, as the sum `elsewhere` of a heartbeat.  `demand` sums what the
+  members report for each service; it is empty where `running` is None.
+  `confirmed` is the newest value of all members.  `oldest` is the age of the
+  oldest heartbeat in the digest when the digest was made, in seconds; it is
+  None until the hub has heard all members, or has been a hub for long enough to
+  call the others silent.
   """
 
   hub: str
@@ -45,6 +61,7 @@
   is_behind: bool = False
   running: dict[str, int] | None = None
   failing: dict[str, float] | None = None
+  demand: dict[str, ServiceDemand] = {}
   confirmed: tuple[float, int] | None = None
 
 
@@ -57,13 +74,15 @@
   `feeds` holds the number of the newest known change of each table.  `running`
   counts the requests that the daemon has in progress at each instance,
   `failing` the recent failures that it saw there, with older ones counting
-  less.  `silent` names the domains of which the daemon hears nothing.
+  less.  `demand` has the programs that this daemon admits, by service.
+  `silent` names the domains of which the daemon hears nothing.
   `is_owing` says that the daemon has spent from the budgets of other domains'
   programs and that the store does not have this spending yet, `is_behind` that
   the store lacks data of this daemon that others need before they decide.
   `wants_digests` asks the receiver for digests; a hub sends them in `digests`,
   and the requests that all other domains have in progress, summed by instance,
-  in `elsewhere`.  `confirmed` holds a reading of the store's clock, in seconds,
+  in `elsewhere`, with the demand of these domains in `elsewhere_demand`.
+  `confirmed` holds a reading of the store's clock, in seconds,
   and the newest change of the routing table made before it.
   """
 
@@ -75,12 +94,14 @@
   is_leaving: bool = False
   running: dict[str, int] = {}
   failing: dict[str, float] = {}
+  demand: dict[str, ServiceDemand] = {}
   silent: tuple[str, ...] = ()
   is_owing: bool = False
   is_behind: bool = False
   wants_digests: bool = False
   digests: tuple[Digest, ...] = ()
   elsewhere: dict[str, int] | None = None
+  elsewhere_demand: dict[str, ServiceDemand] = {}
   confirmed: tuple[float, int] | None = None
 
 
--- a/src/woadrun/process/hubs.py
+++ b/src/woadrun/process/hubs.py
@@ -8,8 +8,8 @@
 together.  Its hubs are ordinary members, chosen by rank.  A digest summarizes
 the heartbeats that a hub received from the members of its domain; its fields
 are documented in `fleet_heartbeats.Digest`.  Counts are the requests in
-progress and the recent failures at each upstream instance.  A turn is a call of
-a client's program that generates tokens.
+progress and the recent failures at each upstream instance, and the demand for
+each service.  A turn is a call of a client's program that generates tokens.
 
 Times are on the monotonic clock of this daemon, except where a digest carries
 an age.
@@ -27,6 +27,7 @@
 
 import msgspec
 
+from woadrun.decisions import program_admission
 from woadrun.process import fleet_heartbeats
 
 Number = TypeVar('Number', int, float)
@@ -49,6 +50,10 @@
 # heartbeat interval.  A member that restarted while the store is unavailable
 # knows no other member, and learns of them from the hub.
 MAX_SILENT_RECEIVERS = 4
+# Maximum number of classes of programs that the demand for a service lists by
+# the name of their team, so that it takes at most about 500 bytes.
+MAX_NAMED_CLASSES = 24
+MAX_CACHED_CLASSES = 4096
 
 
 class Hubs:
@@ -223,6 +228,7 @@
       is_behind=any(heartbeat.is_behind for heartbeat in sources),
       running=_sum_counts(heartbeat.running for heartbeat in sources),
       failing=_sum_counts(heartbeat.failing for heartbeat in sources),
+      demand=sum_demand(heartbeat.demand for heartbeat in sources),
       confirmed=max(
         (heartbeat.confirmed for heartbeat in sources if heartbeat.confirmed),
         default=None,
@@ -293,11 +299,12 @@
     """
     newest = self._find_newest()
     sends_counts = self._sends_counts()
-    remote = (d for d, _ in newest.values() if d.domain != self._me.domain)
+    remote = [d for d, _ in newest.values() if d.domain != self._me.domain]
     return msgspec.structs.replace(
       mine,
       running={},
       failing={},
+      demand={},
       digests=tuple(
         self._make_relayed(digest, made_at, sends_counts=sends_counts)
         for digest, made_at in newest.values()
@@ -305,6 +312,9 @@
       elsewhere=_sum_counts(d.running or {} for d in remote)
       if sends_counts
       else None,
+      elsewhere_demand=sum_demand(d.demand for d in remote)
+      if sends_counts
+      else {},
     )
 
   def _make_relayed(
@@ -320,6 +330,7 @@
     )
     if not sends_counts or digest.domain != self._me.domain:
       relayed.running = relayed.failing = None
+      relayed.demand = {}
     return relayed
 
   def _sends_counts(self) -> bool:
@@ -380,3 +391,63 @@
     for id, number in each.items():
       total[id] = total[id] + number if id in total else number
   return total
+
+
+def sum_demand(
+  demands: Iterable[dict[str, fleet_heartbeats.ServiceDemand]],
+) -> dict[str, fleet_heartbeats.ServiceDemand]:
+  """Returns the sums of the demand by service.
+
+  The heaviest teams are named in the sums; all others count as one.
+  """
+  found: dict[str, list[fleet_heartbeats.ServiceDemand]] = {}
+  for each in demands:
+    for service, demand in each.items():
+      found.setdefault(service, []).append(demand)
+  return {
+    service: fleet_heartbeats.ServiceDemand(
+      programs=sum(demand.programs for demand in parts),
+      waiting=sum(demand.waiting for demand in parts),
+      ended=round(sum(demand.ended for demand in parts), 2),
+      asked=name_heaviest(_sum_counts(demand.asked for demand in parts)),
+    )
+    for service, parts in found.items()
+  }
+
+
+def name_heaviest(asked: dict[str, float]) -> dict[str, float]:
+  """Returns programs per second by class, naming the heaviest teams only.
+
+  All others count as one.  The classes are encoded as in
+  `fleet_heartbeats.ServiceDemand`.
+  """
+  if len(asked) > MAX_NAMED_CLASSES:
+    ranked = sorted(asked, key=lambda key: asked[key], reverse=True)
+    named_classes = set(ranked[:MAX_NAMED_CLASSES])
+  else:
+    named_classes = set(asked)
+  by_team: dict[str, float] = {}
+  for key, per_second in asked.items():
+    team = decode_class(key).team
+    by_team[team] = by_team.get(team, 0.0) + per_second
+  heaviest = sorted(by_team, key=lambda team: by_team[team], reverse=True)
+  named_teams = set(heaviest[: program_admission.MAX_NAMED_TEAMS])
+  total: dict[str, float] = {}
+  for key, per_second in asked.items():
+    found = decode_class(key)
+    if key not in named_classes or found.team not in named_teams:
+      key = encode_class(found._replace(team=program_admission.OTHER_TEAMS))
+    total[key] = round(total.get(key, 0.0) + per_second, 2)
+  return total
+
+
+def encode_class(key: program_admission.ClassKey) -> str:
+  """Returns a class of programs as encoded in heartbeats."""
+  return f'{key.priority}.{key.order}.{key.team}'
+
+
+@functools.lru_cache(maxsize=MAX_CACHED_CLASSES)
+def decode_class(text: str) -> program_admission.ClassKey:
+  """Returns the class that `encode_class` encoded."""
+  priority, order, team = text.split('.', 2)
+  return program_admission.ClassKey(int(priority), int(order), team)
--- a/src/woadrun/process/load/loads.py
+++ b/src/woadrun/process/load/loads.py
@@ -95,6 +95,19 @@
     )
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ServiceLoad:
+  """The slots of the usable instances of a service, and their running requests.
+
+  An instance is usable if it accepts requests, is reachable and is not avoided
+  because of failures.  `instances` counts all instances.
+  """
+
+  slots: int
+  running: int
+  instances: int
+
+
 class Loads:
   """The load of all instances.
 
@@ -404,6 +417,45 @@
     """Returns the requests of all daemons in progress at an instance."""
     return self._get(id).running + self._count_others(id, time.monotonic())
 
+  def measure(self, group: instances.Group) -> ServiceLoad:
+    """Returns the load of the usable instances of a group.
+
+    Full instances reject requests and are avoided for it as well.  Therefore,
+    if avoided instances have half of the slots or more, they count as usable.
+    """
+    now = time.monotonic()
+    fresh = [
+      counts
+      for at, counts in self._counts_by_peer.values()
+      if now - at <= COUNTS_TTL_SECONDS
+    ]
+    is_silent_by_domain = {
+      domain: self._is_silent(domain) for domain in group.domains
+    }
+    avoided = self.health.avoided
+    slots = running = avoided_slots = avoided_running = 0
+    for item in group.all:
+      id = item.incarnation_id
+      load = self._load_by_id.get(id)
+      if is_silent_by_domain[item.domain] or (
+        load is not None and load.unreachable_until > now
+      ):
+        continue
+      total = load.running if load is not None else 0
+      for counts in fresh:
+        if (count := counts.get(id, 0)) > 0:
+          total += count
+      if id in avoided:
+        avoided_slots += item.slots
+        avoided_running += total
+      else:
+        slots += item.slots
+        running += total
+    if avoided_slots >= slots:
+      slots += avoided_slots
+      running += avoided_running
+    return ServiceLoad(slots=slots, running=running, instances=len(group))
+
   def estimate_retry_after(self, group: instances.Group) -> float:
     """Returns the seconds until a rejected request should find a free slot.
 
--- a/src/woadrun/process/node.py
+++ b/src/woadrun/process/node.py
@@ -16,6 +16,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Mapping
 import dataclasses
 import logging
 import secrets
@@ -50,6 +51,7 @@
 from woadrun.process import ticks
 from woadrun.process import turn_store
 from woadrun.process.load import loads
+from woadrun.process.load import program_gate
 from woadrun.request import attempts
 from woadrun.request import authorization
 from woadrun.request import exchange
@@ -210,9 +212,19 @@
       clock=self.store_time,
       age_by_table={binding.table_key.table: self.catalogue.age},
     )
+    self.gate = program_gate.ProgramGate(
+      members=self.fleet,
+      measure=self._measure_service,
+      get_weights=self._get_team_weights,
+      record_decision=self.counters.record_program,
+    )
     turns = turn_store.TurnStore(store=self.store, row_bytes=config.row_bytes)
     self.programs = programs.Programs(
-      members=self.fleet, store=self.store, turns=turns, messenger=self.calls
+      members=self.fleet,
+      store=self.store,
+      turns=turns,
+      messenger=self.calls,
+      gate=self.gate,
     )
     access = authorization.Authorization(catalogue=self.catalogue)
     self.rate_owner = rate_owner.RateOwner(
@@ -248,6 +260,7 @@
     )
     self.sweeper = sweeper.Sweeper(store=self.store, members=self.fleet)
     self.counters.add_gauges(self._read_gauges)
+    self.counters.add_labelled_gauges(self.gate.read_gauges)
     self._runner: web.ServerRunner | None = None
 
   async def on_start(self) -> None:
@@ -297,6 +310,13 @@
     # how long to wait.
     return not self.store.is_reachable and self.fleet.is_domain_silent(domain)
 
+  def _measure_service(self, service: str) -> loads.ServiceLoad:
+    return self.loads.measure(self.catalogue.directory.find(service))
+
+  def _get_team_weights(self) -> tuple[Mapping[str, float], float]:
+    table = self.catalogue.table
+    return ({}, 0.0) if table is None else table.team_weights
+
   def _read_gauges(self) -> dict[str, float]:
     return {
       'requests_running': self.serving.active,
@@ -327,6 +347,7 @@
       is_leaving=self.is_leaving,
       running=self.loads.report_running(),
       failing=self.loads.health.report_failures(),
+      demand=self.gate.report(),
       silent=tuple(self.fleet.find_silent_domains()),
       is_owing=self.programs.is_owing,
       is_behind=self.programs.is_behind,
@@ -338,14 +359,17 @@
       # In large fleets, the digests of failure domains carry the sums of these
       # counts.
       self.loads.record_peer_counts(heartbeat)
+      self.gate.record_peer(heartbeat)
     elif heartbeat.elsewhere is not None:
       self.loads.record_other_domains(heartbeat.elsewhere)
+      self.gate.record_elsewhere(heartbeat.elsewhere_demand)
     self.feeds.handle_heartbeat(heartbeat)
     if heartbeat.confirmed is not None:
       self.catalogue.age.record_confirmation(*heartbeat.confirmed)
 
   def _take_digest(self, digest: fleet_heartbeats.Digest) -> None:
     self.loads.record_domain_counts(digest)
+    self.gate.record_domain(digest)
     if digest.confirmed is not None:
       self.catalogue.age.record_confirmation(*digest.confirmed)
 
--- a/src/woadrun/process/programs.py
+++ b/src/woadrun/process/programs.py
@@ -36,6 +36,7 @@
 from woadrun.process import ticks
 from woadrun.process import turn_store
 from woadrun.process import unsaved_turns
+from woadrun.process.load import program_gate
 from woadrun.version import ledger
 
 log = logging.getLogger('woadrun.programs')
@@ -59,7 +60,10 @@
 
 
 class Programs(mode.Service):
-  """Reserves and settles the budgets of programs, as owner or as standby."""
+  """Reserves and settles the budgets of programs, as owner or as standby.
+
+  `gate` decides which programs may begin.
+  """
 
   def __init__(
     self,
@@ -68,8 +72,10 @@
     store: store_access.StoreAccess,
     turns: turn_store.TurnStore,
     messenger: peers.Messenger,
+    gate: program_gate.ProgramGate,
   ) -> None:
     super().__init__()
+    self._gate = gate
     self._created_at = time.monotonic()
     self._members = members
     self._store = store
@@ -130,8 +136,44 @@
 
     Raises `budget_exceeded` if the turn does not fit the budget, `not_owner` if
     this daemon cannot decide, `unknown_program` if the turn to continue from is
-    not found, and the other errors of `Reservations.reserve`.
+    not found, `service_full` if the program may not begin yet, and the other
+    errors of `Reservations.reserve`.
     """
+    if ask.admission is None:
+      return await self._open_admitted(ask, is_new=is_new)
+    if self._is_first(ask, ask.admission):
+      # Asked before anything is loaded or reserved, so that a refused program
+      # leaves nothing behind.
+      self._gate.admit(
+        program_gate.FirstTurn(
+          program=ask.program, request=ask.request, ask=ask.admission
+        )
+      )
+    try:
+      opened = await self._open_admitted(ask, is_new=is_new)
+    except BaseException:
+      self._gate.record_closed(ask.program, ask.request, has_run=False)
+      raise
+    if opened.home:
+      self._gate.record_closed(ask.program, ask.request, has_run=False)
+    else:
+      self._gate.record_opened(ask.program, ask.request, ask.admission)
+    return opened
+
+  def _is_first(
+    self, ask: turn_messages.OpenTurn, admission: turn_messages.AdmissionRequest
+  ) -> bool:
+    """Returns whether a turn is the first of a program that begins here."""
+    if ask.parent or ask.is_away or not (ask.begins and admission.is_first):
+      return False
+    entry = self.entry_by_program.get(ask.program)
+    has_spent = entry is not None and entry.ledger.spent > 0
+    return not has_spent and not self._gate.knows(ask.program)
+
+  async def _open_admitted(
+    self, ask: turn_messages.OpenTurn, *, is_new: bool
+  ) -> turn_messages.OpenedTurn:
+    """Opens a turn of a program that may begin, or is under way."""
     entry = await self._get_entry(ask, is_new=is_new)
     home = entry.ledger.home
     if home != self._members.me.domain and not ask.is_away:
@@ -202,6 +244,7 @@
     settlement, and raises if no member does.  Raises `not_owner` if such a turn
     is complete and its program is not known here, unless `done.is_away` is set.
     """
+    self._gate.record_closed(done.program, done.request)
     entry = self.entry_by_program.get(done.program)
     self.keep_turn(done)
     if entry is None:
--- a/src/woadrun/request/serving.py
+++ b/src/woadrun/request/serving.py
@@ -148,14 +148,19 @@
       parent=teams.scope(grant.team_name, turn.parent),
     )
     granted_at = await self._limits.take(request, grant, deadline=deadline)
-    opened = await self._open_turn(id, route, turn, deadline)
+    service = routes.choose_service(route, random.random())
+    admission = _make_admission_request(
+      grant, turn, service=service, deadline=deadline
+    )
+    opened = await self._open_turn(
+      id, route, turn, deadline, admission=admission
+    )
     running = _RunningTurn(
       request=request, id=id, turn=turn, route=route, opened=opened
     )
     try:
       # The grant of the rate limit may have expired while the turn was opened.
       await self._limits.renew(granted_at, request, grant, deadline=deadline)
-      service = routes.choose_service(route, random.random())
       async with self._attempts.send(
         request,
         grant,
@@ -180,13 +185,15 @@
     route: routes.Route,
     turn: exchange.TurnInfo,
     deadline: float,
+    *,
+    admission: turn_messages.AdmissionRequest | None,
   ) -> turn_messages.OpenedTurn:
     """Opens a turn; raises `owner_unavailable` at the deadline."""
     remaining = exchange.get_seconds_left(deadline)
     try:
       async with asyncio.timeout(remaining):
         return await self._turn_client.open(
-          id, turn, keeps_history=route.keeps_history
+          id, turn, keeps_history=route.keeps_history, admission=admission
         )
     except TimeoutError:
       raise errors.WoadrunError(
@@ -340,6 +347,34 @@
   return (*parts[:-1], last)
 
 
+def _make_admission_request(
+  grant: authorization.Grant,
+  turn: exchange.TurnInfo,
+  *,
+  service: str,
+  deadline: float,
+) -> turn_messages.AdmissionRequest | None:
+  """Returns what the owner needs to admit a program, None if it always may.
+
+  A turn with a single attempt that an instance refuses cannot be sent to
+  another instance, so its program begins only if the service has room.
+  """
+  route = grant.route
+  if route.kind is not routes.Kind.STREAM or route.max_attempts != 1:
+    return None
+  finish = turn.finish_at
+  return turn_messages.AdmissionRequest(
+    service=service,
+    kind=route.name,
+    team=grant.team.name if grant.team else '',
+    weight=teams.get_weight(grant.team),
+    priority=route.priority,
+    seconds_left=None if finish is None else exchange.get_seconds_left(finish),
+    turn_seconds=exchange.get_seconds_left(deadline),
+    is_first=not turn.parent,
+  )
+
+
 def _needs_owner(turn: exchange.TurnInfo, route: routes.Route) -> bool:
   """Returns whether the program's owner has to admit a turn.
 
--- a/src/woadrun/request/turn_client.py
+++ b/src/woadrun/request/turn_client.py
@@ -87,16 +87,19 @@
     turn: exchange.TurnInfo,
     *,
     keeps_history: bool = True,
+    admission: turn_messages.AdmissionRequest | None = None,
   ) -> turn_messages.OpenedTurn:
     """Reserves the tokens of a turn and returns its history, if it has one.
 
     `id` and the ids in `turn` are scoped by team.  Without `keeps_history` the
-    turn is opened without its parent.  In the result, unlike in an owner's
+    turn is opened without its parent.  With `admission`, a program begins only
+    if its service has room.  In the result, unlike in an owner's
     answer, `home` is the domain that admitted the turn, or empty for the domain
     of this daemon.
 
     Raises `owner_unavailable` if no reachable member can admit the turn, and
-    other errors of the owner, such as `budget_exceeded`, unchanged.
+    other errors of the owner, such as `budget_exceeded` and `service_full`,
+    unchanged.
     """
     parent = turn.parent if keeps_history else ''
     # The history, if this daemon ran the parent recently: the owner then need
@@ -111,6 +114,7 @@
       is_brief=known is not None,
       keeps_history=keeps_history,
       parts=turn.parts,
+      admission=admission,
     )
     opened = await self._open(message)
     if known is None:
--- a/src/woadrun/version/instances.py
+++ b/src/woadrun/version/instances.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Sequence
 import dataclasses
@@ -62,6 +63,11 @@
   def __len__(self) -> int:
     return len(self.all)
 
+  @property
+  def domains(self) -> Collection[str]:
+    """The failure domains of the instances."""
+    return self._by_domain.keys()
+
   def find_near(self, domain: str) -> Sequence[Instance]:
     """Returns the instances in a failure domain, none if it is unknown."""
     return self._by_domain.get(domain, ())
--- a/src/woadrun/version/routes.py
+++ b/src/woadrun/version/routes.py
@@ -81,7 +81,8 @@
   """One version of routes, services, limits and teams.
 
   `team_by_digest` maps the digest of each key to its team; it is None if
-  requests need no key.
+  requests need no key.  `team_weights` has the weight of each team by name, and
+  the sum of all weights.
   """
 
   def __init__(
@@ -97,6 +98,7 @@
     self.team_by_digest = team_by_digest
     self.service_by_name = {service.name: service for service in services}
     self.limits = limits
+    self.team_weights = _get_team_weights(team_by_digest)
     self._routes_by_host: dict[str, list[Route]] = {}
     for route in sorted(routes, key=lambda r: len(r.prefix), reverse=True):
       self._routes_by_host.setdefault(route.host, []).append(route)
@@ -109,6 +111,17 @@
     return None
 
 
+def _get_team_weights(
+  team_by_digest: Mapping[str, teams.Team] | None,
+) -> tuple[Mapping[str, float], float]:
+  # A team has several keys.
+  weight_by_name = {
+    team.name: teams.get_weight(team)
+    for team in (team_by_digest or {}).values()
+  }
+  return weight_by_name, sum(weight_by_name.values())
+
+
 def choose_service(route: Route, random_value: float) -> str:
   """Returns a service of a route, chosen by weight.
 
--- a/src/woadrun/version/teams.py
+++ b/src/woadrun/version/teams.py
@@ -39,6 +39,11 @@
   rate: Rate | None = None
 
 
+def get_weight(team: Team | None) -> float:
+  """Returns the weight of a team against others: its rate, or 1 without one."""
+  return team.rate.per_second if team and team.rate else 1.0
+
+
 def digest_key(key: str) -> str:
   """Returns the digest that identifies a key."""
   data = key.encode('utf-8', 'surrogateescape')
