Program gate: sample turns before the first decision; tests

Cause: a decider that nobody had asked for a service before assumed one running turn for each program, and refused although half of the slots were free.

Change: every decider samples the services in the sums. Tests of the gate, alone and in whole daemons.

--- a/src/woadrun/process/load/program_gate.py
+++ b/src/woadrun/process/load/program_gate.py
@@ -53,6 +53,10 @@
 RETURN_GRACE_SECONDS = 0.3
 # A turn whose end is not reported ends this long after its deadline.
 CLOSE_GRACE_SECONDS = 0.5
+# Half-life of the rate at which programs end, which is shorter than that of the
+# other rates: the programs under way change with it.  With 1 s, their number
+# swung with a period of two seconds.
+ENDED_HALF_LIFE_SECONDS = 0.25
 # Weight of the newest program in the learned ratio of a kind.
 LEARN_WEIGHT = 0.1
 # Longest interval that one sample of the running turns stands for.  After an
@@ -137,7 +141,9 @@
 
   programs: int = 0
   ended: program_admission.DecayedRate = dataclasses.field(
-    default_factory=program_admission.DecayedRate
+    default_factory=lambda: program_admission.DecayedRate(
+      half_life=ENDED_HALF_LIFE_SECONDS
+    )
   )
   asked_by_class: dict[
     program_admission.ClassKey, program_admission.DecayedRate
@@ -420,6 +426,8 @@
   def _make_outlook(self, name: str, now: float) -> _Outlook:
     service = self._get_service(name)
     load = self._measure(name, now)
+    if service.sampled_at == -math.inf:
+      self._sample_turns(name, now)
     total, is_known = self._sum(name, now)
     state = program_admission.ServiceState(
       slots=load.slots,
@@ -487,11 +495,12 @@
   def _sample_turns(self, name: str, now: float) -> None:
     """Adds the current turns and programs to the ratio of both."""
     service = self._get_service(name)
+    total, is_known = self._sum(name, now)
+    programs = total.programs
+    if not is_known or programs <= 0:
+      return
     seconds = min(MAX_SAMPLE_SECONDS, now - service.sampled_at)
     service.sampled_at = now
-    programs = self._sum(name, now)[0].programs
-    if programs <= 0:
-      return
     service.sampled_seconds += seconds
     service.turns_per_program.record(
       self._measure(name, now).running, programs, service.sampled_seconds
@@ -507,7 +516,9 @@
     """
     now = time.monotonic()
     self._expire(now)
-    for name in list(self._service_by_name):
+    # Services that nobody asked for here yet are sampled as well, so that the
+    # first decision is as good as the others.
+    for name in {*self._service_by_name, *self._find_reported_services()}:
       self._sample_turns(name, now)
     found = {
       name: self._make_demand(name, now) for name in self._service_by_name
@@ -540,6 +551,14 @@
       asked=hubs.name_heaviest(asked),
     )
 
+  def _find_reported_services(self) -> set[str]:
+    reports = (
+      self._elsewhere,
+      *self._report_by_domain.values(),
+      *self._report_by_peer.values(),
+    )
+    return {name for report in reports for name in report.demand}
+
   def record_peer(self, heartbeat: fleet_heartbeats.FleetHeartbeat) -> None:
     """Stores the demand in a peer's heartbeat, in a small fleet."""
     self._report_by_peer[heartbeat.name] = _Report(
--- /dev/null
+++ b/tests/test_program_gate.py
@@ -0,0 +1,344 @@
+"""Admission of programs by their owners, alone and in whole daemons."""
+
+import asyncio
+import contextlib
+import logging
+import types
+
+import msgspec
+import nodes
+import pytest
+
+from woadrun import errors
+from woadrun.connection import turn_messages
+from woadrun.process import fleet_heartbeats
+from woadrun.process import hubs
+from woadrun.process.load import loads
+from woadrun.process.load import program_gate
+
+SERVICE = 'models'
+CONFIG = {
+  **nodes.CONFIG,
+  'routes': [
+    {**route, 'max_attempts': 1} if route['kind'] == 'stream' else route
+    for route in nodes.CONFIG['routes']
+  ],
+}
+# The two engines of `nodes.Nodes` have 16 slots; each program has one turn.
+CAPACITY = 14
+
+
+class Clock:
+  """A simulated clock, one gate of a large fleet, and its measured load."""
+
+  def __init__(self, monkeypatch):
+    self.now = 1000.0
+    monkeypatch.setattr('time.monotonic', lambda: self.now)
+    self.silent = set()
+    self.slots, self.running = 100, 0
+    # Each program under way has a running turn, unless a test says otherwise.
+    self.turns_per_program = 1.0
+    self.decisions = []
+    self.members = types.SimpleNamespace(
+      me=fleet_heartbeats.Member(name='n1', address='n1', domain='north'),
+      domains={'north', 'south'},
+      is_full_mesh=False,
+      is_domain_silent=lambda domain: domain in self.silent,
+      find_active_names=lambda: [f'm{n}' for n in range(30)],
+    )
+    self.gate = program_gate.ProgramGate(
+      members=self.members,
+      measure=lambda service: loads.ServiceLoad(
+        slots=self.slots,
+        running=int(self.running * self.turns_per_program),
+        instances=10,
+      ),
+      get_weights=lambda: ({}, 0.0),
+      record_decision=lambda *decision: self.decisions.append(decision),
+    )
+
+  def admit(self, program, *, seconds_left=3.0, **options):
+    """Returns the time to return, or None for an admitted program."""
+    ask = turn_messages.AdmissionRequest(
+      service=SERVICE,
+      kind='chat',
+      seconds_left=seconds_left,
+      turn_seconds=3.0,
+      **options,
+    )
+    first = program_gate.FirstTurn(
+      program=program, request=f'{program}.0', ask=ask
+    )
+    try:
+      self.gate.admit(first)
+    except errors.WoadrunError as error:
+      assert error.code is errors.Code.SERVICE_FULL
+      assert error.ran is errors.RunStatus.NOT_RUN
+      return error.retry_after
+    return None
+
+  def hear(self, *, north=0, south=0, asked=0.0, age=0.0):
+    """Receives the programs under way in both domains, from a hub."""
+    self.hear_domain('north', north, asked=asked, age=age)
+    self.running = north + south
+    self.gate.record_elsewhere(make_demand(south))
+
+  def hear_domain(self, domain, programs, *, asked=0.0, age=0.0):
+    digest = fleet_heartbeats.Digest(
+      hub='h',
+      domain=domain,
+      age=age,
+      running={},
+      demand=make_demand(programs, asked=asked),
+    )
+    self.running = programs
+    self.gate.record_domain(digest)
+
+  def get_demand(self):
+    return self.gate.report().get(SERVICE, fleet_heartbeats.ServiceDemand())
+
+
+def make_demand(programs, *, asked=0.0):
+  by_class = {'0.1.': asked} if asked else {}
+  return {
+    SERVICE: fleet_heartbeats.ServiceDemand(programs=programs, asked=by_class)
+  }
+
+
+@pytest.fixture(name='clock')
+def fixture_clock(monkeypatch):
+  return Clock(monkeypatch)
+
+
+def test_programs_are_refused_only_above_the_capacity_of_the_fleet(clock):
+  clock.hear(north=20, south=20, asked=40.0)
+  assert [clock.admit(f'p{n}') for n in range(8)] == [None] * 8
+  clock.now += 0.1
+  clock.hear(north=50, south=50, asked=40.0)
+  delays = [clock.admit(f'q{n}') for n in range(8)]
+  assert all(0.1 <= delay <= 1.0 for delay in delays)
+  assert clock.decisions.count((SERVICE, 'chat', False)) == 8
+  assert clock.get_demand().waiting == 8
+
+
+def test_without_recent_sums_a_decider_has_its_part_of_the_capacity(clock):
+  # 30 members share a capacity of 90 programs.
+  assert [clock.admit(f'p{n}') for n in range(4)][:3] == [None] * 3
+  assert clock.admit('p4') is not None
+  clock.now += 0.2
+  clock.hear(north=3, asked=1.0)
+  assert clock.admit('p5') is None
+  # The digest expires after 1.5 s.
+  clock.now += 1.6
+  assert clock.admit('p6') is not None
+
+
+def test_a_domain_that_is_cut_off_leaves_the_sums(clock):
+  clock.hear_domain('south', 70)
+  clock.hear_domain('north', 30, asked=40.0)
+  clock.running = 100
+  assert clock.admit('p1') is not None
+  clock.now += 1.6
+  clock.hear_domain('north', 30, asked=40.0)
+  # Nothing is known of a domain that is not silent yet.
+  assert [clock.admit(f'q{n}') for n in range(4)].count(None) == 3
+  clock.silent.add('south')
+  clock.now += 0.2
+  assert clock.admit('p2') is None
+
+
+def test_a_program_is_under_way_until_half_a_second_after_its_last_turn(clock):
+  clock.hear()
+  clock.admit('p')
+  ask = turn_messages.AdmissionRequest(service=SERVICE, kind='chat')
+  clock.now += 0.2
+  clock.gate.record_closed('p', 'p.0')
+  clock.now += 0.4
+  assert clock.get_demand().programs == 1
+  clock.now += 0.2
+  ended = clock.get_demand()
+  assert (ended.programs, ended.ended > 0) == (0, True)
+  # It only paused: its end must not make room for another program.
+  clock.gate.record_opened('p', 'p.1', ask)
+  resumed = clock.get_demand()
+  assert (resumed.programs, resumed.ended) == (1, 0)
+
+
+def test_a_turn_whose_end_is_never_reported_does_not_take_room_for_ever(clock):
+  clock.hear()
+  clock.admit('p')
+  clock.now += 3.6
+  clock.get_demand()
+  clock.now += 0.6
+  assert clock.get_demand().programs == 0
+
+
+def test_a_returning_program_keeps_the_time_of_its_first_request(clock):
+  clock.hear(north=200, asked=40.0)
+  # With 0.75 of the time allowed, a program is in time if 2.25 s are left.
+  delay = clock.admit('p', seconds_left=3.0)
+  assert clock.get_demand().asked.keys() == {'0.1.'}
+  clock.now += delay
+  clock.admit('p', seconds_left=2.0)
+  assert clock.get_demand().asked.keys() == {'0.1.', '0.2.'}
+  clock.now += 3.1
+  clock.hear(north=200, asked=40.0)
+  clock.admit('p', seconds_left=2.9)
+  assert '0.0.' not in clock.get_demand().asked
+
+
+def test_turns_per_program_are_measured_before_the_first_decision(clock):
+  # Guards against a new decider that assumes one running turn for each program,
+  # and refuses although half of the slots are free.
+  clock.turns_per_program = 0.4
+  clock.hear(north=60, south=60, asked=40.0)
+  assert clock.admit('p') is None
+
+
+def test_all_is_admitted_while_no_instance_is_usable(clock):
+  clock.slots = 0
+  clock.hear(north=50, asked=40.0)
+  assert clock.admit('p') is None
+
+
+def test_sums_name_the_heaviest_teams_within_a_datagram():
+  demands = [
+    {
+      SERVICE: fleet_heartbeats.ServiceDemand(
+        programs=1,
+        ended=0.5,
+        asked={f'{n % 3}.1.team-{n}': 1.0 + n for n in range(first, 73, 2)},
+      )
+    }
+    for first in (0, 1)
+  ]
+  total = hubs.sum_demand(demands)[SERVICE]
+  assert (total.programs, total.ended) == (2, 1.0)
+  teams = {hubs.decode_class(text).team for text in total.asked}
+  assert teams == {'', *(f'team-{n}' for n in range(57, 73))}
+  assert sum(total.asked.values()) == sum(range(1, 74))
+  assert len(msgspec.json.encode(total)) < 500
+  data = msgspec.json.encode(
+    fleet_heartbeats.FleetHeartbeat(name='n', address='a', domain='d')
+  )
+  assert b'demand' not in data
+
+
+class HoldingEngines(nodes.Engines):
+  """Engines that do not end a turn before `release` is called."""
+
+  def __init__(self):
+    super().__init__()
+    self._released = asyncio.Event()
+
+  def release(self):
+    self._released.set()
+
+  async def _stream(self, id):
+    if not id.startswith('free'):
+      await self._released.wait()
+    async for chunk in super()._stream(id):
+      yield chunk
+
+
+@contextlib.asynccontextmanager
+async def start(*names, config=CONFIG):
+  """Returns daemons, and the programs of turns that are held at the engines."""
+  async with nodes.Nodes(config=config) as found:
+    found.engines = HoldingEngines()
+    await found.start(*names)
+    held = []
+    try:
+      yield found, held
+    finally:
+      found.engines.release()
+      await asyncio.gather(*held, return_exceptions=True)
+
+
+async def fill(found, held, name, *, count):
+  """Starts programs one after another, until `count` are held or one refused.
+
+  Returns the error of the refused one, or None.
+  """
+  for _ in range(count):
+    number = len(held)
+    task = asyncio.ensure_future(
+      found.turn(name, f'{number}', program=f'p{number}')
+    )
+    held.append(task)
+    sent = len(found.engines.sent)
+    await nodes.wait_until(
+      lambda task=task, sent=sent: task.done() or len(found.engines.sent) > sent
+    )
+    if task.done():
+      return task.exception()
+  return None
+
+
+def list_entries(found, program):
+  return [
+    name
+    for name, item in found.by_name.items()
+    if program in item.programs.entry_by_program
+  ]
+
+
+async def test_first_turns_are_refused_when_full_and_later_turns_are_not(
+  caplog,
+):
+  caplog.set_level(logging.INFO, logger='woadrun.admission')
+  async with start('n1', 'n2', 'n3') as (found, held):
+    await found.turn('n1', 'free-1', program='early')
+    error = await fill(found, held, 'n1', count=60)
+    assert error.code is errors.Code.SERVICE_FULL
+    assert (error.status, error.ran) == (503, errors.RunStatus.NOT_RUN)
+    assert 0.1 <= error.retry_after <= 1.0
+    refused = len(held) - 1
+    # The programs asked for per second count as well, not only the room left.
+    assert refused >= CAPACITY // 2
+    assert list_entries(found, f'p{refused}') == []
+    assert found.get_body(f'{refused}') is None
+    assert any(
+      f'Request {refused}: program p{refused} is refused' in message
+      and 'capacity' in message
+      for message in caplog.messages
+    )
+    status, _ = await found.turn(
+      'n2', 'free-2', parent='free-1', program='early'
+    )
+    assert status == 200
+    metrics = b''.join(
+      item.counters.encode() for item in found.by_name.values()
+    ).decode()
+    assert (
+      'woadrun_programs_total{kind="chat",outcome="refused",service="models"}'
+      in metrics
+    )
+    assert 'woadrun_service_capacity_programs{service="models"}' in metrics
+
+
+async def test_nothing_is_refused_below_the_capacity():
+  async with start('n1', 's1') as (found, held):
+    assert await fill(found, held, 'n1', count=CAPACITY // 2) is None
+    found.engines.release()
+    assert {status for status, _ in await asyncio.gather(*held)} == {200}
+
+
+async def test_routes_with_two_attempts_are_never_refused():
+  async with start('n1', 'n2', config=nodes.CONFIG) as (found, held):
+    assert await fill(found, held, 'n1', count=40) is None
+    assert all(item.gate.report() == {} for item in found.by_name.values())
+
+
+async def test_a_program_goes_on_after_its_owner_is_lost():
+  async with start('n1', 'n2', 'n3') as (found, held):
+    await found.turn('n1', 'free-1', program='p')
+    owner = found.by_name['n1'].fleet.rank('p', 'north')[0].name
+    other = next(name for name in found.by_name if name != owner)
+    await fill(found, held, other, count=CAPACITY)
+    await found.stop(owner)
+    await nodes.wait_until(
+      lambda: not found.by_name[other].fleet.is_alive(owner)
+    )
+    status, _ = await found.turn(other, 'free-2', parent='free-1', program='p')
+    assert status == 200
