Program gate: seconds per program and sums without demand, as decided

Cause: the decisions now use the mean time that programs are under way instead of the programs ended per second, and no sums without any demand.

Change: heartbeats carry the seconds of ended programs beside their number; the gate samples the ratio.

--- a/src/woadrun/process/fleet_heartbeats.py
+++ b/src/woadrun/process/fleet_heartbeats.py
@@ -20,7 +20,8 @@
   """The demand for one service, at one daemon or summed over many.
 
   `programs` counts the programs under way, `waiting` those that were refused
-  and are about to return, `ended` the programs that ended per second.  `asked`
+  and are about to return, `ended` the programs that ended per second, and
+  `ended_seconds` sums how long these were under way.  `asked`
   has the programs that asked to begin per second, by class; a class is encoded
   as PRIORITY.ORDER.TEAM (`decisions/program_admission.py`).
   """
@@ -28,6 +29,7 @@
   programs: int = 0
   waiting: int = 0
   ended: float = 0.0
+  ended_seconds: float = 0.0
   asked: dict[str, float] = {}
 
 
--- a/src/woadrun/process/hubs.py
+++ b/src/woadrun/process/hubs.py
@@ -409,6 +409,7 @@
       programs=sum(demand.programs for demand in parts),
       waiting=sum(demand.waiting for demand in parts),
       ended=round(sum(demand.ended for demand in parts), 2),
+      ended_seconds=round(sum(demand.ended_seconds for demand in parts), 2),
       asked=name_heaviest(_sum_counts(demand.asked for demand in parts)),
     )
     for service, parts in found.items()
--- a/src/woadrun/process/load/loads.py
+++ b/src/woadrun/process/load/loads.py
@@ -434,8 +434,7 @@
     }
     avoided = self.health.avoided
     slots = running = avoided_slots = avoided_running = 0
-    for item in group.all:
-      id = item.incarnation_id
+    for id, item in group.by_incarnation_id.items():
       load = self._load_by_id.get(id)
       if is_silent_by_domain[item.domain] or (
         load is not None and load.unreachable_until > now
--- a/src/woadrun/process/load/program_gate.py
+++ b/src/woadrun/process/load/program_gate.py
@@ -53,10 +53,9 @@
 RETURN_GRACE_SECONDS = 0.3
 # A turn whose end is not reported ends this long after its deadline.
 CLOSE_GRACE_SECONDS = 0.5
-# Half-life of the rate at which programs end, which is shorter than that of the
-# other rates: the programs under way change with it.  With 1 s, their number
-# swung with a period of two seconds.
-ENDED_HALF_LIFE_SECONDS = 0.25
+# Half-life of the rate at which programs end.  A program lasts longer than a
+# second, so that a daemon sees few of them end.
+ENDED_HALF_LIFE_SECONDS = 1.0
 # Weight of the newest program in the learned ratio of a kind.
 LEARN_WEIGHT = 0.1
 # Longest interval that one sample of the running turns stands for.  After an
@@ -145,6 +144,11 @@
       half_life=ENDED_HALF_LIFE_SECONDS
     )
   )
+  ended_seconds: program_admission.DecayedRate = dataclasses.field(
+    default_factory=lambda: program_admission.DecayedRate(
+      half_life=ENDED_HALF_LIFE_SECONDS
+    )
+  )
   asked_by_class: dict[
     program_admission.ClassKey, program_admission.DecayedRate
   ] = dataclasses.field(default_factory=dict)
@@ -159,6 +163,11 @@
   turns_per_program: program_admission.DecayedRatio = dataclasses.field(
     default_factory=program_admission.DecayedRatio
   )
+  seconds_per_program: program_admission.DecayedRatio = dataclasses.field(
+    default_factory=lambda: program_admission.DecayedRatio(
+      initial=program_admission.INITIAL_SECONDS_PER_PROGRAM
+    )
+  )
   sampled_at: float = -math.inf
   sampled_seconds: float = 0.0
   outlook: _Outlook | None = None
@@ -269,10 +278,11 @@
       self._get_service(ask.service).programs += 1
     elif found.ended_at is not None:
       # The program only paused, so that its end was counted too early.
-      found.ended_at = None
       service = self._get_service(found.service)
       service.programs += 1
       service.ended.record(now, -1.0)
+      service.ended_seconds.record(now, found.admitted_at - found.ended_at)
+      found.ended_at = None
     found.deadline_by_request[request] = (
       now + ask.turn_seconds + CLOSE_GRACE_SECONDS
     )
@@ -302,6 +312,7 @@
         service = self._get_service(found.service)
         service.programs -= 1
         service.ended.record(now)
+        service.ended_seconds.record(now, now - found.admitted_at)
     self._ticket_by_program = {
       program: ticket
       for program, ticket in self._ticket_by_program.items()
@@ -439,6 +450,7 @@
         for text, per_second in total.asked.items()
       },
       turns_per_program=service.turns_per_program.get(),
+      seconds_per_program=service.seconds_per_program.get(),
     )
     plan = program_admission.make_plan(
       state, weight_by_team=self._get_weight_by_team(state.asked_per_second)
@@ -493,12 +505,14 @@
     return service.load
 
   def _sample_turns(self, name: str, now: float) -> None:
-    """Adds the current turns and programs to the ratio of both."""
+    """Adds a sample of running turns, and of ended programs, to the ratios."""
     service = self._get_service(name)
     total, is_known = self._sum(name, now)
     programs = total.programs
     if not is_known or programs <= 0:
       return
+    if total.ended >= MIN_RATE and total.ended_seconds > 0:
+      service.seconds_per_program.record(total.ended_seconds, total.ended, now)
     seconds = min(MAX_SAMPLE_SECONDS, now - service.sampled_at)
     service.sampled_at = now
     service.sampled_seconds += seconds
@@ -548,6 +562,9 @@
         for ticket in self._ticket_by_program.values()
       ),
       ended=round(ended, 2) if abs(ended) >= MIN_RATE else 0.0,
+      ended_seconds=round(service.ended_seconds.get(now), 2)
+      if abs(ended) >= MIN_RATE
+      else 0.0,
       asked=hubs.name_heaviest(asked),
     )
 
@@ -583,7 +600,9 @@
   ) -> tuple[fleet_heartbeats.ServiceDemand, bool]:
     """Returns the demand of all reachable daemons for a service.
 
-    The second value tells whether the demand of the others is known.
+    The second value tells whether the demand of the others is known.  It is not
+    if there is none: in a fleet that starts anew, the heartbeats with it are
+    yet to come.
     """
     own = self._make_demand(name, now)
     if self._members.is_full_mesh:
@@ -603,7 +622,12 @@
     others = len(self._members.find_active_names()) - 1
     # The reports of most of the others suffice: a peer that has just been lost
     # counts as alive for a while.
-    is_known = 2 * len(reports) >= others
+    is_known = not others or (
+      2 * len(reports) >= others
+      and any(
+        name in d for d in (self._last_sent, *(r.demand for r in reports))
+      )
+    )
     return _add(name, [{name: own}, *(r.demand for r in reports)]), is_known
 
   def _sum_of_domains(
@@ -634,7 +658,9 @@
     total.programs += own.programs - sent.programs
     total.waiting += own.waiting - sent.waiting
     total.ended += own.ended - sent.ended
-    return total, is_known
+    total.ended_seconds += own.ended_seconds - sent.ended_seconds
+    has_demand = any(name in d for d in (reports[me].demand, *others))
+    return total, is_known and has_demand
 
   # --- Metrics ----------------------------------------------------------------
 
