--- a/bench/fleet_soak/callers.py
+++ b/bench/fleet_soak/callers.py
@@ -22,9 +22,9 @@
 class Attempt:
   """An attempt of a request, as its caller saw it.
 
-  `status` is 0 if the answer is missing or incomplete.  `input` is the body
-  that was sent, `parent` the turn that the request continues, `daemon` the
-  daemon to which the request was sent.
+  `status` is 0 if the answer is missing or incomplete, `error` the code of a
+  refusal.  `input` is the body that was sent, `parent` the turn that the
+  request continues, `daemon` the daemon to which the request was sent.
   """
 
   request: str
@@ -36,6 +36,7 @@
   began: float
   ended: float = 0.0
   status: int = 0
+  error: str = ''
   signature: str = ''
   body: bytes = b''
   tokens: int = 0
@@ -98,12 +99,14 @@
 
   async def _run_program(self, session: aiohttp.ClientSession) -> None:
     program = self._make_id()
+    # Every other program uses the route whose programs may be refused.
+    prefix = outside.CHAT if int(program, 16) % 2 else outside.CHAT_ONCE
     parent = ''
     for _ in range(self._rng.randint(2, 12)):
       if self.is_stopped:
         return
       turn = await self._send_with_retries(
-        session, f'{outside.CHAT}x', program, f'<{program}>'.encode(), parent
+        session, f'{prefix}x', program, f'<{program}>'.encode(), parent
       )
       if turn is None:
         return
@@ -167,6 +170,7 @@
           attempt.body += chunk
           attempt.tokens = attempt.body.count(b'data:')
         attempt.status = response.status
+        attempt.error = response.headers.get('Woadrun-Error', '')
         attempt.signature = response.headers.get('Server-Signature', '')
     except (TimeoutError, aiohttp.ClientError, OSError):
       attempt.status = 0
--- a/bench/fleet_soak/checker.py
+++ b/bench/fleet_soak/checker.py
@@ -9,6 +9,7 @@
 
 from fleet_soak import callers
 from fleet_soak import outside
+from woadrun import errors
 
 # Time after a fault during which violations of the faulted daemon are excused.
 FAULT_GRACE_SECONDS = 4.0
@@ -16,6 +17,8 @@
 CONFIG_TIMEOUT_SECONDS = 2.0
 # Extra time that a message may take on a busy machine.
 MESSAGE_SLACK_SECONDS = 1.0
+# No program may be refused while fewer of the slots than this are in use.
+IDLE_FRACTION = 0.1
 _DATA = re.compile(rb'^data: (.*)$', re.MULTILINE)
 
 
@@ -41,6 +44,7 @@
     checks = (
       self._check_once,
       self._check_refusals,
+      self._check_full,
       self._check_histories,
       self._check_answers,
       self._check_parents,
@@ -63,6 +67,32 @@
       if is_once and has_run and attempt.status in callers.NOT_RUN_STATUSES:
         yield f'{attempt.request} was refused with {attempt.status}, but ran'
 
+  def _check_full(self) -> Iterator[str]:
+    attempts = self._caller_pool.attempts
+    models = (i for i in self._environment.instances if i.service == 'models')
+    slots = outside.SLOTS * sum(item.drained_at is None for item in models)
+    for attempt in attempts:
+      if attempt.error != errors.Code.SERVICE_FULL.value:
+        continue
+      if attempt.parent:
+        yield f'{attempt.request} is a later turn, but was refused as too many'
+      running = sum(
+        other.path.startswith(outside.CHAT)
+        and other.began < attempt.ended
+        and (not other.ended or other.ended > attempt.began)
+        for other in attempts
+        if other is not attempt
+      )
+      since = attempt.began - FAULT_GRACE_SECONDS
+      is_calm = all(
+        other.daemon.is_fault_free(since, attempt.ended) for other in attempts
+      )
+      if running < slots * IDLE_FRACTION and is_calm:
+        yield (
+          f'{attempt.request} was refused as too many, with {running} turns in '
+          f'{slots} slots'
+        )
+
   def _check_histories(self) -> Iterator[str]:
     for request, runs in self._runs_by_request.items():
       attempt = self._attempt_by_request.get(request)
--- a/bench/fleet_soak/outside.py
+++ b/bench/fleet_soak/outside.py
@@ -18,6 +18,9 @@
 
 # Path prefixes of the routes.
 CHAT, ACT, LOOK = '/chat/', '/act/', '/look/'
+# Turns with a single attempt.
+CHAT_ONCE = f'{CHAT}once/'
+SLOTS = 16
 DRAIN_TIMEOUT_SECONDS = 2.0
 
 
@@ -71,7 +74,7 @@
       'service': self.service,
       'address': self.proxy.address,
       'zone': domain,
-      'slots': 16,
+      'slots': SLOTS,
       'state': 'ready' if self.drained_at is None else 'draining',
     }
     return msgspec.json.encode(entry)
@@ -158,6 +161,14 @@
       'version': self.version,
       'routes': [
         _make_route('chat', CHAT, 'stream', 'models', retain_history=True),
+        _make_route(
+          'chat-once',
+          CHAT_ONCE,
+          'stream',
+          'models',
+          retain_history=True,
+          max_attempts=1,
+        ),
         _make_route('act', ACT, 'non_idempotent', service),
         _make_route('look', LOOK, 'idempotent', 'tools'),
       ],
--- a/tests/test_fleet_soak.py
+++ b/tests/test_fleet_soak.py
@@ -48,7 +48,11 @@
 
 def check(attempts, runs, *, drained_at=None):
   item = types.SimpleNamespace(
-    id='i', runs=runs, events_by_request={'a': 1}, drained_at=drained_at
+    id='i',
+    service='models',
+    runs=runs,
+    events_by_request={'a': 1},
+    drained_at=drained_at,
   )
   environment = types.SimpleNamespace(
     instances=[item],
@@ -61,6 +65,7 @@
   ).check()
 
 
+FULL = 'service_full'
 GOOD = {
   'status': 200,
   'signature': 'models.i.a',
@@ -79,6 +84,13 @@
     ([make_attempt('a', **GOOD)], [make_run('a')] * 2, 'ran 2 times'),
     ([make_attempt('a', status=503)], [make_run('a')], 'refused'),
     ([], [make_run('a')], 'nobody sent'),
+    ([make_attempt('a', status=503, error=FULL)], [], 'with 0 turns in'),
+    (
+      [make_attempt('b', parent='a', status=503, error=FULL)]
+      + [make_attempt(f'c{n}', status=500) for n in range(4)],
+      [],
+      'is a later turn',
+    ),
     ([make_attempt('a', **GOOD)], [make_run('a', body=b'x')], 'ran with'),
     (
       [make_attempt('a', **{**GOOD, 'signature': 'models.i.b'})],
