--- a/tests/test_program_gate.py
+++ b/tests/test_program_gate.py
@@ -8,6 +8,7 @@
 import msgspec
 import nodes
 import pytest
+import test_hubs
 
 from woadrun import errors
 from woadrun.connection import turn_messages
@@ -350,3 +351,36 @@
     )
     status, _ = await found.turn(other, 'free-2', parent='free-1', program='p')
     assert status == 200
+
+
+def test_each_daemon_learns_the_demand_of_all_domains(monkeypatch):
+  network = test_hubs.Network(monkeypatch)
+  sums_by_name = {}
+
+  def record(name, source, demand):
+    found = demand.get(SERVICE, fleet_heartbeats.ServiceDemand())
+    sums_by_name.setdefault(name, {})[source] = found.programs
+
+  for name, found in network.by_name.items():
+    network.flags_by_name[name] = {
+      'has_store': True,
+      'demand': make_demand(1),
+    }
+    found._on_digest = lambda digest, name=name: (
+      record(name, digest.domain, digest.demand)
+      if digest.running is not None
+      else None
+    )
+    found._on_beat = lambda heartbeat, name=name: (
+      record(name, 'elsewhere', heartbeat.elsewhere_demand)
+      if heartbeat.elsewhere is not None
+      else None
+    )
+  network.run(4)
+  for name, sums in sums_by_name.items():
+    domain = name.partition('-')[0]
+    others = sums.get('elsewhere') or sum(
+      sums[other] for other in test_hubs.DOMAINS if other != domain
+    )
+    assert (sums[domain], others) == (test_hubs.SIZE, 2 * test_hubs.SIZE)
+  assert len(sums_by_name) == len(network.by_name)
