--- a/tests/test_program_gate.py
+++ b/tests/test_program_gate.py
@@ -404,3 +404,24 @@
     )
     assert (sums[domain], others) == (test_hubs.SIZE, 2 * test_hubs.SIZE)
   assert len(sums_by_name) == len(network.by_name)
+
+
+async def test_a_refused_program_begins_once_there_is_room_again():
+  async with start('n1', 'n2', 's1') as (found, held):
+    assert await fill(found, held, 'n1', count=60) is not None
+    found.engines.release()
+    await asyncio.gather(*held, return_exceptions=True)
+    await nodes.wait_until(
+      lambda: (
+        not any(
+          demand.programs or demand.asked
+          for item in found.by_name.values()
+          for demand in item.gate.report().values()
+        )
+      )
+    )
+    # A cut does not take the room of the domains that hear each other.
+    found.cut_off('south')
+    number = len(held) - 1
+    status, _ = await found.turn('n2', f'{number}', program=f'p{number}')
+    assert status == 200
