Admission: new programs before returning ones, capacity by duration

Change: within a priority new programs come first, then returning ones that can be in time; the capacity is reduced while programs need more than 0.8 of the time that they have; the ratios have a half-life of 1 s.

--- a/src/woadrun/decisions/program_admission.py
+++ b/src/woadrun/decisions/program_admission.py
@@ -29,6 +29,13 @@
 MIN_PRIORITY_FRACTION = 0.25
 # Older sums are not used.
 MAX_SUMS_AGE_SECONDS = 1.5
+# Programs are meant to need at most this fraction of the time that they have,
+# in the mean; the rest is for the spread of their durations.  Turns that run
+# beside others are slower, long before all slots are taken.
+TARGET_DURATION_RATIO = 0.8
+# The capacity is reduced at most to this fraction, so that programs that are
+# late for another reason, such as slow calls, do not close a service.
+MIN_PACE = 0.6
 # Before anything was measured.
 INITIAL_TURNS_PER_PROGRAM = 1.0
 INITIAL_DURATION_RATIO = 0.75
@@ -36,7 +43,7 @@
 # fleet that starts during a burst admits less than its engines can serve.
 INITIAL_SECONDS_PER_PROGRAM = 2.0
 # Half-life of the ratios `turns_per_program` and `seconds_per_program`.
-TURNS_HALF_LIFE_SECONDS = 2.0
+TURNS_HALF_LIFE_SECONDS = 1.0
 # With 1 s, replays noticed a burst late: when all deciders were new, 132 of
 # 1,000 programs failed at full queues in place of 43.
 RATE_HALF_LIFE_SECONDS = 0.25
@@ -50,8 +57,8 @@
 MAX_NAMED_TEAMS = 16
 OTHER_TEAMS = ''
 
-RETURNING_IN_TIME = 0
-NEW = 1
+NEW = 0
+RETURNING_IN_TIME = 1
 RETURNING_LATE = 2
 
 
@@ -59,7 +66,7 @@
   """A class of programs of one team.
 
   `priority` is that of the route, 0 the most urgent.  `order` is the order
-  within the priority: `RETURNING_IN_TIME`, `NEW` or `RETURNING_LATE`.  `team`
+  within the priority: `NEW`, `RETURNING_IN_TIME` or `RETURNING_LATE`.  `team`
   may be `OTHER_TEAMS`.
   """
 
@@ -76,7 +83,9 @@
   the programs under way.  `asked_per_second` counts each request for
   admission, also those of returning programs.  `seconds_per_program` is the
   mean time that the programs ended of late were under way; if it is None,
-  `ended_per_second` is used instead.
+  `ended_per_second` is used instead.  `duration_ratio` is the mean duration of
+  these programs, from their admission on, divided by the mean time that they
+  had; None if it is unknown.
   """
 
   slots: float
@@ -86,6 +95,7 @@
   asked_per_second: dict[ClassKey, float]
   turns_per_program: float
   seconds_per_program: float | None = None
+  duration_ratio: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -124,9 +134,19 @@
     )
 
 
-def estimate_capacity(*, slots: float, turns_per_program: float) -> float:
-  """Returns the number of programs that a service can have under way."""
-  return USABLE_FRACTION * slots / max(1e-3, turns_per_program)
+def estimate_capacity(
+  *, slots: float, turns_per_program: float, duration_ratio: float | None = None
+) -> float:
+  """Returns the number of programs that a service can have under way.
+
+  It is less if the programs that ended of late needed more than
+  TARGET_DURATION_RATIO of the time that they had.
+  """
+  pace = 1.0
+  if duration_ratio is not None:
+    pace = TARGET_DURATION_RATIO / max(TARGET_DURATION_RATIO, duration_ratio)
+  usable = USABLE_FRACTION * max(MIN_PACE, pace) * slots
+  return usable / max(1e-3, turns_per_program)
 
 
 def get_lone_limit(*, capacity: float, members: int) -> int:
@@ -157,7 +177,9 @@
   `weight_by_team` has the configured rate of each team that has one.
   """
   capacity = estimate_capacity(
-    slots=state.slots, turns_per_program=state.turns_per_program
+    slots=state.slots,
+    turns_per_program=state.turns_per_program,
+    duration_ratio=state.duration_ratio,
   )
   ended_per_second = state.ended_per_second
   # The programs that end at full capacity, not those that end now.  The latter
--- a/src/woadrun/process/load/program_gate.py
+++ b/src/woadrun/process/load/program_gate.py
@@ -58,6 +58,9 @@
 ENDED_HALF_LIFE_SECONDS = 1.0
 # Weight of the newest program in the learned ratio of a kind.
 LEARN_WEIGHT = 0.1
+# Longest duration of a program that counts, as a multiple of the time that it
+# had.  A program that loops without end says nothing of the service's speed.
+MAX_USED_RATIO = 1.5
 # Longest interval that one sample of the running turns stands for.  After an
 # idle time, a single sample with few programs would otherwise count fully.
 MAX_SAMPLE_SECONDS = 0.25
@@ -149,6 +152,16 @@
       half_life=ENDED_HALF_LIFE_SECONDS
     )
   )
+  used: program_admission.DecayedRate = dataclasses.field(
+    default_factory=lambda: program_admission.DecayedRate(
+      half_life=ENDED_HALF_LIFE_SECONDS
+    )
+  )
+  allowed: program_admission.DecayedRate = dataclasses.field(
+    default_factory=lambda: program_admission.DecayedRate(
+      half_life=ENDED_HALF_LIFE_SECONDS
+    )
+  )
   asked_by_class: dict[
     program_admission.ClassKey, program_admission.DecayedRate
   ] = dataclasses.field(default_factory=dict)
@@ -168,6 +181,11 @@
       initial=program_admission.INITIAL_SECONDS_PER_PROGRAM
     )
   )
+  duration_ratio: program_admission.DecayedRatio = dataclasses.field(
+    default_factory=lambda: program_admission.DecayedRatio(
+      initial=program_admission.INITIAL_DURATION_RATIO
+    )
+  )
   sampled_at: float = -math.inf
   sampled_seconds: float = 0.0
   outlook: _Outlook | None = None
@@ -282,6 +300,7 @@
       service.programs += 1
       service.ended.record(now, -1.0)
       service.ended_seconds.record(now, found.admitted_at - found.ended_at)
+      _record_use(service, found, now, sign=-1.0)
       found.ended_at = None
     found.deadline_by_request[request] = (
       now + ask.turn_seconds + CLOSE_GRACE_SECONDS
@@ -313,6 +332,7 @@
         service.programs -= 1
         service.ended.record(now)
         service.ended_seconds.record(now, now - found.admitted_at)
+        _record_use(service, found, now, sign=1.0)
     self._ticket_by_program = {
       program: ticket
       for program, ticket in self._ticket_by_program.items()
@@ -451,6 +471,7 @@
       },
       turns_per_program=service.turns_per_program.get(),
       seconds_per_program=service.seconds_per_program.get(),
+      duration_ratio=service.duration_ratio.get(),
     )
     plan = program_admission.make_plan(
       state, weight_by_team=self._get_weight_by_team(state.asked_per_second)
@@ -513,6 +534,8 @@
       return
     if total.ended >= MIN_RATE and total.ended_seconds > 0:
       service.seconds_per_program.record(total.ended_seconds, total.ended, now)
+    if total.used > 0 and total.allowed > 0:
+      service.duration_ratio.record(total.used, total.allowed, now)
     seconds = min(MAX_SAMPLE_SECONDS, now - service.sampled_at)
     service.sampled_at = now
     service.sampled_seconds += seconds
@@ -554,17 +577,16 @@
     asked = {
       hubs.encode_class(key): rate.get(now) for key, rate in rates.items()
     }
-    ended = service.ended.get(now)
     return fleet_heartbeats.ServiceDemand(
       programs=service.programs,
       waiting=sum(
         ticket.service == name and now < ticket.due_at + RETURN_GRACE_SECONDS
         for ticket in self._ticket_by_program.values()
       ),
-      ended=round(ended, 2) if abs(ended) >= MIN_RATE else 0.0,
-      ended_seconds=round(service.ended_seconds.get(now), 2)
-      if abs(ended) >= MIN_RATE
-      else 0.0,
+      ended=_round_rate(service.ended.get(now)),
+      ended_seconds=_round_rate(service.ended_seconds.get(now)),
+      used=_round_rate(service.used.get(now)),
+      allowed=_round_rate(service.allowed.get(now)),
       asked=hubs.name_heaviest(asked),
     )
 
@@ -659,6 +681,8 @@
     total.waiting += own.waiting - sent.waiting
     total.ended += own.ended - sent.ended
     total.ended_seconds += own.ended_seconds - sent.ended_seconds
+    total.used += own.used - sent.used
+    total.allowed += own.allowed - sent.allowed
     has_demand = any(name in d for d in (reports[me].demand, *others))
     return total, is_known and has_demand
 
@@ -724,6 +748,26 @@
   return gauges
 
 
+def _record_use(
+  service: _Service, found: _Program, now: float, *, sign: float
+) -> None:
+  """Records the time that an ended program used of the time that it had.
+
+  With a `sign` of -1 the record is taken back.
+  """
+  if not found.allowed or not found.has_ended_turn:
+    return
+  used = min(
+    found.idle_since - found.admitted_at, MAX_USED_RATIO * found.allowed
+  )
+  service.used.record(now, sign * used)
+  service.allowed.record(now, sign * found.allowed)
+
+
+def _round_rate(per_second: float) -> float:
+  return round(per_second, 2) if abs(per_second) >= MIN_RATE else 0.0
+
+
 def _add(
   name: str, demands: list[Mapping[str, fleet_heartbeats.ServiceDemand]]
 ) -> fleet_heartbeats.ServiceDemand:
