--- a/src/woadrun/decisions/timed_programs.py
+++ b/src/woadrun/decisions/timed_programs.py
@@ -88,19 +88,23 @@
 
 @dataclasses.dataclass(kw_only=True)
 class _Offer:
-  """The programs of one kind that were asked for.
+  """The programs of one kind that were asked for, and those that began.
 
-  `seconds` is the decayed sum of the times that these programs had.
+  `asked` and `begun` are decayed sums of the times that these programs had.
   """
 
   priority: int
-  seconds: float
   updated_at: float
+  asked: float = 0.0
+  begun: float = 0.0
 
-  def get_load(self, now: float) -> float:
-    """Returns the mean sum of the times of programs asked for in a second."""
+  def decay(self, now: float) -> None:
+    """Brings the sums up to `now`."""
     age = max(0.0, now - self.updated_at)
-    return self.seconds * math.exp(-age / DEMAND_SECONDS) / DEMAND_SECONDS
+    factor = math.exp(-age / DEMAND_SECONDS)
+    self.asked *= factor
+    self.begun *= factor
+    self.updated_at = now
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -161,11 +165,11 @@
     allowed = max(0.0, start.seconds_left)
     self._ticket_by_id[start.id] = _Ticket(asked_at=now, allowed=allowed)
     offer = self._offer_by_kind.setdefault(
-      start.kind, _Offer(priority=start.priority, seconds=0.0, updated_at=now)
+      start.kind, _Offer(priority=start.priority, updated_at=now)
     )
     offer.priority = start.priority
-    offer.seconds = offer.get_load(now) * DEMAND_SECONDS + allowed
-    offer.updated_at = now
+    offer.decay(now)
+    offer.asked += allowed
 
   def record_request(
     self,
@@ -185,6 +189,9 @@
       if seconds_left is None:
         return
       ticket = self._ticket_by_id.pop(id, None)
+      if ticket is not None and kind in self._offer_by_kind:
+        self._offer_by_kind[kind].decay(now)
+        self._offer_by_kind[kind].begun += ticket.allowed
       running = _Running(
         kind=kind,
         allowed=ticket.allowed if ticket else max(0.0, seconds_left),
@@ -303,10 +310,8 @@
         sent = max(sent, reserved)
       needed += sent
     excess = needed - rate * horizon - level
-    if can_be_in_time and excess > 0:
-      part = _get_part(offered_by_kind, start.kind)
-      sent = sent_by_kind.get(start.kind, 0.0)
-      excess = min(excess, sent + own - MIN_PART * part * rate * horizon)
+    if can_be_in_time and self._is_below_part(start, rate, offered_by_kind):
+      excess = 0.0
     refusal = _make_refusal(max(excess, -room), rate)
     if refusal and start.seconds_left - refusal.retry_after < seconds:
       # The program cannot be in time when it returns, so it is told to stay
@@ -314,6 +319,25 @@
       return dataclasses.replace(refusal, retry_after=MAX_RETRY_SECONDS)
     return refusal
 
+  def _is_below_part(
+    self, start: Start, rate: float, offered_by_kind: Mapping[str, float]
+  ) -> bool:
+    """Returns whether a kind has got less than it keeps beside urgent kinds.
+
+    The programs that began are compared, since the part of a small rate is less
+    than one program at a time.
+    """
+    total = sum(offered_by_kind.values())
+    own = self._offer_by_kind.get(start.kind)
+    is_most_urgent = all(
+      offer.priority >= start.priority for offer in self._offer_by_kind.values()
+    )
+    if not total or own is None or is_most_urgent:
+      return False
+    density = self.demand_by_kind[start.kind].density
+    begun = own.begun / DEMAND_SECONDS * density
+    return begun < MIN_PART * rate * offered_by_kind[start.kind] / total
+
   def _count_active(self, now: float) -> int:
     return sum(
       now - running.last_request_at < ACTIVE_SECONDS
@@ -341,18 +365,15 @@
 
   def _get_offered(self, now: float) -> dict[str, float]:
     """Returns the requests per second of the programs asked for, by kind."""
+    for offer in self._offer_by_kind.values():
+      offer.decay(now)
     return {
-      kind: offer.get_load(now) * self.demand_by_kind[kind].density
+      kind: offer.asked / DEMAND_SECONDS * self.demand_by_kind[kind].density
       for kind, offer in self._offer_by_kind.items()
       if kind in self.demand_by_kind
     }
 
 
-def _get_part(offered_by_kind: Mapping[str, float], kind: str) -> float:
-  total = sum(offered_by_kind.values())
-  return offered_by_kind.get(kind, 0.0) / total if total else 0.0
-
-
 def _make_refusal(excess: float, rate: float) -> Refusal | None:
   if excess <= 0:
     return None
