Attempts that certainly did not run have their own limit

Cause: on a route with a single attempt, a turn that one engine refused ended its program, although other engines had room.

On such routes, max_attempts counts the attempts that may have run; up to 2 more are made after attempts that did not run, in the first third of the time. Routes with several attempts are served as before.

--- a/src/woadrun/request/attempts.py
+++ b/src/woadrun/request/attempts.py
@@ -1,9 +1,10 @@
 """Sends requests to instances of a service, with retries and hedging.
 
 A request that is not idempotent is retried only if the instance replies that it
-did not run the request, or if the request did not reach the instance.  An
-idempotent request is also hedged: it is sent to a second instance when the
-first one takes much longer than average.
+did not run the request, or if the request did not reach the instance.
+`decisions/attempt_limit.py` limits the attempts.  An idempotent request is also
+hedged: it is sent to a second instance when the first one takes much longer
+than average.
 
 A turn is a model request of a program; other requests have none.  A reply is
 genuine if it has the id of the request and the signature of the instance.  Load
@@ -23,6 +24,7 @@
 import time
 
 from woadrun import errors
+from woadrun.decisions import attempt_limit
 from woadrun.decisions import hedging
 from woadrun.decisions import urgency
 from woadrun.process import catalogue
@@ -60,7 +62,8 @@
   prompt tokens that each incarnation is expected to have cached.  `tried` lists
   the incarnations that were chosen so far, `last_error` is the error of the
   latest attempt without a reply, and `refusal` is the authorization error that
-  forbids further attempts.
+  forbids further attempts.  `not_run` counts the attempts that certainly did
+  not run.
   """
 
   request: exchange.Request
@@ -73,6 +76,8 @@
   tried: list[str] = dataclasses.field(default_factory=list)
   last_error: Exception | None = None
   may_have_run: bool = False
+  not_run: int = 0
+  started_at: float = dataclasses.field(default_factory=time.monotonic)
 
   @property
   def route(self) -> routes.Route:
@@ -141,6 +146,7 @@
           attempt = await self._start_attempt(state, sending)
         except exchange.RequestNotSent as error:
           state.last_error = error
+          state.not_run += 1
           continue
         except exchange.ResponseLost as error:
           state.last_error = error
@@ -155,6 +161,7 @@
           return
         await stack.aclose()
         if not reply.has_run:
+          state.not_run += 1
           continue
         state.may_have_run = True
         if route.kind is not routes.Kind.IDEMPOTENT:
@@ -166,13 +173,17 @@
   def _prepare_next(self, state: _SendState) -> exchange.RequestAttempt | None:
     """Returns the next attempt and counts it as tried; None if there is none.
 
-    There is none once the route's limit of attempts or the deadline is
-    reached, the request is no longer authorized, or no instance is left.
+    There is none once the limit of attempts or the deadline is reached, the
+    request is no longer authorized, or no instance is left.
     """
     seconds = exchange.get_seconds_left(state.deadline)
-    if (
-      len(state.tried) >= state.route.max_attempts
-      or seconds < MIN_REMAINING_SECONDS
+    max_attempts = state.route.max_attempts
+    if seconds < MIN_REMAINING_SECONDS or not attempt_limit.may_send(
+      max_attempts=max_attempts,
+      tried=len(state.tried),
+      not_run=state.not_run,
+      elapsed=time.monotonic() - state.started_at,
+      total=state.deadline - state.started_at,
     ):
       return None
     try:
@@ -188,6 +199,7 @@
       prompt=prompt,
       parts=turn.parts if turn else (),
       cached_by_id=state.cached_by_instance,
+      draws_more=attempt_limit.has_further_attempts(max_attempts),
     )
     if instance is None:
       return None
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -1,11 +1,13 @@
 """Tests for retries, hedging and partition handling of sent requests."""
 
 import asyncio
+import copy
 
 import nodes
 import pytest
 
 from woadrun import errors
+from woadrun.decisions import attempt_limit
 from woadrun.decisions import hedging
 from woadrun.request import exchange
 from woadrun.request import partition_monitor
@@ -154,3 +156,76 @@
     # The request may have run, so the error does not report it as not run.
     assert caught.value.status == 502
     assert not daemon.loads.get_running()
+
+
+# --- Routes with a single attempt --------------------------------------------
+
+
+def make_single_attempt_config():
+  config = copy.deepcopy(nodes.CONFIG)
+  for route in config['routes']:
+    route['max_attempts'] = 1
+  return config
+
+
+def refuse(count):
+  return [nodes.make_reply(status=503, has_run=False) for _ in range(count)]
+
+
+# Guards against a program under way that ends because a single engine's queue
+# was full, and against a second reservation of the turn's tokens.
+async def test_refused_turn_of_a_single_attempt_is_sent_to_another_instance():
+  async with nodes.Nodes(config=make_single_attempt_config()) as fleet:
+    await fleet.start('n1')
+    fleet.engines.faults.extend(refuse(1))
+    # The budget suffices for one reservation only.
+    await fleet.turn('n1', 'a', budget=10, most=10)
+    first, second = (item.instance.id for item in fleet.engines.sent)
+    assert first != second
+
+
+@pytest.mark.parametrize('path', ['/act/', '/draft/', '/look/'])
+@pytest.mark.parametrize(
+  'fault',
+  [exchange.ResponseLost('reset'), nodes.make_reply(is_genuine=False)],
+  ids=['no reply', 'reply not genuine'],
+)
+@pytest.mark.parametrize('refused', [0, 1])
+async def test_single_attempt_that_may_have_run_is_the_last(
+  path, fault, refused
+):
+  async with nodes.Nodes(config=make_single_attempt_config()) as fleet:
+    await fleet.start('n1')
+    with pytest.raises(errors.WoadrunError) as caught:
+      await ask(fleet, path, *refuse(refused), fault)
+    assert len(fleet.engines.sent) == 1 + refused
+    assert caught.value.ran is errors.RunStatus.UNKNOWN
+
+
+@pytest.mark.parametrize(
+  ('tried', 'not_run', 'elapsed', 'expected'),
+  [
+    (0, 0, 2.9, True),
+    (1, 0, 0.1, False),
+    (1, 1, 0.9, True),
+    (1, 1, 1.1, False),
+    (2, 1, 0.1, False),
+    (2, 2, 0.1, True),
+    (3, 3, 0.1, False),
+  ],
+)
+def test_attempts_that_did_not_run_have_their_own_limit(
+  tried, not_run, elapsed, expected
+):
+  may_send = attempt_limit.may_send(
+    max_attempts=1, tried=tried, not_run=not_run, elapsed=elapsed, total=3.0
+  )
+  assert may_send is expected
+
+
+@pytest.mark.parametrize(('tried', 'expected'), [(1, True), (2, False)])
+def test_routes_with_several_attempts_count_all_of_them(tried, expected):
+  may_send = attempt_limit.may_send(
+    max_attempts=2, tried=tried, not_run=tried, elapsed=2.9, total=3.0
+  )
+  assert may_send is expected
