Placement: the draw of further instances is taken back

Cause: drawing up to 4 more instances when none of the compared ones has a free slot raises refusals. The counts are older than a turn lasts, so all daemons place on the few engines that were free half a second ago.

--- a/src/woadrun/decisions/attempt_limit.py
+++ b/src/woadrun/decisions/attempt_limit.py
@@ -16,11 +16,6 @@
 FURTHER_ATTEMPTS_SHARE = 1 / 3
 
 
-def has_further_attempts(max_attempts: int) -> bool:
-  """Returns whether attempts that did not run have their own limit."""
-  return max_attempts == 1
-
-
 def may_send(
   *,
   max_attempts: int,
@@ -35,9 +30,9 @@
   run.  `elapsed` is the time since the first attempt and `total` the time that
   the request had then, in seconds.
   """
-  if not has_further_attempts(max_attempts):
+  if max_attempts > 1:
     return tried < max_attempts
-  if tried - not_run >= max_attempts:
+  if tried - not_run >= 1:
     return False
   return not_run == 0 or (
     not_run <= MAX_FURTHER_ATTEMPTS and elapsed < FURTHER_ATTEMPTS_SHARE * total
--- a/src/woadrun/decisions/random_sampling.py
+++ b/src/woadrun/decisions/random_sampling.py
@@ -44,30 +44,6 @@
   return [item for item in (first, second) if item is not None]
 
 
-def draw_more(
-  everywhere: Sequence[T],
-  *,
-  count: int,
-  is_fit: Callable[[T], bool],
-  pick: Callable[[Sequence[T]], T],
-) -> list[T]:
-  """Returns up to `count` different eligible upstreams, drawn at random.
-
-  At most `count + MAX_DRAWS` upstreams are examined, so the result has fewer
-  upstreams if few are eligible.
-  """
-  if not everywhere:
-    return []
-  found: list[T] = []
-  for _ in range(count + MAX_DRAWS):
-    item = pick(everywhere)
-    if item not in found and is_fit(item):
-      found.append(item)
-      if len(found) == count:
-        break
-  return found
-
-
 def _draw_one(
   items: Sequence[T],
   is_fit: Callable[[T], bool],
--- a/src/woadrun/decisions/routing.py
+++ b/src/woadrun/decisions/routing.py
@@ -47,11 +47,6 @@
   risk: float = 0.0
 
 
-def has_free_slot(candidate: Candidate) -> bool:
-  """Returns whether an upstream would run one more call at once."""
-  return candidate.running + candidate.waiting < candidate.slots
-
-
 def estimate_wait(candidate: Candidate) -> float:
   """Returns the estimated queueing delay of a call, in seconds.
 
--- a/src/woadrun/process/load/loads.py
+++ b/src/woadrun/process/load/loads.py
@@ -70,9 +70,6 @@
 # Time after a request for which its connection counts as idle and reusable; the
 # HTTP client closes the connection a little later.
 IDLE_CONNECTION_TTL_SECONDS = 3.5
-# Further instances compared for a request if none of the first ones has a free
-# slot.
-MAX_FURTHER_CANDIDATES = 4
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -280,7 +277,6 @@
     prompt: int = 0,
     parts: Sequence[turn_messages.PromptPart] = (),
     cached_by_id: dict[str, int] | None = None,
-    draws_more: bool = False,
   ) -> instances.Instance | None:
     """Returns the best of a few instances, None if all were tried.
 
@@ -293,9 +289,7 @@
     `tried` has the `incarnation_id` of each instance to leave out.  `prompt` is
     the length of the prompt in tokens, 0 for a request that is not a turn;
     `parts` are the parts of the prompt.  `cached_by_id` has the number of its
-    tokens that are in the cache of an instance.  With `draws_more`, up to
-    MAX_FURTHER_CANDIDATES other instances of all domains are compared as well
-    if none of the first ones has a free slot.
+    tokens that are in the cache of an instance.
     """
     now = time.monotonic()
     cached_by_id = cached_by_id or {}
@@ -324,32 +318,20 @@
       considered = {
         i.incarnation_id: i for i in group.all if i.incarnation_id not in tried
       }
-
-    def make_candidate(item: instances.Instance) -> routing.Candidate:
-      id = item.incarnation_id
-      return self._make_candidate(
+    candidates = [
+      self._make_candidate(
         item,
-        risk=FAILURE_PENALTY_SECONDS * self.health.get_excess_failures(id),
+        risk=FAILURE_PENALTY_SECONDS
+        * self.health.get_excess_failures(incarnation_id),
         cached=max(
-          cached_by_id.get(id, 0),
-          self._count_shared_tokens(id, parts, now),
+          cached_by_id.get(incarnation_id, 0),
+          self._count_shared_tokens(incarnation_id, parts, now),
         ),
         batch_delay=TURN_COST_SECONDS if prompt else 0.0,
         now=now,
       )
-
-    candidates = [make_candidate(item) for item in considered.values()]
-    if draws_more and not any(map(routing.has_free_slot, candidates)):
-      for item in random_sampling.draw_more(
-        group.all,
-        count=MAX_FURTHER_CANDIDATES,
-        is_fit=lambda item: (
-          item.incarnation_id not in considered and is_fit(item)
-        ),
-        pick=random.choice,
-      ):
-        considered[item.incarnation_id] = item
-        candidates.append(make_candidate(item))
+      for incarnation_id, item in considered.items()
+    ]
     chosen = routing.choose(
       candidates, prompt=prompt, prefill_rate=PREFILL_TOKENS_PER_SECOND
     )
--- a/src/woadrun/request/attempts.py
+++ b/src/woadrun/request/attempts.py
@@ -177,9 +177,8 @@
     request is no longer authorized, or no instance is left.
     """
     seconds = exchange.get_seconds_left(state.deadline)
-    max_attempts = state.route.max_attempts
     if seconds < MIN_REMAINING_SECONDS or not attempt_limit.may_send(
-      max_attempts=max_attempts,
+      max_attempts=state.route.max_attempts,
       tried=len(state.tried),
       not_run=state.not_run,
       elapsed=time.monotonic() - state.started_at,
@@ -199,7 +198,6 @@
       prompt=prompt,
       parts=turn.parts if turn else (),
       cached_by_id=state.cached_by_instance,
-      draws_more=attempt_limit.has_further_attempts(max_attempts),
     )
     if instance is None:
       return None
