Failed attempts are not learned as fast successes

Cause: an attempt that failed or was refused at once lowered the average request time of its instance and of the service, so that the instance attracted more requests and callers were told too short a delay.

A failure now never lowers these averages; a slow one still raises them. The new test fails for all five kinds of failure without the change.

--- a/src/woadrun/process/load/loads.py
+++ b/src/woadrun/process/load/loads.py
@@ -23,6 +23,7 @@
 from collections.abc import Sequence
 import contextlib
 import dataclasses
+import math
 import random
 import time
 
@@ -219,12 +220,18 @@
     is_held = at is not None and now - at < SHARED_PREFIX_TTL_SECONDS
     return parts[0].tokens if is_held else 0
 
-  def record_duration(self, id: str, service: str, seconds: float) -> None:
-    """Adds the duration of a request to the moving averages."""
+  def record_duration(
+    self, id: str, service: str, seconds: float, *, is_failure: bool = False
+  ) -> None:
+    """Adds the duration of a request to the moving averages.
+
+    A failure never lowers them: an instance that fails at once is not fast.
+    """
     load = self._load_by_id.setdefault(id, Load())
-    load.seconds += EWMA_WEIGHT * (seconds - load.seconds)
     mean = self.get_mean_seconds(service)
-    mean += EWMA_WEIGHT * (seconds - mean)
+    least = -math.inf if not is_failure else 0.0
+    load.seconds += EWMA_WEIGHT * max(least, seconds - load.seconds)
+    mean += EWMA_WEIGHT * max(least, seconds - mean)
     self._mean_seconds_by_service[service] = mean
 
   def get_mean_seconds(self, service: str) -> float:
--- a/src/woadrun/request/attempts.py
+++ b/src/woadrun/request/attempts.py
@@ -54,6 +54,13 @@
   reply: exchange.Reply
 
 
+@dataclasses.dataclass(kw_only=True)
+class _Result:
+  """Whether an attempt failed, which is assumed until its reply has begun."""
+
+  is_failure: bool = True
+
+
 @dataclasses.dataclass(kw_only=True)
 class _SendState:
   """The state of one request across its attempts.
@@ -296,7 +303,8 @@
     id = sending.instance.incarnation_id
     stack = contextlib.AsyncExitStack()
     stack.enter_context(self._loads.count(id))
-    stack.callback(self._record_duration, sending, time.monotonic())
+    result = _Result()
+    stack.callback(self._record_duration, sending, time.monotonic(), result)
     self._loads.health.record_request(stack, id, sending.instance.service)
     try:
       reply = await stack.enter_async_context(self._upstreams.send(sending))
@@ -307,20 +315,24 @@
       raise
     finally:
       self._loads.health.record_end(stack)
-    self._record_reply(id, reply)
+    self._record_reply(id, reply, result)
     stack.callback(self._record_idle_connection, id, reply)
     self._log_outcome(sending, _describe_reply(reply))
     return _Attempt(sending=sending, stack=stack, reply=reply)
 
-  def _record_reply(self, id: str, reply: exchange.Reply) -> None:
+  def _record_reply(
+    self, id: str, reply: exchange.Reply, result: _Result
+  ) -> None:
     if not reply.has_run:
       self._loads.health.record_failure(id, health.REJECTION_WEIGHT)
     elif not reply.is_genuine or reply.status >= MIN_FAILURE_STATUS:
       self._loads.health.record_failure(id)
-    reply.chunks = self._relay_chunks(id, reply.chunks)
+    else:
+      result.is_failure = False
+    reply.chunks = self._relay_chunks(id, reply.chunks, result)
 
   async def _relay_chunks(
-    self, id: str, chunks: AsyncGenerator[bytes]
+    self, id: str, chunks: AsyncGenerator[bytes], result: _Result
   ) -> AsyncGenerator[bytes]:
     """Yields a reply's chunks; a truncated reply is a failure of the instance.
 
@@ -331,6 +343,7 @@
         async for chunk in chunks:
           yield chunk
     except exchange.ResponseLost:
+      result.is_failure = True
       self._loads.health.record_failure(id)
       raise
 
@@ -339,12 +352,17 @@
       self._loads.record_idle_connection(id)
 
   def _record_duration(
-    self, sending: exchange.RequestAttempt, started_at: float
+    self,
+    sending: exchange.RequestAttempt,
+    started_at: float,
+    result: _Result,
   ) -> None:
     instance = sending.instance
-    seconds = time.monotonic() - started_at
     self._loads.record_duration(
-      instance.incarnation_id, instance.service, seconds
+      instance.incarnation_id,
+      instance.service,
+      time.monotonic() - started_at,
+      is_failure=result.is_failure,
     )
 
   def _record_failure(
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -1,6 +1,7 @@
 """Tests for retries, hedging and partition handling of sent requests."""
 
 import asyncio
+import contextlib
 import copy
 
 import nodes
@@ -229,3 +230,26 @@
     max_attempts=2, tried=tried, not_run=tried, elapsed=2.9, total=3.0
   )
   assert may_send is expected
+
+
+# Guards against an instance that attracts requests because it fails at once.
+@pytest.mark.parametrize(
+  'fault',
+  [
+    exchange.RequestNotSent('refused'),
+    exchange.ResponseLost('reset'),
+    nodes.make_reply(status=503, has_run=False),
+    nodes.make_reply(status=500),
+    nodes.make_torn_reply(),
+  ],
+  ids=['not sent', 'lost', 'full', 'error', 'torn'],
+)
+async def test_failure_does_not_count_as_a_fast_success(fault):
+  async with nodes.Nodes(config=make_single_attempt_config()) as fleet:
+    await fleet.start('n1')
+    load = fleet.by_name['n1'].loads
+    before = load.get_mean_seconds('tools')
+    fleet.engines.faults.extend([fault] * 3)  # One for each attempt.
+    with contextlib.suppress(errors.WoadrunError, exchange.ResponseLost):
+      await ask(fleet, '/act/')
+    assert load.get_mean_seconds('tools') == before
