Idle connections are closed when one to the same address stays silent

Cause: connections that pass no data were abandoned only once a request on one of them had failed, and a turn waits there until its deadline, so that further requests took other silent connections meanwhile. Abandoned connections stayed open for the keepalive time, and each silent request abandoned the new connections again.

A request without a response after twice the longest recent time of its service, at least 1 s, now closes the idle connections while it still waits. A request on a connection that was abandoned already abandons no new ones. A store call that is cancelled after 0.1 s counts as silent as well.

--- a/src/woadrun/connection/peers.py
+++ b/src/woadrun/connection/peers.py
@@ -87,7 +87,10 @@
     `NoAnswer` without a response; the peer may then have processed the
     message.
     """
-    host = self._addresses.get_host(address) if self._addresses else address
+    host, generation = address, None
+    if self._addresses is not None:
+      host = self._addresses.get_host(address)
+      generation = self._addresses.get_generation(address)
     body = self.encode(message)
     self.messages += 1
     self.sent_bytes += len(body)
@@ -102,8 +105,8 @@
       ) as response:
         data = await response.read()
     except (TimeoutError, aiohttp.ClientError, OSError) as error:
-      if isinstance(error, TimeoutError):
-        self.reset_connections(address)
+      if isinstance(error, TimeoutError) and self._addresses is not None:
+        self._addresses.reset_connections(address, generation=generation)
       raise NoAnswer(
         errors.Code.OWNER_UNAVAILABLE,
         f'{address} did not respond ({error.__class__.__name__}).',
--- a/src/woadrun/connection/tcp_connections.py
+++ b/src/woadrun/connection/tcp_connections.py
@@ -1,19 +1,27 @@
 """Replacement of pooled connections that stopped responding.
 
 A pooled connection may stop responding for good, without a reset, while new
-connections work.  aiohttp pools connections by host name, so a request under
-another host name for the same address opens a new connection.
+connections work.  If one connection to an address stays silent, all others that
+are idle are suspect as well and are closed.  aiohttp pools connections by host
+name, so a request under another host name for the same address opens a new
+connection.
 """
 
 from __future__ import annotations
 
+import asyncio
+from collections.abc import Iterator
+import contextlib
 import hashlib
+import logging
 import socket
 from typing import Any
 
 import aiohttp
 from aiohttp import abc
 
+log = logging.getLogger('woadrun.connections')
+
 # TCP user timeout: the remote kernel must acknowledge sent data within this
 # time.  A round trip takes a few milliseconds; on links that lose packets TCP
 # retransmits after 0.2, 0.4 and 0.8 s.
@@ -29,11 +37,15 @@
 class Addresses:
   """Maps addresses to host names, so that pooled connections can be abandoned.
 
-  `Resolver` resolves the names.
+  `Resolver` resolves the names.  `connector` holds the idle connections; with
+  None, abandoned connections stay open until their keepalive time has passed.
+  `resets` counts the times that connections were abandoned.
   """
 
-  def __init__(self) -> None:
+  def __init__(self, *, connector: aiohttp.BaseConnector | None = None) -> None:
+    self._connector = connector
     self._retirements_by_address: dict[str, int] = {}
+    self.resets = 0
 
   def get_host(self, address: str, *, incarnation_id: str = '') -> str:
     """Returns the host name and port to use in URLs for IP:PORT.
@@ -47,10 +59,64 @@
     key = f'{incarnation_id} {retirements}'.encode()
     return f'c{hashlib.blake2b(key, digest_size=8).hexdigest()}.{address}'
 
-  def reset_connections(self, address: str) -> None:
-    """Stops the reuse of all connections to an address opened so far."""
-    retirements = self._retirements_by_address.get(address, 0)
-    self._retirements_by_address[address] = retirements + 1
+  def get_generation(self, address: str) -> int:
+    """Returns how often the connections to an address were abandoned."""
+    return self._retirements_by_address.get(address, 0)
+
+  def reset_connections(
+    self, address: str, *, generation: int | None = None
+  ) -> None:
+    """Closes the idle connections to an address and stops all reuse.
+
+    Connections in use stay open until their requests end.  `generation` is that
+    of the silent connection, if known: nothing is done if the connections of
+    that generation were abandoned already.
+    """
+    current = self.get_generation(address)
+    if generation is not None and generation != current:
+      return
+    self._retirements_by_address[address] = current + 1
+    self.resets += 1
+    closed = _close_idle(self._connector, address) if self._connector else 0
+    log.info(
+      'A connection to %s stays silent: %d idle connections were closed.',
+      address,
+      closed,
+    )
+
+  @contextlib.contextmanager
+  def watch(self, address: str, *, seconds: float) -> Iterator[None]:
+    """Returns a context of waiting for a response from an address.
+
+    The connections are reset once the context has lasted for `seconds`, while
+    it still lasts, so that other requests do not wait on silent connections
+    until the first one fails.
+    """
+    generation = self.get_generation(address)
+    timer = asyncio.get_running_loop().call_later(
+      seconds,
+      lambda: self.reset_connections(address, generation=generation),
+    )
+    try:
+      yield
+    finally:
+      timer.cancel()
+
+
+def _close_idle(connector: aiohttp.BaseConnector, address: str) -> int:
+  """Closes the idle connections to IP:PORT; returns their number."""
+  ip, _, port = address.rpartition(':')
+  # aiohttp has no public method that closes the idle connections of one host.
+  pool = connector._conns
+  keys = [
+    key
+    for key in pool
+    if str(key.port) == port and (key.host == ip or key.host.endswith(f'.{ip}'))
+  ]
+  idle = [protocol for key in keys for protocol, _ in pool.pop(key)]
+  for protocol in idle:
+    protocol.close()
+  return len(idle)
 
 
 class Resolver(abc.AbstractResolver):
--- a/src/woadrun/platform/program.py
+++ b/src/woadrun/platform/program.py
@@ -110,7 +110,7 @@
   config: node.NodeSettings, session: aiohttp.ClientSession
 ) -> node.Binding:
   """Returns the daemon's interfaces to this platform."""
-  addresses = tcp_connections.Addresses()
+  addresses = tcp_connections.Addresses(connector=session.connector)
   return node.Binding(
     addresses=addresses,
     store=store.Store(
--- a/src/woadrun/platform/store.py
+++ b/src/woadrun/platform/store.py
@@ -7,9 +7,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import base64
 from collections.abc import Sequence
 import logging
+import time
 from typing import Any
 import urllib.parse
 
@@ -26,6 +28,10 @@
 # Added to the wait of a long poll to get its timeout.  The margin covers the
 # network, a slow store and a timer that fires late.
 LONG_POLL_MARGIN_SECONDS = 1.5
+# A read or transaction that is cancelled after this time without a response may
+# have been on a silent connection: the store usually answers within a few
+# milliseconds.
+SILENCE_THRESHOLD_SECONDS = 0.1
 
 
 log = logging.getLogger('woadrun.store')
@@ -203,15 +209,28 @@
       url += '?' + urllib.parse.urlencode(query)
     headers = {'Content-Type': 'application/json'} if body else None
     address = self.address
-    return await http.send(
-      self._session,
-      method,
-      yarl.URL(url, encoded=True),
-      body=body,
-      headers=headers,
-      timeout=timeout,
-      on_silence=lambda: self._addresses.reset_connections(address),
-    )
+    generation = self._addresses.get_generation(address)
+    started_at = time.monotonic()
+
+    def reset_connections() -> None:
+      self._addresses.reset_connections(address, generation=generation)
+
+    try:
+      return await http.send(
+        self._session,
+        method,
+        yarl.URL(url, encoded=True),
+        body=body,
+        headers=headers,
+        timeout=timeout,
+        on_silence=reset_connections,
+      )
+    except asyncio.CancelledError:
+      seconds = time.monotonic() - started_at
+      # A long poll may wait without a response.
+      if timeout <= self._timeout and seconds > SILENCE_THRESHOLD_SECONDS:
+        reset_connections()
+      raise
 
 
 def _encode_key(key: rows.Key) -> dict[str, Any]:
--- a/src/woadrun/platform/upstream.py
+++ b/src/woadrun/platform/upstream.py
@@ -18,8 +18,9 @@
 # A reachable instance accepts a connection within a round trip; one that is
 # down or behind a network partition never does.
 CONNECT_TIMEOUT_SECONDS = 0.5
-# A request without the start of a response after this time may be on a dead
-# connection that was not reset.  Turns queued at an instance start sooner.
+# A request that failed or was cancelled after this time without the start of a
+# response may be on a dead connection that was not reset.  Turns queued at an
+# instance start sooner.
 SILENCE_THRESHOLD_SECONDS = 1.0
 # Headers that the client library would otherwise add by itself.
 _SKIPPED_AUTO_HEADERS = (
@@ -77,20 +78,24 @@
       incarnation_id=instance.incarnation_id if instance.started_ms else '',
     )
     url = yarl.URL(f'http://{host}{request.target}', encoded=True)
+    generation = self._addresses.get_generation(instance.address)
     began = time.monotonic()
     timeout = aiohttp.ClientTimeout(
       total=sending.seconds, sock_connect=CONNECT_TIMEOUT_SECONDS
     )
     try:
-      return await self._session.request(
-        request.method,
-        url,
-        data=sending.body or None,
-        headers=wire.encode_headers(sending),
-        skip_auto_headers=_SKIPPED_AUTO_HEADERS,
-        allow_redirects=False,
-        timeout=timeout,
-      )
+      with self._addresses.watch(
+        instance.address, seconds=sending.silence_seconds
+      ):
+        return await self._session.request(
+          request.method,
+          url,
+          data=sending.body or None,
+          headers=wire.encode_headers(sending),
+          skip_auto_headers=_SKIPPED_AUTO_HEADERS,
+          allow_redirects=False,
+          timeout=timeout,
+        )
     except (
       aiohttp.ClientConnectorError,
       aiohttp.ConnectionTimeoutError,
@@ -99,18 +104,20 @@
         str(error) or type(error).__name__
       ) from error
     except (aiohttp.ClientError, TimeoutError, OSError) as error:
-      self._note_silence(sending, began)
+      self._note_silence(sending, began, generation)
       raise exchange.ResponseLost(str(error) or type(error).__name__) from error
     except asyncio.CancelledError:
       # The caller disconnected or timed out, possibly because no response came.
-      self._note_silence(sending, began)
+      self._note_silence(sending, began, generation)
       raise
 
   def _note_silence(
-    self, sending: exchange.RequestAttempt, began: float
+    self, sending: exchange.RequestAttempt, began: float, generation: int
   ) -> None:
     if time.monotonic() - began > SILENCE_THRESHOLD_SECONDS:
-      self._addresses.reset_connections(sending.instance.address)
+      self._addresses.reset_connections(
+        sending.instance.address, generation=generation
+      )
 
 
 def _is_reusable(response: aiohttp.ClientResponse) -> bool:
--- a/src/woadrun/process/load/health.py
+++ b/src/woadrun/process/load/health.py
@@ -130,10 +130,13 @@
     if pending is not None and self._is_overdue(pending, time.monotonic()):
       self.record_failure(pending.id, TIMEOUT_WEIGHT)
 
+  def get_overdue_seconds(self, service: str) -> float:
+    """Returns the time after which a request without a response is overdue."""
+    max_latency = self._get_max_latency(service, time.monotonic())
+    return max(MIN_OVERDUE_SECONDS, OVERDUE_FACTOR * max_latency)
+
   def _is_overdue(self, pending: _PendingRequest, now: float) -> bool:
-    max_latency = self._get_max_latency(pending.service, now)
-    timeout = max(MIN_OVERDUE_SECONDS, OVERDUE_FACTOR * max_latency)
-    return now - pending.at > timeout
+    return now - pending.at > self.get_overdue_seconds(pending.service)
 
   def _get_max_latency(self, service: str, now: float) -> float:
     max_latency = self._max_latency_by_service.get(service)
--- a/src/woadrun/request/attempts.py
+++ b/src/woadrun/request/attempts.py
@@ -218,6 +218,7 @@
       seconds=seconds,
       urgency=_get_urgency(state),
       team=state.grant.team_name,
+      silence_seconds=self._loads.health.get_overdue_seconds(state.service),
     )
 
   async def _start_attempt(
--- a/src/woadrun/request/exchange.py
+++ b/src/woadrun/request/exchange.py
@@ -95,7 +95,8 @@
 
   `seconds` is the time left for the attempt.  `urgency` is 0 for the most
   urgent requests.  `team` is None if requests need no key, and empty for a
-  request without a team.
+  request without a team.  `silence_seconds` is the time without the start of a
+  response after which the connection may be dead.
   """
 
   request: Request
@@ -104,6 +105,7 @@
   seconds: float
   urgency: int | None = None
   team: str | None = None
+  silence_seconds: float = 1.0
 
 
 @dataclasses.dataclass(kw_only=True)
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -250,3 +250,49 @@
   with pytest.raises(errors.WoadrunError):
     await leave.open(request, exchange.TurnInfo(program='p'))
   assert failed == (['n2'] if is_failed else [])
+
+
+# Guards against requests that wait on further silent connections while the
+# first one waits until its deadline, and against connections that stay open.
+async def test_idle_connections_are_closed_while_a_request_waits():
+  async with run_server_behind_proxy(answer_slowly) as (
+    proxy,
+    address,
+    session,
+  ):
+    found = upstream.HttpUpstreams(
+      session=session,
+      addresses=tcp_connections.Addresses(connector=session.connector),
+    )
+    instance = instances.Instance(
+      id='i', service='s', address=address, domain='d', started_ms=1000
+    )
+
+    async def send(silence_seconds=20.0):
+      sending = exchange.RequestAttempt(
+        request=nodes.make_request('r', path='/look/'),
+        instance=instance,
+        body=b'',
+        seconds=20.0,
+        silence_seconds=silence_seconds,
+      )
+      async with found.send(sending) as reply:
+        return [chunk async for chunk in reply.chunks]
+
+    await asyncio.gather(*(send() for _ in range(3)))
+    proxy.blackhole()
+    waiting = asyncio.ensure_future(send(silence_seconds=0.1))
+    await nodes.wait_until(lambda: not session.connector._conns)
+    async with asyncio.timeout(5):
+      await asyncio.gather(*(send() for _ in range(3)))
+    assert not waiting.done()
+    waiting.cancel()
+
+
+async def test_a_second_silent_connection_keeps_the_new_connections():
+  addresses = tcp_connections.Addresses()
+  generation = addresses.get_generation('127.0.0.1:1')
+  addresses.reset_connections('127.0.0.1:1', generation=generation)
+  host = addresses.get_host('127.0.0.1:1')
+  addresses.reset_connections('127.0.0.1:1', generation=generation)
+  assert addresses.get_host('127.0.0.1:1') == host
