--- a/src/woadrun/process/node.py
+++ b/src/woadrun/process/node.py
@@ -247,6 +247,7 @@
       for path, type, answer in self._list_handlers()
     )
     self.sweeper = sweeper.Sweeper(store=self.store, members=self.fleet)
+    self._addresses = binding.addresses
     self.counters.add_gauges(self._read_gauges)
     self._runner: web.ServerRunner | None = None
 
@@ -311,6 +312,7 @@
       'table_version': self.catalogue.version,
       'table_age_seconds': self.catalogue.age.get_age_seconds(),
       'store_is_direct': self.store.is_direct,
+      'connection_resets': self._addresses.resets,
       'peer_messages': self.links.messages + self.calls.answered_calls,
       'rows_swept': self.sweeper.removed_rows,
     }
