Answers of slow callers are read ahead up to a bound on memory

Cause: a daemon read an answer no faster than its caller did, and instances cut off answers that stay unread for some seconds.

The answer of a caller that takes nothing for 0.25 s is read into memory. All such answers hold at most an eighth of limits.memory_mb, or 16 MB; reading pauses at the bound. The gauge woadrun_answer_bytes_held shows the bytes.

An answer of 4 MB is read whole under a bound of 8 MB and paused at one of 512 KB (tests/test_upstream.py).

--- a/src/woadrun/platform/program.py
+++ b/src/woadrun/platform/program.py
@@ -18,6 +18,7 @@
 from woadrun.platform import discovery
 from woadrun.platform import ingress
 from woadrun.platform import operator
+from woadrun.platform import read_ahead
 from woadrun.platform import settings
 from woadrun.platform import store
 from woadrun.platform import upstream
@@ -57,6 +58,9 @@
 ) -> None:
   binding = make_binding(config, session)
   service = node.Node(config=config, session=session, binding=binding)
+  if isinstance(binding.upstreams, upstream.HttpUpstreams):
+    held = binding.upstreams.held
+    service.counters.add_gauges(lambda: {'answer_bytes_held': held.total})
   entry = ingress.Ingress(
     service=service.serving,
     read_metrics=service.counters.encode,
@@ -119,7 +123,13 @@
       timeout=node.STORE_TIMEOUT_SECONDS,
       addresses=addresses,
     ),
-    upstreams=upstream.HttpUpstreams(session=session, addresses=addresses),
+    upstreams=upstream.HttpUpstreams(
+      session=session,
+      addresses=addresses,
+      held=read_ahead.HeldBytes(
+        most=read_ahead.get_max_held_bytes(config.memory_mb)
+      ),
+    ),
     table_key=rows.Key(operator.TABLE, '', operator.ROW),
     instance_table=discovery.TABLE,
     decode_table=operator.decode,
--- /dev/null
+++ b/src/woadrun/platform/read_ahead.py
@@ -0,0 +1,131 @@
+"""Reads answers of instances ahead of slow callers, within a bound.
+
+An instance cuts off an answer that stays unread for some seconds.  The answer
+of a slow caller is therefore read into memory while all such answers together
+hold fewer bytes than a bound; reading pauses at the bound.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+from collections.abc import AsyncGenerator
+
+import aiohttp
+
+from woadrun.request import exchange
+
+# Part of the daemon's memory limit that may hold bytes for slow callers.
+MEMORY_SHARE = 1 / 8
+DEFAULT_MAX_HELD_BYTES = 16 * 1024 * 1024
+# Time for which a caller takes no more bytes until its answer is read ahead.
+# It is far shorter than the time after which an instance cuts off an answer.
+SLOW_CALLER_SECONDS = 0.25
+# Maximum size of one read.  Concurrent reads may exceed the bound by one each.
+READ_BYTES = 65_536
+
+
+def get_max_held_bytes(memory_mb: float | None) -> int:
+  """Returns the bound on held bytes for a memory limit in megabytes, if any."""
+  if memory_mb is None:
+    return DEFAULT_MAX_HELD_BYTES
+  return int(memory_mb * 1024 * 1024 * MEMORY_SHARE)
+
+
+class HeldBytes:
+  """The bytes held for all slow callers; `total` is at most `most`."""
+
+  def __init__(self, *, most: int = DEFAULT_MAX_HELD_BYTES) -> None:
+    self.most = most
+    self.total = 0
+    self._room = asyncio.Event()
+    self._room.set()
+
+  def add(self, size: int) -> None:
+    """Counts bytes; a negative `size` counts bytes that are no longer held."""
+    self.total += size
+    if self.total < self.most:
+      self._room.set()
+    else:
+      self._room.clear()
+
+  async def wait_for_room(self) -> int:
+    """Returns the number of bytes that may be added once it is above 0."""
+    await self._room.wait()
+    return self.most - self.total
+
+
+class AnswerReader:
+  """Reads one answer, ahead of its caller only while the caller is slow.
+
+  `close` must be called in any case.
+  """
+
+  def __init__(
+    self, *, response: aiohttp.ClientResponse, held: HeldBytes
+  ) -> None:
+    self._response = response
+    self._held = held
+    self._chunks: collections.deque[bytes] = collections.deque()
+    self._changed = asyncio.Event()
+    self._task: asyncio.Task[None] | None = None
+
+  async def read(self) -> AsyncGenerator[bytes]:
+    """Yields the answer; raises `ResponseLost` if it breaks off."""
+    content = self._response.content
+    loop = asyncio.get_running_loop()
+    try:
+      while True:
+        chunk = await self._next() if self._task else await content.readany()
+        if not chunk:
+          return
+        if self._task is not None:
+          yield chunk
+          continue
+        timer = loop.call_later(SLOW_CALLER_SECONDS, self._start)
+        try:
+          yield chunk
+        finally:
+          timer.cancel()
+    except (aiohttp.ClientError, TimeoutError, OSError) as error:
+      raise exchange.ResponseLost(str(error) or type(error).__name__) from error
+
+  def close(self) -> None:
+    """Stops reading and drops the bytes held."""
+    if self._task is not None:
+      self._task.cancel()
+    self._held.add(-sum(map(len, self._chunks)))
+    self._chunks.clear()
+
+  def _start(self) -> None:
+    self._task = asyncio.ensure_future(self._read_ahead())
+    self._task.add_done_callback(self._record_end)
+
+  def _record_end(self, task: asyncio.Task[None]) -> None:
+    if not task.cancelled():
+      # Marks the error as retrieved: the caller may never ask for it.
+      task.exception()
+    self._changed.set()
+
+  async def _read_ahead(self) -> None:
+    while True:
+      room = await self._held.wait_for_room()
+      chunk = await self._response.content.read(min(READ_BYTES, room))
+      if not chunk:
+        return
+      self._chunks.append(chunk)
+      self._held.add(len(chunk))
+      self._changed.set()
+
+  async def _next(self) -> bytes:
+    """Returns the next chunk, empty at the end; raises the error of reading."""
+    assert self._task is not None
+    while not self._chunks and not self._task.done():
+      self._changed.clear()
+      await self._changed.wait()
+    if not self._chunks:
+      self._task.result()
+      return b''
+    chunk = self._chunks.popleft()
+    self._held.add(-len(chunk))
+    return chunk
--- a/src/woadrun/platform/settings.py
+++ b/src/woadrun/platform/settings.py
@@ -55,6 +55,12 @@
   row_bytes: Annotated[int, msgspec.Meta(ge=1024)] = 65_536
 
 
+class _Limits(msgspec.Struct, kw_only=True):
+  """`memory_mb` is the daemon's memory limit in megabytes, if there is one."""
+
+  memory_mb: Annotated[float, msgspec.Meta(gt=0)] | None = None
+
+
 class _File(msgspec.Struct, kw_only=True):
   """The settings file; `zone` is the failure domain.
 
@@ -69,6 +75,7 @@
   internal_port_range: tuple[_Port, _Port]
   platform: _Store
   bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+  limits: _Limits | None = None
 
 
 def load(path: str | pathlib.Path) -> node.NodeSettings:
@@ -87,6 +94,7 @@
     row_bytes=file.platform.row_bytes,
     grace=file.bounds.grace_s,
     revocation=_get_revocation(file.bounds),
+    memory_mb=file.limits.memory_mb if file.limits else None,
   )
 
 
--- a/src/woadrun/platform/upstream.py
+++ b/src/woadrun/platform/upstream.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncGenerator
 from collections.abc import AsyncIterator
 import contextlib
 import time
@@ -12,6 +11,7 @@
 import yarl
 
 from woadrun.connection import tcp_connections
+from woadrun.platform import read_ahead
 from woadrun.platform import wire
 from woadrun.request import exchange
 
@@ -32,14 +32,19 @@
 
 
 class HttpUpstreams:
-  """Sends requests, each without retries; implements `exchange.Upstreams`."""
+  """Sends requests, each without retries; implements `exchange.Upstreams`.
+
+  `held` counts the bytes held for slow callers.
+  """
 
   def __init__(
     self,
     *,
     session: aiohttp.ClientSession,
     addresses: tcp_connections.Addresses,
+    held: read_ahead.HeldBytes | None = None,
   ) -> None:
+    self.held = held or read_ahead.HeldBytes()
     self._session = session
     self._addresses = addresses
 
@@ -49,19 +54,21 @@
   ) -> AsyncIterator[exchange.Reply]:
     """Returns a context manager with the reply; its exit ends the request."""
     response = await self._request(sending)
+    reader = read_ahead.AnswerReader(response=response, held=self.held)
     try:
       yield exchange.Reply(
         status=response.status,
         headers=wire.decode_reply_headers(response.headers),
         has_run=wire.has_run(response.status, response.headers),
         is_genuine=wire.is_genuine(sending.request.id, response.headers),
-        chunks=_read(response),
+        chunks=reader.read(),
         abort=response.close,
         is_reusable=lambda: _is_reusable(response),
       )
       if not wire.has_run(response.status, response.headers):
         await _drain(response)
     finally:
+      reader.close()
       # A connection with an unread rest of a body cannot be reused.
       if response.content.at_eof():
         response.release()
@@ -126,14 +133,6 @@
   )
 
 
-async def _read(response: aiohttp.ClientResponse) -> AsyncGenerator[bytes]:
-  try:
-    async for chunk in response.content.iter_any():
-      yield chunk
-  except (aiohttp.ClientError, TimeoutError, OSError) as error:
-    raise exchange.ResponseLost(str(error) or type(error).__name__) from error
-
-
 async def _drain(response: aiohttp.ClientResponse) -> None:
   # Reads the rest of the body so that the connection can be reused.
   with contextlib.suppress(aiohttp.ClientError, TimeoutError, OSError):
--- a/src/woadrun/process/node.py
+++ b/src/woadrun/process/node.py
@@ -101,7 +101,8 @@
   planned stop until the platform kills the process, which is another period
   than `Binding.grace`.  `revocation` is the time for which a key of a team
   may be used after it was revoked, also at daemons that are cut off; None if
-  that is not bounded.
+  that is not bounded.  `memory_mb` is the daemon's memory limit in megabytes,
+  None without a limit.
   """
 
   name: str
@@ -113,6 +114,7 @@
   row_bytes: int
   grace: float
   revocation: float | None = None
+  memory_mb: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -7,6 +7,7 @@
 import pytest
 
 from woadrun import errors
+from woadrun.platform import read_ahead
 from woadrun.platform import settings
 
 GOOD = {
@@ -70,3 +71,14 @@
     [sys.executable, '-c', code], capture_output=True, text=True, check=True
   )
   assert result.stdout.strip() == '[]'
+
+
+@pytest.mark.parametrize(
+  ('limits', 'held'), [(None, 2**24), (128, 2**24), (64, 2**23)]
+)
+def test_memory_limit_bounds_the_bytes_held_for_slow_callers(
+  tmp_path, limits, held
+):
+  data = {**GOOD, 'limits': {'memory_mb': limits}} if limits else GOOD
+  memory_mb = load(tmp_path, data).memory_mb
+  assert read_ahead.get_max_held_bytes(memory_mb) == held
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import socket
 
 import aiohttp
 from aiohttp import web
@@ -9,6 +10,7 @@
 import pytest
 
 from woadrun.connection import tcp_connections
+from woadrun.platform import read_ahead
 from woadrun.platform import upstream
 from woadrun.request import exchange
 from woadrun.version import instances
@@ -84,3 +86,55 @@
         assert [chunk async for chunk in reply.chunks] == [b'x']
   assert ports[0] == ports[1] != ports[2]
   await runner.cleanup()
+
+
+# Guards against an answer that its instance cuts off because the daemon reads
+# no faster than a slow caller, and against memory that grows without a bound.
+@pytest.mark.parametrize(('most', 'is_whole'), [(2**23, True), (2**19, False)])
+async def test_answer_of_slow_caller_is_read_ahead_up_to_the_bound(
+  most, is_whole
+):
+  size = 2**22
+  written = asyncio.Event()
+
+  async def answer(request):
+    response = web.StreamResponse(headers={'Request-Id': 'r'})
+    await response.prepare(request)
+    # Larger than all socket buffers.
+    for _ in range(size // 2**16):
+      await response.write(bytes(2**16))
+    written.set()
+    return response
+
+  runner = web.ServerRunner(web.Server(answer), shutdown_timeout=0.1)
+  await runner.setup()
+  port = nodes.find_port()
+  site = web.TCPSite(runner, '127.0.0.1', port)
+  await site.start()
+  for listener in site._server.sockets:
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2**16)
+  held = read_ahead.HeldBytes(most=most)
+  sending = exchange.RequestAttempt(
+    request=nodes.make_request('r', path='/chat/'),
+    instance=instances.Instance(
+      id='i', service='s', address=f'127.0.0.1:{port}', domain='north'
+    ),
+    body=b'',
+    seconds=20.0,
+  )
+  async with aiohttp.ClientSession() as session:
+    client = upstream.HttpUpstreams(
+      session=session, addresses=tcp_connections.Addresses(), held=held
+    )
+    async with client.send(sending) as reply:
+      received = len(await anext(reply.chunks))
+      if is_whole:
+        await nodes.wait_until(written.is_set)
+      else:
+        await nodes.wait_until(lambda: held.total == most)
+      assert held.total <= most
+      async for chunk in reply.chunks:
+        received += len(chunk)
+      assert received == size
+    assert held.total == 0
+  await runner.cleanup()
