--- a/src/woadrun/platform/upstream.py
+++ b/src/woadrun/platform/upstream.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncGenerator
 from collections.abc import AsyncIterator
 import contextlib
 import time
@@ -12,14 +11,16 @@
 import yarl
 
 from woadrun.connection import tcp_connections
+from woadrun.platform import read_ahead
 from woadrun.platform import wire
 from woadrun.request import exchange
 
 # A reachable instance accepts a connection within a round trip; one that is
 # down or behind a network partition never does.
 CONNECT_TIMEOUT_SECONDS = 0.5
-# A request without the start of a response after this time may be on a dead
-# connection that was not reset.  Turns queued at an instance start sooner.
+# A request that failed or was cancelled after this time without the start of a
+# response may be on a dead connection that was not reset.  Turns queued at an
+# instance start sooner.
 SILENCE_THRESHOLD_SECONDS = 1.0
 # Headers that the client library would otherwise add by itself.
 _SKIPPED_AUTO_HEADERS = (
@@ -31,14 +32,19 @@
 
 
 class HttpUpstreams:
-  """Sends requests, each without retries; implements `exchange.Upstreams`."""
+  """Sends requests, each without retries; implements `exchange.Upstreams`.
+
+  `held` counts the bytes held for slow callers.
+  """
 
   def __init__(
     self,
     *,
     session: aiohttp.ClientSession,
     addresses: tcp_connections.Addresses,
+    held: read_ahead.HeldBytes | None = None,
   ) -> None:
+    self.held = held or read_ahead.HeldBytes()
     self._session = session
     self._addresses = addresses
 
@@ -48,19 +54,21 @@
   ) -> AsyncIterator[exchange.Reply]:
     """Returns a context manager with the reply; its exit ends the request."""
     response = await self._request(sending)
+    reader = read_ahead.AnswerReader(response=response, held=self.held)
     try:
       yield exchange.Reply(
         status=response.status,
         headers=wire.decode_reply_headers(response.headers),
         has_run=wire.has_run(response.status, response.headers),
         is_genuine=wire.is_genuine(sending.request.id, response.headers),
-        chunks=_read(response),
+        chunks=reader.read(),
         abort=response.close,
         is_reusable=lambda: _is_reusable(response),
       )
       if not wire.has_run(response.status, response.headers):
         await _drain(response)
     finally:
+      reader.close()
       # A connection with an unread rest of a body cannot be reused.
       if response.content.at_eof():
         response.release()
@@ -77,20 +85,24 @@
       incarnation_id=instance.incarnation_id if instance.started_ms else '',
     )
     url = yarl.URL(f'http://{host}{request.target}', encoded=True)
+    generation = self._addresses.get_generation(instance.address)
     began = time.monotonic()
     timeout = aiohttp.ClientTimeout(
       total=sending.seconds, sock_connect=CONNECT_TIMEOUT_SECONDS
     )
     try:
-      return await self._session.request(
-        request.method,
-        url,
-        data=sending.body or None,
-        headers=wire.encode_headers(sending),
-        skip_auto_headers=_SKIPPED_AUTO_HEADERS,
-        allow_redirects=False,
-        timeout=timeout,
-      )
+      with self._addresses.watch(
+        instance.address, seconds=sending.silence_seconds
+      ):
+        return await self._session.request(
+          request.method,
+          url,
+          data=sending.body or None,
+          headers=wire.encode_headers(sending),
+          skip_auto_headers=_SKIPPED_AUTO_HEADERS,
+          allow_redirects=False,
+          timeout=timeout,
+        )
     except (
       aiohttp.ClientConnectorError,
       aiohttp.ConnectionTimeoutError,
@@ -99,18 +111,20 @@
         str(error) or type(error).__name__
       ) from error
     except (aiohttp.ClientError, TimeoutError, OSError) as error:
-      self._note_silence(sending, began)
+      self._note_silence(sending, began, generation)
       raise exchange.ResponseLost(str(error) or type(error).__name__) from error
     except asyncio.CancelledError:
       # The caller disconnected or timed out, possibly because no response came.
-      self._note_silence(sending, began)
+      self._note_silence(sending, began, generation)
       raise
 
   def _note_silence(
-    self, sending: exchange.RequestAttempt, began: float
+    self, sending: exchange.RequestAttempt, began: float, generation: int
   ) -> None:
     if time.monotonic() - began > SILENCE_THRESHOLD_SECONDS:
-      self._addresses.reset_connections(sending.instance.address)
+      self._addresses.reset_connections(
+        sending.instance.address, generation=generation
+      )
 
 
 def _is_reusable(response: aiohttp.ClientResponse) -> bool:
@@ -119,14 +133,6 @@
   )
 
 
-async def _read(response: aiohttp.ClientResponse) -> AsyncGenerator[bytes]:
-  try:
-    async for chunk in response.content.iter_any():
-      yield chunk
-  except (aiohttp.ClientError, TimeoutError, OSError) as error:
-    raise exchange.ResponseLost(str(error) or type(error).__name__) from error
-
-
 async def _drain(response: aiohttp.ClientResponse) -> None:
   # Reads the rest of the body so that the connection can be reused.
   with contextlib.suppress(aiohttp.ClientError, TimeoutError, OSError):
--- a/src/woadrun/process/node.py
+++ b/src/woadrun/process/node.py
@@ -104,7 +104,8 @@
   planned stop until the platform kills the process, which is another period
   than `Binding.grace`.  `revocation` is the time for which a key of a team
   may be used after it was revoked, also at daemons that are cut off; None if
-  that is not bounded.
+  that is not bounded.  `memory_mb` is the daemon's memory limit in megabytes,
+  None without a limit.
   """
 
   name: str
@@ -116,6 +117,7 @@
   row_bytes: int
   grace: float
   revocation: float | None = None
+  memory_mb: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -261,6 +263,7 @@
       for path, type, answer in self._list_handlers()
     )
     self.sweeper = sweeper.Sweeper(store=self.store, members=self.fleet)
+    self._addresses = binding.addresses
     self.counters.add_gauges(self._read_gauges)
     self.counters.add_labelled_gauges(self.gate.read_gauges)
     self.counters.registry.register(
@@ -336,6 +339,7 @@
       'table_version': self.catalogue.version,
       'table_age_seconds': self.catalogue.age.get_age_seconds(),
       'store_is_direct': self.store.is_direct,
+      'connection_resets': self._addresses.resets,
       'peer_messages': self.links.messages + self.calls.answered_calls,
       'rows_swept': self.sweeper.removed_rows,
     }
--- a/src/woadrun/request/attempts.py
+++ b/src/woadrun/request/attempts.py
@@ -1,9 +1,10 @@
 """Sends requests to instances of a service, with retries and hedging.
 
 A request that is not idempotent is retried only if the instance replies that it
-did not run the request, or if the request did not reach the instance.  An
-idempotent request is also hedged: it is sent to a second instance when the
-first one takes much longer than average.
+did not run the request, or if the request did not reach the instance.
+`decisions/attempt_limit.py` limits the attempts.  An idempotent request is also
+hedged: it is sent to a second instance when the first one takes much longer
+than average.
 
 A turn is a model request of a program; other requests have none.  A reply is
 genuine if it has the id of the request and the signature of the instance.  Load
@@ -23,6 +24,7 @@
 import time
 
 from woadrun import errors
+from woadrun.decisions import attempt_limit
 from woadrun.decisions import hedging
 from woadrun.decisions import urgency
 from woadrun.process import catalogue
@@ -56,6 +58,13 @@
   reply: exchange.Reply
 
 
+@dataclasses.dataclass(kw_only=True)
+class _Result:
+  """Whether an attempt failed, which is assumed until its reply has begun."""
+
+  is_failure: bool = True
+
+
 @dataclasses.dataclass(kw_only=True)
 class _SendState:
   """The state of one request across its attempts.
@@ -64,7 +73,8 @@
   prompt tokens that each incarnation is expected to have cached.  `tried` lists
   the incarnations that were chosen so far, `last_error` is the error of the
   latest attempt without a reply, and `refusal` is the authorization error that
-  forbids further attempts.
+  forbids further attempts.  `not_run` counts the attempts that certainly did
+  not run.
   """
 
   request: exchange.Request
@@ -77,6 +87,8 @@
   tried: list[str] = dataclasses.field(default_factory=list)
   last_error: Exception | None = None
   may_have_run: bool = False
+  not_run: int = 0
+  started_at: float = dataclasses.field(default_factory=time.monotonic)
 
   @property
   def route(self) -> routes.Route:
@@ -145,6 +157,7 @@
           attempt = await self._start_attempt(state, sending)
         except exchange.RequestNotSent as error:
           state.last_error = error
+          state.not_run += 1
           continue
         except exchange.ResponseLost as error:
           state.last_error = error
@@ -159,6 +172,7 @@
           return
         await stack.aclose()
         if not reply.has_run:
+          state.not_run += 1
           continue
         state.may_have_run = True
         if route.kind is not routes.Kind.IDEMPOTENT:
@@ -170,13 +184,16 @@
   def _prepare_next(self, state: _SendState) -> exchange.RequestAttempt | None:
     """Returns the next attempt and counts it as tried; None if there is none.
 
-    There is none once the route's limit of attempts or the deadline is
-    reached, the request is no longer authorized, or no instance is left.
+    There is none once the limit of attempts or the deadline is reached, the
+    request is no longer authorized, or no instance is left.
     """
     seconds = exchange.get_seconds_left(state.deadline)
-    if (
-      len(state.tried) >= state.route.max_attempts
-      or seconds < MIN_REMAINING_SECONDS
+    if seconds < MIN_REMAINING_SECONDS or not attempt_limit.may_send(
+      max_attempts=state.route.max_attempts,
+      tried=len(state.tried),
+      not_run=state.not_run,
+      elapsed=time.monotonic() - state.started_at,
+      total=state.deadline - state.started_at,
     ):
       return None
     try:
@@ -205,6 +222,7 @@
       seconds=seconds,
       urgency=_get_urgency(state),
       team=state.grant.team_name,
+      silence_seconds=self._loads.health.get_overdue_seconds(state.service),
     )
 
   async def _start_attempt(
@@ -290,7 +308,8 @@
     id = sending.instance.incarnation_id
     stack = contextlib.AsyncExitStack()
     stack.enter_context(self._loads.count(id))
-    stack.callback(self._record_duration, sending, time.monotonic())
+    result = _Result()
+    stack.callback(self._record_duration, sending, time.monotonic(), result)
     self._loads.health.record_request(stack, id, sending.instance.service)
     try:
       reply = await stack.enter_async_context(self._upstreams.send(sending))
@@ -301,20 +320,24 @@
       raise
     finally:
       self._loads.health.record_end(stack)
-    self._record_reply(id, reply)
+    self._record_reply(id, reply, result)
     stack.callback(self._record_idle_connection, id, reply)
     self._log_outcome(sending, _describe_reply(reply))
     return _Attempt(sending=sending, stack=stack, reply=reply)
 
-  def _record_reply(self, id: str, reply: exchange.Reply) -> None:
+  def _record_reply(
+    self, id: str, reply: exchange.Reply, result: _Result
+  ) -> None:
     if not reply.has_run:
       self._loads.health.record_failure(id, health.REJECTION_WEIGHT)
     elif not reply.is_genuine or reply.status >= MIN_FAILURE_STATUS:
       self._loads.health.record_failure(id)
-    reply.chunks = self._relay_chunks(id, reply.chunks)
+    else:
+      result.is_failure = False
+    reply.chunks = self._relay_chunks(id, reply.chunks, result)
 
   async def _relay_chunks(
-    self, id: str, chunks: AsyncGenerator[bytes]
+    self, id: str, chunks: AsyncGenerator[bytes], result: _Result
   ) -> AsyncGenerator[bytes]:
     """Yields a reply's chunks; a truncated reply is a failure of the instance.
 
@@ -325,6 +348,7 @@
         async for chunk in chunks:
           yield chunk
     except exchange.ResponseLost:
+      result.is_failure = True
       self._loads.health.record_failure(id)
       raise
 
@@ -333,12 +357,17 @@
       self._loads.record_idle_connection(id)
 
   def _record_duration(
-    self, sending: exchange.RequestAttempt, started_at: float
+    self,
+    sending: exchange.RequestAttempt,
+    started_at: float,
+    result: _Result,
   ) -> None:
     instance = sending.instance
-    seconds = time.monotonic() - started_at
     self._loads.record_duration(
-      instance.incarnation_id, instance.service, seconds
+      instance.incarnation_id,
+      instance.service,
+      time.monotonic() - started_at,
+      is_failure=result.is_failure,
     )
 
   def _record_failure(
