Tests: the store's silence at one daemon, and the count of reports

A daemon whose calls alone stay without an answer leaves the store to the others: over 95% of the samples of five other daemons reach it for 2 s on a virtual clock. Reports are counted once, from the newest source.

--- a/tests/test_silent_store.py
+++ b/tests/test_silent_store.py
@@ -12,7 +12,9 @@
 import pytest
 
 from woadrun import errors
+from woadrun.process import fleet_heartbeats
 from woadrun.process import ticks
+from woadrun.process import views
 from woadrun.request import exchange
 
 BUDGET = 5_000
@@ -209,3 +211,71 @@
     share, slowest = traffic.summarize(kind, since=since)
     assert share == 1.0
     assert slowest < most
+
+
+def test_the_silence_at_one_daemon_leaves_the_store_to_the_others():
+  """A single daemon's connection to the store takes it away from the fleet."""
+
+  async def scenario():
+    served = fleet.Fleet(
+      dice=random.Random(1), daemons=6, domains=3, config=fleet.CONFIG
+    )
+    await served.start_all()
+    traffic = Traffic(served)
+    served.store.is_silent = True
+    served.store.rejected_names = {served.names[0]}
+    running = [
+      asyncio.ensure_future(
+        traffic.run_program(f'p-{n}', path=fleet.CHAT, turns=15)
+      )
+      for n in range(12)
+    ]
+    reached = []
+    for _ in range(40):
+      await asyncio.sleep(0.05)
+      reached.extend(
+        site.daemon.store.is_reachable
+        for name, site in served.site_by_name.items()
+        if name != served.names[0]
+      )
+    await asyncio.gather(*running)
+    return traffic, reached
+
+  traffic, reached = run(scenario)
+  share, _ = traffic.summarize('later', since=0.0)
+  # Simulated instances refuse about one turn of a hundred.
+  assert share > 0.98
+  assert sum(reached) > 0.95 * len(reached)
+
+
+def test_reports_of_the_store_are_counted_once_and_while_they_are_new():
+  """Digests repeat heartbeats, and old answers outvote new suspicions."""
+
+  def make_heard(name, domain, *, age=0.1, **fields):
+    heartbeat = fleet_heartbeats.FleetHeartbeat(
+      name=name, address='127.0.0.1:1', domain=domain, **fields
+    )
+    return fleet_heartbeats.LastHeartbeat(heartbeat=heartbeat, at=10.0 - age)
+
+  def count(*, is_hub):
+    view = views.merge(
+      domain='d0',
+      at=10.0,
+      heard=[
+        make_heard('a', 'd0', suspects_store=True),
+        make_heard('b', 'd0', suspects_store=True),
+        make_heard('c', 'd0', is_served=True, age=0.5),
+        make_heard('d', 'd1', is_served=True),
+      ],
+      digests=[
+        fleet_heartbeats.Digest(hub='a', domain='d0', suspecting=1),
+        fleet_heartbeats.Digest(hub='d', domain='d1', served=4),
+        fleet_heartbeats.Digest(hub='e', domain='d1', served=5),
+      ],
+      max_age=0.9,
+      is_hub=is_hub,
+    )
+    return view.suspecting, view.served
+
+  assert count(is_hub=True) == (2, 4)
+  assert count(is_hub=False) == (1, 4)
