--- a/src/woadrun/process/fleet_heartbeats.py
+++ b/src/woadrun/process/fleet_heartbeats.py
@@ -52,7 +52,8 @@
   `confirmed` is the newest value of all members.  `oldest` is the age of the
   oldest heartbeat in the digest when the digest was made, in seconds; it is
   None until the hub has heard all members, or has been a hub for long enough to
-  call the others silent.
+  call the others silent.  `suspecting` counts the members that suspect the
+  store to be silent, `served` those that it answered a moment ago.
   """
 
   hub: str
@@ -69,6 +70,8 @@
   failing: dict[str, float] | None = None
   demand: dict[str, ServiceDemand] = {}
   confirmed: tuple[float, int] | None = None
+  suspecting: int = 0
+  served: int = 0
 
 
 class FleetHeartbeat(msgspec.Struct, kw_only=True, omit_defaults=True):
@@ -88,8 +91,10 @@
   `wants_digests` asks the receiver for digests; a hub sends them in `digests`,
   and the requests that all other domains have in progress, summed by instance,
   in `elsewhere`, with the demand of these domains in `elsewhere_demand`.
-  `confirmed` holds a reading of the store's clock, in seconds,
-  and the newest change of the routing table made before it.
+  `confirmed` holds a reading of the store's clock, in seconds, and the newest
+  change of the routing table made before it.  `suspects_store` says that the
+  store has not answered the daemon for much longer than usual, `is_served` that
+  it answered a moment ago; a daemon without calls reports neither.
   """
 
   name: str
@@ -109,6 +114,8 @@
   elsewhere: dict[str, int] | None = None
   elsewhere_demand: dict[str, ServiceDemand] = {}
   confirmed: tuple[float, int] | None = None
+  suspects_store: bool = False
+  is_served: bool = False
 
 
 @dataclasses.dataclass(kw_only=True)
--- a/src/woadrun/process/hubs.py
+++ b/src/woadrun/process/hubs.py
@@ -29,6 +29,7 @@
 
 from woadrun.decisions import program_admission
 from woadrun.process import fleet_heartbeats
+from woadrun.process import views
 
 Number = TypeVar('Number', int, float)
 
@@ -199,6 +200,10 @@
       if (found := last_heartbeat_by_name.get(m.name)) is not None
       and now - found.at < SUSPECT_TIMEOUT_SECONDS
     }
+    reports = [
+      (int(mine.suspects_store), int(mine.is_served)),
+      *(views.count_store_reports(found, at=now) for found in heard.values()),
+    ]
     sources = [mine, *(found.heartbeat for found in heard.values())]
     # A new hub may not have received the heartbeats of all live members yet, so
     # that it calls none silent.
@@ -233,6 +238,8 @@
         (heartbeat.confirmed for heartbeat in sources if heartbeat.confirmed),
         default=None,
       ),
+      suspecting=sum(suspecting for suspecting, _ in reports),
+      served=sum(served for _, served in reports),
     )
     self._digest_by_hub[self._me.name] = (digest, now)
     return digest
--- a/src/woadrun/process/node.py
+++ b/src/woadrun/process/node.py
@@ -221,7 +221,9 @@
       get_weights=self._get_team_weights,
       record_decision=self.counters.record_program,
     )
-    turns = turn_store.TurnStore(store=self.store, row_bytes=config.row_bytes)
+    turns = turn_store.TurnStore(
+      store=self.store.bounded, row_bytes=config.row_bytes
+    )
     self.programs = programs.Programs(
       members=self.fleet,
       store=self.store,
@@ -339,7 +341,10 @@
       'table_version': self.catalogue.version,
       'table_age_seconds': self.catalogue.age.get_age_seconds(),
       'store_is_direct': self.store.is_direct,
+<<<<<<< HEAD
       'connection_resets': self._addresses.resets,
+=======
+      'store_is_silent': self.store.is_silent,
       'peer_messages': self.links.messages + self.calls.answered_calls,
       'rows_swept': self.sweeper.removed_rows,
     }
@@ -361,6 +366,8 @@
       is_owing=self.programs.is_owing,
       is_behind=self.programs.is_behind,
       confirmed=self.catalogue.get_confirmation(),
+      suspects_store=self.store.is_suspect,
+      is_served=self.store.has_recent_answer,
     )
 
   def _take_beat(self, heartbeat: fleet_heartbeats.FleetHeartbeat) -> None:
