--- a/src/woadrun/process/node.py
+++ b/src/woadrun/process/node.py
@@ -341,9 +341,7 @@
       'table_version': self.catalogue.version,
       'table_age_seconds': self.catalogue.age.get_age_seconds(),
       'store_is_direct': self.store.is_direct,
-<<<<<<< HEAD
       'connection_resets': self._addresses.resets,
-=======
       'store_is_silent': self.store.is_silent,
       'peer_messages': self.links.messages + self.calls.answered_calls,
       'rows_swept': self.sweeper.removed_rows,
