--- a/src/woadrun/decisions/program_admission.py
+++ b/src/woadrun/decisions/program_admission.py
@@ -43,7 +43,7 @@
 # fleet that starts during a burst admits less than its engines can serve.
 INITIAL_SECONDS_PER_PROGRAM = 2.0
 # Half-life of the ratios `turns_per_program` and `seconds_per_program`.
-TURNS_HALF_LIFE_SECONDS = 1.0
+TURNS_HALF_LIFE_SECONDS = 1.5
 # With 1 s, replays noticed a burst late: when all deciders were new, 132 of
 # 1,000 programs failed at full queues in place of 43.
 RATE_HALF_LIFE_SECONDS = 0.25
