Slowness of instances, learned from the turns of all daemons

The choice of an instance assumed the same time for a turn everywhere, so that an engine at 0.7 times the mean speed received as many turns as a fast one. Daemons fit a linear model of the time of a turn and exchange, by incarnation, observed and predicted times. Only routes with max_attempts 1 use the result.

--- a/src/woadrun/decisions/routing.py
+++ b/src/woadrun/decisions/routing.py
@@ -34,6 +34,8 @@
   `batch_delay` is the time in seconds by which each running call prolongs each
   other call, if the upstream processes its calls in one batch, and otherwise 0.
   `risk` is the expected time lost by failures of the upstream, in seconds.
+  `slowness` multiplies the time in which the upstream processes prompt tokens;
+  `seconds` and `batch_delay` include it.
   """
 
   name: str
@@ -45,6 +47,7 @@
   is_near: bool = True
   batch_delay: float = 0.0
   risk: float = 0.0
+  slowness: float = 1.0
 
 
 def estimate_wait(candidate: Candidate) -> float:
@@ -71,7 +74,8 @@
   decoding of running calls, so the prefill delays each of these as much as the
   call itself.  `prompt` is in tokens, `prefill_rate` in tokens per second.
   """
-  recompute = max(0, prompt - candidate.cached) / prefill_rate
+  uncached = max(0, prompt - candidate.cached)
+  recompute = candidate.slowness * uncached / prefill_rate
   if candidate.batch_delay:
     recompute *= 1 + candidate.running
   remote_cost = 0.0 if candidate.is_near else REMOTE_DOMAIN_COST_SECONDS
--- a/src/woadrun/process/counters.py
+++ b/src/woadrun/process/counters.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Mapping
 import time
 
 import prometheus_client
@@ -56,6 +57,12 @@
     """Registers gauges; `read` is called on each collection."""
     self.registry.register(_Gauges(read=read))
 
+  def add_instance_gauge(
+    self, name: str, read: Callable[[], Mapping[str, float]]
+  ) -> None:
+    """Registers a gauge; `read` returns its values by instance."""
+    self.registry.register(_InstanceGauge(name=name, read=read))
+
   def encode(self) -> bytes:
     """Returns all metrics in the Prometheus text format."""
     return prometheus_client.generate_latest(self.registry)
@@ -73,3 +80,22 @@
       core.GaugeMetricFamily(f'woadrun_{name}', name, value=value)
       for name, value in self._read().items()
     ]
+
+
+class _InstanceGauge(registry.Collector):
+  """Collects the values of one gauge, labelled by instance."""
+
+  def __init__(
+    self, *, name: str, read: Callable[[], Mapping[str, float]]
+  ) -> None:
+    self._name = name
+    self._read = read
+
+  def collect(self) -> list[core.Metric]:
+    """Returns the current values of the gauge."""
+    family = core.GaugeMetricFamily(
+      f'woadrun_{self._name}', self._name, labels=('instance',)
+    )
+    for instance, value in self._read().items():
+      family.add_metric((instance,), value)
+    return [family]
--- a/src/woadrun/process/fleet_heartbeats.py
+++ b/src/woadrun/process/fleet_heartbeats.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from woadrun.decisions import service_times
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Member:
@@ -26,9 +28,11 @@
   are set in the heartbeat of any member.  `running` sums the requests that the
   members have in progress at each instance, `failing` the failures that they
   saw there; both are None where the receiver gets them from another hub or, for
-  other domains, as the sum `elsewhere` of a heartbeat.  `confirmed` is the
-  newest value of all members.  `oldest` is the age of the oldest heartbeat in
-  the digest when the digest was made, in seconds; it is None until the hub has
+  other domains, as the sum `elsewhere` of a heartbeat.  `turn_times` sums
+  the times of turns at the instances that are faster or slower than the mean of
+  their service, and is None where `running` is.  `confirmed` is the newest
+  value of all members.  `oldest` is the age of the oldest heartbeat in the
+  digest when the digest was made, in seconds; it is None until the hub has
   heard all members, or has been a hub for long enough to call the others
   silent.
   """
@@ -45,6 +49,7 @@
   is_behind: bool = False
   running: dict[str, int] | None = None
   failing: dict[str, float] | None = None
+  turn_times: dict[str, service_times.Sums] | None = None
   confirmed: tuple[float, int] | None = None
 
 
@@ -63,8 +68,10 @@
   the store lacks data of this daemon that others need before they decide.
   `wants_digests` asks the receiver for digests; a hub sends them in `digests`,
   and the requests that all other domains have in progress, summed by instance,
-  in `elsewhere`.  `confirmed` holds a reading of the store's clock, in seconds,
-  and the newest change of the routing table made before it.
+  in `elsewhere`.  `turn_times` has the times of turns that the daemon
+  measured, and `elsewhere_turn_times` those of all other domains, of
+  instances that differ in speed.  `confirmed` holds a reading of the store's
+  clock, in seconds, and the newest change of the routing table made before it.
   """
 
   name: str
@@ -81,6 +88,8 @@
   wants_digests: bool = False
   digests: tuple[Digest, ...] = ()
   elsewhere: dict[str, int] | None = None
+  turn_times: dict[str, service_times.Sums] = {}
+  elsewhere_turn_times: dict[str, service_times.Sums] = {}
   confirmed: tuple[float, int] | None = None
 
 
--- a/src/woadrun/process/hubs.py
+++ b/src/woadrun/process/hubs.py
@@ -27,6 +27,7 @@
 
 import msgspec
 
+from woadrun.decisions import service_times
 from woadrun.process import fleet_heartbeats
 
 Number = TypeVar('Number', int, float)
@@ -223,6 +224,10 @@
       is_behind=any(heartbeat.is_behind for heartbeat in sources),
       running=_sum_counts(heartbeat.running for heartbeat in sources),
       failing=_sum_counts(heartbeat.failing for heartbeat in sources),
+      turn_times=service_times.select_differing(
+        service_times.add_up(heartbeat.turn_times for heartbeat in sources)
+      )
+      or None,
       confirmed=max(
         (heartbeat.confirmed for heartbeat in sources if heartbeat.confirmed),
         default=None,
@@ -293,11 +298,17 @@
     """
     newest = self._find_newest()
     sends_counts = self._sends_counts()
-    remote = (d for d, _ in newest.values() if d.domain != self._me.domain)
+    remote = [d for d, _ in newest.values() if d.domain != self._me.domain]
     return msgspec.structs.replace(
       mine,
       running={},
       failing={},
+      turn_times={},
+      elsewhere_turn_times=service_times.select_differing(
+        service_times.add_up(d.turn_times or {} for d in remote)
+      )
+      if sends_counts
+      else {},
       digests=tuple(
         self._make_relayed(digest, made_at, sends_counts=sends_counts)
         for digest, made_at in newest.values()
@@ -319,7 +330,7 @@
       digest, age=round(time.monotonic() - made_at, 3)
     )
     if not sends_counts or digest.domain != self._me.domain:
-      relayed.running = relayed.failing = None
+      relayed.running = relayed.failing = relayed.turn_times = None
     return relayed
 
   def _sends_counts(self) -> bool:
--- a/src/woadrun/process/load/loads.py
+++ b/src/woadrun/process/load/loads.py
@@ -20,6 +20,7 @@
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterator
+from collections.abc import Mapping
 from collections.abc import Sequence
 import contextlib
 import dataclasses
@@ -31,8 +32,10 @@
 from woadrun.decisions import random_sampling
 from woadrun.decisions import retry_after
 from woadrun.decisions import routing
+from woadrun.decisions import service_times
 from woadrun.process import fleet_heartbeats
 from woadrun.process.load import health
+from woadrun.process.load import slowness
 from woadrun.version import instances
 
 # Weight of the newest request in the moving average of an instance's request
@@ -101,7 +104,7 @@
 
   `domain` is this daemon's failure domain.  `is_silent` returns whether a
   domain is cut off from this daemon.  `outcomes`, available as `health`, holds
-  the failures of instances.
+  the failures of instances; `slowness` has their relative speed.
   """
 
   def __init__(
@@ -112,6 +115,7 @@
     outcomes: health.FailureTracker | None = None,
   ) -> None:
     self.health = outcomes or health.FailureTracker()
+    self.slowness = slowness.SlownessTracker()
     self._domain = domain
     self._is_silent = is_silent
     self._load_by_id: dict[str, Load] = {}
@@ -147,6 +151,7 @@
   ) -> None:
     """Stores the counts in a peer's heartbeat."""
     self._counts_by_peer[heartbeat.name] = (time.monotonic(), heartbeat.running)
+    self.slowness.record_report(heartbeat.name, heartbeat.turn_times)
     if heartbeat.domain == self._domain:
       # An instance may fail for the callers of a single domain only, so that
       # failures seen in other domains do not count here.
@@ -160,7 +165,13 @@
     if digest.running is None:
       return
     counts = dict(digest.running)
-    if digest.domain == self._domain:
+    sums = digest.turn_times or {}
+    if digest.domain != self._domain:
+      self.slowness.record_report(
+        f'domain {digest.domain}', sums, age=digest.age
+      )
+    else:
+      self.slowness.record_domain_report(digest.domain, sums, age=digest.age)
       # The sums include this daemon's own requests as it last sent them.
       for id, running in self._last_sent.items():
         counts[id] = counts.get(id, 0) - running
@@ -168,9 +179,17 @@
     at = time.monotonic() - digest.age
     self._counts_by_peer[f'domain {digest.domain}'] = (at, counts)
 
-  def record_other_domains(self, running: dict[str, int]) -> None:
-    """Stores the counts of all other domains, as summed by a hub."""
+  def record_other_domains(
+    self,
+    running: dict[str, int],
+    sums_by_id: Mapping[str, service_times.Sums],
+  ) -> None:
+    """Stores what a hub summed of all other domains.
+
+    That is the counts, and the times of turns by instance.
+    """
     self._counts_by_peer['elsewhere'] = (time.monotonic(), running)
+    self.slowness.record_report('elsewhere', sums_by_id)
 
   @contextlib.contextmanager
   def count(self, id: str) -> Iterator[Load]:
@@ -220,6 +239,18 @@
     is_held = at is not None and now - at < SHARED_PREFIX_TTL_SECONDS
     return parts[0].tokens if is_held else 0
 
+  def count_uncached(
+    self,
+    id: str,
+    *,
+    prompt: int,
+    parts: Sequence[turn_messages.PromptPart],
+    cached_by_id: Mapping[str, int],
+  ) -> int:
+    """Returns the tokens of a prompt that an instance has to process."""
+    shared = self._count_shared_tokens(id, parts, time.monotonic())
+    return max(0, prompt - max(cached_by_id.get(id, 0), shared))
+
   def record_duration(
     self, id: str, service: str, seconds: float, *, is_failure: bool = False
   ) -> None:
@@ -260,6 +291,7 @@
     ]
     for id in stale:
       del self._load_by_id[id]
+    self.slowness.drop_unknown(known)
     oldest = time.monotonic() - SHARED_PREFIX_TTL_SECONDS
     self._prefix_sent_at = {
       key: at for key, at in self._prefix_sent_at.items() if at > oldest
@@ -284,6 +316,7 @@
     prompt: int = 0,
     parts: Sequence[turn_messages.PromptPart] = (),
     cached_by_id: dict[str, int] | None = None,
+    weighs_slowness: bool = False,
   ) -> instances.Instance | None:
     """Returns the best of a few instances, None if all were tried.
 
@@ -296,7 +329,8 @@
     `tried` has the `incarnation_id` of each instance to leave out.  `prompt` is
     the length of the prompt in tokens, 0 for a request that is not a turn;
     `parts` are the parts of the prompt.  `cached_by_id` has the number of its
-    tokens that are in the cache of an instance.
+    tokens that are in the cache of an instance.  With `weighs_slowness`, the
+    times of a turn are multiplied by the slowness of each instance.
     """
     now = time.monotonic()
     cached_by_id = cached_by_id or {}
@@ -335,6 +369,9 @@
           self._count_shared_tokens(incarnation_id, parts, now),
         ),
         batch_delay=TURN_COST_SECONDS if prompt else 0.0,
+        slowness=self.slowness.get_slowness(incarnation_id)
+        if weighs_slowness and prompt
+        else 1.0,
         now=now,
       )
       for incarnation_id, item in considered.items()
@@ -447,6 +484,7 @@
     risk: float,
     cached: int,
     batch_delay: float,
+    slowness: float,
     now: float,
   ) -> routing.Candidate:
     """Returns the properties of an instance that `routing.choose` compares.
@@ -454,13 +492,15 @@
     `risk` is the time expected to be lost by failures, in seconds, `cached` the
     tokens of the prompt in the instance's cache.  `batch_delay` is the
     time in seconds that each running turn adds, 0 for a request that is not a
-    turn.
+    turn.  `slowness` multiplies the times of a turn.
     """
     load = self._get(item.incarnation_id)
     # The duration of a turn depends on the load of its engine, which
     # `batch_delay` accounts for; the measured average would count that load
     # twice.
-    seconds = INITIAL_ESTIMATE_SECONDS if batch_delay else load.seconds
+    seconds = (
+      slowness * INITIAL_ESTIMATE_SECONDS if batch_delay else load.seconds
+    )
     if not load.has_idle_connection(now):
       seconds += CONNECT_COST_SECONDS
     return routing.Candidate(
@@ -471,6 +511,7 @@
       seconds=seconds + random.uniform(0, JITTER_SECONDS),
       cached=cached,
       is_near=item.domain == self._domain,
-      batch_delay=batch_delay,
+      batch_delay=slowness * batch_delay,
       risk=risk,
+      slowness=slowness,
     )
--- a/src/woadrun/process/node.py
+++ b/src/woadrun/process/node.py
@@ -248,6 +248,9 @@
     )
     self.sweeper = sweeper.Sweeper(store=self.store, members=self.fleet)
     self.counters.add_gauges(self._read_gauges)
+    self.counters.add_instance_gauge(
+      'instance_slowness', self.loads.slowness.get_differing
+    )
     self._runner: web.ServerRunner | None = None
 
   async def on_start(self) -> None:
@@ -327,6 +330,7 @@
       is_leaving=self.is_leaving,
       running=self.loads.report_running(),
       failing=self.loads.health.report_failures(),
+      turn_times=self.loads.slowness.report(),
       silent=tuple(self.fleet.find_silent_domains()),
       is_owing=self.programs.is_owing,
       is_behind=self.programs.is_behind,
@@ -339,7 +343,9 @@
       # counts.
       self.loads.record_peer_counts(heartbeat)
     elif heartbeat.elsewhere is not None:
-      self.loads.record_other_domains(heartbeat.elsewhere)
+      self.loads.record_other_domains(
+        heartbeat.elsewhere, heartbeat.elsewhere_turn_times
+      )
     self.feeds.handle_heartbeat(heartbeat)
     if heartbeat.confirmed is not None:
       self.catalogue.age.record_confirmation(*heartbeat.confirmed)
--- a/src/woadrun/request/attempts.py
+++ b/src/woadrun/request/attempts.py
@@ -26,6 +26,7 @@
 from woadrun import errors
 from woadrun.decisions import attempt_limit
 from woadrun.decisions import hedging
+from woadrun.decisions import service_times
 from woadrun.decisions import urgency
 from woadrun.process import catalogue
 from woadrun.process.load import health
@@ -43,6 +44,9 @@
 # A request is not sent when less time than this is left until its deadline,
 # because the network round trip alone takes part of that time.
 MIN_REMAINING_SECONDS = 0.02
+# The time of a turn is not learned if its caller, by reading slowly, took more
+# than this part of it.
+MAX_CALLER_PART = 0.1
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -61,6 +65,21 @@
   is_failure: bool = True
 
 
+@dataclasses.dataclass(kw_only=True)
+class _TurnTimer:
+  """Measures a turn.
+
+  `running` is the number of other turns at the instance when it began, `events`
+  counts the events received, and `caller_seconds` is the time spent waiting for
+  the caller to read.
+  """
+
+  running: int
+  events: int = 0
+  caller_seconds: float = 0.0
+  started_at: float = dataclasses.field(default_factory=time.monotonic)
+
+
 @dataclasses.dataclass(kw_only=True)
 class _SendState:
   """The state of one request across its attempts.
@@ -205,11 +224,20 @@
       prompt=prompt,
       parts=turn.parts if turn else (),
       cached_by_id=state.cached_by_instance,
+      weighs_slowness=state.route.max_attempts == 1,
     )
     if instance is None:
       return None
     state.tried.append(instance.incarnation_id)
+    uncached = None
     if turn is not None:
+      if state.route.max_attempts == 1:
+        uncached = self._loads.count_uncached(
+          instance.incarnation_id,
+          prompt=prompt,
+          parts=turn.parts,
+          cached_by_id=state.cached_by_instance,
+        )
       self._loads.record_prompt(instance.incarnation_id, turn.parts)
     return exchange.RequestAttempt(
       request=state.request,
@@ -218,6 +246,7 @@
       seconds=seconds,
       urgency=_get_urgency(state),
       team=state.grant.team_name,
+      uncached=uncached,
     )
 
   async def _start_attempt(
@@ -302,6 +331,11 @@
     """
     id = sending.instance.incarnation_id
     stack = contextlib.AsyncExitStack()
+    timer = (
+      _TurnTimer(running=self._loads.get_total(id))
+      if sending.uncached is not None
+      else None
+    )
     stack.enter_context(self._loads.count(id))
     result = _Result()
     stack.callback(self._record_duration, sending, time.monotonic(), result)
@@ -316,6 +350,8 @@
     finally:
       self._loads.health.record_end(stack)
     self._record_reply(id, reply, result)
+    if timer is not None and not result.is_failure and reply.status < 300:
+      reply.chunks = self._time_chunks(sending, reply.chunks, timer)
     stack.callback(self._record_idle_connection, id, reply)
     self._log_outcome(sending, _describe_reply(reply))
     return _Attempt(sending=sending, stack=stack, reply=reply)
@@ -347,6 +383,33 @@
       self._loads.health.record_failure(id)
       raise
 
+  async def _time_chunks(
+    self,
+    sending: exchange.RequestAttempt,
+    chunks: AsyncGenerator[bytes],
+    timer: _TurnTimer,
+  ) -> AsyncGenerator[bytes]:
+    """Yields a turn's chunks and records its time if it is complete."""
+    async with contextlib.aclosing(chunks):
+      async for chunk in chunks:
+        timer.events += chunk.count(b'\n\n')
+        yielded_at = time.monotonic()
+        yield chunk
+        timer.caller_seconds += time.monotonic() - yielded_at
+    instance = sending.instance
+    id = instance.incarnation_id
+    seconds = time.monotonic() - timer.started_at
+    if timer.caller_seconds > MAX_CALLER_PART * seconds:
+      return
+    running = (timer.running + self._loads.get_total(id) - 1) / 2
+    size = service_times.TurnSize(
+      uncached=sending.uncached or 0,
+      tokens=timer.events,
+      running=max(0.0, running),
+      slots=instance.slots,
+    )
+    self._loads.slowness.record_turn(id, instance.service, size, seconds)
+
   def _record_idle_connection(self, id: str, reply: exchange.Reply) -> None:
     if reply.is_reusable():
       self._loads.record_idle_connection(id)
--- a/src/woadrun/request/exchange.py
+++ b/src/woadrun/request/exchange.py
@@ -95,7 +95,8 @@
 
   `seconds` is the time left for the attempt.  `urgency` is 0 for the most
   urgent requests.  `team` is None if requests need no key, and empty for a
-  request without a team.
+  request without a team.  `uncached` is the number of prompt tokens that the
+  instance has to process, None if the time of the request is not measured.
   """
 
   request: Request
@@ -104,6 +105,7 @@
   seconds: float
   urgency: int | None = None
   team: str | None = None
+  uncached: int | None = None
 
 
 @dataclasses.dataclass(kw_only=True)
