--- a/src/woadrun/decisions/service_times.py
+++ b/src/woadrun/decisions/service_times.py
@@ -79,6 +79,7 @@
     self._at = now
     self._turns = 0.0
     self._seconds = 0.0
+    self._slowness = 0.0
     # The normal equations: the products of features, and of features and time.
     self._products = [[0.0] * _SIZE for _ in range(_SIZE)]
     self._targets = [0.0] * _SIZE
@@ -89,13 +90,22 @@
     """The mean time of a turn, 0.0 before the first."""
     return self._seconds / self._turns if self._turns else 0.0
 
-  def learn(self, size: TurnSize, seconds: float, *, now: float) -> None:
-    """Adds the time of a finished turn."""
+  def learn(
+    self, size: TurnSize, seconds: float, *, slowness: float, now: float
+  ) -> None:
+    """Adds the time of a finished turn.
+
+    `slowness` is what is known of its instance.  The time is converted to an
+    instance of mean slowness: fast instances run more turns at a time, so that
+    the coefficients would otherwise explain a part of their speed by that.
+    """
     keep = 0.5 ** ((now - self._at) / MODEL_HALF_LIFE_SECONDS)
     self._at = now
     features = _make_features(size)
     self._turns = keep * self._turns + 1.0
     self._seconds = keep * self._seconds + seconds
+    self._slowness = keep * self._slowness + slowness
+    seconds *= self._slowness / self._turns / slowness
     for row, left in zip(self._products, features, strict=True):
       row[:] = [
         keep * product + left * right
--- a/src/woadrun/process/load/slowness.py
+++ b/src/woadrun/process/load/slowness.py
@@ -56,7 +56,7 @@
       model = self._model_by_service[service] = service_times.Model(now=now)
     predicted = model.predict(size)
     mean = model.mean_seconds
-    model.learn(size, seconds, now=now)
+    model.learn(size, seconds, slowness=self.get_slowness(id), now=now)
     if predicted is None or mean <= 0.0 or predicted <= 0.0:
       return
     own = self._own_by_id.setdefault(id, _OwnSums(service=service, at=now))
