--- a/src/woadrun/decisions/service_times.py
+++ b/src/woadrun/decisions/service_times.py
@@ -38,11 +38,18 @@
 # Half-life of the sums by instance.
 SUMS_HALF_LIFE_SECONDS = 10.0
 # Turns of mean time and slowness 1.0 that are added to the sums of an instance.
-PRIOR_TURNS = 4.0
+# If the times of turns of equal size vary by 40%, TOLERANCE is then more than
+# three standard deviations, however many turns were measured.  With 4 turns,
+# instances of equal speed counted as different for more than half of the time.
+PRIOR_TURNS = 20.0
 # A slowness that differs from 1.0 by at most this much counts as 1.0.
 TOLERANCE = 0.15
 # Number of instances whose sums are sent in one datagram.
 MAX_REPORTED = 32
+# Interval in which instances with hardly any turns are dropped, and the turns
+# below which they are.
+CLEANUP_INTERVAL_SECONDS = 10.0
+MIN_KEPT_TURNS = 0.05
 
 _SIZE = len(PRIOR_COEFFICIENTS)
 
@@ -171,25 +178,65 @@
   return solution
 
 
-def add_turn(
-  sums: Sums, *, age: float, seconds: float, predicted: float, mean: float
-) -> Sums:
-  """Returns the sums of an instance with one more turn.
+class SumsByInstance:
+  """Decayed sums of several sources.
 
-  `age` is the time since the last turn was added, `mean` the mean time of a
-  turn of the service.
+  The cost of `add` and `find_differing` does not grow with the number of
+  instances that do not differ from the mean.
   """
-  decayed = decay(sums, age)
-  return Sums(
-    observed=decayed.observed + min(seconds, MAX_TURN_RATIO * predicted) / mean,
-    predicted=decayed.predicted + predicted / mean,
-  )
 
+  def __init__(self) -> None:
+    self._sums_by_id: dict[str, tuple[float, Sums]] = {}
+    self._differing: set[str] = set()
+    self._cleaned_at = 0.0
+
+  def add(self, added: Mapping[str, Sums], *, now: float) -> None:
+    """Adds the turns that ended a moment ago."""
+    for id, sums in added.items():
+      known = self._get(id, now)
+      total = Sums(
+        known.observed + sums.observed, known.predicted + sums.predicted
+      )
+      self._sums_by_id[id] = now, total
+      if differs(estimate_slowness(total)):
+        self._differing.add(id)
+    if now - self._cleaned_at >= CLEANUP_INTERVAL_SECONDS:
+      self._cleaned_at = now
+      self._drop_small(now)
+
+  def find_differing(self, *, now: float) -> dict[str, Sums]:
+    """Returns the sums of the instances that differ from the mean.
 
-def decay(sums: Sums, age: float) -> Sums:
-  """Returns sums as they count `age` seconds later."""
-  keep = 0.5 ** (age / SUMS_HALF_LIFE_SECONDS)
-  return Sums(observed=keep * sums.observed, predicted=keep * sums.predicted)
+    If there are more than MAX_REPORTED, returns those that differ most.
+    """
+    found = select_differing({id: self._get(id, now) for id in self._differing})
+    if len(found) < MAX_REPORTED:
+      # Decay only reduces a difference; `add` finds the instances anew.
+      self._differing = set(found)
+    return found
+
+  def _get(self, id: str, now: float) -> Sums:
+    at, sums = self._sums_by_id.get(id, (now, Sums()))
+    keep = 0.5 ** ((now - at) / SUMS_HALF_LIFE_SECONDS)
+    return Sums(keep * sums.observed, keep * sums.predicted)
+
+  def _drop_small(self, now: float) -> None:
+    self._sums_by_id = {
+      id: found
+      for id, found in self._sums_by_id.items()
+      if self._get(id, now).predicted >= MIN_KEPT_TURNS
+    }
+
+
+def make_turn_sums(*, seconds: float, predicted: float, mean: float) -> Sums:
+  """Returns the sums of a single turn.
+
+  `mean` is the mean time of a turn of the service.
+  """
+  return Sums(
+    observed=round(min(seconds, MAX_TURN_RATIO * predicted) / mean, 2),
+    predicted=round(predicted / mean, 2),
+  )
 
 
 def add_up(sources: Iterable[Mapping[str, Sums]]) -> dict[str, Sums]:
@@ -197,11 +244,10 @@
   total: dict[str, Sums] = {}
   for source in sources:
     for id, sums in source.items():
-      known = total.get(id)
-      total[id] = (
-        Sums(known.observed + sums.observed, known.predicted + sums.predicted)
-        if known
-        else sums
+      known = total.get(id, Sums())
+      total[id] = Sums(
+        round(known.observed + sums.observed, 2),
+        round(known.predicted + sums.predicted, 2),
       )
   return total
 
@@ -221,33 +267,15 @@
 
   If there are more than MAX_REPORTED, returns those that differ most.
   """
-  return _select_most(
-    {
-      id: sums
-      for id, sums in sums_by_id.items()
-      if differs(estimate_slowness(sums))
-    }
-  )
-
-
-def select_service(sums_by_id: Mapping[str, Sums]) -> dict[str, Sums]:
-  """Returns the sums that one daemon reports of the instances of a service.
-
-  They are empty unless an instance differs.  If one does, the others are
-  reported as well: if a daemon reported only instances at which it happened to
-  see slow or fast turns, the sums of all daemons would be too far from 1.0.
-  """
-  if not any(differs(estimate_slowness(sums)) for sums in sums_by_id.values()):
-    return {}
-  return _select_most(sums_by_id)
-
-
-def _select_most(sums_by_id: Mapping[str, Sums]) -> dict[str, Sums]:
-  if len(sums_by_id) <= MAX_REPORTED:
-    return dict(sums_by_id)
 
   def distance(id: str) -> float:
     return abs(estimate_slowness(sums_by_id[id]) - 1.0)
 
-  found = heapq.nlargest(MAX_REPORTED, sums_by_id, key=distance)
-  return {id: sums_by_id[id] for id in found}
+  differing = [id for id in sums_by_id if distance(id) > TOLERANCE]
+  found = heapq.nlargest(MAX_REPORTED, differing, key=distance)
+  return {
+    id: Sums(
+      round(sums_by_id[id].observed, 2), round(sums_by_id[id].predicted, 2)
+    )
+    for id in found
+  }
--- a/src/woadrun/process/fleet.py
+++ b/src/woadrun/process/fleet.py
@@ -550,7 +550,7 @@
       plan.append((self._hubs.make_answer(mine), listeners))
     if own is not None:
       to_remote = msgspec.structs.replace(
-        mine, running={}, failing={}, digests=(own,)
+        mine, running={}, failing={}, turn_times={}, digests=(own,)
       )
       plan.append((to_remote, self._find_remote_hubs()))
     return plan
--- a/src/woadrun/process/fleet_heartbeats.py
+++ b/src/woadrun/process/fleet_heartbeats.py
@@ -68,10 +68,11 @@
   the store lacks data of this daemon that others need before they decide.
   `wants_digests` asks the receiver for digests; a hub sends them in `digests`,
   and the requests that all other domains have in progress, summed by instance,
-  in `elsewhere`.  `turn_times` has the times of turns that the daemon
-  measured, and `elsewhere_turn_times` those of all other domains, of
-  instances that differ in speed.  `confirmed` holds a reading of the store's
-  clock, in seconds, and the newest change of the routing table made before it.
+  in `elsewhere`.  `turn_times` sums the times of the turns that ended at the
+  daemon since its last heartbeat; `elsewhere_turn_times` has the sums of all
+  other domains, of instances that differ in speed.  `confirmed` holds a
+  reading of the store's clock, in seconds, and the newest change of the routing
+  table made before it.
   """
 
   name: str
--- a/src/woadrun/process/hubs.py
+++ b/src/woadrun/process/hubs.py
@@ -62,6 +62,10 @@
     self._chosen_since: dict[str, float] = {}
     self._skipped_until: dict[str, float] = {}
     self._hub_since: float | None = None
+    # The times of the domain's turns as far as they were in heartbeats until
+    # `_digested_at`.
+    self._turn_times = service_times.SumsByInstance()
+    self._digested_at = -math.inf
     # Counts the choices that rotate through members.
     self._rotation = 0
 
@@ -224,10 +228,7 @@
       is_behind=any(heartbeat.is_behind for heartbeat in sources),
       running=_sum_counts(heartbeat.running for heartbeat in sources),
       failing=_sum_counts(heartbeat.failing for heartbeat in sources),
-      turn_times=service_times.select_differing(
-        service_times.add_up(heartbeat.turn_times for heartbeat in sources)
-      )
-      or None,
+      turn_times=self._add_turn_times(mine, heard.values(), now) or None,
       confirmed=max(
         (heartbeat.confirmed for heartbeat in sources if heartbeat.confirmed),
         default=None,
@@ -236,6 +237,20 @@
     self._digest_by_hub[self._me.name] = (digest, now)
     return digest
 
+  def _add_turn_times(
+    self,
+    mine: fleet_heartbeats.FleetHeartbeat,
+    heard: Iterable[fleet_heartbeats.LastHeartbeat],
+    now: float,
+  ) -> dict[str, service_times.Sums]:
+    """Adds the turns in new heartbeats; returns the sums for the digest."""
+    self._turn_times.add(mine.turn_times, now=now)
+    for found in heard:
+      if found.at > self._digested_at:
+        self._turn_times.add(found.heartbeat.turn_times, now=now)
+    self._digested_at = now
+    return self._turn_times.find_differing(now=now)
+
   def add_newer(
     self, digests: Iterable[fleet_heartbeats.Digest]
   ) -> list[fleet_heartbeats.Digest]:
--- a/src/woadrun/process/load/loads.py
+++ b/src/woadrun/process/load/loads.py
@@ -151,7 +151,7 @@
   ) -> None:
     """Stores the counts in a peer's heartbeat."""
     self._counts_by_peer[heartbeat.name] = (time.monotonic(), heartbeat.running)
-    self.slowness.record_report(heartbeat.name, heartbeat.turn_times)
+    self.slowness.record_peer_turns(heartbeat.turn_times)
     if heartbeat.domain == self._domain:
       # An instance may fail for the callers of a single domain only, so that
       # failures seen in other domains do not count here.
@@ -165,17 +165,14 @@
     if digest.running is None:
       return
     counts = dict(digest.running)
-    sums = digest.turn_times or {}
-    if digest.domain != self._domain:
-      self.slowness.record_report(
-        f'domain {digest.domain}', sums, age=digest.age
-      )
-    else:
-      self.slowness.record_domain_report(digest.domain, sums, age=digest.age)
+    if digest.domain == self._domain:
       # The sums include this daemon's own requests as it last sent them.
       for id, running in self._last_sent.items():
         counts[id] = counts.get(id, 0) - running
       self.health.record_domain_report(digest.failing or {}, age=digest.age)
+    self.slowness.record_report(
+      digest.domain, digest.turn_times or {}, age=digest.age
+    )
     at = time.monotonic() - digest.age
     self._counts_by_peer[f'domain {digest.domain}'] = (at, counts)
 
@@ -291,7 +288,6 @@
     ]
     for id in stale:
       del self._load_by_id[id]
-    self.slowness.drop_unknown(known)
     oldest = time.monotonic() - SHARED_PREFIX_TTL_SECONDS
     self._prefix_sent_at = {
       key: at for key, at in self._prefix_sent_at.items() if at > oldest
--- a/src/woadrun/process/load/slowness.py
+++ b/src/woadrun/process/load/slowness.py
@@ -8,9 +8,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
 from collections.abc import Mapping
-import dataclasses
+import math
 import time
 
 from woadrun.decisions import service_times
@@ -23,15 +22,6 @@
 Sums = service_times.Sums
 
 
-@dataclasses.dataclass(kw_only=True)
-class _OwnSums:
-  """What this daemon measured at an instance, decayed up to the time `at`."""
-
-  service: str
-  sums: Sums = Sums()
-  at: float
-
-
 class SlownessTracker:
   """Measures turns, exchanges sums with peers, and estimates slowness.
 
@@ -40,11 +30,13 @@
 
   def __init__(self) -> None:
     self._model_by_service: dict[str, service_times.Model] = {}
-    self._own_by_id: dict[str, _OwnSums] = {}
-    self._last_report: dict[str, Sums] = {}
+    # The turns measured here and not sent yet.
+    self._unsent: dict[str, Sums] = {}
+    # The turns of this daemon, in a small fleet also those of its peers.
+    self._sums = service_times.SumsByInstance()
     self._report_by_source: dict[str, tuple[float, Mapping[str, Sums]]] = {}
     self._slowness_by_id: dict[str, float] = {}
-    self._refreshed_at = -REFRESH_INTERVAL_SECONDS
+    self._refreshed_at = -math.inf
 
   def record_turn(
     self, id: str, service: str, size: service_times.TurnSize, seconds: float
@@ -57,74 +49,39 @@
     predicted = model.predict(size)
     mean = model.mean_seconds
     model.learn(size, seconds, slowness=self.get_slowness(id), now=now)
-    if predicted is None or mean <= 0.0 or predicted <= 0.0:
+    if predicted is None or mean <= 0.0:
       return
-    own = self._own_by_id.setdefault(id, _OwnSums(service=service, at=now))
-    own.sums = service_times.add_turn(
-      own.sums,
-      age=now - own.at,
-      seconds=seconds,
-      predicted=predicted,
-      mean=mean,
+    turn = service_times.make_turn_sums(
+      seconds=seconds, predicted=predicted, mean=mean
     )
-    own.at = now
+    self._sums.add({id: turn}, now=now)
+    if id in self._unsent or len(self._unsent) < service_times.MAX_REPORTED:
+      self._unsent |= service_times.add_up(
+        [{id: self._unsent.get(id, Sums())}, {id: turn}]
+      )
 
   # --- Reports --------------------------------------------------------------
 
   def report(self) -> dict[str, Sums]:
-    """Returns the sums for a heartbeat, and remembers them.
+    """Returns the sums of the turns since the last call, for a heartbeat.
 
-    `record_domain_report` subtracts them from the sums of the own domain.
+    All turns are reported, also of instances that do not differ: if each daemon
+    reported only the instances at which it happened to see slow or fast turns,
+    the sums of all daemons would be too far from 1.0.
     """
-    now = time.monotonic()
-    sums_by_service: dict[str, dict[str, Sums]] = {}
-    for id, own in self._own_by_id.items():
-      found = sums_by_service.setdefault(own.service, {})
-      found[id] = service_times.decay(own.sums, now - own.at)
-    selected = {
-      id: sums
-      for found in sums_by_service.values()
-      for id, sums in service_times.select_service(found).items()
-    }
-    if len(selected) > service_times.MAX_REPORTED:
-      selected = service_times.select_differing(selected)
-    self._last_report = {
-      id: Sums(round(sums.observed, 2), round(sums.predicted, 2))
-      for id, sums in selected.items()
-    }
-    return self._last_report
+    unsent, self._unsent = self._unsent, {}
+    return unsent
+
+  def record_peer_turns(self, sums_by_id: Mapping[str, Sums]) -> None:
+    """Adds the turns in the heartbeat of a peer, in a small fleet."""
+    self._sums.add(sums_by_id, now=time.monotonic())
 
   def record_report(
     self, source: str, sums_by_id: Mapping[str, Sums], *, age: float = 0.0
   ) -> None:
-    """Replaces the sums of a peer, another domain, or all other domains."""
+    """Replaces the sums of a domain, or of all other domains."""
     self._report_by_source[source] = (time.monotonic() - age, sums_by_id)
 
-  def record_domain_report(
-    self, domain: str, sums_by_id: Mapping[str, Sums], *, age: float
-  ) -> None:
-    """Replaces the sums of the own domain, which include this daemon's."""
-    others = {}
-    for id, sums in sums_by_id.items():
-      own = self._last_report.get(id, Sums())
-      others[id] = Sums(
-        max(0.0, sums.observed - own.observed),
-        max(0.0, sums.predicted - own.predicted),
-      )
-    self.record_report(f'domain {domain}', others, age=age)
-
-  def drop_unknown(self, known: Collection[str]) -> None:
-    """Drops the sums of instances that are not in `known`, and old reports."""
-    now = time.monotonic()
-    self._own_by_id = {
-      id: own for id, own in self._own_by_id.items() if id in known
-    }
-    self._report_by_source = {
-      source: found
-      for source, found in self._report_by_source.items()
-      if now - found[0] <= REPORT_TTL_SECONDS
-    }
-
   # --- Estimates ------------------------------------------------------------
 
   def get_slowness(self, id: str) -> float:
@@ -145,15 +102,12 @@
       for at, sums_by_id in self._report_by_source.values()
       if now - at <= REPORT_TTL_SECONDS
     ]
-    # Where others report, an instance that none of them names does not differ:
-    # the few turns that this daemon saw there do not decide.
-    own = {
-      id: service_times.decay(item.sums, now - item.at)
-      for id, item in self._own_by_id.items()
-      if not reports or any(id in report for report in reports)
-    }
-    pooled = service_times.add_up([own, *reports])
+    # In a large fleet, the sums of hubs include the turns of this daemon.
+    pooled = (
+      service_times.select_differing(service_times.add_up(reports))
+      if reports
+      else self._sums.find_differing(now=now)
+    )
     return {
-      id: service_times.estimate_slowness(sums)
-      for id, sums in service_times.select_differing(pooled).items()
+      id: service_times.estimate_slowness(sums) for id, sums in pooled.items()
     }
