--- a/src/woadrun/process/fleet.py
+++ b/src/woadrun/process/fleet.py
@@ -634,6 +634,8 @@
       views.digest_changes_view(self._hubs.get_digest(digest.hub), digest)
       for digest in heartbeat.digests
     )
+    if heartbeat.turn_times and heartbeat.domain == self.me.domain:
+      self._hubs.add_turn_times(heartbeat.turn_times)
     newer = self._hubs.add_newer(heartbeat.digests)
     for digest in newer:
       self._last_digest_at = time.monotonic()
--- a/src/woadrun/process/hubs.py
+++ b/src/woadrun/process/hubs.py
@@ -62,10 +62,8 @@
     self._chosen_since: dict[str, float] = {}
     self._skipped_until: dict[str, float] = {}
     self._hub_since: float | None = None
-    # The times of the domain's turns as far as they were in heartbeats until
-    # `_digested_at`.
+    # The times of the turns in heartbeats of the own domain.
     self._turn_times = service_times.SumsByInstance()
-    self._digested_at = -math.inf
     # Counts the choices that rotate through members.
     self._rotation = 0
 
@@ -192,6 +190,7 @@
       return None
     if self._hub_since is None:
       self._hub_since = now
+    self.add_turn_times(mine.turn_times)
     known = list(members)
     heard = {
       m.name: found
@@ -228,7 +227,7 @@
       is_behind=any(heartbeat.is_behind for heartbeat in sources),
       running=_sum_counts(heartbeat.running for heartbeat in sources),
       failing=_sum_counts(heartbeat.failing for heartbeat in sources),
-      turn_times=self._add_turn_times(mine, heard.values(), now) or None,
+      turn_times=self._turn_times.find_differing(now=now) or None,
       confirmed=max(
         (heartbeat.confirmed for heartbeat in sources if heartbeat.confirmed),
         default=None,
@@ -237,19 +236,9 @@
     self._digest_by_hub[self._me.name] = (digest, now)
     return digest
 
-  def _add_turn_times(
-    self,
-    mine: fleet_heartbeats.FleetHeartbeat,
-    heard: Iterable[fleet_heartbeats.LastHeartbeat],
-    now: float,
-  ) -> dict[str, service_times.Sums]:
-    """Adds the turns in new heartbeats; returns the sums for the digest."""
-    self._turn_times.add(mine.turn_times, now=now)
-    for found in heard:
-      if found.at > self._digested_at:
-        self._turn_times.add(found.heartbeat.turn_times, now=now)
-    self._digested_at = now
-    return self._turn_times.find_differing(now=now)
+  def add_turn_times(self, sums_by_id: dict[str, service_times.Sums]) -> None:
+    """Adds the times of turns in a heartbeat of the own domain."""
+    self._turn_times.add(sums_by_id, now=time.monotonic())
 
   def add_newer(
     self, digests: Iterable[fleet_heartbeats.Digest]
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -10,6 +10,7 @@
 from woadrun import errors
 from woadrun.decisions import attempt_limit
 from woadrun.decisions import hedging
+from woadrun.request import attempts
 from woadrun.request import exchange
 from woadrun.request import partition_monitor
 
@@ -253,3 +254,37 @@
     with contextlib.suppress(errors.WoadrunError, exchange.ResponseLost):
       await ask(fleet, '/act/')
     assert load.get_mean_seconds('tools') == before
+
+
+# Guards against times that are learned where they have no effect, and against
+# an instance that seems slow because the caller reads slowly.
+@pytest.mark.parametrize(
+  ('config', 'caller_part', 'expected'),
+  [
+    (make_single_attempt_config(), 1.0, 1),
+    (make_single_attempt_config(), 0.0, 0),
+    (nodes.CONFIG, 1.0, 0),
+  ],
+  ids=['single attempt', 'slow caller', 'several attempts'],
+)
+async def test_times_of_turns_are_learned(
+  monkeypatch, config, caller_part, expected
+):
+  monkeypatch.setattr(attempts, 'MAX_CALLER_PART', caller_part)
+  sizes = []
+  async with nodes.Nodes(config=config) as fleet:
+    await fleet.start('n1')
+    daemon = fleet.by_name['n1']
+    daemon.loads.slowness.record_turn = lambda *args: sizes.append(args[2])
+    request = nodes.make_request(
+      'a',
+      path='/chat/',
+      turn=exchange.TurnInfo(
+        program='p', max_output=10, budget=100, prompt_tokens=9
+      ),
+    )
+    async with daemon.serving.handle_request(request) as answer:
+      async for _ in answer.chunks:
+        await asyncio.sleep(0.001)
+  assert len(sizes) == expected
+  assert all(size.uncached == 9 and size.tokens for size in sizes)
--- a/tests/test_hubs.py
+++ b/tests/test_hubs.py
@@ -5,6 +5,7 @@
 import msgspec
 import pytest
 
+from woadrun.decisions import service_times
 from woadrun.process import fleet
 from woadrun.process import fleet_heartbeats
 from woadrun.process import hubs
@@ -342,3 +343,33 @@
       wrong += len(network.by_name) - 1 - len(network.find_observers_of(name))
   # The limit is a share of 80 checks of 45 members by 44 others each.
   assert wrong < 80 * 45 * 44 * 0.005
+
+
+# Guards against turns that a hub counts twice or loses, and against sums of
+# instances that do not differ in datagrams.
+def test_turn_times_of_a_domain_reach_all_members_once(network):
+  sums_by_name = {}
+
+  def record(name, sums):
+    sums_by_name.setdefault(name, {}).update(sums or {})
+
+  network.record_digest = lambda name, digest: record(name, digest.turn_times)
+  network.record_elsewhere = lambda name, heartbeat: record(
+    name, heartbeat.elsewhere_turn_times
+  )
+  for number in range(SIZE):
+    network.flags_by_name[f'n-{number}'] = {
+      'turn_times': {
+        'slow': service_times.Sums(20.0, 10.0),
+        'mean': service_times.Sums(10.0, 10.0),
+      }
+    }
+  network.run(0.25)
+  for number in range(SIZE):
+    network.flags_by_name[f'n-{number}'] = {}
+  network.run(1)
+  assert sums_by_name.keys() == network.by_name.keys()
+  for sums in sums_by_name.values():
+    assert sums.keys() == {'slow'}
+    assert sums['slow'].predicted == pytest.approx(10 * SIZE, rel=0.1)
+    assert sums['slow'].observed == pytest.approx(20 * SIZE, rel=0.1)
