An instance begins to differ in speed beyond 25%

Instances of equal speed reached 1.2 while they had more turns than the others, and placements changed.

--- a/src/woadrun/decisions/service_times.py
+++ b/src/woadrun/decisions/service_times.py
@@ -44,6 +44,9 @@
 PRIOR_TURNS = 20.0
 # A slowness that differs from 1.0 by at most this much counts as 1.0.
 TOLERANCE = 0.15
+# An instance begins to differ beyond this.  Instances of equal speed reach up to
+# 1.2 while they have more turns than the others.
+ENTRY_TOLERANCE = 0.25
 # Number of instances whose sums are sent in one datagram.
 MAX_REPORTED = 32
 # Interval in which instances with hardly any turns are dropped, and the turns
@@ -198,7 +201,7 @@
         known.observed + sums.observed, known.predicted + sums.predicted
       )
       self._sums_by_id[id] = now, total
-      if differs(estimate_slowness(total)):
+      if abs(estimate_slowness(total) - 1.0) > ENTRY_TOLERANCE:
         self._differing.add(id)
     if now - self._cleaned_at >= CLEANUP_INTERVAL_SECONDS:
       self._cleaned_at = now
@@ -257,11 +260,6 @@
   return (sums.observed + PRIOR_TURNS) / (sums.predicted + PRIOR_TURNS)
 
 
-def differs(slowness: float) -> bool:
-  """Returns whether a slowness differs from 1.0 by more than TOLERANCE."""
-  return abs(slowness - 1.0) > TOLERANCE
-
-
 def select_differing(sums_by_id: Mapping[str, Sums]) -> dict[str, Sums]:
   """Returns the sums of the instances that differ from the mean.
 
