--- a/src/woadrun/decisions/service_times.py
+++ b/src/woadrun/decisions/service_times.py
@@ -44,11 +44,14 @@
 PRIOR_TURNS = 20.0
 # A slowness that differs from 1.0 by at most this much counts as 1.0.
 TOLERANCE = 0.15
-# An instance begins to differ beyond this.  Instances of equal speed reach up to
-# 1.2 while they have more turns than the others.
+# An instance begins to differ beyond this.  Instances of equal speed reach 1.2
+# while they have more turns than the others.
 ENTRY_TOLERANCE = 0.25
 # Number of instances whose sums are sent in one datagram.
 MAX_REPORTED = 32
+# Number of instances that a hub compares for each digest, so that its cost does
+# not grow with the number of instances.
+MAX_DIFFERING = 256
 # Interval in which instances with hardly any turns are dropped, and the turns
 # below which they are.
 CLEANUP_INTERVAL_SECONDS = 10.0
@@ -185,7 +188,7 @@
   """Decayed sums of several sources.
 
   The cost of `add` and `find_differing` does not grow with the number of
-  instances that do not differ from the mean.
+  instances: at most MAX_DIFFERING are compared.
   """
 
   def __init__(self) -> None:
@@ -201,7 +204,10 @@
         known.observed + sums.observed, known.predicted + sums.predicted
       )
       self._sums_by_id[id] = now, total
-      if abs(estimate_slowness(total) - 1.0) > ENTRY_TOLERANCE:
+      if (
+        abs(estimate_slowness(total) - 1.0) > ENTRY_TOLERANCE
+        and len(self._differing) < MAX_DIFFERING
+      ):
         self._differing.add(id)
     if now - self._cleaned_at >= CLEANUP_INTERVAL_SECONDS:
       self._cleaned_at = now
@@ -212,11 +218,14 @@
 
     If there are more than MAX_REPORTED, returns those that differ most.
     """
-    found = select_differing({id: self._get(id, now) for id in self._differing})
-    if len(found) < MAX_REPORTED:
-      # Decay only reduces a difference; `add` finds the instances anew.
-      self._differing = set(found)
-    return found
+    found = {id: self._get(id, now) for id in self._differing}
+    # Decay only reduces a difference; `add` finds the instances anew.
+    self._differing = {
+      id
+      for id, sums in found.items()
+      if abs(estimate_slowness(sums) - 1.0) > TOLERANCE
+    }
+    return select_differing(found)
 
   def _get(self, id: str, now: float) -> Sums:
     at, sums = self._sums_by_id.get(id, (now, Sums()))
