--- a/src/woadrun/process/node.py
+++ b/src/woadrun/process/node.py
@@ -271,6 +271,9 @@
     self.counters.registry.register(
       rate_metrics.RateMetrics(read=self.rate_owner.get_counts)
     )
+    self.counters.add_instance_gauge(
+      'instance_slowness', self.loads.slowness.get_differing
+    )
     self._runner: web.ServerRunner | None = None
 
   async def on_start(self) -> None:
@@ -360,6 +363,7 @@
       running=self.loads.report_running(),
       failing=self.loads.health.report_failures(),
       demand=self.gate.report(),
+      turn_times=self.loads.slowness.report(),
       silent=tuple(self.fleet.find_silent_domains()),
       is_owing=self.programs.is_owing,
       is_behind=self.programs.is_behind,
@@ -375,7 +379,9 @@
       self.loads.record_peer_counts(heartbeat)
       self.gate.record_peer(heartbeat)
     elif heartbeat.elsewhere is not None:
-      self.loads.record_other_domains(heartbeat.elsewhere)
+      self.loads.record_other_domains(
+        heartbeat.elsewhere, heartbeat.elsewhere_turn_times
+      )
       self.gate.record_elsewhere(heartbeat.elsewhere_demand)
     self.feeds.handle_heartbeat(heartbeat)
     if heartbeat.confirmed is not None:
