Read ahead: an answer continues when others hold all the memory

A caller that had been slow once waited for room although it had taken all of its bytes. While other callers held the whole bound, its answer stood still. Its reading ahead now ends instead, and it is served like a fast caller.

The timer of a caller that disconnected could start to read after close(), and the bytes would have stayed counted. close() now cancels the timer.

--- a/src/woadrun/platform/read_ahead.py
+++ b/src/woadrun/platform/read_ahead.py
@@ -69,6 +69,9 @@
     self._chunks: collections.deque[bytes] = collections.deque()
     self._changed = asyncio.Event()
     self._task: asyncio.Task[None] | None = None
+    self._timer: asyncio.TimerHandle | None = None
+    # Whether the task waits for room.
+    self._is_paused = False
 
   async def read(self) -> AsyncGenerator[bytes]:
     """Yields the answer; raises `ResponseLost` if it breaks off."""
@@ -82,16 +85,19 @@
         if self._task is not None:
           yield chunk
           continue
-        timer = loop.call_later(SLOW_CALLER_SECONDS, self._start)
+        self._timer = loop.call_later(SLOW_CALLER_SECONDS, self._start)
         try:
           yield chunk
         finally:
-          timer.cancel()
+          self._timer.cancel()
     except (aiohttp.ClientError, TimeoutError, OSError) as error:
       raise exchange.ResponseLost(str(error) or type(error).__name__) from error
 
   def close(self) -> None:
     """Stops reading and drops the bytes held."""
+    if self._timer is not None:
+      # A caller that disconnects may leave `read` suspended.
+      self._timer.cancel()
     if self._task is not None:
       self._task.cancel()
     self._held.add(-sum(map(len, self._chunks)))
@@ -109,7 +115,10 @@
 
   async def _read_ahead(self) -> None:
     while True:
+      self._is_paused = True
+      self._changed.set()
       room = await self._held.wait_for_room()
+      self._is_paused = False
       chunk = await self._response.content.read(min(READ_BYTES, room))
       if not chunk:
         return
@@ -121,6 +130,12 @@
     """Returns the next chunk, empty at the end; raises the error of reading."""
     assert self._task is not None
     while not self._chunks and not self._task.done():
+      if self._is_paused:
+        # The bytes held for others, which may never take them, must not delay
+        # a caller that takes its own.
+        self._task.cancel()
+        self._task, self._is_paused = None, False
+        return await self._response.content.readany()
       self._changed.clear()
       await self._changed.wait()
     if not self._chunks:
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import socket
+import types
 
 import aiohttp
 from aiohttp import web
@@ -138,3 +139,47 @@
       assert received == size
     assert held.total == 0
   await runner.cleanup()
+
+
+class Content:
+  """An answer of three chunks."""
+
+  def __init__(self):
+    self.left = [b'a', b'b', b'c']
+
+  async def readany(self):
+    return self.left.pop(0) if self.left else b''
+
+  async def read(self, size):
+    return await self.readany()
+
+
+def make_reader(monkeypatch, held):
+  monkeypatch.setattr(read_ahead, 'SLOW_CALLER_SECONDS', 0.0)
+  response = types.SimpleNamespace(content=Content())
+  return read_ahead.AnswerReader(response=response, held=held)
+
+
+async def test_caller_is_not_delayed_by_the_bytes_held_for_others(monkeypatch):
+  """An answer stood still until those who took nothing had disconnected."""
+  held = read_ahead.HeldBytes(most=4)
+  held.add(4)
+  chunks = make_reader(monkeypatch, held).read()
+  async with asyncio.timeout(5.0):
+    received = [await anext(chunks)]
+    await asyncio.sleep(0.01)
+    received += [chunk async for chunk in chunks]
+  assert received == [b'a', b'b', b'c']
+  assert held.total == 4
+
+
+async def test_closed_answer_is_not_read_ahead(monkeypatch):
+  """Its bytes would count as held for ever."""
+  held = read_ahead.HeldBytes()
+  reader = make_reader(monkeypatch, held)
+  chunks = reader.read()
+  await anext(chunks)
+  reader.close()
+  await asyncio.sleep(0.01)
+  assert held.total == 0
+  await chunks.aclose()
