Fleet: a bound on heartbeats that hubs send when store reports change

A hub relays at once when the majority of the reports changes. While about half of the daemons suspect the store, each report changed it: 20 reports in 0.2 s caused 20 sends to the whole domain and all other hubs. At most one such send now begins in 0.1 s, and the next regular heartbeat tells the rest.

tests/test_hubs.py: the new test fails before the change (20 sends). 45 tests of test_hubs.py, test_fleet.py and test_silent_store.py pass after it.

--- a/src/woadrun/process/fleet.py
+++ b/src/woadrun/process/fleet.py
@@ -44,6 +44,11 @@
 TABLE = 'members'
 # Interval between two heartbeats to one peer, in seconds.
 HEARTBEAT_INTERVAL_SECONDS = 0.25
+# Shortest time between two heartbeats that a hub sends at once because the
+# reports of the store changed.  While about half of the daemons suspect the
+# store, each report could change the majority, and a hub sends to its whole
+# domain.
+MIN_RELAY_INTERVAL_SECONDS = 0.1
 SUSPECT_TIMEOUT_SECONDS = hubs.SUSPECT_TIMEOUT_SECONDS
 # Number of heartbeats between two checks of all members for silence.  The
 # results are used only to remove rows and to write log lines, which may be
@@ -103,6 +108,7 @@
     self._silent_since: dict[str, float] = {}
     self._view = views.View(at=-math.inf)
     self._last_digest_at = -math.inf
+    self._relayed_at = -math.inf
     self._heard_at_by_domain: dict[str, float] = {}
     self._returning_domains = returning_domains.ReturningDomains()
     self._started_at = time.monotonic()
@@ -671,10 +677,16 @@
     """Sends heartbeats if what most daemons report of the store has changed.
 
     In regular heartbeats, each of the two hubs on the way to another domain
-    delays a report by up to a heartbeat interval.
+    delays a report by up to a heartbeat interval.  A change less than
+    MIN_RELAY_INTERVAL_SECONDS after the last one waits for these.
     """
+    now = time.monotonic()
     view = self._get_view()
-    if (view.suspecting > view.served) != (before.suspecting > before.served):
+    is_changed = (view.suspecting > view.served) != (
+      before.suspecting > before.served
+    )
+    if is_changed and now - self._relayed_at >= MIN_RELAY_INTERVAL_SECONDS:
+      self._relayed_at = now
       self.send_heartbeats()
 
   def _record_domain_heard(self, domain: str, at: float) -> None:
--- a/tests/test_hubs.py
+++ b/tests/test_hubs.py
@@ -342,3 +342,24 @@
       wrong += len(network.by_name) - 1 - len(network.find_observers_of(name))
   # The limit is a share of 80 checks of 45 members by 44 others each.
   assert wrong < 80 * 45 * 44 * 0.005
+
+
+def test_a_hub_sends_few_heartbeats_while_the_reports_of_the_store_change(
+  network,
+):
+  """Each change was sent to the whole domain and to all other hubs at once."""
+  found = network.find_hubs('n')
+  hub = network.by_name[sorted(found)[0]]
+  member = next(name for name in network.by_name if name not in found)
+  sent = []
+  hub.send_heartbeats = lambda: sent.append(network.now)
+  for number in range(20):
+    network.now += 0.01
+    heartbeat = fleet_heartbeats.FleetHeartbeat(
+      name=member,
+      address=_make_member(member).address,
+      domain=_make_member(member).domain,
+      suspects_store=not number % 2,
+    )
+    hub._receive(msgspec.json.encode(heartbeat))
+  assert 1 <= len(sent) <= 3
