Store: a bounded call over the rate limit waits for its retry

A call that the store refuses for its rate is retried after 0.05 to 0.25 s. A bounded call gave up after 0.13 s, as if the store were silent, so that a read of a turn's history failed although the store answered. The wait now begins when the call is retried.

tests/test_store_access.py: the new test fails before the change; 15 tests of test_store_access.py and test_silent_store.py pass after it.

--- a/src/woadrun/process/store_access.py
+++ b/src/woadrun/process/store_access.py
@@ -146,6 +146,8 @@
     self._direct_call_began_at: dict[object, float] = {}
     self._longest_answer_seconds = 0.0
     self._answered_at = -math.inf
+    # When the latest call that exceeded the store's rate limit is retried.
+    self._retried_at = -math.inf
     # Since when no call was answered, None unless the store is suspect.
     self._suspected_since: float | None = None
     # Bounded calls that nobody waits for any more are among these.
@@ -511,7 +513,9 @@
 
   def _get_bound(self, began: float) -> float:
     """Returns for how many more seconds to wait for a bounded call."""
-    age = time.monotonic() - max(began, self._answered_at)
+    # A store that refuses calls over its rate limit is not silent.
+    since = max(began, self._answered_at, self._retried_at)
+    age = time.monotonic() - since
     return self._get_patience() + BOUND_MARGIN_SECONDS - age
 
   def _drop_bounded_call(self, call: asyncio.Future[Any]) -> None:
@@ -543,7 +547,9 @@
       return await self._call_abortable(call)
     except http.RateLimited as error:
       log.info('Retrying a call of the store after a delay: %s', error.message)
-      await asyncio.sleep(random.uniform(*RATE_LIMIT_DELAY_SECONDS))
+      delay = random.uniform(*RATE_LIMIT_DELAY_SECONDS)
+      self._retried_at = max(self._retried_at, time.monotonic() + delay)
+      await asyncio.sleep(delay)
       return await self._call_abortable(call)
 
   async def _call_abortable(self, call: Callable[[], Awaitable[T]]) -> T:
--- a/tests/test_store_access.py
+++ b/tests/test_store_access.py
@@ -2,11 +2,13 @@
 
 import asyncio
 
+from faults import clock
 import nodes
 import pytest
 
 from woadrun import errors
 from woadrun.connection import http
+from woadrun.connection import rows
 from woadrun.connection import turn_messages
 from woadrun.process import store_access
 
@@ -55,6 +57,29 @@
     assert len(calls) == 2 and store.is_direct
 
 
+def test_a_bounded_call_over_the_rate_limit_is_retried(monkeypatch):
+  """It ended while it waited to be retried, although the store answers."""
+  monkeypatch.setattr(store_access, 'RATE_LIMIT_DELAY_SECONDS', (0.25, 0.25))
+  answers = [
+    http.RateLimited(errors.Code.PLATFORM_UNAVAILABLE, 'over its rate')
+  ]
+  page = rows.Page(rows=(), version=1, is_cut=False)
+
+  class Direct:
+    async def read(self, *_, **options):
+      if answers:
+        raise answers.pop()
+      return page
+
+  async def scenario():
+    store = store_access.StoreAccess(direct=Direct(), messenger=None)
+    store.is_direct = True
+    return await store.bounded.read('turns', '00')
+
+  with clock.run_by(clock.Clock()) as loop:
+    assert loop.run_until_complete(scenario()) == page
+
+
 async def test_a_vm_that_the_store_refuses_repeatedly_counts_as_not_served():
   async with nodes.Nodes() as fleet:
     await fleet.start('n1', 'n2')
