Admission: one member of a domain decides about a program

While the store is out, no member knows a new program, so the client asks up to three of them and then the owner again. Each one decided, counted the program as under way and as asked for, and could refuse what the owner had admitted. After an answer, the next members no longer decide.

Three daemons, store out, one program: programs under way in the reports are 1 (3 before).

--- a/src/woadrun/connection/turn_messages.py
+++ b/src/woadrun/connection/turn_messages.py
@@ -44,7 +44,8 @@
   `weight` is the share of its team against other teams.  `seconds_left` is the
   time until the program should end, None if it has no such time, and
   `turn_seconds` the time until the turn's deadline.  `is_first` says that the
-  turn does not continue from another one.
+  turn does not continue from another one, and that no other member has decided
+  about the program while it handled this turn.
   """
 
   service: str
--- a/src/woadrun/request/turn_client.py
+++ b/src/woadrun/request/turn_client.py
@@ -210,11 +210,14 @@
       except errors.WoadrunError as error:
         if error.code not in INCONCLUSIVE_CODES or self._is_conclusive(error):
           raise
-        if error.code is errors.Code.OWNER_UNAVAILABLE and not isinstance(
-          error, peers.NoAnswer
-        ):
-          # This member knows the program, so the next one must not create it.
-          message = msgspec.structs.replace(message, begins=False)
+        if not isinstance(error, peers.NoAnswer):
+          # This member has decided whether the program may begin.  If each
+          # member asked decided anew, a program would count several times, and
+          # the last one could refuse what the owner admitted.
+          message = _without_decision(message)
+          if error.code is errors.Code.OWNER_UNAVAILABLE:
+            # This member knows the program, so the next one must not create it.
+            message = msgspec.structs.replace(message, begins=False)
         # `UNKNOWN_PROGRAM` (the parent was not found) is more specific than the
         # other errors.
         if failure is None or failure.code is not errors.Code.UNKNOWN_PROGRAM:
@@ -448,3 +451,15 @@
     finally:
       for task in tasks:
         task.cancel()
+
+
+def _without_decision(
+  message: turn_messages.OpenTurn,
+) -> turn_messages.OpenTurn:
+  """Returns a message whose receiver does not decide if the program begins."""
+  if message.admission is None:
+    return message
+  return msgspec.structs.replace(
+    message,
+    admission=msgspec.structs.replace(message.admission, is_first=False),
+  )
--- a/tests/test_program_gate.py
+++ b/tests/test_program_gate.py
@@ -359,6 +359,24 @@
     assert all(item.gate.report() == {} for item in found.by_name.values())
 
 
+async def test_one_member_decides_while_the_store_is_out():
+  # Guards against a program that each member asked counts and may refuse: no
+  # member knows a new program then, and the store cannot be read.
+  async with start('n1', 'n2', 'n3') as (found, _):
+    found.shared.is_out = True
+    await nodes.wait_until(
+      lambda: not any(n.store.is_reachable for n in found.by_name.values())
+    )
+    await found.turn('n1', 'free-1', program='p')
+    demands = [
+      demand
+      for item in found.by_name.values()
+      for demand in item.gate.report().values()
+    ]
+    assert sum(demand.programs for demand in demands) == 1
+    assert sum(bool(demand.asked) for demand in demands) == 1
+
+
 async def test_a_program_goes_on_after_its_owner_is_lost():
   async with start('n1', 'n2', 'n3') as (found, held):
     await found.turn('n1', 'free-1', program='p')
