Admission: ends that are taken back leave no negative rates

The end of a program that only paused was taken back with its full weight, although the decayed rates had only a part of it left: after 2 s the report told -0.52 programs ended per second. The part that is left is taken back.

The learned ratio of a kind is bounded like the used time: a program that was to end within 1 ms took the ratio above 100, so that all refused programs of its kind counted as late.

--- a/src/woadrun/decisions/program_admission.py
+++ b/src/woadrun/decisions/program_admission.py
@@ -336,6 +336,11 @@
     self._value = self.get(now) + count * math.log(2) / self.half_life
     self._updated_at = now
 
+  def take_back(self, now: float, count: float, *, recorded_at: float) -> None:
+    """Takes back what is left of `count` events recorded at `recorded_at`."""
+    seconds = max(0.0, now - recorded_at)
+    self.record(now, -count * 0.5 ** (seconds / self.half_life))
+
   def get(self, now: float) -> float:
     """Returns the events per second at the time `now`."""
     seconds = max(0.0, now - self._updated_at)
--- a/src/woadrun/process/load/program_gate.py
+++ b/src/woadrun/process/load/program_gate.py
@@ -298,9 +298,12 @@
       # The program only paused, so that its end was counted too early.
       service = self._get_service(found.service)
       service.programs += 1
-      service.ended.record(now, -1.0)
-      service.ended_seconds.record(now, found.admitted_at - found.ended_at)
-      _record_use(service, found, now, sign=-1.0)
+      seconds = found.ended_at - found.admitted_at
+      service.ended.take_back(now, 1.0, recorded_at=found.ended_at)
+      service.ended_seconds.take_back(now, seconds, recorded_at=found.ended_at)
+      if (used := _get_use(found)) is not None:
+        service.used.take_back(now, used[0], recorded_at=found.ended_at)
+        service.allowed.take_back(now, used[1], recorded_at=found.ended_at)
       found.ended_at = None
     found.deadline_by_request[request] = (
       now + ask.turn_seconds + CLOSE_GRACE_SECONDS
@@ -332,7 +335,9 @@
         service.programs -= 1
         service.ended.record(now)
         service.ended_seconds.record(now, now - found.admitted_at)
-        _record_use(service, found, now, sign=1.0)
+        if (used := _get_use(found)) is not None:
+          service.used.record(now, used[0])
+          service.allowed.record(now, used[1])
     self._ticket_by_program = {
       program: ticket
       for program, ticket in self._ticket_by_program.items()
@@ -340,10 +345,11 @@
     }
 
   def _learn(self, ended: _Program) -> None:
-    if not ended.allowed or not ended.has_ended_turn:
+    used = _get_use(ended)
+    if used is None:
       return
     ratio = self._get_ratio(ended.kind)
-    sample = (ended.idle_since - ended.admitted_at) / ended.allowed
+    sample = used[0] / used[1]
     self._ratio_by_kind[ended.kind] = ratio + LEARN_WEIGHT * (sample - ratio)
 
   def _get_ratio(self, kind: str) -> float:
@@ -748,20 +754,15 @@
   return gauges
 
 
-def _record_use(
-  service: _Service, found: _Program, now: float, *, sign: float
-) -> None:
-  """Records the time that an ended program used of the time that it had.
+def _get_use(found: _Program) -> tuple[float, float] | None:
+  """Returns the time that an ended program used, and the time that it had.
 
-  With a `sign` of -1 the record is taken back.
+  Returns None if the latter is not known, or no turn of the program has run.
   """
   if not found.allowed or not found.has_ended_turn:
-    return
-  used = min(
-    found.idle_since - found.admitted_at, MAX_USED_RATIO * found.allowed
-  )
-  service.used.record(now, sign * used)
-  service.allowed.record(now, sign * found.allowed)
+    return None
+  seconds = found.idle_since - found.admitted_at
+  return min(seconds, MAX_USED_RATIO * found.allowed), found.allowed
 
 
 def _round_rate(per_second: float) -> float:
--- a/tests/test_program_gate.py
+++ b/tests/test_program_gate.py
@@ -174,6 +174,40 @@
   assert (resumed.programs, resumed.ended) == (1, 0)
 
 
+def test_the_end_of_a_program_that_only_paused_leaves_no_negative_rates(clock):
+  # Guards against taking back a whole program of which the decayed rates have
+  # only a part left: paused programs then hid the ends of others.
+  clock.hear()
+  clock.admit('p')
+  clock.now += 0.5
+  clock.gate.record_closed('p', 'p.0')
+  clock.now += 0.5
+  clock.get_demand()
+  clock.now += 2.0
+  ask = turn_messages.AdmissionRequest(service=SERVICE, kind='chat')
+  clock.gate.record_opened('p', 'p.1', ask)
+  resumed = clock.get_demand()
+  assert resumed.ended == resumed.ended_seconds == 0
+  assert resumed.used == resumed.allowed == 0
+
+
+def test_a_program_without_time_does_not_make_all_others_late(clock):
+  # Guards against a caller that asks for a program to end within milliseconds:
+  # the ratio of its kind rose a hundredfold, so that no refused program counted
+  # as one that can still be in time.
+  clock.hear()
+  clock.admit('p', seconds_left=0.001)
+  clock.now += 2.0
+  clock.gate.record_closed('p', 'p.0')
+  for _ in range(5):
+    clock.now += 1.0
+    clock.get_demand()
+  clock.hear(north=60, asked=4000.0)
+  assert (
+    clock.admit('q', seconds_left=3.0) == program_admission.MIN_RETRY_SECONDS
+  )
+
+
 def test_a_turn_whose_end_is_never_reported_does_not_take_room_for_ever(clock):
   clock.hear()
   clock.admit('p')
