Hubs: digests count the members added a moment ago

A digest summed only the members that must have sent a heartbeat by now, so those added less than 2 s ago were left out although they were heard. In a fleet that starts anew, the sums of a domain of 15 members had 1 program under way of 15, and deciders took them for complete.

Running requests are summed in the same way, since turns per program are the ratio of the two. Failures, and what members report of themselves and of the store, are summed as before.

--- a/src/woadrun/process/hubs.py
+++ b/src/woadrun/process/hubs.py
@@ -181,10 +181,10 @@
     """Returns the digest of the own domain, or None if this is no hub.
 
     `mine` is the heartbeat of this daemon, `members` the members expected to
-    have sent heartbeats.  This daemon is a hub if it chose itself, as `is_hub`
-    says, and other members request digests from it.  A daemon that only itself
-    considers a hub receives no heartbeats and must not conclude from this that
-    the others are silent.
+    have sent heartbeats; others may have sent some as well. This daemon is a
+    hub if it chose itself, as `is_hub` says, and other members request digests
+    from it. A daemon that only itself considers a hub receives no heartbeats
+    and must not conclude from this that the others are silent.
     """
     now = time.monotonic()
     if not is_hub or not find_requesters(last_heartbeat_by_name, now):
@@ -205,6 +205,18 @@
       *(views.count_store_reports(found, at=now) for found in heard.values()),
     ]
     sources = [mine, *(found.heartbeat for found in heard.values())]
+    # Requests and demand are those of all members heard, not only of `members`:
+    # in a fleet that starts anew, sums without the members that were added a
+    # moment ago had one of 15 programs under way.
+    counted = [
+      mine,
+      *(
+        found.heartbeat
+        for found in last_heartbeat_by_name.values()
+        if found.heartbeat.domain == self._me.domain
+        and now - found.at < SUSPECT_TIMEOUT_SECONDS
+      ),
+    ]
     # A new hub may not have received the heartbeats of all live members yet, so
     # that it calls none silent.
     is_settled = now - self._hub_since >= SUSPECT_TIMEOUT_SECONDS
@@ -231,9 +243,9 @@
       ),
       is_owing=any(heartbeat.is_owing for heartbeat in sources),
       is_behind=any(heartbeat.is_behind for heartbeat in sources),
-      running=_sum_counts(heartbeat.running for heartbeat in sources),
+      running=_sum_counts(heartbeat.running for heartbeat in counted),
       failing=_sum_counts(heartbeat.failing for heartbeat in sources),
-      demand=sum_demand(heartbeat.demand for heartbeat in sources),
+      demand=sum_demand(heartbeat.demand for heartbeat in counted),
       confirmed=max(
         (heartbeat.confirmed for heartbeat in sources if heartbeat.confirmed),
         default=None,
--- a/tests/test_program_gate.py
+++ b/tests/test_program_gate.py
@@ -449,30 +449,35 @@
     assert status == 200
 
 
-def test_each_daemon_learns_the_demand_of_all_domains(monkeypatch):
+@pytest.mark.parametrize('seconds', [1.0, 4.0])
+def test_each_daemon_learns_the_demand_of_all_domains(monkeypatch, seconds):
+  # Within 2 s of the start, guards against sums without the members that were
+  # added a moment ago: nearly all programs of a new fleet were not counted.
   network = test_hubs.Network(monkeypatch)
   sums_by_name = {}
 
-  def record(name, source, demand):
+  def record(name, source, demand, running):
     found = demand.get(SERVICE, fleet_heartbeats.ServiceDemand())
+    assert found.programs == running.get('e1', 0)
     sums_by_name.setdefault(name, {})[source] = found.programs
 
   for name, found in network.by_name.items():
     network.flags_by_name[name] = {
       'has_store': True,
       'demand': make_demand(1),
+      'running': {'e1': 1},
     }
     found._on_digest = lambda digest, name=name: (
-      record(name, digest.domain, digest.demand)
+      record(name, digest.domain, digest.demand, digest.running)
       if digest.running is not None
       else None
     )
     found._on_beat = lambda heartbeat, name=name: (
-      record(name, 'elsewhere', heartbeat.elsewhere_demand)
+      record(name, 'elsewhere', heartbeat.elsewhere_demand, heartbeat.elsewhere)
       if heartbeat.elsewhere is not None
       else None
     )
-  network.run(4)
+  network.run(seconds)
   for name, sums in sums_by_name.items():
     domain = name.partition('-')[0]
     others = sums.get('elsewhere') or sum(
