--- a/src/woadrun/decisions/program_admission.py
+++ b/src/woadrun/decisions/program_admission.py
@@ -82,7 +82,7 @@
   `slots` and `running` are those of the usable instances, `programs` counts
   the programs under way.  `asked_per_second` counts each request for
   admission, also those of returning programs.  `seconds_per_program` is the
-  mean time that the programs ended of late were under way; if it is None,
+  mean time that the recently ended programs were under way; if it is None,
   `ended_per_second` is used instead.  `duration_ratio` is the mean duration of
   these programs, from their admission on, divided by the mean time that they
   had; None if it is unknown.
@@ -139,7 +139,7 @@
 ) -> float:
   """Returns the number of programs that a service can have under way.
 
-  It is less if the programs that ended of late needed more than
+  It is less if the programs that ended recently needed more than
   TARGET_DURATION_RATIO of the time that they had.
   """
   pace = 1.0
--- a/src/woadrun/process/fleet_heartbeats.py
+++ b/src/woadrun/process/fleet_heartbeats.py
@@ -83,7 +83,7 @@
   `feeds` holds the number of the newest known change of each table.  `running`
   counts the requests that the daemon has in progress at each instance,
   `failing` the recent failures that it saw there, with older ones counting
-  less.  `demand` has the programs that this daemon admits, by service.
+  less.  `demand` has the demand for each service at this daemon.
   `silent` names the domains of which the daemon hears nothing.
   `is_owing` says that the daemon has spent from the budgets of other domains'
   programs and that the store does not have this spending yet, `is_behind` that
--- a/src/woadrun/process/load/program_gate.py
+++ b/src/woadrun/process/load/program_gate.py
@@ -130,7 +130,7 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class _Outlook:
+class _CurrentPlan:
   """The plan for a service, and the sums from which it was made.
 
   Without recent sums, `limit` is the number of programs that this daemon may
@@ -195,8 +195,8 @@
   )
   sampled_at: float = -math.inf
   sampled_seconds: float = 0.0
-  outlook: _Outlook | None = None
-  requests_by_outlook: int = 0
+  current: _CurrentPlan | None = None
+  requests_of_plan: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -277,9 +277,9 @@
       key, program_admission.DecayedRate()
     ).record(now)
     self._keep_weight(ask.team, ask.weight)
-    outlook = self._get_outlook(ask.service, now)
-    if not self._take(service, key, outlook):
-      raise self._refuse(first, key, outlook, allowed=allowed, now=now)
+    current = self._get_current_plan(ask.service, now)
+    if not self._take(service, key, current):
+      raise self._refuse(first, key, current, allowed=allowed, now=now)
     service.admitted_by_team.setdefault(
       ask.team, program_admission.DecayedRate()
     ).record(now)
@@ -386,13 +386,13 @@
     self,
     service: _Service,
     key: program_admission.ClassKey,
-    outlook: _Outlook,
+    current: _CurrentPlan,
   ) -> bool:
-    if outlook.state.slots <= 0:
+    if current.state.slots <= 0:
       return True
-    if outlook.limit is not None:
-      return service.programs < outlook.limit
-    fraction = outlook.plan.get_fraction(key)
+    if current.limit is not None:
+      return service.programs < current.limit
+    fraction = current.plan.get_fraction(key)
     if fraction >= 1.0:
       return True
     rank = key[:2]
@@ -407,7 +407,7 @@
     self,
     first: FirstTurn,
     key: program_admission.ClassKey,
-    outlook: _Outlook,
+    current: _CurrentPlan,
     *,
     allowed: float | None,
     now: float,
@@ -418,8 +418,8 @@
 
     def estimate(can_be_in_time: bool) -> float:
       return program_admission.estimate_retry_after(
-        waiting=outlook.waiting + 1,
-        budget=outlook.plan.budget,
+        waiting=current.waiting + 1,
+        budget=current.plan.budget,
         can_be_in_time=can_be_in_time,
       )
 
@@ -435,11 +435,12 @@
       due_at=now + delay,
     )
     self._record_decision(ask.service, ask.kind, False)
-    state = outlook.state
+    state = current.state
     log.info(
       'Request %s: program %s is refused by service %s: kind %s, team %s, '
-      'class %d.%d, capacity %.1f, %d programs under way, %d turns in %d '
-      'slots, %.1f programs/s asked, budget %.1f/s, %s, return in %.2f s.',
+      'priority %d, order %d, capacity %.1f, %d programs under way, %d turns '
+      'in %d slots, %.1f programs/s asked, budget %.1f/s, %s, return in '
+      '%.2f s.',
       first.request,
       first.program,
       ask.service,
@@ -447,15 +448,15 @@
       ask.team or 'none',
       key.priority,
       key.order,
-      outlook.plan.capacity,
+      current.plan.capacity,
       state.programs,
       state.running,
       state.slots,
       sum(state.asked_per_second.values()),
-      outlook.plan.budget,
-      f'fraction {outlook.plan.get_fraction(key):.3f}'
-      if outlook.limit is None
-      else f'no sums, at most {outlook.limit} programs of this daemon',
+      current.plan.budget,
+      f'fraction {current.plan.get_fraction(key):.3f}'
+      if current.limit is None
+      else f'no sums, at most {current.limit} programs of this daemon',
       delay,
     )
     return errors.WoadrunError(
@@ -464,21 +465,21 @@
       retry_after=delay,
     )
 
-  def _get_outlook(self, name: str, now: float) -> _Outlook:
+  def _get_current_plan(self, name: str, now: float) -> _CurrentPlan:
     """Returns the plan for a service, made anew from time to time."""
     service = self._get_service(name)
-    outlook = service.outlook
-    service.requests_by_outlook += 1
+    current = service.current
+    service.requests_of_plan += 1
     if (
-      outlook is None
-      or now - outlook.made_at >= PLAN_TTL_SECONDS
-      or service.requests_by_outlook > MAX_REQUESTS_PER_PLAN
+      current is None
+      or now - current.made_at >= PLAN_TTL_SECONDS
+      or service.requests_of_plan > MAX_REQUESTS_PER_PLAN
     ):
-      outlook = service.outlook = self._make_outlook(name, now)
-      service.requests_by_outlook = 1
-    return outlook
+      current = service.current = self._make_current_plan(name, now)
+      service.requests_of_plan = 1
+    return current
 
-  def _make_outlook(self, name: str, now: float) -> _Outlook:
+  def _make_current_plan(self, name: str, now: float) -> _CurrentPlan:
     service = self._get_service(name)
     load = self._measure(name, now)
     if service.sampled_at == -math.inf:
@@ -505,7 +506,7 @@
       limit = program_admission.get_lone_limit(
         capacity=plan.capacity, members=len(self._members.find_active_names())
       )
-    return _Outlook(
+    return _CurrentPlan(
       made_at=now,
       state=state,
       plan=plan,
@@ -724,12 +725,12 @@
     now = time.monotonic()
     gauges: dict[counters.GaugeKey, float] = {}
     for name, service in self._service_by_name.items():
-      outlook = self._make_outlook(name, now)
-      plan, state = outlook.plan, outlook.state
+      current = self._make_current_plan(name, now)
+      plan, state = current.plan, current.state
       for gauge, value in (
         ('capacity_programs', plan.capacity),
         ('programs', state.programs),
-        ('programs_waiting', outlook.waiting),
+        ('programs_waiting', current.waiting),
         ('running', state.running),
         ('slots', state.slots),
         ('budget_per_second', plan.budget),
--- a/src/woadrun/request/turn_client.py
+++ b/src/woadrun/request/turn_client.py
@@ -93,9 +93,9 @@
 
     `id` and the ids in `turn` are scoped by team.  Without `keeps_history` the
     turn is opened without its parent.  With `admission`, a program begins only
-    if its service has room.  In the result, unlike in an owner's
-    answer, `home` is the domain that admitted the turn, or empty for the domain
-    of this daemon.
+    if its service has room.  In the result, unlike in an owner's answer, `home`
+    is the domain that admitted the turn, or empty for the domain of this
+    daemon.
 
     Raises `owner_unavailable` if no reachable member can admit the turn, and
     other errors of the owner, such as `budget_exceeded` and `service_full`,
