Program gate: programs without an opened turn do not count as ended

A program that was admitted, but whose first turn was refused, for example by its token budget, counted as one that was under way for half a second. This shortened the mean time of a program, from which the budget is computed.

--- a/src/woadrun/process/load/program_gate.py
+++ b/src/woadrun/process/load/program_gate.py
@@ -106,7 +106,8 @@
   `deadline_by_request` has the turns in progress.  `idle_since` is the end of
   the last turn, `ended_at` the time since which the program is not under way,
   None while it is.  `allowed` is the time that it had at its first request,
-  None if that is not known.
+  None if that is not known.  `is_unopened` tells that it was admitted, but no
+  turn of it was opened.
   """
 
   service: str
@@ -119,6 +120,7 @@
   )
   ended_at: float | None = None
   has_ended_turn: bool = False
+  is_unopened: bool = False
 
   def expire_turns(self, now: float) -> None:
     """Ends the turns whose end was not reported in time."""
@@ -311,6 +313,10 @@
       )
       self._program_by_id[program] = found
       self._get_service(ask.service).programs += 1
+    elif found.ended_at is not None and found.is_unopened:
+      # Its end was not counted.
+      self._get_service(found.service).programs += 1
+      found.ended_at = None
     elif found.ended_at is not None:
       # The program only paused, so that its end was counted too early.
       service = self._get_service(found.service)
@@ -322,6 +328,7 @@
         service.used.take_back(now, used[0], recorded_at=found.ended_at)
         service.allowed.take_back(now, used[1], recorded_at=found.ended_at)
       found.ended_at = None
+    found.is_unopened = False
     found.deadline_by_request[request] = (
       now + ask.turn_seconds + CLOSE_GRACE_SECONDS
     )
@@ -336,6 +343,9 @@
     if found.deadline_by_request.pop(request, None) is not None:
       found.idle_since = time.monotonic()
       found.has_ended_turn |= has_run
+      found.is_unopened = not (
+        has_run or found.has_ended_turn or found.deadline_by_request
+      )
 
   def _expire(self, now: float) -> None:
     self._expired_at = now
@@ -351,6 +361,8 @@
         found.ended_at = now
         service = self._get_service(found.service)
         service.programs -= 1
+        if found.is_unopened:
+          continue
         service.ended.record(now)
         service.ended_seconds.record(now, now - found.admitted_at)
         if (used := _get_use(found)) is not None:
--- a/tests/test_program_gate.py
+++ b/tests/test_program_gate.py
@@ -232,6 +232,17 @@
   )
 
 
+def test_a_program_whose_first_turn_was_not_opened_counts_as_none_ended(clock):
+  # Guards against programs that exceed their token budget at once: each counted
+  # as ended after half a second, and more programs were admitted than fit.
+  clock.hear()
+  clock.admit('p')
+  clock.gate.record_closed('p', 'p.0', has_run=False)
+  clock.now += 0.6
+  demand = clock.get_demand()
+  assert (demand.programs, demand.ended, demand.ended_seconds) == (0, 0, 0)
+
+
 def test_a_turn_whose_end_is_never_reported_does_not_take_room_for_ever(clock):
   clock.hear()
   clock.admit('p')
