--- a/src/woadrun/process/load/program_gate.py
+++ b/src/woadrun/process/load/program_gate.py
@@ -42,13 +42,16 @@
 # with the next heartbeat, but a burst at a single daemon has to be noticed.
 PLAN_TTL_SECONDS = 0.1
 MAX_REQUESTS_PER_PLAN = 4
-# The sum of the other domains is used if it is not older than three heartbeat
-# intervals.  A daemon that has become a hub gets the digest of each domain
-# instead.
+# The sum of the other domains is preferred to their digests if it is not older
+# than three heartbeat intervals.  A daemon that has become a hub gets the
+# digest of each domain instead.
 ELSEWHERE_TTL_SECONDS = 0.75
 # A program that pauses for longer than it counts as under way may continue.
 # Its end is not learned before this time.
 ENDED_TTL_SECONDS = 3.0
+# Minimum interval between two scans for ended programs while programs ask to
+# begin.
+EXPIRE_INTERVAL_SECONDS = 0.1
 # A refused program counts as waiting until this long after it should be back.
 RETURN_GRACE_SECONDS = 0.3
 # A turn whose end is not reported ends this long after its deadline.
@@ -91,6 +94,10 @@
   refused_at: float
   due_at: float
 
+  def is_expired(self, now: float) -> bool:
+    """Returns whether the program counts as new when it returns now."""
+    return now - self.refused_at >= program_admission.TICKET_SECONDS
+
 
 @dataclasses.dataclass(kw_only=True)
 class _Program:
@@ -99,7 +106,8 @@
   `deadline_by_request` has the turns in progress.  `idle_since` is the end of
   the last turn, `ended_at` the time since which the program is not under way,
   None while it is.  `allowed` is the time that it had at its first request,
-  None if that is not known.
+  None if that is not known.  `is_unopened` tells that it was admitted, but no
+  turn of it was opened.
   """
 
   service: str
@@ -112,6 +120,7 @@
   )
   ended_at: float | None = None
   has_ended_turn: bool = False
+  is_unopened: bool = False
 
   def expire_turns(self, now: float) -> None:
     """Ends the turns whose end was not reported in time."""
@@ -123,7 +132,7 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class _Outlook:
+class _CurrentPlan:
   """The plan for a service, and the sums from which it was made.
 
   Without recent sums, `limit` is the number of programs that this daemon may
@@ -188,8 +197,8 @@
   )
   sampled_at: float = -math.inf
   sampled_seconds: float = 0.0
-  outlook: _Outlook | None = None
-  requests_by_outlook: int = 0
+  current: _CurrentPlan | None = None
+  requests_of_plan: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -230,6 +239,7 @@
     self._report_by_peer: dict[str, _Report] = {}
     self._report_by_domain: dict[str, _Report] = {}
     self._elsewhere = _Report(at=-math.inf, demand={})
+    self._expired_at = -math.inf
 
   # --- Programs ---------------------------------------------------------------
 
@@ -245,9 +255,14 @@
     turns tell the callers more than the gate could.
     """
     now = time.monotonic()
-    self._expire(now)
+    # At 2,500 daemons an owner has hundreds of programs.  A scan of all of them
+    # for each request took 0.4 ms.
+    if now - self._expired_at >= EXPIRE_INTERVAL_SECONDS:
+      self._expire(now)
     ask = first.ask
     ticket = self._ticket_by_program.pop(first.program, None)
+    if ticket is not None and ticket.is_expired(now):
+      ticket = None
     allowed = ask.seconds_left if ticket is None else ticket.allowed
     key = program_admission.ClassKey(
       priority=ask.priority,
@@ -264,9 +279,9 @@
       key, program_admission.DecayedRate()
     ).record(now)
     self._keep_weight(ask.team, ask.weight)
-    outlook = self._get_outlook(ask.service, now)
-    if not self._take(service, key, outlook):
-      raise self._refuse(first, key, outlook, allowed=allowed, now=now)
+    current = self._get_current_plan(ask.service, now)
+    if not self._take(service, key, current):
+      raise self._refuse(first, key, current, allowed=allowed, now=now)
     service.admitted_by_team.setdefault(
       ask.team, program_admission.DecayedRate()
     ).record(now)
@@ -281,7 +296,11 @@
     *,
     allowed: float | None = None,
   ) -> None:
-    """Records that a turn of a program begins; does nothing if it is known."""
+    """Records that a turn of a program begins, or begins again after a resend.
+
+    The program is under way from its first turn on.  `allowed` is the time that
+    it had at its first request, None if that is not known.
+    """
     now = time.monotonic()
     found = self._program_by_id.get(program)
     if found is None:
@@ -294,14 +313,22 @@
       )
       self._program_by_id[program] = found
       self._get_service(ask.service).programs += 1
+    elif found.ended_at is not None and found.is_unopened:
+      # Its end was not counted.
+      self._get_service(found.service).programs += 1
+      found.ended_at = None
     elif found.ended_at is not None:
       # The program only paused, so that its end was counted too early.
       service = self._get_service(found.service)
       service.programs += 1
-      service.ended.record(now, -1.0)
-      service.ended_seconds.record(now, found.admitted_at - found.ended_at)
-      _record_use(service, found, now, sign=-1.0)
+      seconds = found.ended_at - found.admitted_at
+      service.ended.take_back(now, 1.0, recorded_at=found.ended_at)
+      service.ended_seconds.take_back(now, seconds, recorded_at=found.ended_at)
+      if (used := _get_use(found)) is not None:
+        service.used.take_back(now, used[0], recorded_at=found.ended_at)
+        service.allowed.take_back(now, used[1], recorded_at=found.ended_at)
       found.ended_at = None
+    found.is_unopened = False
     found.deadline_by_request[request] = (
       now + ask.turn_seconds + CLOSE_GRACE_SECONDS
     )
@@ -316,8 +343,12 @@
     if found.deadline_by_request.pop(request, None) is not None:
       found.idle_since = time.monotonic()
       found.has_ended_turn |= has_run
+      found.is_unopened = not (
+        has_run or found.has_ended_turn or found.deadline_by_request
+      )
 
   def _expire(self, now: float) -> None:
+    self._expired_at = now
     for id, found in list(self._program_by_id.items()):
       if found.ended_at is not None:
         if now - found.ended_at >= ENDED_TTL_SECONDS:
@@ -330,20 +361,25 @@
         found.ended_at = now
         service = self._get_service(found.service)
         service.programs -= 1
+        if found.is_unopened:
+          continue
         service.ended.record(now)
         service.ended_seconds.record(now, now - found.admitted_at)
-        _record_use(service, found, now, sign=1.0)
+        if (used := _get_use(found)) is not None:
+          service.used.record(now, used[0])
+          service.allowed.record(now, used[1])
     self._ticket_by_program = {
       program: ticket
       for program, ticket in self._ticket_by_program.items()
-      if now - ticket.refused_at < program_admission.TICKET_SECONDS
+      if not ticket.is_expired(now)
     }
 
   def _learn(self, ended: _Program) -> None:
-    if not ended.allowed or not ended.has_ended_turn:
+    used = _get_use(ended)
+    if used is None:
       return
     ratio = self._get_ratio(ended.kind)
-    sample = (ended.idle_since - ended.admitted_at) / ended.allowed
+    sample = used[0] / used[1]
     self._ratio_by_kind[ended.kind] = ratio + LEARN_WEIGHT * (sample - ratio)
 
   def _get_ratio(self, kind: str) -> float:
@@ -362,13 +398,13 @@
     self,
     service: _Service,
     key: program_admission.ClassKey,
-    outlook: _Outlook,
+    current: _CurrentPlan,
   ) -> bool:
-    if outlook.state.slots <= 0:
+    if current.state.slots <= 0:
       return True
-    if outlook.limit is not None:
-      return service.programs < outlook.limit
-    fraction = outlook.plan.get_fraction(key)
+    if current.limit is not None:
+      return service.programs < current.limit
+    fraction = current.plan.get_fraction(key)
     if fraction >= 1.0:
       return True
     rank = key[:2]
@@ -383,7 +419,7 @@
     self,
     first: FirstTurn,
     key: program_admission.ClassKey,
-    outlook: _Outlook,
+    current: _CurrentPlan,
     *,
     allowed: float | None,
     now: float,
@@ -394,8 +430,8 @@
 
     def estimate(can_be_in_time: bool) -> float:
       return program_admission.estimate_retry_after(
-        waiting=outlook.waiting + 1,
-        budget=outlook.plan.budget,
+        waiting=current.waiting + 1,
+        budget=current.plan.budget,
         can_be_in_time=can_be_in_time,
       )
 
@@ -411,11 +447,12 @@
       due_at=now + delay,
     )
     self._record_decision(ask.service, ask.kind, False)
-    state = outlook.state
+    state = current.state
     log.info(
       'Request %s: program %s is refused by service %s: kind %s, team %s, '
-      'class %d.%d, capacity %.1f, %d programs under way, %d turns in %d '
-      'slots, %.1f programs/s asked, budget %.1f/s, %s, return in %.2f s.',
+      'priority %d, order %d, capacity %.1f, %d programs under way, %d turns '
+      'in %d slots, %.1f programs/s asked, budget %.1f/s, %s, return in '
+      '%.2f s.',
       first.request,
       first.program,
       ask.service,
@@ -423,15 +460,15 @@
       ask.team or 'none',
       key.priority,
       key.order,
-      outlook.plan.capacity,
+      current.plan.capacity,
       state.programs,
       state.running,
       state.slots,
       sum(state.asked_per_second.values()),
-      outlook.plan.budget,
-      f'fraction {outlook.plan.get_fraction(key):.3f}'
-      if outlook.limit is None
-      else f'no sums, at most {outlook.limit} programs of this daemon',
+      current.plan.budget,
+      f'fraction {current.plan.get_fraction(key):.3f}'
+      if current.limit is None
+      else f'no sums, at most {current.limit} programs of this daemon',
       delay,
     )
     return errors.WoadrunError(
@@ -440,21 +477,21 @@
       retry_after=delay,
     )
 
-  def _get_outlook(self, name: str, now: float) -> _Outlook:
+  def _get_current_plan(self, name: str, now: float) -> _CurrentPlan:
     """Returns the plan for a service, made anew from time to time."""
     service = self._get_service(name)
-    outlook = service.outlook
-    service.requests_by_outlook += 1
+    current = service.current
+    service.requests_of_plan += 1
     if (
-      outlook is None
-      or now - outlook.made_at >= PLAN_TTL_SECONDS
-      or service.requests_by_outlook > MAX_REQUESTS_PER_PLAN
+      current is None
+      or now - current.made_at >= PLAN_TTL_SECONDS
+      or service.requests_of_plan > MAX_REQUESTS_PER_PLAN
     ):
-      outlook = service.outlook = self._make_outlook(name, now)
-      service.requests_by_outlook = 1
-    return outlook
+      current = service.current = self._make_current_plan(name, now)
+      service.requests_of_plan = 1
+    return current
 
-  def _make_outlook(self, name: str, now: float) -> _Outlook:
+  def _make_current_plan(self, name: str, now: float) -> _CurrentPlan:
     service = self._get_service(name)
     load = self._measure(name, now)
     if service.sampled_at == -math.inf:
@@ -481,7 +518,7 @@
       limit = program_admission.get_lone_limit(
         capacity=plan.capacity, members=len(self._members.find_active_names())
       )
-    return _Outlook(
+    return _CurrentPlan(
       made_at=now,
       state=state,
       plan=plan,
@@ -663,14 +700,21 @@
       if report.at >= oldest
     }
     reports = self._report_by_domain
-    if now - self._elsewhere.at < ELSEWHERE_TTL_SECONDS:
-      others, is_known = [self._elsewhere.demand], True
+    has_all = all(
+      domain in reports or self._members.is_domain_silent(domain)
+      for domain in self._members.domains
+    )
+    seconds = now - self._elsewhere.at
+    # When the hub that sends sums is lost, the other one begins to send them
+    # only after it has suspected the first.  Until then the last ones are used.
+    uses_elsewhere = seconds < ELSEWHERE_TTL_SECONDS or (
+      not has_all and seconds < program_admission.MAX_SUMS_AGE_SECONDS
+    )
+    if uses_elsewhere:
+      others = [self._elsewhere.demand]
     else:
       others = [r.demand for domain, r in reports.items() if domain != me]
-      is_known = all(
-        domain in reports or self._members.is_domain_silent(domain)
-        for domain in self._members.domains
-      )
+    is_known = uses_elsewhere or has_all
     if me not in reports:
       return _add(name, [{name: own}, *others]), False
     total = _add(name, [reports[me].demand, *others])
@@ -693,12 +737,12 @@
     now = time.monotonic()
     gauges: dict[counters.GaugeKey, float] = {}
     for name, service in self._service_by_name.items():
-      outlook = self._make_outlook(name, now)
-      plan, state = outlook.plan, outlook.state
+      current = self._make_current_plan(name, now)
+      plan, state = current.plan, current.state
       for gauge, value in (
         ('capacity_programs', plan.capacity),
         ('programs', state.programs),
-        ('programs_waiting', outlook.waiting),
+        ('programs_waiting', current.waiting),
         ('running', state.running),
         ('slots', state.slots),
         ('budget_per_second', plan.budget),
@@ -748,20 +792,15 @@
   return gauges
 
 
-def _record_use(
-  service: _Service, found: _Program, now: float, *, sign: float
-) -> None:
-  """Records the time that an ended program used of the time that it had.
+def _get_use(found: _Program) -> tuple[float, float] | None:
+  """Returns the time that an ended program used, and the time that it had.
 
-  With a `sign` of -1 the record is taken back.
+  Returns None if the latter is not known, or no turn of the program has run.
   """
   if not found.allowed or not found.has_ended_turn:
-    return
-  used = min(
-    found.idle_since - found.admitted_at, MAX_USED_RATIO * found.allowed
-  )
-  service.used.record(now, sign * used)
-  service.allowed.record(now, sign * found.allowed)
+    return None
+  seconds = found.idle_since - found.admitted_at
+  return min(seconds, MAX_USED_RATIO * found.allowed), found.allowed
 
 
 def _round_rate(per_second: float) -> float:
