--- a/src/woadrun/decisions/program_admission.py
+++ b/src/woadrun/decisions/program_admission.py
@@ -83,9 +83,9 @@
   the programs under way.  `asked_per_second` counts each request for
   admission, also those of returning programs.  `seconds_per_program` is the
   mean time that the recently ended programs were under way; if it is None,
-  `ended_per_second` is used instead.  `duration_ratio` is the mean duration of
-  these programs, from their admission on, divided by the mean time that they
-  had; None if it is unknown.
+  `ended_per_second` is used instead.  `duration_ratio` is the mean part
+  that these programs used, from their admission on, of the time that they had;
+  None if it is unknown.
   """
 
   slots: float
--- a/src/woadrun/process/fleet_heartbeats.py
+++ b/src/woadrun/process/fleet_heartbeats.py
@@ -21,19 +21,20 @@
 
   `programs` counts the programs under way, `waiting` those that were refused
   and are about to return, `ended` the programs that ended per second, and
-  `ended_seconds` sums how long these were under way.  `used` and `allowed` sum,
-  for those of them with a finish time, the seconds from their admission to the
-  end of their last turn and the seconds that they had.  `asked` has the
-  programs that asked to begin per second, by class; a class is encoded as
-  PRIORITY.ORDER.TEAM (`decisions/program_admission.py`).
+  `ended_seconds` sums how long these were under way.  `timed` counts those of
+  them with a finish time, and `ratio_sum` sums which part they used, from their
+  admission to the end of their last turn, of the time that they had.  Each
+  counts alike, so that a far finish time does not outweigh all others.  `asked`
+  has the programs that asked to begin per second, by class; a class is encoded
+  as PRIORITY.ORDER.TEAM (`decisions/program_admission.py`).
   """
 
   programs: int = 0
   waiting: int = 0
   ended: float = 0.0
   ended_seconds: float = 0.0
-  used: float = 0.0
-  allowed: float = 0.0
+  timed: float = 0.0
+  ratio_sum: float = 0.0
   asked: dict[str, float] = {}
 
 
--- a/src/woadrun/process/hubs.py
+++ b/src/woadrun/process/hubs.py
@@ -429,8 +429,8 @@
       waiting=sum(demand.waiting for demand in parts),
       ended=round(sum(demand.ended for demand in parts), 2),
       ended_seconds=round(sum(demand.ended_seconds for demand in parts), 2),
-      used=round(sum(demand.used for demand in parts), 2),
-      allowed=round(sum(demand.allowed for demand in parts), 2),
+      ratio_sum=round(sum(demand.ratio_sum for demand in parts), 2),
+      timed=round(sum(demand.timed for demand in parts), 2),
       asked=name_heaviest(_sum_counts(demand.asked for demand in parts)),
     )
     for service, parts in found.items()
--- a/src/woadrun/process/load/program_gate.py
+++ b/src/woadrun/process/load/program_gate.py
@@ -161,12 +161,12 @@
       half_life=ENDED_HALF_LIFE_SECONDS
     )
   )
-  used: program_admission.DecayedRate = dataclasses.field(
+  ratio_sum: program_admission.DecayedRate = dataclasses.field(
     default_factory=lambda: program_admission.DecayedRate(
       half_life=ENDED_HALF_LIFE_SECONDS
     )
   )
-  allowed: program_admission.DecayedRate = dataclasses.field(
+  timed: program_admission.DecayedRate = dataclasses.field(
     default_factory=lambda: program_admission.DecayedRate(
       half_life=ENDED_HALF_LIFE_SECONDS
     )
@@ -324,9 +324,9 @@
       seconds = found.ended_at - found.admitted_at
       service.ended.take_back(now, 1.0, recorded_at=found.ended_at)
       service.ended_seconds.take_back(now, seconds, recorded_at=found.ended_at)
-      if (used := _get_use(found)) is not None:
-        service.used.take_back(now, used[0], recorded_at=found.ended_at)
-        service.allowed.take_back(now, used[1], recorded_at=found.ended_at)
+      if (ratio := _get_duration_ratio(found)) is not None:
+        service.ratio_sum.take_back(now, ratio, recorded_at=found.ended_at)
+        service.timed.take_back(now, 1.0, recorded_at=found.ended_at)
       found.ended_at = None
     found.is_unopened = False
     found.deadline_by_request[request] = (
@@ -365,9 +365,9 @@
           continue
         service.ended.record(now)
         service.ended_seconds.record(now, now - found.admitted_at)
-        if (used := _get_use(found)) is not None:
-          service.used.record(now, used[0])
-          service.allowed.record(now, used[1])
+        if (ratio := _get_duration_ratio(found)) is not None:
+          service.ratio_sum.record(now, ratio)
+          service.timed.record(now)
     self._ticket_by_program = {
       program: ticket
       for program, ticket in self._ticket_by_program.items()
@@ -375,11 +375,10 @@
     }
 
   def _learn(self, ended: _Program) -> None:
-    used = _get_use(ended)
-    if used is None:
+    sample = _get_duration_ratio(ended)
+    if sample is None:
       return
     ratio = self._get_ratio(ended.kind)
-    sample = used[0] / used[1]
     self._ratio_by_kind[ended.kind] = ratio + LEARN_WEIGHT * (sample - ratio)
 
   def _get_ratio(self, kind: str) -> float:
@@ -571,8 +570,8 @@
       return
     if total.ended >= MIN_RATE and total.ended_seconds > 0:
       service.seconds_per_program.record(total.ended_seconds, total.ended, now)
-    if total.used > 0 and total.allowed > 0:
-      service.duration_ratio.record(total.used, total.allowed, now)
+    if total.ratio_sum > 0 and total.timed > 0:
+      service.duration_ratio.record(total.ratio_sum, total.timed, now)
     seconds = min(MAX_SAMPLE_SECONDS, now - service.sampled_at)
     service.sampled_at = now
     service.sampled_seconds += seconds
@@ -622,8 +621,8 @@
       ),
       ended=_round_rate(service.ended.get(now)),
       ended_seconds=_round_rate(service.ended_seconds.get(now)),
-      used=_round_rate(service.used.get(now)),
-      allowed=_round_rate(service.allowed.get(now)),
+      ratio_sum=_round_rate(service.ratio_sum.get(now)),
+      timed=_round_rate(service.timed.get(now)),
       asked=hubs.name_heaviest(asked),
     )
 
@@ -725,8 +724,8 @@
     total.waiting += own.waiting - sent.waiting
     total.ended += own.ended - sent.ended
     total.ended_seconds += own.ended_seconds - sent.ended_seconds
-    total.used += own.used - sent.used
-    total.allowed += own.allowed - sent.allowed
+    total.ratio_sum += own.ratio_sum - sent.ratio_sum
+    total.timed += own.timed - sent.timed
     has_demand = any(name in d for d in (reports[me].demand, *others))
     return total, is_known and has_demand
 
@@ -792,15 +791,16 @@
   return gauges
 
 
-def _get_use(found: _Program) -> tuple[float, float] | None:
-  """Returns the time that an ended program used, and the time that it had.
+def _get_duration_ratio(found: _Program) -> float | None:
+  """Returns the part that an ended program used of the time that it had.
 
-  Returns None if the latter is not known, or no turn of the program has run.
+  It is at most MAX_USED_RATIO, and None if the program had no finish time or no
+  turn of it has run.
   """
   if not found.allowed or not found.has_ended_turn:
     return None
   seconds = found.idle_since - found.admitted_at
-  return min(seconds, MAX_USED_RATIO * found.allowed), found.allowed
+  return min(MAX_USED_RATIO, seconds / found.allowed)
 
 
 def _round_rate(per_second: float) -> float:
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -201,8 +201,8 @@
   async with nodes.Nodes() as fleet:
     fleet.engines = Flawed('t1', is_mute=is_mute)
     await fleet.start('n1', 'n2', 'n3')
-    # Each call that t2 serves makes it look faster.  If the first calls all went
-    # there, t1 was never chosen and the loop below did not end.
+    # Each call that t2 serves makes it look faster.  If the first calls all go
+    # there, t1 is never chosen and the loop below does not end.
     fleet.by_name['n1'].loads.record_duration('t2', 't', 2.0)
     while not fleet.engines.met:
       await asyncio.gather(*(act(fleet, 'n1', f'a{n}') for n in range(4)))
--- a/tests/test_program_gate.py
+++ b/tests/test_program_gate.py
@@ -212,7 +212,7 @@
   clock.gate.record_opened('p', 'p.1', ask)
   resumed = clock.get_demand()
   assert resumed.ended == resumed.ended_seconds == 0
-  assert resumed.used == resumed.allowed == 0
+  assert resumed.ratio_sum == resumed.timed == 0
 
 
 def test_a_program_without_time_does_not_make_all_others_late(clock):
@@ -232,6 +232,20 @@
   )
 
 
+def test_a_far_finish_time_does_not_hide_that_programs_are_late(clock):
+  # Guards against one program with a day left, which outweighed all others in
+  # the ratio, so that the capacity was not reduced.
+  clock.hear()
+  for name, seconds_left in (('p', 1.0), ('q', 1.0), ('r', 86_400.0)):
+    clock.admit(name, seconds_left=seconds_left)
+  clock.now += 1.2
+  for name in 'pqr':
+    clock.gate.record_closed(name, f'{name}.0')
+  clock.now += 0.6
+  demand = clock.get_demand()
+  assert demand.ratio_sum / demand.timed == pytest.approx(0.8, abs=0.02)
+
+
 def test_a_program_whose_first_turn_was_not_opened_counts_as_none_ended(clock):
   # Guards against programs that exceed their token budget at once: each counted
   # as ended after half a second, and more programs were admitted than fit.
