--- a/src/woadrun/decisions/program_admission.py
+++ b/src/woadrun/decisions/program_admission.py
@@ -82,10 +82,10 @@
   `slots` and `running` are those of the usable instances, `programs` counts
   the programs under way.  `asked_per_second` counts each request for
   admission, also those of returning programs.  `seconds_per_program` is the
-  mean time that the programs ended of late were under way; if it is None,
-  `ended_per_second` is used instead.  `duration_ratio` is the mean duration of
-  these programs, from their admission on, divided by the mean time that they
-  had; None if it is unknown.
+  mean time that the recently ended programs were under way; if it is None,
+  `ended_per_second` is used instead.  `duration_ratio` is the mean part
+  that these programs used, from their admission on, of the time that they had;
+  None if it is unknown.
   """
 
   slots: float
@@ -139,7 +139,7 @@
 ) -> float:
   """Returns the number of programs that a service can have under way.
 
-  It is less if the programs that ended of late needed more than
+  It is less if the programs that ended recently needed more than
   TARGET_DURATION_RATIO of the time that they had.
   """
   pace = 1.0
@@ -336,6 +336,11 @@
     self._value = self.get(now) + count * math.log(2) / self.half_life
     self._updated_at = now
 
+  def take_back(self, now: float, count: float, *, recorded_at: float) -> None:
+    """Takes back what is left of `count` events recorded at `recorded_at`."""
+    seconds = max(0.0, now - recorded_at)
+    self.record(now, -count * 0.5 ** (seconds / self.half_life))
+
   def get(self, now: float) -> float:
     """Returns the events per second at the time `now`."""
     seconds = max(0.0, now - self._updated_at)
--- a/src/woadrun/process/fleet_heartbeats.py
+++ b/src/woadrun/process/fleet_heartbeats.py
@@ -23,19 +23,20 @@
 
   `programs` counts the programs under way, `waiting` those that were refused
   and are about to return, `ended` the programs that ended per second, and
-  `ended_seconds` sums how long these were under way.  `used` and `allowed` sum,
-  for those of them with a finish time, the seconds from their admission to the
-  end of their last turn and the seconds that they had.  `asked` has the
-  programs that asked to begin per second, by class; a class is encoded as
-  PRIORITY.ORDER.TEAM (`decisions/program_admission.py`).
+  `ended_seconds` sums how long these were under way.  `timed` counts those of
+  them with a finish time, and `ratio_sum` sums which part they used, from their
+  admission to the end of their last turn, of the time that they had.  Each
+  counts alike, so that a far finish time does not outweigh all others.  `asked`
+  has the programs that asked to begin per second, by class; a class is encoded
+  as PRIORITY.ORDER.TEAM (`decisions/program_admission.py`).
   """
 
   programs: int = 0
   waiting: int = 0
   ended: float = 0.0
   ended_seconds: float = 0.0
-  used: float = 0.0
-  allowed: float = 0.0
+  timed: float = 0.0
+  ratio_sum: float = 0.0
   asked: dict[str, float] = {}
 
 
@@ -88,7 +89,7 @@
   `feeds` holds the number of the newest known change of each table.  `running`
   counts the requests that the daemon has in progress at each instance,
   `failing` the recent failures that it saw there, with older ones counting
-  less.  `demand` has the programs that this daemon admits, by service.
+  less.  `demand` has the demand for each service at this daemon.
   `silent` names the domains of which the daemon hears nothing.
   `is_owing` says that the daemon has spent from the budgets of other domains'
   programs and that the store does not have this spending yet, `is_behind` that
--- a/tests/test_hubs.py
+++ b/tests/test_hubs.py
@@ -373,3 +373,24 @@
     assert sums.keys() == {'slow'}
     assert sums['slow'].predicted == pytest.approx(10 * SIZE, rel=0.1)
     assert sums['slow'].observed == pytest.approx(20 * SIZE, rel=0.1)
+
+
+def test_a_hub_sends_few_heartbeats_while_the_reports_of_the_store_change(
+  network,
+):
+  """Each change was sent to the whole domain and to all other hubs at once."""
+  found = network.find_hubs('n')
+  hub = network.by_name[sorted(found)[0]]
+  member = next(name for name in network.by_name if name not in found)
+  sent = []
+  hub.send_heartbeats = lambda: sent.append(network.now)
+  for number in range(20):
+    network.now += 0.01
+    heartbeat = fleet_heartbeats.FleetHeartbeat(
+      name=member,
+      address=_make_member(member).address,
+      domain=_make_member(member).domain,
+      suspects_store=not number % 2,
+    )
+    hub._receive(msgspec.json.encode(heartbeat))
+  assert 1 <= len(sent) <= 3
--- a/tests/test_program_gate.py
+++ b/tests/test_program_gate.py
@@ -157,6 +157,30 @@
   assert clock.admit('p2') is None
 
 
+def test_the_last_sums_are_used_until_another_hub_sends_them(clock):
+  # Guards against refusals on a quiet day whenever a hub is lost: the other hub
+  # sends the sums of the other domains only a second later.
+  clock.hear(north=10, south=10)
+  clock.now += 1.2
+  clock.hear_domain('north', 10)
+  assert [clock.admit(f'p{n}') for n in range(8)] == [None] * 8
+  clock.now += 0.4
+  clock.hear_domain('north', 10)
+  assert clock.admit('p8') is not None
+
+
+def test_requests_at_the_same_time_scan_the_programs_once(clock, monkeypatch):
+  # Guards against work for each request that grows with the programs.
+  scanned = []
+  monkeypatch.setattr(
+    program_gate._Program, 'expire_turns', lambda *_: scanned.append(1)
+  )
+  clock.hear()
+  for number in range(20):
+    assert clock.admit(f'p{number}') is None
+  assert len(scanned) <= 20
+
+
 def test_a_program_is_under_way_until_half_a_second_after_its_last_turn(clock):
   clock.hear()
   clock.admit('p')
@@ -174,6 +198,65 @@
   assert (resumed.programs, resumed.ended) == (1, 0)
 
 
+def test_the_end_of_a_program_that_only_paused_leaves_no_negative_rates(clock):
+  # Guards against taking back a whole program of which the decayed rates have
+  # only a part left: paused programs then hid the ends of others.
+  clock.hear()
+  clock.admit('p')
+  clock.now += 0.5
+  clock.gate.record_closed('p', 'p.0')
+  clock.now += 0.5
+  clock.get_demand()
+  clock.now += 2.0
+  ask = turn_messages.AdmissionRequest(service=SERVICE, kind='chat')
+  clock.gate.record_opened('p', 'p.1', ask)
+  resumed = clock.get_demand()
+  assert resumed.ended == resumed.ended_seconds == 0
+  assert resumed.ratio_sum == resumed.timed == 0
+
+
+def test_a_program_without_time_does_not_make_all_others_late(clock):
+  # Guards against a caller that asks for a program to end within milliseconds:
+  # the ratio of its kind rose a hundredfold, so that no refused program counted
+  # as one that can still be in time.
+  clock.hear()
+  clock.admit('p', seconds_left=0.001)
+  clock.now += 2.0
+  clock.gate.record_closed('p', 'p.0')
+  for _ in range(5):
+    clock.now += 1.0
+    clock.get_demand()
+  clock.hear(north=60, asked=4000.0)
+  assert (
+    clock.admit('q', seconds_left=3.0) == program_admission.MIN_RETRY_SECONDS
+  )
+
+
+def test_a_far_finish_time_does_not_hide_that_programs_are_late(clock):
+  # Guards against one program with a day left, which outweighed all others in
+  # the ratio, so that the capacity was not reduced.
+  clock.hear()
+  for name, seconds_left in (('p', 1.0), ('q', 1.0), ('r', 86_400.0)):
+    clock.admit(name, seconds_left=seconds_left)
+  clock.now += 1.2
+  for name in 'pqr':
+    clock.gate.record_closed(name, f'{name}.0')
+  clock.now += 0.6
+  demand = clock.get_demand()
+  assert demand.ratio_sum / demand.timed == pytest.approx(0.8, abs=0.02)
+
+
+def test_a_program_whose_first_turn_was_not_opened_counts_as_none_ended(clock):
+  # Guards against programs that exceed their token budget at once: each counted
+  # as ended after half a second, and more programs were admitted than fit.
+  clock.hear()
+  clock.admit('p')
+  clock.gate.record_closed('p', 'p.0', has_run=False)
+  clock.now += 0.6
+  demand = clock.get_demand()
+  assert (demand.programs, demand.ended, demand.ended_seconds) == (0, 0, 0)
+
+
 def test_a_turn_whose_end_is_never_reported_does_not_take_room_for_ever(clock):
   clock.hear()
   clock.admit('p')
@@ -359,6 +442,24 @@
     assert all(item.gate.report() == {} for item in found.by_name.values())
 
 
+async def test_one_member_decides_while_the_store_is_out():
+  # Guards against a program that each member asked counts and may refuse: no
+  # member knows a new program then, and the store cannot be read.
+  async with start('n1', 'n2', 'n3') as (found, _):
+    found.shared.is_out = True
+    await nodes.wait_until(
+      lambda: not any(n.store.is_reachable for n in found.by_name.values())
+    )
+    await found.turn('n1', 'free-1', program='p')
+    demands = [
+      demand
+      for item in found.by_name.values()
+      for demand in item.gate.report().values()
+    ]
+    assert sum(demand.programs for demand in demands) == 1
+    assert sum(bool(demand.asked) for demand in demands) == 1
+
+
 async def test_a_program_goes_on_after_its_owner_is_lost():
   async with start('n1', 'n2', 'n3') as (found, held):
     await found.turn('n1', 'free-1', program='p')
@@ -373,30 +474,35 @@
     assert status == 200
 
 
-def test_each_daemon_learns_the_demand_of_all_domains(monkeypatch):
+@pytest.mark.parametrize('seconds', [1.0, 4.0])
+def test_each_daemon_learns_the_demand_of_all_domains(monkeypatch, seconds):
+  # Within 2 s of the start, guards against sums without the members that were
+  # added a moment ago: nearly all programs of a new fleet were not counted.
   network = test_hubs.Network(monkeypatch)
   sums_by_name = {}
 
-  def record(name, source, demand):
+  def record(name, source, demand, running):
     found = demand.get(SERVICE, fleet_heartbeats.ServiceDemand())
+    assert found.programs == running.get('e1', 0)
     sums_by_name.setdefault(name, {})[source] = found.programs
 
   for name, found in network.by_name.items():
     network.flags_by_name[name] = {
       'has_store': True,
       'demand': make_demand(1),
+      'running': {'e1': 1},
     }
     found._on_digest = lambda digest, name=name: (
-      record(name, digest.domain, digest.demand)
+      record(name, digest.domain, digest.demand, digest.running)
       if digest.running is not None
       else None
     )
     found._on_beat = lambda heartbeat, name=name: (
-      record(name, 'elsewhere', heartbeat.elsewhere_demand)
+      record(name, 'elsewhere', heartbeat.elsewhere_demand, heartbeat.elsewhere)
       if heartbeat.elsewhere is not None
       else None
     )
-  network.run(4)
+  network.run(seconds)
   for name, sums in sums_by_name.items():
     domain = name.partition('-')[0]
     others = sums.get('elsewhere') or sum(
