--- a/src/woadrun/process/fleet.py
+++ b/src/woadrun/process/fleet.py
@@ -566,7 +566,12 @@
       plan.append((self._hubs.make_answer(mine), listeners))
     if own is not None:
       to_remote = msgspec.structs.replace(
-        mine, running={}, failing={}, demand={}, digests=(own,)
+        mine,
+        running={},
+        failing={},
+        demand={},
+        turn_times={},
+        digests=(own,),
       )
       plan.append((to_remote, self._find_remote_hubs()))
     return plan
@@ -658,6 +663,8 @@
       and last.suspecting != digest.suspecting
       for digest in heartbeat.digests
     )
+    if heartbeat.turn_times and heartbeat.domain == self.me.domain:
+      self._hubs.add_turn_times(heartbeat.turn_times)
     newer = self._hubs.add_newer(heartbeat.digests)
     for digest in newer:
       self._last_digest_at = time.monotonic()
--- a/src/woadrun/process/fleet_heartbeats.py
+++ b/src/woadrun/process/fleet_heartbeats.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from woadrun.decisions import service_times
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Member:
@@ -50,6 +52,8 @@
   saw there; both are None where the receiver gets them from another hub or, for
   other domains, as the sum `elsewhere` of a heartbeat.  `demand` sums what the
   members report for each service; it is empty where `running` is None.
+  `turn_times` sums the times of turns at the instances that are faster or
+  slower than the mean of their service, and is None where `running` is.
   `confirmed` is the newest value of all members.  `oldest` is the age of the
   oldest heartbeat in the digest when the digest was made, in seconds; it is
   None until the hub has heard all members, or has been a hub for long enough to
@@ -70,6 +74,7 @@
   running: dict[str, int] | None = None
   failing: dict[str, float] | None = None
   demand: dict[str, ServiceDemand] = {}
+  turn_times: dict[str, service_times.Sums] | None = None
   confirmed: tuple[float, int] | None = None
   suspecting: int = 0
   served: int = 0
@@ -92,10 +97,13 @@
   `wants_digests` asks the receiver for digests; a hub sends them in `digests`,
   and the requests that all other domains have in progress, summed by instance,
   in `elsewhere`, with the demand of these domains in `elsewhere_demand`.
-  `confirmed` holds a reading of the store's clock, in seconds, and the newest
-  change of the routing table made before it.  `suspects_store` says that the
-  store has not answered the daemon for much longer than usual, `is_served` that
-  it answered a moment ago; a daemon without calls reports neither.
+  `turn_times` sums the times of the turns that ended at the daemon since its
+  last heartbeat; `elsewhere_turn_times` has the sums of all other domains, of
+  instances that differ in speed.  `confirmed` holds a reading of the store's
+  clock, in seconds, and the newest change of the routing table made before it.
+  `suspects_store` says that the store has not answered the daemon for much
+  longer than usual, `is_served` that it answered a moment ago; a daemon without
+  calls reports neither.
   """
 
   name: str
@@ -114,6 +122,8 @@
   digests: tuple[Digest, ...] = ()
   elsewhere: dict[str, int] | None = None
   elsewhere_demand: dict[str, ServiceDemand] = {}
+  turn_times: dict[str, service_times.Sums] = {}
+  elsewhere_turn_times: dict[str, service_times.Sums] = {}
   confirmed: tuple[float, int] | None = None
   suspects_store: bool = False
   is_served: bool = False
--- a/src/woadrun/process/hubs.py
+++ b/src/woadrun/process/hubs.py
@@ -28,6 +28,7 @@
 import msgspec
 
 from woadrun.decisions import program_admission
+from woadrun.decisions import service_times
 from woadrun.process import fleet_heartbeats
 from woadrun.process import views
 
@@ -67,6 +68,8 @@
     self._chosen_since: dict[str, float] = {}
     self._skipped_until: dict[str, float] = {}
     self._hub_since: float | None = None
+    # The times of the turns in heartbeats of the own domain.
+    self._turn_times = service_times.SumsByInstance()
     # Counts the choices that rotate through members.
     self._rotation = 0
 
@@ -193,6 +196,7 @@
       return None
     if self._hub_since is None:
       self._hub_since = now
+    self.add_turn_times(mine.turn_times)
     known = list(members)
     heard = {
       m.name: found
@@ -246,6 +250,7 @@
       running=_sum_counts(heartbeat.running for heartbeat in counted),
       failing=_sum_counts(heartbeat.failing for heartbeat in sources),
       demand=sum_demand(heartbeat.demand for heartbeat in counted),
+      turn_times=self._turn_times.find_differing(now=now) or None,
       confirmed=max(
         (heartbeat.confirmed for heartbeat in sources if heartbeat.confirmed),
         default=None,
@@ -256,6 +261,10 @@
     self._digest_by_hub[self._me.name] = (digest, now)
     return digest
 
+  def add_turn_times(self, sums_by_id: dict[str, service_times.Sums]) -> None:
+    """Adds the times of turns in a heartbeat of the own domain."""
+    self._turn_times.add(sums_by_id, now=time.monotonic())
+
   def add_newer(
     self, digests: Iterable[fleet_heartbeats.Digest]
   ) -> list[fleet_heartbeats.Digest]:
@@ -324,6 +333,12 @@
       running={},
       failing={},
       demand={},
+      turn_times={},
+      elsewhere_turn_times=service_times.select_differing(
+        service_times.add_up(d.turn_times or {} for d in remote)
+      )
+      if sends_counts
+      else {},
       digests=tuple(
         self._make_relayed(digest, made_at, sends_counts=sends_counts)
         for digest, made_at in newest.values()
@@ -348,7 +363,7 @@
       digest, age=round(time.monotonic() - made_at, 3)
     )
     if not sends_counts or digest.domain != self._me.domain:
-      relayed.running = relayed.failing = None
+      relayed.running = relayed.failing = relayed.turn_times = None
       relayed.demand = {}
     return relayed
 
--- a/src/woadrun/request/exchange.py
+++ b/src/woadrun/request/exchange.py
@@ -96,7 +96,9 @@
   `seconds` is the time left for the attempt.  `urgency` is 0 for the most
   urgent requests.  `team` is None if requests need no key, and empty for a
   request without a team.  `silence_seconds` is the time without the start of a
-  response after which the connection may be dead.
+  response after which the connection may be dead.  `uncached` is the number of
+  prompt tokens that the instance has to process, None if the time of the
+  request is not measured.
   """
 
   request: Request
@@ -106,6 +108,7 @@
   urgency: int | None = None
   team: str | None = None
   silence_seconds: float = 1.0
+  uncached: int | None = None
 
 
 @dataclasses.dataclass(kw_only=True)
