--- a/src/woadrun/decisions/attempt_limit.py
+++ b/src/woadrun/decisions/attempt_limit.py
@@ -8,8 +8,8 @@
 
 from __future__ import annotations
 
-# Further attempts after one that did not run.  If three instances that were
-# chosen by load refuse, the service is full, and more attempts only add load.
+# Further attempts after one that did not run.  Three refusals show that the
+# service is full; more attempts only add load.
 MAX_FURTHER_ATTEMPTS = 2
 # Part of a request's time in which further attempts begin: an attempt that
 # begins later would leave too little time for the request to run.
--- a/src/woadrun/decisions/program_admission.py
+++ b/src/woadrun/decisions/program_admission.py
@@ -36,7 +36,7 @@
 # The capacity is reduced at most to this fraction, so that programs that are
 # late for another reason, such as slow calls, do not close a service.
 MIN_PACE = 0.6
-# Before anything was measured.
+# Defaults of a decider that has no measurements yet.
 INITIAL_TURNS_PER_PROGRAM = 1.0
 INITIAL_DURATION_RATIO = 0.75
 # Longer than programs in the replays are under way (about 1.7 s), so that a
--- a/src/woadrun/decisions/service_times.py
+++ b/src/woadrun/decisions/service_times.py
@@ -38,9 +38,8 @@
 # Half-life of the sums by instance.
 SUMS_HALF_LIFE_SECONDS = 10.0
 # Turns of mean time and slowness 1.0 that are added to the sums of an instance.
-# If the times of turns of equal size vary by 40%, TOLERANCE is then more than
-# three standard deviations, however many turns were measured.  With 4 turns,
-# instances of equal speed counted as different for more than half of the time.
+# They keep instances of equal speed within TOLERANCE although turns of equal
+# size take different times.
 PRIOR_TURNS = 20.0
 # A slowness that differs from 1.0 by at most this much counts as 1.0.
 TOLERANCE = 0.15
--- a/src/woadrun/decisions/timed_programs.py
+++ b/src/woadrun/decisions/timed_programs.py
@@ -32,7 +32,7 @@
 # that their next requests do not wait.  In `bench/timed_rates.py`, fewer
 # requests wait than with 0 or 0.5, and more programs end in time.
 UNITS_PER_PROGRAM = 1.0
-# Time constant of the measured demand of a kind.
+# Time constant of the moving average of the demand of a kind.
 DEMAND_SECONDS = 5.0
 # Less urgent programs leave room for this multiple of the mean demand of more
 # urgent kinds, because that demand varies.  With 1.5, urgent programs ended in
--- a/src/woadrun/process/load/slowness.py
+++ b/src/woadrun/process/load/slowness.py
@@ -30,7 +30,7 @@
 
   def __init__(self) -> None:
     self._model_by_service: dict[str, service_times.Model] = {}
-    # The turns measured here and not sent yet.
+    # Sums of this daemon's turns for its next heartbeat.
     self._unsent: dict[str, Sums] = {}
     # The turns of this daemon, in a small fleet also those of its peers.
     self._sums = service_times.SumsByInstance()
--- a/src/woadrun/standins/local.py
+++ b/src/woadrun/standins/local.py
@@ -1,6 +1,6 @@
 """A deployment on loopback: stand-ins, and settings for daemons.
 
-The demo, the tests and the benchmarks use it.
+It runs in one process, for the demo and for tests.
 """
 
 from __future__ import annotations
