Log lines: how a response without a length ended

The logs of a turn that broke off are those of a whole one: they name neither the framing of the response, nor how its connection ended, nor whether the last event was whole, so that the incident's hypotheses cannot be told apart.

What is relayed and kept is unchanged.

--- a/src/woadrun/connection/tcp_connections.py
+++ b/src/woadrun/connection/tcp_connections.py
@@ -20,6 +20,8 @@
 import aiohttp
 from aiohttp import abc
 
+from woadrun.connection import response_ends
+
 log = logging.getLogger('woadrun.connections')
 
 # TCP user timeout: the remote kernel must acknowledge sent data within this
@@ -151,7 +153,7 @@
   Its sockets are those of `make_socket`.  At most `limit` connections are
   open; an idle connection is closed after `keepalive` seconds.
   """
-  return aiohttp.TCPConnector(
+  return response_ends.Connector(
     limit=limit,
     keepalive_timeout=keepalive,
     resolver=Resolver(),
--- a/src/woadrun/platform/upstream.py
+++ b/src/woadrun/platform/upstream.py
@@ -10,6 +10,7 @@
 import aiohttp
 import yarl
 
+from woadrun.connection import response_ends
 from woadrun.connection import tcp_connections
 from woadrun.platform import read_ahead
 from woadrun.platform import wire
@@ -62,6 +63,7 @@
         has_run=wire.has_run(response.status, response.headers),
         is_genuine=wire.is_genuine(sending.request.id, response.headers),
         chunks=reader.read(),
+        ends_with_connection=response_ends.ends_with_connection(response),
         abort=response.close,
         is_reusable=lambda: _is_reusable(response),
       )
--- a/src/woadrun/process/daemon.py
+++ b/src/woadrun/process/daemon.py
@@ -19,6 +19,7 @@
 from woadrun.connection import endpoints
 from woadrun.connection import objects
 from woadrun.connection import peers
+from woadrun.connection import response_ends
 from woadrun.connection import table
 from woadrun.process import cache_reconciler
 from woadrun.process import configuration
@@ -87,7 +88,7 @@
     # Binds connections to the host that this daemon listens on, so that peers
     # can identify their source.
     host, _ = get_listen_endpoint(config.daemon)
-    connector = aiohttp.TCPConnector(
+    connector = response_ends.Connector(
       limit=MAX_CONNECTIONS, local_addr=(host, 0)
     )
     self.session = aiohttp.ClientSession(
--- a/src/woadrun/request/attempts.py
+++ b/src/woadrun/request/attempts.py
@@ -32,6 +32,7 @@
 from woadrun.process.load import health
 from woadrun.process.load import loads
 from woadrun.request import authorization
+from woadrun.request import events
 from woadrun.request import exchange
 from woadrun.request import partition_monitor
 from woadrun.version import instances
@@ -252,6 +253,7 @@
       team=state.grant.team_name,
       silence_seconds=self._loads.health.get_overdue_seconds(state.service),
       uncached=uncached,
+      is_stream=state.route.kind is routes.Kind.STREAM,
     )
 
   async def _start_attempt(
@@ -354,7 +356,7 @@
       raise
     finally:
       self._loads.health.record_end(stack)
-    self._record_reply(id, reply, result)
+    self._record_reply(sending, reply, result)
     if timer is not None and not result.is_failure and reply.status < 300:
       reply.chunks = self._time_chunks(sending, reply.chunks, timer)
     stack.callback(self._record_idle_connection, id, reply)
@@ -362,32 +364,58 @@
     return _Attempt(sending=sending, stack=stack, reply=reply)
 
   def _record_reply(
-    self, id: str, reply: exchange.Reply, result: _Result
+    self,
+    sending: exchange.RequestAttempt,
+    reply: exchange.Reply,
+    result: _Result,
   ) -> None:
+    id = sending.instance.incarnation_id
     if not reply.has_run:
       self._loads.health.record_failure(id, health.REJECTION_WEIGHT)
     elif not reply.is_genuine or reply.status >= MIN_FAILURE_STATUS:
       self._loads.health.record_failure(id)
     else:
       result.is_failure = False
-    reply.chunks = self._relay_chunks(id, reply.chunks, result)
+      if sending.is_stream and reply.status < 300:
+        reply.events = events.EventReader()
+    reply.chunks = self._relay_chunks(sending, reply, reply.chunks, result)
 
   async def _relay_chunks(
-    self, id: str, chunks: AsyncGenerator[bytes], result: _Result
+    self,
+    sending: exchange.RequestAttempt,
+    reply: exchange.Reply,
+    chunks: AsyncGenerator[bytes],
+    result: _Result,
   ) -> AsyncGenerator[bytes]:
     """Yields a reply's chunks; a truncated reply is a failure of the instance.
 
     Raises `ResponseLost` in that case.
     """
+    id = sending.instance.incarnation_id
     try:
       async with contextlib.aclosing(chunks):
         async for chunk in chunks:
+          if reply.events is not None:
+            reply.events.feed(chunk)
           yield chunk
+      self._log_end(sending, reply)
     except exchange.ResponseLost:
       result.is_failure = True
       self._loads.health.record_failure(id)
       raise
 
+  def _log_end(
+    self, sending: exchange.RequestAttempt, reply: exchange.Reply
+  ) -> None:
+    found = reply.events
+    if reply.ends_with_connection or (found and found.is_inside_event):
+      how = 'connection' if reply.ends_with_connection else 'length or chunks'
+      where = ''
+      if found is not None:
+        place = 'inside an event' if found.is_inside_event else 'between events'
+        where = f', {place}, after {found.count} events'
+      self._log_outcome(sending, f'response ended by its {how}{where}')
+
   async def _time_chunks(
     self,
     sending: exchange.RequestAttempt,
--- a/src/woadrun/request/events.py
+++ b/src/woadrun/request/events.py
@@ -12,10 +12,16 @@
 
   def __init__(self) -> None:
     self._partial_line = b''
+    self._has_fields = False
     self._data_lines: list[bytes] = []
     self.data = bytearray()
     self.count = 0
 
+  @property
+  def is_inside_event(self) -> bool:
+    """Whether the bytes so far end within an event or a comment line."""
+    return bool(self._partial_line) or self._has_fields
+
   def feed(self, chunk: bytes) -> None:
     """Parses the next bytes of the stream."""
     *lines, self._partial_line = (self._partial_line + chunk).split(b'\n')
@@ -25,10 +31,13 @@
   def _process_line(self, line: bytes) -> None:
     if not line:
       self._dispatch_event()
-    elif line.startswith(b'data:'):
+      return
+    self._has_fields |= not line.startswith(b':')
+    if line.startswith(b'data:'):
       self._data_lines.append(line[5:].removeprefix(b' '))
 
   def _dispatch_event(self) -> None:
+    self._has_fields = False
     if self._data_lines:
       self.data += b'\n'.join(self._data_lines) + b'\n'
       self.count += 1
--- a/src/woadrun/request/exchange.py
+++ b/src/woadrun/request/exchange.py
@@ -11,6 +11,7 @@
 from typing import Protocol
 
 from woadrun.connection import turn_messages
+from woadrun.request import events
 from woadrun.version import instances
 
 Headers = Sequence[tuple[str, str]]
@@ -98,7 +99,8 @@
   request without a team.  `silence_seconds` is the time without the start of a
   response after which the connection may be dead.  `uncached` is the number of
   prompt tokens that the instance has to process, None if the time of the
-  request is not measured.
+  request is not measured.  `is_stream` is true if the response is a stream of
+  events.
   """
 
   request: Request
@@ -109,6 +111,7 @@
   team: str | None = None
   silence_seconds: float = 1.0
   uncached: int | None = None
+  is_stream: bool = False
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -117,9 +120,11 @@
 
   `has_run` is false if the instance states that it did not run the request.
   `is_genuine` is true if the response has the id of this request and the
-  instance's signature.  `abort` aborts the response: `chunks` then raises
-  `ResponseLost`.  `is_reusable` returns, after the request has ended, whether
-  its connection can be reused.
+  instance's signature.  `ends_with_connection` is true if only the end of the
+  connection ends the body.  `events` reads the body if it is a stream of
+  events.  `abort` aborts the response: `chunks` then raises `ResponseLost`.
+  `is_reusable` returns, after the request has ended, whether its connection can
+  be reused.
   """
 
   status: int
@@ -127,6 +132,8 @@
   has_run: bool
   is_genuine: bool
   chunks: AsyncGenerator[bytes]
+  ends_with_connection: bool = False
+  events: events.EventReader | None = None
   abort: Callable[[], None] = lambda: None
   is_reusable: Callable[[], bool] = lambda: False
 
