Tests: responses that end with their connection, failing

On the code as it is a response with neither a length nor chunks is complete whenever its connection ends: by a close, by a reset, by a close of the daemon itself. A stream that ends inside an event is relayed with a last chunk, its turn is kept, and its instance gets a success.

Those of responses with a length or in chunks that are reset pass.

--- /dev/null
+++ b/tests/test_truncated_responses.py
@@ -0,0 +1,312 @@
+"""Responses that end with their connection, and streams that end too early."""
+
+import asyncio
+import contextlib
+import dataclasses
+import socket
+import struct
+
+import aiohttp
+import nodes
+import pytest
+from test_ingress import make_head
+from test_ingress import serve
+
+from woadrun import errors
+from woadrun.connection import tcp_connections
+from woadrun.platform import read_ahead
+from woadrun.platform import upstream
+from woadrun.request import events
+from woadrun.request import exchange
+from woadrun.version import instances
+
+EVENT = b'id: 0\ndata: x\n\n'
+HALF_EVENT = b'id: 1\ndata: '
+HEAD_BY_FRAMING = {
+  'neither': b'HTTP/1.1 200 OK\r\n',
+  'keep-alive': b'HTTP/1.1 200 OK\r\nConnection: keep-alive\r\n',
+  'http-1.0': b'HTTP/1.0 200 OK\r\n',
+  'length': b'HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n',
+  'chunks': b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n',
+}
+UNFRAMED = ['neither', 'keep-alive', 'http-1.0']
+FRAMED = ['length', 'chunks']
+
+
+def reset(writer):
+  """Resets a connection without a close."""
+  linger = struct.pack('ii', 1, 0)
+  writer.get_extra_info('socket').setsockopt(
+    socket.SOL_SOCKET, socket.SO_LINGER, linger
+  )
+  writer.transport.abort()
+
+
+@contextlib.asynccontextmanager
+async def serve_bytes(framing, *bodies, is_reset):
+  """Serves a truncated response; yields the port.
+
+  The response consists of `bodies`, with a pause after each.
+  """
+
+  async def answer(reader, writer):
+    head = await reader.readuntil(b'\r\n\r\n')
+    for line in head.decode().lower().split('\r\n'):
+      if line.startswith('content-length:'):
+        await reader.readexactly(int(line.partition(':')[2]))
+    names = b'Request-Id: r\r\nServer-Signature: s\r\n\r\n'
+    writer.write(HEAD_BY_FRAMING[framing] + names)
+    for body in bodies:
+      is_chunked = framing == 'chunks'
+      writer.write(b'%x\r\n%b\r\n' % (len(body), body) if is_chunked else body)
+      await writer.drain()
+      await asyncio.sleep(0.05)
+    if is_reset:
+      reset(writer)
+    else:
+      writer.close()
+
+  server = await asyncio.start_server(answer, '127.0.0.1', 0)
+  async with server:
+    yield server.sockets[0].getsockname()[1]
+
+
+@contextlib.asynccontextmanager
+async def connect(port):
+  """Yields a client, all of whose requests go to a port."""
+  connector = tcp_connections.make_connector(limit=10, keepalive=5.0)
+  async with aiohttp.ClientSession(connector=connector) as session:
+    client = upstream.HttpUpstreams(
+      session=session, addresses=tcp_connections.Addresses()
+    )
+    yield Redirected(client=client, address=f'127.0.0.1:{port}')
+
+
+class Redirected:
+  """Sends all requests to one address, as those of a stream or not."""
+
+  def __init__(self, *, client, address):
+    self._client = client
+    self._address = address
+
+  def send(self, sending):
+    instance = dataclasses.replace(sending.instance, address=self._address)
+    return self._client.send(dataclasses.replace(sending, instance=instance))
+
+
+def make_attempt():
+  return exchange.RequestAttempt(
+    request=nodes.make_request('r', path='/chat/'),
+    instance=instances.Instance(
+      id='i', service='s', address='', domain='north'
+    ),
+    body=b'',
+    seconds=20.0,
+  )
+
+
+async def check_reset(monkeypatch, framing, *, is_slow):
+  if is_slow:
+    monkeypatch.setattr(read_ahead, 'SLOW_CALLER_SECONDS', 0.0)
+  async with (
+    serve_bytes(framing, EVENT, EVENT, is_reset=True) as port,
+    connect(port) as client,
+    client.send(make_attempt()) as reply,
+  ):
+    with pytest.raises(exchange.ResponseLost):
+      async for _ in reply.chunks:
+        await asyncio.sleep(0.01)
+
+
+@pytest.mark.parametrize('is_slow', [False, True])
+@pytest.mark.parametrize('framing', UNFRAMED)
+async def test_response_without_length_that_is_reset_is_not_complete(
+  monkeypatch, framing, is_slow
+):
+  await check_reset(monkeypatch, framing, is_slow=is_slow)
+
+
+@pytest.mark.parametrize('is_slow', [False, True])
+@pytest.mark.parametrize('framing', FRAMED)
+async def test_response_with_length_that_is_reset_is_not_complete(
+  monkeypatch, framing, is_slow
+):
+  await check_reset(monkeypatch, framing, is_slow=is_slow)
+
+
+@pytest.mark.parametrize('framing', UNFRAMED)
+async def test_response_ended_by_a_close_of_this_daemon_is_not_complete(
+  framing,
+):
+  async with (
+    serve_bytes(framing, EVENT, *[b''] * 100, is_reset=False) as port,
+    connect(port) as client,
+    client.send(make_attempt()) as reply,
+  ):
+    with pytest.raises(exchange.ResponseLost):
+      async for _ in reply.chunks:
+        await client._client._session.connector.close()
+
+
+@pytest.mark.parametrize('framing', UNFRAMED)
+async def test_response_without_length_ends_with_an_orderly_close(framing):
+  async with (
+    serve_bytes(framing, EVENT, EVENT, is_reset=False) as port,
+    connect(port) as client,
+    client.send(make_attempt()) as reply,
+  ):
+    assert b''.join([c async for c in reply.chunks]) == EVENT * 2
+    assert reply.ends_with_connection
+    assert not reply.is_reusable()
+
+
+def make_stream_reply(*chunks, **options):
+  async def stream():
+    for chunk in chunks:
+      yield chunk
+
+  reply = nodes.make_reply()
+  reply.chunks = stream()
+  return dataclasses.replace(reply, **options)
+
+
+@pytest.mark.parametrize('ends_with_connection', [False, True])
+@pytest.mark.parametrize(
+  'rest',
+  [
+    HALF_EVENT,
+    b'id: 1\n',
+    b'data: x\n',
+    b'data: \xc3',
+    b'retry: 1\n',
+    b': comm',
+    b'd',
+  ],
+)
+async def test_stream_that_ends_inside_an_event_is_not_a_turn(
+  rest, ends_with_connection
+):
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1')
+    fleet.engines.faults.append(
+      make_stream_reply(EVENT, rest, ends_with_connection=ends_with_connection)
+    )
+    with pytest.raises(exchange.ResponseLost):
+      await fleet.turn('n1', 'a', most=10)
+    with pytest.raises(errors.WoadrunError) as refusal:
+      await fleet.turn('n1', 'b', parent='a', most=10)
+    assert refusal.value.code is errors.Code.UNKNOWN_PROGRAM
+
+
+async def test_stream_without_length_and_events_is_not_a_turn():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1')
+    fleet.engines.faults.append(make_stream_reply(ends_with_connection=True))
+    with pytest.raises(exchange.ResponseLost):
+      await fleet.turn('n1', 'a', most=10)
+
+
+async def test_stream_that_ends_inside_an_event_is_a_failure_of_its_instance():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1')
+    daemon = fleet.by_name['n1']
+    for number in range(4):
+      fleet.engines.faults.append(make_stream_reply(EVENT, HALF_EVENT))
+      request = nodes.make_request(f'a{number}', path='/draft/')
+      with pytest.raises(exchange.ResponseLost):
+        await fleet.ask('n1', request)
+    assert daemon.loads.health.get_all_excess_failures()
+
+
+@pytest.mark.parametrize('line_end', [b'\n', b'\r\n'])
+def test_events_are_read_with_each_line_feed(line_end):
+  check_events(line_end)
+
+
+def test_events_are_read_with_carriage_returns():
+  check_events(b'\r')
+
+
+def check_events(line_end):
+  stream = b': note\nid: 0\ndata: a\ndata: b\n\nretry: 5\n\ndata: c\n\n'
+  stream = stream.replace(b'\n', line_end)
+  for size in range(1, len(stream)):
+    reader = events.EventReader()
+    for start in range(0, len(stream), size):
+      reader.feed(stream[start : start + size])
+    assert (bytes(reader.data), reader.count) == (b'a\nb\nc\n', 2)
+    assert not reader.is_inside_event
+
+
+async def read_until_end(port, data):
+  """Sends `data`; returns the bytes received and whether a reset ended them."""
+  reader, writer = await asyncio.open_connection('127.0.0.1', port)
+  writer.write(data)
+  received = bytearray()
+  async with asyncio.timeout(5):
+    try:
+      while chunk := await reader.read(65536):
+        received += chunk
+    except ConnectionError:
+      return bytes(received), True
+  writer.close()
+  return bytes(received), False
+
+
+async def test_caller_sees_that_a_response_has_no_length():
+  """A last chunk would state that the response is complete."""
+  async with nodes.Nodes() as fleet, serve(fleet) as port:
+    fleet.engines.faults.append(
+      make_stream_reply(b'whole', ends_with_connection=True)
+    )
+    found, is_reset = await read_until_end(port, make_head())
+    head, _, body = found.partition(b'\r\n\r\n')
+    assert (body, is_reset) == (b'whole', False)
+    assert b'connection: close' in head.lower()
+    assert b'transfer-encoding' not in head.lower()
+    assert b'content-length' not in head.lower()
+
+
+@pytest.mark.parametrize('version', [b'HTTP/1.0', b'HTTP/1.1'])
+async def test_caller_sees_that_a_response_without_length_broke_off(version):
+  async def break_off():
+    yield b'half'
+    await asyncio.sleep(0.1)
+    raise exchange.ResponseLost('reset')
+
+  async with nodes.Nodes() as fleet, serve(fleet) as port:
+    reply = make_stream_reply(ends_with_connection=True)
+    fleet.engines.faults.append(dataclasses.replace(reply, chunks=break_off()))
+    head = make_head().replace(b'HTTP/1.1', version)
+    assert (await read_until_end(port, head))[1]
+
+
+async def send_half_event(framing, *, is_reset):
+  """Returns what a caller receives, and whether a reset ended it."""
+  async with (
+    nodes.Nodes() as fleet,
+    serve_bytes(framing, EVENT, HALF_EVENT, is_reset=is_reset) as upstream_port,
+    connect(upstream_port) as client,
+  ):
+    fleet.engines.send = client.send
+    async with serve(fleet) as port:
+      head = make_head(path='/draft/x', method='POST')
+      found, was_reset = await read_until_end(port, head)
+  assert found.startswith(b'HTTP/1.1 200 ')
+  assert EVENT in found
+  return found, was_reset
+
+
+@pytest.mark.parametrize('is_reset', [False, True])
+@pytest.mark.parametrize('framing', UNFRAMED)
+async def test_caller_sees_a_reset_after_half_an_event_without_length(
+  framing, is_reset
+):
+  assert (await send_half_event(framing, is_reset=is_reset))[1]
+
+
+@pytest.mark.parametrize('is_reset', [False, True])
+@pytest.mark.parametrize('framing', FRAMED)
+async def test_caller_gets_no_last_chunk_after_half_an_event(framing, is_reset):
+  found, _ = await send_half_event(framing, is_reset=is_reset)
+  assert not found.endswith(b'0\r\n\r\n')
