A response without a length that is reset is truncated

Callers got a broken answer of a plain service as a whole one: status 200, the signature, a proper end, a body cut short.

Cause: aiohttp ends the body that it receives whenever the connection is lost. A body with a length or in chunks then raises, since its framing is not complete; one with neither is fed its end, whether the server closed the connection, reset it, or this process did.

The protocol of the connections now notes an orderly close by the server, and fails the body on any other end.

Ruled out: a check where the body is read. There are six such places, and the error is gone by then.

--- a/src/woadrun/connection/response_ends.py
+++ b/src/woadrun/connection/response_ends.py
@@ -23,7 +23,11 @@
 
 
 class Connector(aiohttp.TCPConnector):
-  """A connector that notes how a connection ended within a body."""
+  """A connector whose responses raise if their connection breaks off.
+
+  Reading the body then raises `aiohttp.ClientPayloadError`.  Only an orderly
+  close of the server ends a body that has neither a length nor chunks.
+  """
 
   def __init__(self, **options: Any) -> None:
     super().__init__(**options)
@@ -42,14 +46,36 @@
     super().eof_received()
 
   def connection_lost(self, exc: BaseException | None) -> None:
-    """Ends the body that is being received."""
+    """Ends the body that is being received, as truncated unless closed."""
+    if self._is_closed_by_peer:
+      self._log_end('a close of the server')
+    else:
+      self._truncate(str(exc) if exc else 'a close of this daemon')
+    super().connection_lost(exc)
+
+  def close(self) -> None:
+    """Closes the connection; a body that is being received is truncated."""
+    self._truncate('a close of this daemon')
+    super().close()
+
+  def abort(self) -> None:
+    """Aborts the connection; a body that is being received is truncated."""
+    self._truncate('a close of this daemon')
+    super().abort()
+
+  def _truncate(self, reason: str) -> None:
+    # aiohttp would end a body without a length as complete.
     body = self._payload
-    if body is not None and not body.is_eof():
-      reason = str(exc) if exc else 'a close of this daemon'
-      if exc is None and self._is_closed_by_peer:
-        reason = 'a close of the server'
+    if body is None or body.is_eof() or body.exception() is not None:
+      return
+    self._log_end(reason)
+    body.set_exception(
+      aiohttp.ClientPayloadError(f'The connection was ended by {reason}.')
+    )
+
+  def _log_end(self, reason: str) -> None:
+    if self._payload is not None and not self._payload.is_eof():
       log.info('A connection ended within a response: %s.', reason)
-    super().connection_lost(exc)
 
 
 def _make_handler(
