A stream that ends inside an event is truncated

Callers got a stream with its last events missing and a proper end, and the next turn of the program was built on the part that was kept.

Cause: nothing looked at how a stream ends. The parser of events dropped the unfinished one, and the end of the bytes was the end of the turn: kept in the history, a success of the instance, and a fast one to the estimates of speed.

The parser tells whether it is inside an event. Where an attempt relays a stream, a body that ends there is a lost response, whatever its framing: the caller's answer is aborted, the turn is not kept, the instance gets a failure. The same holds for a stream without a length that ends before its first event. One that ends between two events cannot be told from a complete one.

One parser reads each stream now, in place of two.

--- a/src/woadrun/request/attempts.py
+++ b/src/woadrun/request/attempts.py
@@ -399,6 +399,8 @@
             reply.events.feed(chunk)
           yield chunk
       self._log_end(sending, reply)
+      if reply.events is not None:
+        _check_complete(reply.events, reply)
     except exchange.ResponseLost:
       result.is_failure = True
       self._loads.health.record_failure(id)
@@ -565,6 +567,17 @@
       await task.result().stack.aclose()
 
 
+def _check_complete(found: events.EventReader, reply: exchange.Reply) -> None:
+  """Raises `ResponseLost` if a stream that has ended is not complete.
+
+  A stream without a length that ends between two events counts as complete.
+  """
+  if found.is_inside_event:
+    raise exchange.ResponseLost('the stream ended inside an event')
+  if reply.ends_with_connection and not found.has_events:
+    raise exchange.ResponseLost('the connection ended before the first event')
+
+
 def _describe_reply(reply: exchange.Reply) -> str:
   if not reply.has_run:
     return f'not run, status {reply.status}'
--- a/src/woadrun/request/events.py
+++ b/src/woadrun/request/events.py
@@ -7,12 +7,14 @@
   """Collects the data of the events in a stream.
 
   `data` holds the data of each complete event, followed by a line feed;
-  `count` is the number of these events.
+  `count` is the number of these events.  `has_events` is true once any field of
+  an event was read.
   """
 
   def __init__(self) -> None:
     self._partial_line = b''
     self._has_fields = False
+    self.has_events = False
     self._data_lines: list[bytes] = []
     self.data = bytearray()
     self.count = 0
@@ -32,7 +34,8 @@
     if not line:
       self._dispatch_event()
       return
-    self._has_fields |= not line.startswith(b':')
+    if not line.startswith(b':'):
+      self._has_fields = self.has_events = True
     if line.startswith(b'data:'):
       self._data_lines.append(line[5:].removeprefix(b' '))
 
--- a/src/woadrun/request/serving.py
+++ b/src/woadrun/request/serving.py
@@ -217,8 +217,11 @@
     self, running: _RunningTurn, reply: exchange.Reply
   ) -> AsyncGenerator[bytes]:
     """Yields a reply's chunks, then closes the turn if it has a history."""
+    if reply.events is not None:
+      running.reader = reply.events
     async for chunk in reply.chunks:
-      running.reader.feed(chunk)
+      if reply.events is None:
+        running.reader.feed(chunk)
       yield chunk
     if not 200 <= reply.status < 300 or not running.route.keeps_history:
       # No later turn can continue from this one, so `_handle_turn` closes it in
--- a/tests/test_truncated_responses.py
+++ b/tests/test_truncated_responses.py
@@ -193,9 +193,9 @@
     )
     with pytest.raises(exchange.ResponseLost):
       await fleet.turn('n1', 'a', most=10)
-    with pytest.raises(errors.WoadrunError) as refusal:
+    with pytest.raises(errors.WoadrunError, match='is not found'):
       await fleet.turn('n1', 'b', parent='a', most=10)
-    assert refusal.value.code is errors.Code.UNKNOWN_PROGRAM
+    assert fleet.get_body('b') is None
 
 
 async def test_stream_without_length_and_events_is_not_a_turn():
