Callers see whether the end of a response is known

A response whose end is the end of its connection went to the caller in chunks with a last chunk, which states that it is complete: the daemon does not know that. To callers on HTTP/1.0 a truncated response had an orderly close, which is how a complete one ends there.

Such a response now ends with the caller's connection as well, and a response without chunks that breaks off ends with a reset. The reset is set up when the response begins, so that it also holds if the handler is cancelled or the process is killed.

Ruled out: last chunks for streams that end between two events. The caller may know more of what is to come than the daemon; passing on what is known costs it a connection.

--- a/src/woadrun/platform/ingress.py
+++ b/src/woadrun/platform/ingress.py
@@ -6,7 +6,10 @@
 from collections.abc import Callable
 import contextlib
 import logging
+import socket
+import struct
 
+from aiohttp import hdrs
 from aiohttp import web
 
 from woadrun import errors
@@ -17,6 +20,19 @@
 log = logging.getLogger('woadrun.ingress')
 
 
+# Values of SO_LINGER.  With a time of 0, closing the socket, also by the end of
+# the process, resets the connection.
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+_CLOSE_IN_ORDER = struct.pack('ii', 0, 0)
+
+
+class _UnframedResponse(web.StreamResponse):
+  """A response without length and chunks, which ends with its connection."""
+
+  # aiohttp would otherwise send chunks.
+  _length_check = False
+
+
 class Ingress:
   """Passes callers' requests to `service` and writes the responses.
 
@@ -72,19 +88,25 @@
   async def _write(
     self, http: web.BaseRequest, answer: exchange.Answer
   ) -> web.StreamResponse:
-    response = web.StreamResponse(
-      status=answer.status, headers=list(answer.headers)
+    # A last chunk would assure the caller that the response is complete.
+    make = (
+      _UnframedResponse if answer.ends_with_connection else web.StreamResponse
     )
-    if self._is_leaving():
+    response = make(status=answer.status, headers=list(answer.headers))
+    if self._is_leaving() or answer.ends_with_connection:
       response.force_close()
     try:
       await response.prepare(http)
+      is_framed = hdrs.TRANSFER_ENCODING in response.headers
+      if not is_framed:
+        _set_linger(http, _RESET_ON_CLOSE)
       async with contextlib.aclosing(answer.chunks) as chunks:
         async for chunk in chunks:
           await response.write(chunk)
       await response.write_eof()
+      if not is_framed:
+        _set_linger(http, _CLOSE_IN_ORDER)
     except (exchange.ResponseLost, errors.WoadrunError) as error:
-      # Without the final chunk the caller recognizes the response as truncated.
       id = http.headers.get(wire.REQUEST_ID, '')
       log.warning('Request %s: response aborted: %s', id, error)
       if http.transport is not None:
@@ -103,3 +125,14 @@
     if self._is_leaving():
       response.force_close()
     return response
+
+
+def _set_linger(http: web.BaseRequest, value: bytes) -> None:
+  """Sets how the end of a caller's connection looks to the caller.
+
+  Without chunks, only a reset tells a truncated response from a complete one.
+  """
+  if http.transport is not None:
+    http.transport.get_extra_info('socket').setsockopt(
+      socket.SOL_SOCKET, socket.SO_LINGER, value
+    )
--- a/src/woadrun/request/exchange.py
+++ b/src/woadrun/request/exchange.py
@@ -82,12 +82,14 @@
   """A response to a caller.
 
   `chunks` raises if the response cannot be completed: the caller must then be
-  able to see that the response is truncated.
+  able to see that the response is truncated.  If `ends_with_connection` is
+  true, the end of `chunks` does not prove that the response is complete.
   """
 
   status: int
   headers: Headers
   chunks: AsyncGenerator[bytes]
+  ends_with_connection: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/woadrun/request/serving.py
+++ b/src/woadrun/request/serving.py
@@ -126,7 +126,10 @@
         request, grant, service=service, deadline=deadline
       ) as (reply, _):
         yield exchange.Answer(
-          status=reply.status, headers=reply.headers, chunks=reply.chunks
+          status=reply.status,
+          headers=reply.headers,
+          chunks=reply.chunks,
+          ends_with_connection=reply.ends_with_connection,
         )
     except attempts.NotAttempted:
       self._limits.give_back(unit)
@@ -182,6 +185,7 @@
           status=reply.status,
           headers=reply.headers,
           chunks=self._relay_reply(running, reply),
+          ends_with_connection=reply.ends_with_connection,
         )
     except attempts.NotAttempted:
       self._limits.give_back(unit)
--- a/tests/test_truncated_responses.py
+++ b/tests/test_truncated_responses.py
@@ -281,6 +281,23 @@
     assert (await read_until_end(port, head))[1]
 
 
+async def test_stop_of_the_daemon_does_not_complete_a_response_without_length():
+  async def hang():
+    yield b'half'
+    await asyncio.Event().wait()
+
+  async with nodes.Nodes() as fleet:
+    reply = make_stream_reply(ends_with_connection=True)
+    fleet.engines.faults.append(dataclasses.replace(reply, chunks=hang()))
+    async with serve(fleet) as port:
+      task = asyncio.ensure_future(read_until_end(port, make_head()))
+      await nodes.wait_until(lambda: fleet.engines.sent)
+      await asyncio.sleep(0.1)
+    found, is_reset = await task
+    assert found.endswith(b'half')
+    assert is_reset
+
+
 async def send_half_event(framing, *, is_reset):
   """Returns what a caller receives, and whether a reset ended it."""
   async with (
