Events that end with a carriage return are read

The parser knew LF and CR LF. Of a stream with CR alone, which the format allows, it read no event: the history of such turns was empty and their tokens were not counted. Since a stream that ends inside an event is truncated, each such turn would also have failed.

Line ends are those of the format, also when a chunk ends between CR and LF. The test with CR failed before.

--- a/src/woadrun/request/events.py
+++ b/src/woadrun/request/events.py
@@ -2,17 +2,22 @@
 
 from __future__ import annotations
 
+import re
+
+_LINE_END = re.compile(rb'\r\n|\n|\r')
+
 
 class EventReader:
   """Collects the data of the events in a stream.
 
   `data` holds the data of each complete event, followed by a line feed;
   `count` is the number of these events.  `has_events` is true once any field of
-  an event was read.
+  an event was read.  Source: the event stream format of the HTML standard.
   """
 
   def __init__(self) -> None:
     self._partial_line = b''
+    self._ends_with_cr = False
     self._has_fields = False
     self.has_events = False
     self._data_lines: list[bytes] = []
@@ -26,9 +31,19 @@
 
   def feed(self, chunk: bytes) -> None:
     """Parses the next bytes of the stream."""
-    *lines, self._partial_line = (self._partial_line + chunk).split(b'\n')
+    if self._ends_with_cr:
+      # The line feed belongs to the line end of the previous chunk.
+      self._ends_with_cr = not chunk
+      chunk = chunk.removeprefix(b'\n')
+    if not chunk:
+      return
+    self._ends_with_cr = chunk.endswith(b'\r')
+    received = self._partial_line + chunk
+    *lines, self._partial_line = (
+      _LINE_END.split(received) if b'\r' in received else received.split(b'\n')
+    )
     for line in lines:
-      self._process_line(line.removesuffix(b'\r'))
+      self._process_line(line)
 
   def _process_line(self, line: bytes) -> None:
     if not line:
--- a/tests/test_truncated_responses.py
+++ b/tests/test_truncated_responses.py
@@ -227,6 +227,13 @@
   check_events(b'\r')
 
 
+def test_empty_line_after_a_split_line_end_is_read():
+  reader = events.EventReader()
+  for chunk in (b'data: a\r', b'', b'\n', b'\n'):
+    reader.feed(chunk)
+  assert (bytes(reader.data), reader.is_inside_event) == (b'a\n', False)
+
+
 def check_events(line_end):
   stream = b': note\nid: 0\ndata: a\ndata: b\n\nretry: 5\n\ndata: c\n\n'
   stream = stream.replace(b'\n', line_end)
