A connection that ends with its response is not reusable

An idle connection was recorded for an instance whose response has neither a length nor chunks: its header does not have to announce the close. Instances with idle connections are preferred.

The test failed before.

--- a/src/woadrun/platform/upstream.py
+++ b/src/woadrun/platform/upstream.py
@@ -130,9 +130,10 @@
 
 
 def _is_reusable(response: aiohttp.ClientResponse) -> bool:
-  return response.content.at_eof() and not wire.closes_connection(
+  is_closed = wire.closes_connection(
     response.headers
-  )
+  ) or response_ends.ends_with_connection(response)
+  return response.content.at_eof() and not is_closed
 
 
 async def _drain(response: aiohttp.ClientResponse) -> None:
