Events of a turn are counted however they arrive

The time of a turn was learned with the number of its events, counted as two line feeds within one read: with CR LF, or with an event whose end arrives alone, a turn had no output, and its instance counted as slow.

The count is that of the stream's parser now.

--- a/src/woadrun/request/attempts.py
+++ b/src/woadrun/request/attempts.py
@@ -74,13 +74,11 @@
 class _TurnTimer:
   """Measures a turn.
 
-  `running` is the number of other turns at the instance when it began, `events`
-  counts the events received, and `caller_seconds` is the time spent waiting for
-  the caller to read.
+  `running` is the number of other turns at the instance when it began, and
+  `caller_seconds` is the time spent waiting for the caller to read.
   """
 
   running: int
-  events: int = 0
   caller_seconds: float = 0.0
   started_at: float = dataclasses.field(default_factory=time.monotonic)
 
@@ -358,7 +356,7 @@
       self._loads.health.record_end(stack)
     self._record_reply(sending, reply, result)
     if timer is not None and not result.is_failure and reply.status < 300:
-      reply.chunks = self._time_chunks(sending, reply.chunks, timer)
+      reply.chunks = self._time_chunks(sending, reply, reply.chunks, timer)
     stack.callback(self._record_idle_connection, id, reply)
     self._log_outcome(sending, _describe_reply(reply))
     return _Attempt(sending=sending, stack=stack, reply=reply)
@@ -421,13 +419,13 @@
   async def _time_chunks(
     self,
     sending: exchange.RequestAttempt,
+    reply: exchange.Reply,
     chunks: AsyncGenerator[bytes],
     timer: _TurnTimer,
   ) -> AsyncGenerator[bytes]:
     """Yields a turn's chunks and records its time if it is complete."""
     async with contextlib.aclosing(chunks):
       async for chunk in chunks:
-        timer.events += chunk.count(b'\n\n')
         yielded_at = time.monotonic()
         yield chunk
         timer.caller_seconds += time.monotonic() - yielded_at
@@ -439,7 +437,7 @@
     running = (timer.running + self._loads.get_total(id) - 1) / 2
     size = service_times.TurnSize(
       uncached=sending.uncached or 0,
-      tokens=timer.events,
+      tokens=reply.events.count if reply.events else 0,
       running=max(0.0, running),
       slots=instance.slots,
     )
--- a/tests/test_service_times.py
+++ b/tests/test_service_times.py
@@ -9,6 +9,7 @@
 import random
 import statistics
 
+import nodes
 import pytest
 
 from woadrun.decisions import service_times
@@ -355,3 +356,32 @@
   assert choose(prompt=100, weighs_slowness=True) == {'mean'}
   assert choose(prompt=100) == {'slow', 'mean'}
   assert choose(weighs_slowness=True) == {'slow', 'mean'}
+
+
+# Guards against turns that count as having no output, and their instances as
+# slow, because their events end with CR LF or in another chunk.
+@pytest.mark.parametrize(
+  'chunks', [(b'data: x\r\n\r\n',) * 3, (b'data: x\n', b'\n') * 3]
+)
+async def test_events_of_a_turn_are_counted_however_they_arrive(
+  monkeypatch, chunks
+):
+  routes = [{**route, 'max_attempts': 1} for route in nodes.CONFIG['routes']]
+  sizes = []
+  monkeypatch.setattr(
+    slowness.SlownessTracker,
+    'record_turn',
+    lambda self, id, service, size, seconds: sizes.append(size),
+  )
+
+  async def stream():
+    for chunk in chunks:
+      yield chunk
+
+  async with nodes.Nodes(config={**nodes.CONFIG, 'routes': routes}) as fleet:
+    await fleet.start('n1')
+    reply = nodes.make_reply()
+    reply.chunks = stream()
+    fleet.engines.faults.append(reply)
+    await fleet.turn('n1', 'a', budget=None)
+  assert [size.tokens for size in sizes] == [3]
