The bound on held bytes is shared by all that hold responses

The bound belonged to the reading ahead for slow callers in the platform's folder, where the code that decides on retries cannot use it. It has a module of its own in request/ now, and the daemon's parts get it from the binding; the gauge stays.

No change in behaviour: 70 tests of test_upstream, test_platform_settings, test_event_log and test_truncated_responses pass.

--- a/src/woadrun/platform/program.py
+++ b/src/woadrun/platform/program.py
@@ -18,12 +18,12 @@
 from woadrun.platform import discovery
 from woadrun.platform import ingress
 from woadrun.platform import operator
-from woadrun.platform import read_ahead
 from woadrun.platform import settings
 from woadrun.platform import store
 from woadrun.platform import upstream
 from woadrun.process import event_log
 from woadrun.process import node
+from woadrun.request import held_bytes
 
 log = logging.getLogger('woadrun.node')
 
@@ -58,9 +58,6 @@
 ) -> None:
   binding = make_binding(config, session)
   service = node.Node(config=config, session=session, binding=binding)
-  if isinstance(binding.upstreams, upstream.HttpUpstreams):
-    held = binding.upstreams.held
-    service.counters.add_gauges(lambda: {'answer_bytes_held': held.total})
   entry = ingress.Ingress(
     service=service.serving,
     read_metrics=service.counters.encode,
@@ -115,6 +112,9 @@
 ) -> node.Binding:
   """Returns the daemon's interfaces to this platform."""
   addresses = tcp_connections.Addresses(connector=session.connector)
+  held = held_bytes.HeldBytes(
+    most=held_bytes.get_max_held_bytes(config.memory_mb)
+  )
   return node.Binding(
     addresses=addresses,
     store=store.Store(
@@ -124,12 +124,9 @@
       addresses=addresses,
     ),
     upstreams=upstream.HttpUpstreams(
-      session=session,
-      addresses=addresses,
-      held=read_ahead.HeldBytes(
-        most=read_ahead.get_max_held_bytes(config.memory_mb)
-      ),
+      session=session, addresses=addresses, held=held
     ),
+    held=held,
     table_key=rows.Key(operator.TABLE, '', operator.ROW),
     instance_table=discovery.TABLE,
     decode_table=operator.decode,
--- a/src/woadrun/platform/read_ahead.py
+++ b/src/woadrun/platform/read_ahead.py
@@ -14,10 +14,8 @@
 import aiohttp
 
 from woadrun.request import exchange
+from woadrun.request import held_bytes
 
-# Part of the daemon's memory limit that may hold bytes for slow callers.
-MEMORY_SHARE = 1 / 8
-DEFAULT_MAX_HELD_BYTES = 16 * 1024 * 1024
 # Time for which a caller takes no more bytes until its answer is read ahead.
 # It is far shorter than the time after which an instance cuts off an answer.
 SLOW_CALLER_SECONDS = 0.25
@@ -25,36 +23,6 @@
 READ_BYTES = 65_536
 
 
-def get_max_held_bytes(memory_mb: float | None) -> int:
-  """Returns the bound on held bytes for a memory limit in megabytes, if any."""
-  if memory_mb is None:
-    return DEFAULT_MAX_HELD_BYTES
-  return int(memory_mb * 1024 * 1024 * MEMORY_SHARE)
-
-
-class HeldBytes:
-  """The bytes held for all slow callers; `total` is at most `most`."""
-
-  def __init__(self, *, most: int = DEFAULT_MAX_HELD_BYTES) -> None:
-    self.most = most
-    self.total = 0
-    self._room = asyncio.Event()
-    self._room.set()
-
-  def add(self, size: int) -> None:
-    """Counts bytes; a negative `size` counts bytes that are no longer held."""
-    self.total += size
-    if self.total < self.most:
-      self._room.set()
-    else:
-      self._room.clear()
-
-  async def wait_for_room(self) -> int:
-    """Returns the number of bytes that may be added once it is above 0."""
-    await self._room.wait()
-    return self.most - self.total
-
-
 class AnswerReader:
   """Reads one answer, ahead of its caller only while the caller is slow.
 
@@ -62,7 +30,7 @@
   """
 
   def __init__(
-    self, *, response: aiohttp.ClientResponse, held: HeldBytes
+    self, *, response: aiohttp.ClientResponse, held: held_bytes.HeldBytes
   ) -> None:
     self._response = response
     self._held = held
--- a/src/woadrun/platform/upstream.py
+++ b/src/woadrun/platform/upstream.py
@@ -15,6 +15,7 @@
 from woadrun.platform import read_ahead
 from woadrun.platform import wire
 from woadrun.request import exchange
+from woadrun.request import held_bytes
 
 # A reachable instance accepts a connection within a round trip; one that is
 # down or behind a network partition never does.
@@ -43,9 +44,9 @@
     *,
     session: aiohttp.ClientSession,
     addresses: tcp_connections.Addresses,
-    held: read_ahead.HeldBytes | None = None,
+    held: held_bytes.HeldBytes | None = None,
   ) -> None:
-    self.held = held or read_ahead.HeldBytes()
+    self._held = held or held_bytes.HeldBytes()
     self._session = session
     self._addresses = addresses
 
@@ -55,7 +56,7 @@
   ) -> AsyncIterator[exchange.Reply]:
     """Returns a context manager with the reply; its exit ends the request."""
     response = await self._request(sending)
-    reader = read_ahead.AnswerReader(response=response, held=self.held)
+    reader = read_ahead.AnswerReader(response=response, held=self._held)
     try:
       yield exchange.Reply(
         status=response.status,
--- a/src/woadrun/process/node.py
+++ b/src/woadrun/process/node.py
@@ -56,6 +56,7 @@
 from woadrun.request import attempts
 from woadrun.request import authorization
 from woadrun.request import exchange
+from woadrun.request import held_bytes
 from woadrun.request import rates
 from woadrun.request import serving
 from woadrun.request import turn_client
@@ -128,7 +129,7 @@
   table of the instances.  `decode_table` and `decode_instance` raise
   `msgspec.MsgspecError` for a row that they cannot decode.  `grace` is the time
   in seconds within which an instance whose entry expired while the store was
-  unavailable may register again.
+  unavailable may register again.  `held` counts the bytes held of responses.
   """
 
   addresses: tcp_connections.Addresses
@@ -139,6 +140,9 @@
   decode_table: Callable[[bytes], routes.RoutingTable]
   decode_instance: Callable[[rows.Row], instances.Instance]
   grace: float
+  held: held_bytes.HeldBytes = dataclasses.field(
+    default_factory=held_bytes.HeldBytes
+  )
 
 
 Handler = Callable[[Any], Any]
@@ -266,6 +270,7 @@
     )
     self.sweeper = sweeper.Sweeper(store=self.store, members=self.fleet)
     self._addresses = binding.addresses
+    self._held = binding.held
     self.counters.add_gauges(self._read_gauges)
     self.counters.add_labelled_gauges(self.gate.read_gauges)
     self.counters.registry.register(
@@ -347,6 +352,7 @@
       'connection_resets': self._addresses.resets,
       'store_is_silent': self.store.is_silent,
       'peer_messages': self.links.messages + self.calls.answered_calls,
+      'answer_bytes_held': self._held.total,
       'rows_swept': self.sweeper.removed_rows,
     }
 
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -7,8 +7,8 @@
 import pytest
 
 from woadrun import errors
-from woadrun.platform import read_ahead
 from woadrun.platform import settings
+from woadrun.request import held_bytes
 
 GOOD = {
   'node_name': 'front-1',
@@ -81,4 +81,4 @@
 ):
   data = {**GOOD, 'limits': {'memory_mb': limits}} if limits else GOOD
   memory_mb = load(tmp_path, data).memory_mb
-  assert read_ahead.get_max_held_bytes(memory_mb) == held
+  assert held_bytes.get_max_held_bytes(memory_mb) == held
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -14,6 +14,7 @@
 from woadrun.platform import read_ahead
 from woadrun.platform import upstream
 from woadrun.request import exchange
+from woadrun.request import held_bytes
 from woadrun.version import instances
 
 
@@ -114,7 +115,7 @@
   await site.start()
   for listener in site._server.sockets:
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2**16)
-  held = read_ahead.HeldBytes(most=most)
+  held = held_bytes.HeldBytes(most=most)
   sending = exchange.RequestAttempt(
     request=nodes.make_request('r', path='/chat/'),
     instance=instances.Instance(
@@ -162,7 +163,7 @@
 
 async def test_caller_is_not_delayed_by_the_bytes_held_for_others(monkeypatch):
   """An answer stood still until those who took nothing had disconnected."""
-  held = read_ahead.HeldBytes(most=4)
+  held = held_bytes.HeldBytes(most=4)
   held.add(4)
   chunks = make_reader(monkeypatch, held).read()
   async with asyncio.timeout(5.0):
@@ -175,7 +176,7 @@
 
 async def test_closed_answer_is_not_read_ahead(monkeypatch):
   """Its bytes would count as held for ever."""
-  held = read_ahead.HeldBytes()
+  held = held_bytes.HeldBytes()
   reader = make_reader(monkeypatch, held)
   chunks = reader.read()
   await anext(chunks)
