Idempotent requests are retried when their response breaks off

A response was handed to its caller from its head on, so one that broke off later could only be aborted: the caller had to try again by itself, and a call of a tool was often lost with it.

A response on an idempotent route is read ahead now, up to 64 KiB and within the time left, before its caller gets any of it. Hedging takes the first response that is complete or over the bound. Until then an attempt counts as failed, so that one that is given up is not a fast success. The bytes count as held, up to half of the bound; above that, responses are relayed as they come.

--- a/src/woadrun/process/counters.py
+++ b/src/woadrun/process/counters.py
@@ -52,6 +52,12 @@
       buckets=LATENCY_BUCKETS_SECONDS,
       registry=self.registry,
     )
+    self._truncated = prometheus_client.Counter(
+      'woadrun_truncated_replies',
+      'Responses of instances that broke off before the caller received any.',
+      ('service',),
+      registry=self.registry,
+    )
     self._programs = prometheus_client.Counter(
       'woadrun_programs',
       'Programs that asked this daemon to begin, by outcome.',
@@ -59,6 +65,10 @@
       registry=self.registry,
     )
 
+  def record_truncated(self, service: str) -> None:
+    """Records that a response broke off before its caller received any."""
+    self._truncated.labels(service).inc()
+
   def record_program(self, service: str, kind: str, is_admitted: bool) -> None:
     """Records that a program was admitted to a service, or refused."""
     outcome = 'admitted' if is_admitted else 'refused'
--- a/src/woadrun/process/node.py
+++ b/src/woadrun/process/node.py
@@ -252,6 +252,8 @@
         loads=self.loads,
         authorization=access,
         upstreams=binding.upstreams,
+        held=binding.held,
+        counters=self.counters,
         is_partitioned=self._is_cut_off,
       ),
       turn_client=turn_client.TurnClient(
--- a/src/woadrun/request/attempts.py
+++ b/src/woadrun/request/attempts.py
@@ -4,7 +4,8 @@
 did not run the request, or if the request did not reach the instance.
 `decisions/attempt_limit.py` limits the attempts.  An idempotent request is also
 hedged: it is sent to a second instance when the first one takes much longer
-than average.
+than average.  Its response is read ahead (`request/response_buffer.py`): if it
+breaks off before the caller has received any of it, the request is retried.
 
 A turn is a model request of a program; other requests have none.  A reply is
 genuine if it has the id of the request and the signature of the instance.  Load
@@ -29,12 +30,15 @@
 from woadrun.decisions import service_times
 from woadrun.decisions import urgency
 from woadrun.process import catalogue
+from woadrun.process import counters
 from woadrun.process.load import health
 from woadrun.process.load import loads
 from woadrun.request import authorization
 from woadrun.request import events
 from woadrun.request import exchange
+from woadrun.request import held_bytes
 from woadrun.request import partition_monitor
+from woadrun.request import response_buffer
 from woadrun.version import instances
 from woadrun.version import routes
 
@@ -54,6 +58,16 @@
   """Raised when a request was sent to no instance because none was found."""
 
 
+@dataclasses.dataclass(kw_only=True)
+class _Result:
+  """Whether an attempt failed, which is assumed until its reply has begun.
+
+  If the reply is read ahead, it is assumed until that has succeeded.
+  """
+
+  is_failure: bool = True
+
+
 @dataclasses.dataclass(kw_only=True)
 class _Attempt:
   """An attempt whose reply has begun; closing `stack` ends the request."""
@@ -61,13 +75,7 @@
   sending: exchange.RequestAttempt
   stack: contextlib.AsyncExitStack
   reply: exchange.Reply
-
-
-@dataclasses.dataclass(kw_only=True)
-class _Result:
-  """Whether an attempt failed, which is assumed until its reply has begun."""
-
-  is_failure: bool = True
+  result: _Result
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -120,7 +128,8 @@
   `is_partitioned` takes a failure domain and returns whether a network
   partition separates it from this daemon, and the daemon has lost the row store
   as well.  A daemon that can reach the store does not abort streams: the
-  instance may be healthy, and its callers decide how long to wait.
+  instance may be healthy, and its callers decide how long to wait.  `held`
+  counts the bytes of the responses that are read ahead.
   """
 
   def __init__(
@@ -130,12 +139,16 @@
     loads: loads.Loads,
     authorization: authorization.Authorization,
     upstreams: exchange.Upstreams,
+    held: held_bytes.HeldBytes,
+    counters: counters.Counters,
     is_partitioned: Callable[[str], bool] = lambda domain: False,
   ) -> None:
     self._catalogue = catalogue
     self._loads = loads
     self._authorization = authorization
     self._upstreams = upstreams
+    self._held = held
+    self._counters = counters
     self._partition_watch = partition_monitor.PartitionMonitor(
       is_partitioned=is_partitioned
     )
@@ -185,7 +198,7 @@
           break
         stack.push_async_exit(attempt.stack)
         reply = attempt.reply
-        if reply.has_run and reply.is_genuine:
+        if _is_valid(reply):
           yield reply, attempt.sending.instance
           return
         await stack.aclose()
@@ -306,9 +319,9 @@
     """Returns the first usable attempt, hedging with a second instance.
 
     The second attempt begins after a multiple of the average request time of
-    the service, if the hedge budget allows it.
+    the service, if the hedge budget allows it.  Replies are read ahead.
     """
-    tasks = [asyncio.ensure_future(self._send_once(sending))]
+    tasks = [asyncio.ensure_future(self._send_read_ahead(sending))]
     average_seconds = self._loads.get_mean_seconds(state.service)
     try:
       await asyncio.wait(
@@ -319,15 +332,42 @@
         if second is not None:
           self._log_outcome(
             sending,
-            'no reply yet, hedging with a second instance '
+            'no complete reply yet, hedging with a second instance '
             f'(average: {average_seconds * 1000:.0f} ms)',
           )
-          tasks.append(asyncio.ensure_future(self._send_once(second)))
+          tasks.append(asyncio.ensure_future(self._send_read_ahead(second)))
       return await _get_first_usable(state, tasks)
     except BaseException:
       await _cancel_attempts(tasks)
       raise
 
+  async def _send_read_ahead(
+    self, sending: exchange.RequestAttempt
+  ) -> _Attempt:
+    """Sends a request to one instance and reads its reply ahead.
+
+    Raises `RequestNotSent` or `ResponseLost` without a reply, the latter also
+    if the reply breaks off in the part that is read ahead.
+    """
+    attempt = await self._send_once(sending)
+    reply, result = attempt.reply, attempt.result
+    if not _is_valid(reply):
+      return attempt
+    buffer = response_buffer.ResponseBuffer(
+      chunks=reply.chunks, held=self._held
+    )
+    attempt.stack.push_async_callback(buffer.close)
+    is_failure, result.is_failure = result.is_failure, True
+    try:
+      await buffer.fill()
+    except BaseException as error:
+      await attempt.stack.aclose()
+      self._record_truncated(sending, buffer, error)
+      raise
+    result.is_failure = is_failure
+    reply.chunks = buffer.read()
+    return attempt
+
   async def _send_once(self, sending: exchange.RequestAttempt) -> _Attempt:
     """Sends a request to one instance and returns once its reply has begun.
 
@@ -359,7 +399,7 @@
       reply.chunks = self._time_chunks(sending, reply, reply.chunks, timer)
     stack.callback(self._record_idle_connection, id, reply)
     self._log_outcome(sending, _describe_reply(reply))
-    return _Attempt(sending=sending, stack=stack, reply=reply)
+    return _Attempt(sending=sending, stack=stack, reply=reply, result=result)
 
   def _record_reply(
     self,
@@ -474,6 +514,31 @@
       )
       self._log_outcome(sending, f'no reply: {error}')
 
+  def _record_truncated(
+    self,
+    sending: exchange.RequestAttempt,
+    buffer: response_buffer.ResponseBuffer,
+    error: BaseException,
+  ) -> None:
+    """Records that a reply was not read ahead completely."""
+    instance = sending.instance
+    if isinstance(error, exchange.ResponseLost):
+      self._counters.record_truncated(instance.service)
+      self._log_outcome(
+        sending,
+        f'response broke off after {buffer.size} bytes, before the caller '
+        f'received any: {error}',
+      )
+      return
+    # A hedged request or its caller gave up on an instance that went silent.
+    silent_seconds = time.monotonic() - buffer.received_at
+    if silent_seconds > self._loads.health.get_overdue_seconds(
+      instance.service
+    ):
+      self._loads.health.record_failure(
+        instance.incarnation_id, health.TIMEOUT_WEIGHT
+      )
+
   def _log_outcome(
     self, sending: exchange.RequestAttempt, outcome: str
   ) -> None:
@@ -522,8 +587,9 @@
 ) -> _Attempt:
   """Returns the first usable attempt, and cancels or closes the others.
 
-  An attempt is usable if it has a genuine reply and the instance did not reply
-  that the request was not run.  If no attempt is usable, returns the attempt of
+  An attempt is usable if it has a genuine reply, which did not break off while
+  it was read ahead, and the instance did not reply that the request was not
+  run.  If no attempt is usable, returns the attempt of
   the first task, or raises the error of that task.
   """
   pending = set(tasks)
@@ -543,7 +609,10 @@
 def _is_usable(task: asyncio.Task[_Attempt]) -> bool:
   if task.cancelled() or task.exception() is not None:
     return False
-  reply = task.result().reply
+  return _is_valid(task.result().reply)
+
+
+def _is_valid(reply: exchange.Reply) -> bool:
   return reply.has_run and reply.is_genuine
 
 
