Changes of pages already read are no longer missed

A list that was read page by page had the version of its last page, so that a change made meanwhile to a row of an earlier page was never read: an instance that left, a route that changed, until the row changes again.

The list has the version of its first page now; the feed goes on from there. Both cases of the test, a changed and a removed row, failed before.

--- a/src/woadrun/process/feed.py
+++ b/src/woadrun/process/feed.py
@@ -343,15 +343,18 @@
 async def read_all(store: rows.RowStore, table: str, part: str) -> rows.Page:
   """Returns all rows of a part, reading page by page.
 
-  The version of the result is that of the last page.  Raises `WoadrunError` if
-  the store does not respond.
+  The version of the result is that of the first page: later ones do not have
+  the changes made meanwhile to the rows of earlier ones.  Raises `WoadrunError`
+  if the store does not respond.
   """
   found: list[rows.Row] = []
+  version: int | None = None
   first = ''
   while True:
     page = await store.read(table, part, first=first)
     found.extend(page.rows)
+    version = page.version if version is None else version
     if not page.is_cut or not page.rows:
-      return rows.Page(rows=tuple(found), version=page.version)
+      return rows.Page(rows=tuple(found), version=version)
     # The smallest name after the last one, in byte order.
     first = page.rows[-1].key.name + '\0'
--- a/tests/test_feed_sync.py
+++ b/tests/test_feed_sync.py
@@ -1,11 +1,13 @@
 """Distribution of the store's changes from few followers to all daemons."""
 
+import dataclasses
 import json
 import math
 import time
 
 import msgspec
 import nodes
+import pytest
 
 from woadrun.connection import packing
 from woadrun.connection import rows
@@ -14,6 +16,7 @@
 from woadrun.process import feed
 from woadrun.process import feed_sync
 from woadrun.process import store_access
+from woadrun.standins import rows as standin
 
 NAMES = ('n1', 'n2', 'n3', 'n4', 'n5')
 ENTRY = json.dumps(nodes.make_entry()).encode()
@@ -230,6 +233,47 @@
   ]
 
 
+class PagedStore(standin.MemoryRowStore):
+  """Returns one row a page; `changes` are awaited, one after each page."""
+
+  def __init__(self):
+    super().__init__()
+    self.changes = []
+
+  async def read(self, *args, **options):
+    page = await super().read(*args, **options)
+    if self.changes:
+      await self.changes.pop(0)
+    is_cut = len(page.rows) > 1
+    return dataclasses.replace(page, rows=page.rows[:1], is_cut=is_cut)
+
+
+@pytest.mark.parametrize('is_removed', [False, True])
+async def test_change_of_a_page_already_read_is_not_missed(is_removed):
+  """Guards against requests to an instance that has long left."""
+  store = PagedStore()
+  await store.change(writes=[(key(id), b'old') for id in 'ab'])
+  options = (
+    {'removes': [key('a')]} if is_removed else {'writes': [(key('a'), b'new')]}
+  )
+  store.changes.append(store.change(**options))
+  by_name = {}
+
+  def apply(row):
+    by_name[row.key.name] = b'' if row.is_removed else row.value
+
+  known = feed.Feed(
+    store=store,
+    table='servers',
+    on_list=lambda found: [apply(row) for row in found],
+    on_row=apply,
+    wait=0.0,
+  )
+  await known.read()
+  await known.refresh()
+  assert by_name == {'a': b'' if is_removed else b'new', 'b': b'old'}
+
+
 async def test_an_outage_in_one_domain_is_not_adopted_by_others():
   """Guards against requests to an instance long after it has left.
 
