A response that breaks off does not count as answered

Cause: the writer of responses swallowed the error, so that the handler of the request ended as after a whole response.

Found by a review.

--- a/src/woadrun/platform/ingress.py
+++ b/src/woadrun/platform/ingress.py
@@ -79,15 +79,19 @@
     except web.HTTPRequestEntityTooLarge:
       log.info('Request %s: the body exceeds the size limit.', id)
       return web.Response(status=413)
+    response: web.StreamResponse | None = None
     try:
       async with self._service.handle_request(request) as answer:
-        return await self._write(http, answer)
-    except errors.WoadrunError as error:
-      return self._make_error_response(error, id)
+        response = self._make_response(answer)
+        await self._write(http, response, answer)
+    except (exchange.ResponseLost, errors.WoadrunError) as error:
+      if response is None and isinstance(error, errors.WoadrunError):
+        return self._make_error_response(error, id)
+      if response is None:
+        raise
+    return response
 
-  async def _write(
-    self, http: web.BaseRequest, answer: exchange.Answer
-  ) -> web.StreamResponse:
+  def _make_response(self, answer: exchange.Answer) -> web.StreamResponse:
     # A last chunk would assure the caller that the response is complete.
     make = (
       _UnframedResponse if answer.ends_with_connection else web.StreamResponse
@@ -95,6 +99,16 @@
     response = make(status=answer.status, headers=list(answer.headers))
     if self._is_leaving() or answer.ends_with_connection:
       response.force_close()
+    return response
+
+  async def _write(
+    self,
+    http: web.BaseRequest,
+    response: web.StreamResponse,
+    answer: exchange.Answer,
+  ) -> None:
+    """Writes a response; if it breaks off, aborts the connection and raises."""
+    id = http.headers.get(wire.REQUEST_ID, '')
     try:
       await response.prepare(http)
       is_framed = hdrs.TRANSFER_ENCODING in response.headers
@@ -107,15 +121,13 @@
       if not is_framed:
         _set_linger(http, _CLOSE_IN_ORDER)
     except (exchange.ResponseLost, errors.WoadrunError) as error:
-      id = http.headers.get(wire.REQUEST_ID, '')
       log.warning('Request %s: response aborted: %s', id, error)
       if http.transport is not None:
         http.transport.abort()
+      raise
     except (ConnectionError, asyncio.CancelledError):
-      id = http.headers.get(wire.REQUEST_ID, '')
       log.info('Request %s: the caller disconnected.', id)
       raise
-    return response
 
   def _make_error_response(
     self, error: errors.WoadrunError, id: str
--- a/src/woadrun/request/serving.py
+++ b/src/woadrun/request/serving.py
@@ -76,7 +76,7 @@
 
     The end of a turn may still be recorded in the background afterwards.
     Entering it raises the `WoadrunError` to report to the caller if there is no
-    response.
+    response.  The error by which a response breaks off is to be raised in it.
     """
     self.active += 1
     started_at = time.monotonic()
@@ -98,6 +98,9 @@
       outcome = error.code.value
       reason = f' ({error.message})'
       raise
+    except exchange.ResponseLost as error:
+      reason = f' ({error})'
+      raise
     finally:
       self.active -= 1
       self._counters.record_answer(kind, outcome, started_at)
--- a/tests/test_truncated_responses.py
+++ b/tests/test_truncated_responses.py
@@ -334,3 +334,13 @@
 async def test_caller_gets_no_last_chunk_after_half_an_event(framing, is_reset):
   found, _ = await send_half_event(framing, is_reset=is_reset)
   assert not found.endswith(b'0\r\n\r\n')
+
+
+async def test_aborted_response_is_not_counted_as_a_success():
+  async with nodes.Nodes() as fleet, serve(fleet) as port:
+    fleet.engines.faults.append(make_stream_reply(EVENT, HALF_EVENT))
+    head = make_head(path='/draft/x', method='POST')
+    found, _ = await read_until_end(port, head)
+    assert not found.endswith(b'0\r\n\r\n')
+    metrics = fleet.by_name['n1'].counters.encode().decode()
+    assert 'kind="stream",outcome="2xx"' not in metrics
