A truncated response is reset until the kernel has all of it

Cause: the reset was taken back once the last byte was written, which may leave up to 64 KB in the process.

The transport of such a response holds nothing back from its writer, and the reset is taken back when the kernel has all bytes.

--- a/src/woadrun/platform/ingress.py
+++ b/src/woadrun/platform/ingress.py
@@ -113,13 +113,14 @@
       await response.prepare(http)
       is_framed = hdrs.TRANSFER_ENCODING in response.headers
       if not is_framed:
-        _set_linger(http, _RESET_ON_CLOSE)
+        _reset_on_close(http)
       async with contextlib.aclosing(answer.chunks) as chunks:
         async for chunk in chunks:
           await response.write(chunk)
       await response.write_eof()
       if not is_framed:
-        _set_linger(http, _CLOSE_IN_ORDER)
+        await http.writer.drain()
+        _close_in_order(http)
     except (exchange.ResponseLost, errors.WoadrunError) as error:
       log.warning('Request %s: response aborted: %s', id, error)
       if http.transport is not None:
@@ -139,12 +140,26 @@
     return response
 
 
-def _set_linger(http: web.BaseRequest, value: bytes) -> None:
-  """Sets how the end of a caller's connection looks to the caller.
+def _reset_on_close(http: web.BaseRequest) -> None:
+  """Makes any end of a caller's connection look like a truncated response.
 
-  Without chunks, only a reset tells a truncated response from a complete one.
+  Without chunks, only a reset tells it from a complete one.
   """
+  if http.transport is None:
+    return
+  # `drain` then waits until the kernel has all bytes: those that the process
+  # still has at its end are lost.
+  http.transport.set_write_buffer_limits(0)
+  _set_linger(http.transport, _RESET_ON_CLOSE)
+
+
+def _close_in_order(http: web.BaseRequest) -> None:
+  """Lets the close of a caller's connection end a complete response."""
   if http.transport is not None:
-    http.transport.get_extra_info('socket').setsockopt(
-      socket.SOL_SOCKET, socket.SO_LINGER, value
-    )
+    _set_linger(http.transport, _CLOSE_IN_ORDER)
+
+
+def _set_linger(transport: asyncio.Transport, value: bytes) -> None:
+  transport.get_extra_info('socket').setsockopt(
+    socket.SOL_SOCKET, socket.SO_LINGER, value
+  )
--- a/tests/test_truncated_responses.py
+++ b/tests/test_truncated_responses.py
@@ -7,6 +7,7 @@
 import struct
 
 import aiohttp
+from aiohttp import web
 import nodes
 import pytest
 from test_ingress import make_head
@@ -14,6 +15,8 @@
 
 from woadrun import errors
 from woadrun.connection import tcp_connections
+from woadrun.platform import ingress
+from woadrun.platform import program
 from woadrun.platform import read_ahead
 from woadrun.platform import upstream
 from woadrun.request import events
@@ -31,6 +34,7 @@
 }
 UNFRAMED = ['neither', 'keep-alive', 'http-1.0']
 FRAMED = ['length', 'chunks']
+SMALL_BUFFER_BYTES = 4096
 
 
 def reset(writer):
@@ -344,3 +348,69 @@
     assert not found.endswith(b'0\r\n\r\n')
     metrics = fleet.by_name['n1'].counters.encode().decode()
     assert 'kind="stream",outcome="2xx"' not in metrics
+
+
+@contextlib.asynccontextmanager
+async def serve_with_small_buffers(fleet):
+  """Serves callers with small send buffers in the kernel; yields the port."""
+  await fleet.start('n1')
+  served = fleet.by_name['n1']
+  entry = ingress.Ingress(
+    service=served.serving,
+    is_ready=served.is_ready,
+    is_leaving=lambda: False,
+    read_metrics=served.counters.encode,
+  )
+  runner = program.make_callers_runner(entry, finish=2.0)
+  await runner.setup()
+  listener = socket.socket()
+  # Accepted connections inherit the size.
+  listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER_BYTES)
+  listener.bind(('127.0.0.1', 0))
+  await web.SockSite(runner, listener).start()
+  yield listener.getsockname()[1]
+  await runner.cleanup()
+
+
+def find_unsent(port):
+  """Returns the transports of a port with bytes not given to the kernel."""
+  return [
+    item
+    for item in asyncio.get_running_loop()._transports.values()
+    if (item.get_extra_info('sockname') or ('', 0))[1] == port
+    and item.get_write_buffer_size()
+  ]
+
+
+@pytest.mark.parametrize('version', [b'HTTP/1.0', b'HTTP/1.1'])
+async def test_response_whose_end_is_lost_with_the_daemon_is_not_complete(
+  version,
+):
+  """The kernel has a part of the body when the handler ends.
+
+  A daemon that exits then loses the rest, and its exit closes the socket.
+  """
+  # Less than the transport holds before `write` waits for the caller.
+  body = b'x' * 60_000
+  loop = asyncio.get_running_loop()
+  async with nodes.Nodes() as fleet, serve_with_small_buffers(fleet) as port:
+    fleet.engines.faults.append(
+      make_stream_reply(body, ends_with_connection=True)
+    )
+    with socket.socket() as caller:
+      caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+      caller.setblocking(False)
+      await loop.sock_connect(caller, ('127.0.0.1', port))
+      head = make_head().replace(b'HTTP/1.1', version)
+      await loop.sock_sendall(caller, head)
+      await nodes.wait_until(lambda: find_unsent(port))
+      # Time for the handler to end, which it may do before the bytes are sent.
+      await asyncio.sleep(0.1)
+      (transport,) = find_unsent(port)
+      # Closes the socket and drops the unsent bytes, as the exit does.
+      transport.abort()
+      received = bytearray()
+      with pytest.raises(ConnectionError):
+        while chunk := await loop.sock_recv(caller, 65536):
+          received += chunk
+        assert received.endswith(body)
