Turns of all kinds of routes are checked for their end

A route that keeps histories may be of any kind; on one that is not a stream, a turn that ended inside an event was kept, by a second reader of events that checked nothing.

Whether a response consists of events follows from its kind or from its history; the second reader is gone. Both cases of the test failed before. Found by a review.

--- a/src/woadrun/request/attempts.py
+++ b/src/woadrun/request/attempts.py
@@ -251,7 +251,7 @@
       team=state.grant.team_name,
       silence_seconds=self._loads.health.get_overdue_seconds(state.service),
       uncached=uncached,
-      is_stream=state.route.kind is routes.Kind.STREAM,
+      is_stream=_is_stream(state.request, state.route),
     )
 
   async def _start_attempt(
@@ -507,6 +507,12 @@
     )
 
 
+def _is_stream(request: exchange.Request, route: routes.Route) -> bool:
+  """Returns whether the response consists of events, as a history does."""
+  keeps_history = route.keeps_history and request.turn is not None
+  return keeps_history or route.kind is routes.Kind.STREAM
+
+
 def _get_urgency(state: _SendState) -> int | None:
   """Returns the urgency of a turn, 0 for the highest; None if not a turn."""
   turn = state.request.turn
--- a/src/woadrun/request/serving.py
+++ b/src/woadrun/request/serving.py
@@ -227,8 +227,6 @@
     if reply.events is not None:
       running.reader = reply.events
     async for chunk in reply.chunks:
-      if reply.events is None:
-        running.reader.feed(chunk)
       yield chunk
     if not 200 <= reply.status < 300 or not running.route.keeps_history:
       # No later turn can continue from this one, so `_handle_turn` closes it in
--- a/tests/test_truncated_responses.py
+++ b/tests/test_truncated_responses.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import copy
 import dataclasses
 import socket
 import struct
@@ -414,3 +415,17 @@
         while chunk := await loop.sock_recv(caller, 65536):
           received += chunk
         assert received.endswith(body)
+
+
+@pytest.mark.parametrize('kind', ['non_idempotent', 'idempotent'])
+async def test_truncated_turn_is_not_kept_on_a_route_of_another_kind(kind):
+  """A configuration may set `retain_history` on a route of any kind."""
+  config = copy.deepcopy(nodes.CONFIG)
+  config['routes'][0]['kind'] = kind
+  async with nodes.Nodes(config=config) as fleet:
+    await fleet.start('n1')
+    fleet.engines.faults.append(make_stream_reply(EVENT, HALF_EVENT))
+    with contextlib.suppress(exchange.ResponseLost):
+      await fleet.turn('n1', 'a', most=10)
+    with pytest.raises(errors.WoadrunError, match='is not found'):
+      await fleet.turn('n1', 'b', parent='a', most=10)
