Events of streams without a history are not held

All streams are parsed since the place of their end is checked, and the parser collected the data of all events: memory grew with each stream that no turn is kept of.

Data is collected only where it becomes part of a history, and the parts of a line are joined once.

--- a/src/woadrun/request/attempts.py
+++ b/src/woadrun/request/attempts.py
@@ -252,6 +252,7 @@
       silence_seconds=self._loads.health.get_overdue_seconds(state.service),
       uncached=uncached,
       is_stream=_is_stream(state.request, state.route),
+      keeps_history=state.route.keeps_history,
     )
 
   async def _start_attempt(
@@ -375,7 +376,7 @@
     else:
       result.is_failure = False
       if sending.is_stream and reply.status < 300:
-        reply.events = events.EventReader()
+        reply.events = events.EventReader(keeps_data=sending.keeps_history)
     reply.chunks = self._relay_chunks(sending, reply, reply.chunks, result)
 
   async def _relay_chunks(
--- a/src/woadrun/request/events.py
+++ b/src/woadrun/request/events.py
@@ -8,19 +8,21 @@
 
 
 class EventReader:
-  """Collects the data of the events in a stream.
+  """Counts the events in a stream, and collects their data.
 
-  `data` holds the data of each complete event, followed by a line feed;
-  `count` is the number of these events.  `has_events` is true once any field of
-  an event was read.  Source: the event stream format of the HTML standard.
+  `count` is the number of complete events with data.  `data` holds the data of
+  each of them, followed by a line feed; it stays empty unless `keeps_data`.
+  `has_events` is true once any field of an event was read.  Source: the event
+  stream format of the HTML standard.
   """
 
-  def __init__(self) -> None:
-    self._partial_line = b''
+  def __init__(self, *, keeps_data: bool = True) -> None:
+    self._keeps_data = keeps_data
+    self._partial_line: list[bytes] = []
     self._ends_with_cr = False
     self._has_fields = False
-    self.has_events = False
     self._data_lines: list[bytes] = []
+    self.has_events = False
     self.data = bytearray()
     self.count = 0
 
@@ -31,32 +33,39 @@
 
   def feed(self, chunk: bytes) -> None:
     """Parses the next bytes of the stream."""
-    if self._ends_with_cr:
+    if self._ends_with_cr and chunk:
       # The line feed belongs to the line end of the previous chunk.
-      self._ends_with_cr = not chunk
       chunk = chunk.removeprefix(b'\n')
+      self._ends_with_cr = False
     if not chunk:
       return
     self._ends_with_cr = chunk.endswith(b'\r')
-    received = self._partial_line + chunk
-    *lines, self._partial_line = (
-      _LINE_END.split(received) if b'\r' in received else received.split(b'\n')
+    first, *lines = (
+      _LINE_END.split(chunk) if b'\r' in chunk else chunk.split(b'\n')
     )
+    if first:
+      self._partial_line.append(first)
     for line in lines:
-      self._process_line(line)
+      self._process_line(b''.join(self._partial_line))
+      self._partial_line = [line] if line else []
 
   def _process_line(self, line: bytes) -> None:
     if not line:
       self._dispatch_event()
       return
-    if not line.startswith(b':'):
-      self._has_fields = self.has_events = True
+    field, _, value = line.partition(b':')
+    if not field:
+      # A comment.
+      return
+    self._has_fields = self.has_events = True
     if line.startswith(b'data:'):
-      self._data_lines.append(line[5:].removeprefix(b' '))
+      self._data_lines.append(value.removeprefix(b' '))
 
   def _dispatch_event(self) -> None:
     self._has_fields = False
-    if self._data_lines:
+    if not self._data_lines:
+      return
+    self.count += 1
+    if self._keeps_data:
       self.data += b'\n'.join(self._data_lines) + b'\n'
-      self.count += 1
-      self._data_lines.clear()
+    self._data_lines.clear()
--- a/src/woadrun/request/exchange.py
+++ b/src/woadrun/request/exchange.py
@@ -102,7 +102,7 @@
   response after which the connection may be dead.  `uncached` is the number of
   prompt tokens that the instance has to process, None if the time of the
   request is not measured.  `is_stream` is true if the response is a stream of
-  events.
+  events, and `keeps_history` if their data becomes part of a history.
   """
 
   request: Request
@@ -114,6 +114,7 @@
   silence_seconds: float = 1.0
   uncached: int | None = None
   is_stream: bool = False
+  keeps_history: bool = False
 
 
 @dataclasses.dataclass(kw_only=True)
--- a/tests/test_truncated_responses.py
+++ b/tests/test_truncated_responses.py
@@ -4,6 +4,7 @@
 import contextlib
 import copy
 import dataclasses
+import logging
 import socket
 import struct
 
@@ -429,3 +430,35 @@
       await fleet.turn('n1', 'a', most=10)
     with pytest.raises(errors.WoadrunError, match='is not found'):
       await fleet.turn('n1', 'b', parent='a', most=10)
+
+
+async def test_events_of_a_stream_without_history_are_not_held():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1')
+    reply = make_stream_reply(*[EVENT] * 1000)
+    fleet.engines.faults.append(reply)
+    await fleet.ask('n1', nodes.make_request('a', path='/draft/'))
+    assert reply.events.count == 1000
+    assert len(reply.events.data) == 0
+
+
+@contextlib.asynccontextmanager
+async def serve_parts(*parts):
+  """Serves parts of bytes with pauses, then closes; yields the port."""
+
+  async def answer(reader, writer):
+    await reader.readuntil(b'\r\n\r\n')
+    for part in parts:
+      writer.write(part)
+      await writer.drain()
+      await asyncio.sleep(0.05)
+    writer.close()
+
+  server = await asyncio.start_server(answer, '127.0.0.1', 0)
+  async with server:
+    yield server.sockets[0].getsockname()[1]
+
+
+def make_reply_head(*lines):
+  names = ['Request-Id: r', 'Server-Signature: s', *lines]
+  return '\r\n'.join(['HTTP/1.1 200 OK', *names, '', '']).encode()
