A data field without a colon is an empty line

Such an event was not counted, so that its tokens were not settled, and its empty line was missing from the history. The format gives a line without a colon an empty value. The test failed before. Found by a review.

--- a/src/woadrun/request/events.py
+++ b/src/woadrun/request/events.py
@@ -58,7 +58,7 @@
       # A comment.
       return
     self._has_fields = self.has_events = True
-    if line.startswith(b'data:'):
+    if field == b'data':
       self._data_lines.append(value.removeprefix(b' '))
 
   def _dispatch_event(self) -> None:
--- a/tests/test_truncated_responses.py
+++ b/tests/test_truncated_responses.py
@@ -462,3 +462,9 @@
 def make_reply_head(*lines):
   names = ['Request-Id: r', 'Server-Signature: s', *lines]
   return '\r\n'.join(['HTTP/1.1 200 OK', *names, '', '']).encode()
+
+
+def test_data_field_without_a_colon_is_an_empty_line():
+  reader = events.EventReader()
+  reader.feed(b'data\n\ndata: b\n\n')
+  assert (bytes(reader.data), reader.count) == (b'\nb\n', 2)
