A byte order mark is not part of the first event

The first event of a stream with a byte order mark was missing from the history and from the count of tokens. The format lets a stream begin with one. The test failed before.

--- a/src/woadrun/request/events.py
+++ b/src/woadrun/request/events.py
@@ -5,6 +5,7 @@
 import re
 
 _LINE_END = re.compile(rb'\r\n|\n|\r')
+_BYTE_ORDER_MARK = b'\xef\xbb\xbf'
 
 
 class EventReader:
@@ -20,6 +21,7 @@
     self._keeps_data = keeps_data
     self._partial_line: list[bytes] = []
     self._ends_with_cr = False
+    self._is_at_start = True
     self._has_fields = False
     self._data_lines: list[bytes] = []
     self.has_events = False
@@ -50,6 +52,9 @@
       self._partial_line = [line] if line else []
 
   def _process_line(self, line: bytes) -> None:
+    if self._is_at_start:
+      self._is_at_start = False
+      line = line.removeprefix(_BYTE_ORDER_MARK)
     if not line:
       self._dispatch_event()
       return
--- a/tests/test_truncated_responses.py
+++ b/tests/test_truncated_responses.py
@@ -468,3 +468,9 @@
   reader = events.EventReader()
   reader.feed(b'data\n\ndata: b\n\n')
   assert (bytes(reader.data), reader.count) == (b'\nb\n', 2)
+
+
+def test_byte_order_mark_is_not_part_of_the_first_event():
+  reader = events.EventReader()
+  reader.feed(b'\xef\xbb\xbfdata: a\n\ndata: b\n\n')
+  assert (bytes(reader.data), reader.count) == (b'a\nb\n', 2)
