A body whose last coding is not chunked ends with its connection

A faulty upstream with Transfer-Encoding `xchunked` or `chunked, gzip` has its body read until the close, but the daemon took it for chunks and told the caller with a last chunk that it is complete.

Only `chunked` as the last coding frames a body, as in the client's parser. Both cases of the test failed before. Found by a review.

--- a/src/woadrun/connection/response_ends.py
+++ b/src/woadrun/connection/response_ends.py
@@ -15,6 +15,7 @@
 import aiohttp
 from aiohttp import client_proto
 from aiohttp import hdrs
+import multidict
 
 log = logging.getLogger('woadrun.connections')
 
@@ -86,10 +87,16 @@
 
 def ends_with_connection(response: aiohttp.ClientResponse) -> bool:
   """Returns whether the end of the connection is the end of the body."""
-  headers = response.headers
-  return not (
-    hdrs.CONTENT_LENGTH in headers
-    or 'chunked' in headers.get(hdrs.TRANSFER_ENCODING, '').lower()
-    or response.method == hdrs.METH_HEAD
-    or response.status in _STATUSES_WITHOUT_BODY
+  has_body = (
+    response.method != hdrs.METH_HEAD
+    and response.status not in _STATUSES_WITHOUT_BODY
   )
+  return has_body and not _is_framed(response.headers)
+
+
+def _is_framed(headers: multidict.CIMultiDictProxy[str]) -> bool:
+  codings = ','.join(headers.getall(hdrs.TRANSFER_ENCODING, ()))
+  if codings:
+    # Chunks frame a body only as the last of its codings.
+    return codings.rpartition(',')[2].strip().lower() == 'chunked'
+  return hdrs.CONTENT_LENGTH in headers
--- a/tests/test_truncated_responses.py
+++ b/tests/test_truncated_responses.py
@@ -474,3 +474,19 @@
   reader = events.EventReader()
   reader.feed(b'\xef\xbb\xbfdata: a\n\ndata: b\n\n')
   assert (bytes(reader.data), reader.count) == (b'a\nb\n', 2)
+
+
+@pytest.mark.parametrize('coding', ['chunked, gzip', 'xchunked'])
+async def test_body_read_until_the_close_ends_with_its_connection(coding):
+  """The parser reads these until the close: the last coding is not `chunked`.
+
+  The close does not prove that they are complete.
+  """
+  head = make_reply_head(f'Transfer-Encoding: {coding}')
+  async with (
+    serve_parts(head + b'half') as port,
+    connect(port) as client,
+    client.send(make_attempt()) as reply,
+  ):
+    assert b''.join([chunk async for chunk in reply.chunks]) == b'half'
+    assert reply.ends_with_connection
