Log lines of truncated responses name the address and the reason

Each complete response without a length was logged as ended within, and a malformed chunk as a close of this daemon.

Only truncated bodies are logged, with the address of the server; only `close` and `abort` of the connection count as this daemon's. Both tests failed before.

--- a/src/woadrun/connection/response_ends.py
+++ b/src/woadrun/connection/response_ends.py
@@ -48,20 +48,18 @@
 
   def connection_lost(self, exc: BaseException | None) -> None:
     """Ends the body that is being received, as truncated unless closed."""
-    if self._is_closed_by_peer:
-      self._log_end('a close of the server')
-    else:
-      self._truncate(str(exc) if exc else 'a close of this daemon')
+    if not self._is_closed_by_peer:
+      self._truncate(f'connection lost ({exc})' if exc else 'connection lost')
     super().connection_lost(exc)
 
   def close(self) -> None:
     """Closes the connection; a body that is being received is truncated."""
-    self._truncate('a close of this daemon')
+    self._truncate('connection closed by this daemon')
     super().close()
 
   def abort(self) -> None:
     """Aborts the connection; a body that is being received is truncated."""
-    self._truncate('a close of this daemon')
+    self._truncate('connection closed by this daemon')
     super().abort()
 
   def _truncate(self, reason: str) -> None:
@@ -69,14 +67,13 @@
     body = self._payload
     if body is None or body.is_eof() or body.exception() is not None:
       return
-    self._log_end(reason)
-    body.set_exception(
-      aiohttp.ClientPayloadError(f'The connection was ended by {reason}.')
+    transport = self.transport
+    log.info(
+      'Response from %s is truncated: %s.',
+      transport.get_extra_info('peername') if transport else 'unknown',
+      reason,
     )
-
-  def _log_end(self, reason: str) -> None:
-    if self._payload is not None and not self._payload.is_eof():
-      log.info('A connection ended within a response: %s.', reason)
+    body.set_exception(aiohttp.ClientPayloadError(reason))
 
 
 def _make_handler(
--- a/tests/test_truncated_responses.py
+++ b/tests/test_truncated_responses.py
@@ -490,3 +490,27 @@
   ):
     assert b''.join([chunk async for chunk in reply.chunks]) == b'half'
     assert reply.ends_with_connection
+
+
+async def test_complete_response_is_not_logged_as_ended_within(caplog):
+  caplog.set_level(logging.INFO, 'woadrun.connections')
+  async with (
+    serve_parts(make_reply_head() + b'whole') as port,
+    connect(port) as client,
+    client.send(make_attempt()) as reply,
+  ):
+    assert b''.join([chunk async for chunk in reply.chunks]) == b'whole'
+  assert 'within a response' not in caplog.text
+
+
+async def test_malformed_chunk_is_not_blamed_on_this_daemon():
+  head = make_reply_head('Transfer-Encoding: chunked')
+  async with (
+    serve_parts(head + b'3\r\nabc\r\n', b'zz\r\nabc') as port,
+    connect(port) as client,
+    client.send(make_attempt()) as reply,
+  ):
+    with pytest.raises(exchange.ResponseLost) as caught:
+      async for _ in reply.chunks:
+        pass
+  assert 'this daemon' not in str(caught.value)
