--- a/src/woadrun/request/attempts.py
+++ b/src/woadrun/request/attempts.py
@@ -264,7 +264,8 @@
       team=state.grant.team_name,
       silence_seconds=self._loads.health.get_overdue_seconds(state.service),
       uncached=uncached,
-      is_stream=state.route.kind is routes.Kind.STREAM,
+      is_stream=_is_stream(state.request, state.route),
+      keeps_history=state.route.keeps_history,
     )
 
   async def _start_attempt(
@@ -346,12 +347,14 @@
   ) -> _Attempt:
     """Sends a request to one instance and reads its reply ahead.
 
+    A stream of events is not read ahead, so that it is relayed as it comes and
+    its tokens are counted by what its caller received.
     Raises `RequestNotSent` or `ResponseLost` without a reply, the latter also
     if the reply breaks off in the part that is read ahead.
     """
     attempt = await self._send_once(sending)
     reply, result = attempt.reply, attempt.result
-    if not _is_valid(reply):
+    if sending.is_stream or not _is_valid(reply):
       return attempt
     buffer = response_buffer.ResponseBuffer(
       chunks=reply.chunks, held=self._held
@@ -415,7 +418,7 @@
     else:
       result.is_failure = False
       if sending.is_stream and reply.status < 300:
-        reply.events = events.EventReader()
+        reply.events = events.EventReader(keeps_data=sending.keeps_history)
     reply.chunks = self._relay_chunks(sending, reply, reply.chunks, result)
 
   async def _relay_chunks(
@@ -572,6 +575,12 @@
     )
 
 
+def _is_stream(request: exchange.Request, route: routes.Route) -> bool:
+  """Returns whether the response consists of events, as a history does."""
+  keeps_history = route.keeps_history and request.turn is not None
+  return keeps_history or route.kind is routes.Kind.STREAM
+
+
 def _get_urgency(state: _SendState) -> int | None:
   """Returns the urgency of a turn, 0 for the highest; None if not a turn."""
   turn = state.request.turn
--- a/tests/test_response_buffer.py
+++ b/tests/test_response_buffer.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import copy
 import dataclasses
 import random
 import time
@@ -65,9 +66,9 @@
 
 
 @contextlib.asynccontextmanager
-async def start_fleet(*faults):
+async def start_fleet(*faults, config=nodes.CONFIG):
   """Yields a fleet with one daemon; checks its counts at the end."""
-  async with nodes.Nodes() as fleet:
+  async with nodes.Nodes(config=config) as fleet:
     await fleet.start('n1')
     fleet.engines.faults.extend(faults)
     tracker = Tracker(fleet)
@@ -208,6 +209,25 @@
       assert await anext(answer.chunks) == b'data: y\n\n'
 
 
+# Guards against a turn whose tokens are counted although its caller did not
+# receive them.
+async def test_turn_on_an_idempotent_route_is_relayed_as_it_comes():
+  config = copy.deepcopy(nodes.CONFIG)
+  config['routes'][0]['kind'] = 'idempotent'
+  more = asyncio.Event()
+  async with start_fleet(
+    make_reply(b'data: x\n\n', more, LOST), config=config
+  ) as fleet:
+    turn = exchange.TurnInfo(program='p', max_output=10, budget=100)
+    request = nodes.make_request('r', path='/chat/', turn=turn)
+    async with fleet.by_name['n1'].serving.handle_request(request) as answer:
+      assert await anext(answer.chunks) == b'data: x\n\n'
+      more.set()
+      with pytest.raises(exchange.ResponseLost):
+        await anext(answer.chunks)
+    assert len(fleet.engines.sent) == 1
+
+
 # --- Hedging ------------------------------------------------------------------
 
 
--- a/tests/test_truncated_responses.py
+++ b/tests/test_truncated_responses.py
@@ -2,11 +2,14 @@
 
 import asyncio
 import contextlib
+import copy
 import dataclasses
+import logging
 import socket
 import struct
 
 import aiohttp
+from aiohttp import web
 import nodes
 import pytest
 from test_ingress import RELAYED_PARTS
@@ -15,6 +18,8 @@
 
 from woadrun import errors
 from woadrun.connection import tcp_connections
+from woadrun.platform import ingress
+from woadrun.platform import program
 from woadrun.platform import read_ahead
 from woadrun.platform import upstream
 from woadrun.request import events
@@ -32,6 +37,7 @@
 }
 UNFRAMED = ['neither', 'keep-alive', 'http-1.0']
 FRAMED = ['length', 'chunks']
+SMALL_BUFFER_BYTES = 4096
 
 
 def reset(writer):
@@ -345,3 +351,177 @@
 async def test_caller_gets_no_last_chunk_after_half_an_event(framing, is_reset):
   found, _ = await send_half_event(framing, is_reset=is_reset)
   assert not found.endswith(b'0\r\n\r\n')
+
+
+async def test_aborted_response_is_not_counted_as_a_success():
+  async with nodes.Nodes() as fleet, serve(fleet) as port:
+    fleet.engines.faults.append(make_stream_reply(EVENT, HALF_EVENT))
+    head = make_head(path='/draft/x', method='POST')
+    found, _ = await read_until_end(port, head)
+    assert not found.endswith(b'0\r\n\r\n')
+    metrics = fleet.by_name['n1'].counters.encode().decode()
+    assert 'kind="stream",outcome="2xx"' not in metrics
+
+
+@contextlib.asynccontextmanager
+async def serve_with_small_buffers(fleet):
+  """Serves callers with small send buffers in the kernel; yields the port."""
+  await fleet.start('n1')
+  served = fleet.by_name['n1']
+  entry = ingress.Ingress(
+    service=served.serving,
+    is_ready=served.is_ready,
+    is_leaving=lambda: False,
+    read_metrics=served.counters.encode,
+  )
+  runner = program.make_callers_runner(entry, finish=2.0)
+  await runner.setup()
+  listener = socket.socket()
+  # Accepted connections inherit the size.
+  listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER_BYTES)
+  listener.bind(('127.0.0.1', 0))
+  await web.SockSite(runner, listener).start()
+  yield listener.getsockname()[1]
+  await runner.cleanup()
+
+
+def find_unsent(port):
+  """Returns the transports of a port with bytes not given to the kernel."""
+  return [
+    item
+    for item in asyncio.get_running_loop()._transports.values()
+    if (item.get_extra_info('sockname') or ('', 0))[1] == port
+    and item.get_write_buffer_size()
+  ]
+
+
+@pytest.mark.parametrize('version', [b'HTTP/1.0', b'HTTP/1.1'])
+async def test_response_whose_end_is_lost_with_the_daemon_is_not_complete(
+  version,
+):
+  """The kernel has a part of the body when the handler ends.
+
+  A daemon that exits then loses the rest, and its exit closes the socket.
+  """
+  # Less than the transport holds before `write` waits for the caller.
+  body = b'x' * 60_000
+  loop = asyncio.get_running_loop()
+  async with nodes.Nodes() as fleet, serve_with_small_buffers(fleet) as port:
+    fleet.engines.faults.append(
+      make_stream_reply(body, ends_with_connection=True)
+    )
+    with socket.socket() as caller:
+      caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+      caller.setblocking(False)
+      await loop.sock_connect(caller, ('127.0.0.1', port))
+      head = make_head().replace(b'HTTP/1.1', version)
+      await loop.sock_sendall(caller, head)
+      await nodes.wait_until(lambda: find_unsent(port))
+      # Time for the handler to end, which it may do before the bytes are sent.
+      await asyncio.sleep(0.1)
+      (transport,) = find_unsent(port)
+      # Closes the socket and drops the unsent bytes, as the exit does.
+      transport.abort()
+      received = bytearray()
+      with pytest.raises(ConnectionError):
+        while chunk := await loop.sock_recv(caller, 65536):
+          received += chunk
+        assert received.endswith(body)
+
+
+@pytest.mark.parametrize('kind', ['non_idempotent', 'idempotent'])
+async def test_truncated_turn_is_not_kept_on_a_route_of_another_kind(kind):
+  """A configuration may set `retain_history` on a route of any kind."""
+  config = copy.deepcopy(nodes.CONFIG)
+  config['routes'][0]['kind'] = kind
+  async with nodes.Nodes(config=config) as fleet:
+    await fleet.start('n1')
+    fleet.engines.faults.append(make_stream_reply(EVENT, HALF_EVENT))
+    with contextlib.suppress(exchange.ResponseLost):
+      await fleet.turn('n1', 'a', most=10)
+    with pytest.raises(errors.WoadrunError, match='is not found'):
+      await fleet.turn('n1', 'b', parent='a', most=10)
+
+
+async def test_events_of_a_stream_without_history_are_not_held():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1')
+    reply = make_stream_reply(*[EVENT] * 1000)
+    fleet.engines.faults.append(reply)
+    await fleet.ask('n1', nodes.make_request('a', path='/draft/'))
+    assert reply.events.count == 1000
+    assert len(reply.events.data) == 0
+
+
+@contextlib.asynccontextmanager
+async def serve_parts(*parts):
+  """Serves parts of bytes with pauses, then closes; yields the port."""
+
+  async def answer(reader, writer):
+    await reader.readuntil(b'\r\n\r\n')
+    for part in parts:
+      writer.write(part)
+      await writer.drain()
+      await asyncio.sleep(0.05)
+    writer.close()
+
+  server = await asyncio.start_server(answer, '127.0.0.1', 0)
+  async with server:
+    yield server.sockets[0].getsockname()[1]
+
+
+def make_reply_head(*lines):
+  names = ['Request-Id: r', 'Server-Signature: s', *lines]
+  return '\r\n'.join(['HTTP/1.1 200 OK', *names, '', '']).encode()
+
+
+def test_data_field_without_a_colon_is_an_empty_line():
+  reader = events.EventReader()
+  reader.feed(b'data\n\ndata: b\n\n')
+  assert (bytes(reader.data), reader.count) == (b'\nb\n', 2)
+
+
+def test_byte_order_mark_is_not_part_of_the_first_event():
+  reader = events.EventReader()
+  reader.feed(b'\xef\xbb\xbfdata: a\n\ndata: b\n\n')
+  assert (bytes(reader.data), reader.count) == (b'a\nb\n', 2)
+
+
+@pytest.mark.parametrize('coding', ['chunked, gzip', 'xchunked'])
+async def test_body_read_until_the_close_ends_with_its_connection(coding):
+  """The parser reads these until the close: the last coding is not `chunked`.
+
+  The close does not prove that they are complete.
+  """
+  head = make_reply_head(f'Transfer-Encoding: {coding}')
+  async with (
+    serve_parts(head + b'half') as port,
+    connect(port) as client,
+    client.send(make_attempt()) as reply,
+  ):
+    assert b''.join([chunk async for chunk in reply.chunks]) == b'half'
+    assert reply.ends_with_connection
+
+
+async def test_complete_response_is_not_logged_as_ended_within(caplog):
+  caplog.set_level(logging.INFO, 'woadrun.connections')
+  async with (
+    serve_parts(make_reply_head() + b'whole') as port,
+    connect(port) as client,
+    client.send(make_attempt()) as reply,
+  ):
+    assert b''.join([chunk async for chunk in reply.chunks]) == b'whole'
+  assert 'within a response' not in caplog.text
+
+
+async def test_malformed_chunk_is_not_blamed_on_this_daemon():
+  head = make_reply_head('Transfer-Encoding: chunked')
+  async with (
+    serve_parts(head + b'3\r\nabc\r\n', b'zz\r\nabc') as port,
+    connect(port) as client,
+    client.send(make_attempt()) as reply,
+  ):
+    with pytest.raises(exchange.ResponseLost) as caught:
+      async for _ in reply.chunks:
+        pass
+  assert 'this daemon' not in str(caught.value)
