Callers on HTTP/1.0 see that a program's answer was interrupted

The product's own interface ended a truncated answer to a caller on HTTP/1.0 with an orderly close, which is how a complete one ends there: when the owner of the program was lost, when a model call started again at another engine, and when the daemon stopped.

Without chunks only a reset shows the truncation. The platform's endpoints set one up already; the functions that do so are now in `response_ends`, and serve both interfaces and the requests of other daemons.

The tests of the interrupted answer on HTTP/1.0 and of the stop failed before; those of HTTP/1.1 and of a complete answer passed.

--- a/src/woadrun/connection/response_ends.py
+++ b/src/woadrun/connection/response_ends.py
@@ -2,7 +2,8 @@
 
 A body with a length or in chunks shows by itself whether it is complete.  A
 body with neither ends with its connection (RFC 9112, section 6.3): an orderly
-close may be its end or that of a server that failed.
+close may be its end or that of a server that failed.  The same holds for the
+bodies that this process sends.
 """
 
 from __future__ import annotations
@@ -10,17 +11,24 @@
 import asyncio
 import functools
 import logging
+import socket
+import struct
 from typing import Any
 
 import aiohttp
 from aiohttp import client_proto
 from aiohttp import hdrs
+from aiohttp import web
 import multidict
 
 log = logging.getLogger('woadrun.connections')
 
 # Statuses of responses that have no body.
 _STATUSES_WITHOUT_BODY = frozenset((204, 304))
+# Values of SO_LINGER.  With a time of 0, closing the socket, also by the end of
+# the process, resets the connection.
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+_CLOSE_IN_ORDER = struct.pack('ii', 0, 0)
 
 
 class Connector(aiohttp.TCPConnector):
@@ -97,3 +105,50 @@
     # Chunks frame a body only as the last of its codings.
     return codings.rpartition(',')[2].strip().lower() == 'chunked'
   return hdrs.CONTENT_LENGTH in headers
+
+
+# --- Responses of this process ----------------------------------------------
+
+
+def begin_body(http: web.BaseRequest, response: web.StreamResponse) -> None:
+  """Makes any end of a caller's connection look like a truncated response.
+
+  `response` is prepared.  Without chunks, only a reset tells a truncated
+  response from a complete one.
+  """
+  if _has_chunks(response) or http.transport is None:
+    return
+  # `drain` then waits until the kernel has all bytes: those that the process
+  # still has at its end are lost.
+  http.transport.set_write_buffer_limits(0)
+  _set_linger(http.transport, _RESET_ON_CLOSE)
+
+
+async def complete_body(
+  http: web.BaseRequest, response: web.StreamResponse
+) -> None:
+  """Lets the close of a caller's connection end a complete response.
+
+  Returns once the kernel has all bytes of a response without chunks.
+  """
+  if _has_chunks(response):
+    return
+  await http.writer.drain()
+  if http.transport is not None:
+    _set_linger(http.transport, _CLOSE_IN_ORDER)
+
+
+def abort_body(http: web.BaseRequest) -> None:
+  """Ends the caller's connection within a response, which is then truncated."""
+  if http.transport is not None:
+    http.transport.abort()
+
+
+def _has_chunks(response: web.StreamResponse) -> bool:
+  return hdrs.TRANSFER_ENCODING in response.headers
+
+
+def _set_linger(transport: asyncio.Transport, value: bytes) -> None:
+  transport.get_extra_info('socket').setsockopt(
+    socket.SOL_SOCKET, socket.SO_LINGER, value
+  )
--- a/src/woadrun/platform/ingress.py
+++ b/src/woadrun/platform/ingress.py
@@ -6,13 +6,11 @@
 from collections.abc import Callable
 import contextlib
 import logging
-import socket
-import struct
 
-from aiohttp import hdrs
 from aiohttp import web
 
 from woadrun import errors
+from woadrun.connection import response_ends
 from woadrun.platform import wire
 from woadrun.request import exchange
 from woadrun.request import serving
@@ -20,12 +18,6 @@
 log = logging.getLogger('woadrun.ingress')
 
 
-# Values of SO_LINGER.  With a time of 0, closing the socket, also by the end of
-# the process, resets the connection.
-_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
-_CLOSE_IN_ORDER = struct.pack('ii', 0, 0)
-
-
 class _UnframedResponse(web.StreamResponse):
   """A response without length and chunks, which ends with its connection."""
 
@@ -111,20 +103,15 @@
     id = http.headers.get(wire.REQUEST_ID, '')
     try:
       await response.prepare(http)
-      is_framed = hdrs.TRANSFER_ENCODING in response.headers
-      if not is_framed:
-        _reset_on_close(http)
+      response_ends.begin_body(http, response)
       async with contextlib.aclosing(answer.chunks) as chunks:
         async for chunk in chunks:
           await response.write(chunk)
       await response.write_eof()
-      if not is_framed:
-        await http.writer.drain()
-        _close_in_order(http)
+      await response_ends.complete_body(http, response)
     except (exchange.ResponseLost, errors.WoadrunError) as error:
       log.warning('Request %s: response aborted: %s', id, error)
-      if http.transport is not None:
-        http.transport.abort()
+      response_ends.abort_body(http)
       raise
     except (ConnectionError, asyncio.CancelledError):
       log.info('Request %s: the caller disconnected.', id)
@@ -138,28 +125,3 @@
     if self._is_leaving():
       response.force_close()
     return response
-
-
-def _reset_on_close(http: web.BaseRequest) -> None:
-  """Makes any end of a caller's connection look like a truncated response.
-
-  Without chunks, only a reset tells it from a complete one.
-  """
-  if http.transport is None:
-    return
-  # `drain` then waits until the kernel has all bytes: those that the process
-  # still has at its end are lost.
-  http.transport.set_write_buffer_limits(0)
-  _set_linger(http.transport, _RESET_ON_CLOSE)
-
-
-def _close_in_order(http: web.BaseRequest) -> None:
-  """Lets the close of a caller's connection end a complete response."""
-  if http.transport is not None:
-    _set_linger(http.transport, _CLOSE_IN_ORDER)
-
-
-def _set_linger(transport: asyncio.Transport, value: bytes) -> None:
-  transport.get_extra_info('socket').setsockopt(
-    socket.SOL_SOCKET, socket.SO_LINGER, value
-  )
--- a/src/woadrun/process/peer_routes.py
+++ b/src/woadrun/process/peer_routes.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from woadrun.connection import messages
+from woadrun.connection import response_ends
 from woadrun.process import cache_reconciler
 from woadrun.process import configuration
 from woadrun.process import dispatcher
@@ -148,7 +149,7 @@
     try:
       return await gateway.write_chunks(request, response, answer.read())
     except calls.StreamInterrupted:
-      gateway.abort_connection(request)
+      response_ends.abort_body(request)
       return response
     except ConnectionResetError:
       # The gateway or its caller has closed the connection.
--- a/src/woadrun/request/gateway.py
+++ b/src/woadrun/request/gateway.py
@@ -17,6 +17,7 @@
 
 from woadrun import errors
 from woadrun import settings
+from woadrun.connection import response_ends
 from woadrun.process import membership
 from woadrun.request import access
 from woadrun.request import calls
@@ -265,7 +266,7 @@
         return await write_chunks(request, response, opened.chunks)
       except calls.StreamInterrupted:
         if response.prepared:
-          abort_connection(request)
+          response_ends.abort_body(request)
           return response
       except ConnectionResetError:
         # The caller disconnected; the call continues so that a retry with
@@ -289,22 +290,15 @@
     async for chunk in source:
       if not response.prepared:
         await response.prepare(request)
+        response_ends.begin_body(request, response)
       await response.write(chunk)
   if not response.prepared:
     await response.prepare(request)
   await response.write_eof()
+  await response_ends.complete_body(request, response)
   return response
 
 
-def abort_connection(request: web.Request) -> None:
-  """Aborts the connection of a request.
-
-  The missing end of the response shows the client that it is truncated.
-  """
-  if request.transport is not None:
-    request.transport.abort()
-
-
 # --- Reading requests -------------------------------------------------------
 
 
--- /dev/null
+++ b/tests/test_truncated_product_responses.py
@@ -0,0 +1,160 @@
+"""Truncated responses of engines, services, stores and other daemons."""
+
+import asyncio
+import contextlib
+import types
+
+import aiohttp
+from aiohttp import web
+import pytest
+import test_call_attempts as attempts
+import test_truncated_responses as truncated
+
+from woadrun.connection import engine
+from woadrun.connection import response_ends
+from woadrun.process import daemon
+from woadrun.request import calls
+from woadrun.request import forwarding
+from woadrun.request import gateway
+
+UNFRAMED = b'HTTP/1.1 200 OK\r\nETag: "1"\r\n\r\n'
+UNFRAMED_JSON = b'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n'
+EMPTY = b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
+NOT_FOUND = b'HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n'
+DONE_EVENT = b'data: [DONE]\n\n'
+TIMEOUT_SECONDS = 5.0
+
+
+def frame(body):
+  return b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b' % (len(body), body)
+
+
+def make_event(content):
+  event = {'choices': [{'delta': {'content': content}}]}
+  return b'data: ' + engine.msgspec.json.encode(event) + b'\n\n'
+
+
+class RawServer:
+  """Sends raw responses, the last one repeatedly, and ends each connection.
+
+  `paths` are those of the requests.
+  """
+
+  def __init__(self, *responses, is_reset=False):
+    self._responses = list(responses)
+    self._is_reset = is_reset
+    self.paths = []
+    self.address = ''
+
+  @contextlib.asynccontextmanager
+  async def run(self):
+    """Yields a session for requests to the server."""
+    server = await asyncio.start_server(self._answer, '127.0.0.1', 0)
+    self.address = f'127.0.0.1:{server.sockets[0].getsockname()[1]}'
+    connector = response_ends.Connector()
+    async with server, aiohttp.ClientSession(connector=connector) as session:
+      yield session
+
+  @property
+  def url(self):
+    return f'http://{self.address}'
+
+  async def _answer(self, reader, writer):
+    head = await reader.readuntil(b'\r\n\r\n')
+    self.paths.append(head.split()[1].decode())
+    for line in head.decode().lower().split('\r\n'):
+      if line.startswith('content-length:'):
+        await reader.readexactly(int(line.partition(':')[2]))
+    is_last = len(self._responses) == 1
+    response = self._responses[0] if is_last else self._responses.pop(0)
+    writer.write(response)
+    await writer.drain()
+    await asyncio.sleep(0.05)
+    if self._is_reset:
+      truncated.reset(writer)
+    else:
+      writer.close()
+
+
+# --- Callers -----------------------------------------------------------------
+
+
+class Opening:
+  """Forwards calls to an owner whose answer consists of `chunks`."""
+
+  def __init__(self, *, chunks):
+    self._chunks = chunks
+
+  async def open_call(self, call, *, is_stream):
+    return forwarding.OpenedResponse(
+      status=200,
+      content_type=calls.STREAM_TYPE,
+      chunks=self._chunks,
+      close=lambda: None,
+    )
+
+
+@contextlib.asynccontextmanager
+async def serve_calls(chunks):
+  """Yields the port of a gateway whose calls have one answer."""
+  routes = gateway.Gateway(
+    config=None,
+    members=None,
+    authenticator=types.SimpleNamespace(authenticate_caller=lambda _: ['*']),
+    forwarding=Opening(chunks=chunks),
+  ).get_routes()
+  application = web.Application(middlewares=[daemon.handle_errors])
+  application.add_routes(routes)
+  runner = web.AppRunner(application, shutdown_timeout=0.1)
+  await runner.setup()
+  await web.TCPSite(runner, '127.0.0.1', 0).start()
+  try:
+    yield runner.addresses[0][1]
+  finally:
+    await runner.cleanup()
+
+
+def make_request(version):
+  path = f'/v1/programs/{attempts.PROGRAM}/services/s/act'.encode()
+  head = b'POST %b HTTP/%b\r\nHost: h\r\n' % (path, version)
+  return head + b'Connection: close\r\nContent-Length: 2\r\n\r\n{}'
+
+
+@pytest.mark.parametrize('version', [b'1.0', b'1.1'])
+async def test_caller_sees_that_an_answer_was_interrupted(version):
+  async def interrupt():
+    yield b'half'
+    await asyncio.sleep(0.1)
+    raise calls.StreamInterrupted
+
+  async with serve_calls(interrupt()) as port:
+    found, is_reset = await truncated.read_until_end(
+      port, make_request(version)
+    )
+  assert b'half' in found
+  assert is_reset or (version == b'1.1' and not found.endswith(b'0\r\n\r\n'))
+
+
+async def test_stop_of_the_daemon_does_not_complete_an_answer():
+  async def hang():
+    yield b'half'
+    await asyncio.Event().wait()
+
+  async with serve_calls(hang()) as port:
+    task = asyncio.ensure_future(
+      truncated.read_until_end(port, make_request(b'1.0'))
+    )
+    await asyncio.sleep(0.2)
+  found, is_reset = await task
+  assert found.endswith(b'half')
+  assert is_reset
+
+
+async def test_caller_on_http_1_0_sees_the_end_of_an_answer():
+  async def finish():
+    yield b'whole'
+
+  async with serve_calls(finish()) as port:
+    found, is_reset = await truncated.read_until_end(port, make_request(b'1.0'))
+  assert found.endswith(b'whole')
+  assert not is_reset
