Answers of daemons without a length are not relayed as complete

A daemon sends each answer with a length or in chunks. One with neither, which something between two daemons has cut or replaced, was relayed to the caller in chunks with a last chunk, and was decoded as the answer of a peer: a part of it that is not JSON was reported to the caller as its own bad request, which has "not run". The command line and the client for callers took it as a result.

An error answer that broke off raised an error of the HTTP library: the caller got status 500 in place of another attempt at the owner.

All three readers now check the framing by one function. To a forwarded call such an answer, or a truncated error, is an unreachable owner with an unknown outcome, so that it is sent again under its id.

The sessions of the command line need no connector of their own: what is left to them are framed answers, whose end aiohttp checks.

--- a/src/woadrun/connection/client.py
+++ b/src/woadrun/connection/client.py
@@ -17,6 +17,7 @@
 import msgspec
 
 from woadrun import errors
+from woadrun.connection import response_ends
 
 RETRY_DELAY_SECONDS = 0.1
 ATTEMPT_TIMEOUT_SECONDS = 60.0
@@ -160,6 +161,7 @@
       headers=headers,
       timeout=aiohttp.ClientTimeout(total=ATTEMPT_TIMEOUT_SECONDS),
     ) as response:
+      response_ends.check_framed(response)
       content = await response.read()
       if response.headers.get('Woadrun-Error'):
         raise errors.from_body(content)
--- a/src/woadrun/connection/peers.py
+++ b/src/woadrun/connection/peers.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from woadrun import errors
+from woadrun.connection import response_ends
 from woadrun.connection import tcp_connections
 
 T = TypeVar('T')
@@ -84,7 +85,7 @@
     """Sends a message and returns the peer's answer.
 
     `timeout` is in seconds.  Raises the error that the peer returned, or
-    `NoAnswer` without a response; the peer may then have processed the
+    `NoAnswer` without a complete response; the peer may then have processed the
     message.
     """
     host, generation = address, None
@@ -103,6 +104,7 @@
           total=timeout, sock_connect=min(timeout, CONNECT_TIMEOUT_SECONDS)
         ),
       ) as response:
+        response_ends.check_framed(response)
         data = await response.read()
     except (TimeoutError, aiohttp.ClientError, OSError) as error:
       if isinstance(error, TimeoutError) and self._addresses is not None:
--- a/src/woadrun/connection/response_ends.py
+++ b/src/woadrun/connection/response_ends.py
@@ -107,6 +107,18 @@
   return hdrs.CONTENT_LENGTH in headers
 
 
+def check_framed(response: aiohttp.ClientResponse) -> None:
+  """Raises `aiohttp.ClientPayloadError` for a body without length and chunks.
+
+  For the responses of daemons, which always have one of them: without, the
+  response is not the daemon's, and its end is not known.
+  """
+  if ends_with_connection(response):
+    raise aiohttp.ClientPayloadError(
+      'The response has neither a length nor chunks.'
+    )
+
+
 # --- Responses of this process ----------------------------------------------
 
 
--- a/src/woadrun/request/forwarding.py
+++ b/src/woadrun/request/forwarding.py
@@ -26,6 +26,7 @@
 from woadrun import errors
 from woadrun import settings
 from woadrun.connection import peers
+from woadrun.connection import response_ends
 from woadrun.process import membership
 from woadrun.request import calls
 from woadrun.request import owner
@@ -259,14 +260,12 @@
     self._remote_calls.add(remote_call)
     try:
       response = await self._wait_for_headers(task, address)
-      if response.headers.get('Woadrun-Error'):
-        with contextlib.closing(response):
-          raise errors.from_body(await response.read())
+      remote_call.close = response.close
+      await _check_head(response, address)
     except BaseException:
       self._remote_calls.discard(remote_call)
       task.cancel()
       raise
-    remote_call.close = response.close
     return OpenedResponse(
       status=response.status,
       content_type=response.content_type,
@@ -282,10 +281,10 @@
     if error is None:
       return task.result()
     is_refused = isinstance(error, aiohttp.ClientConnectorError)
-    raise errors.WoadrunError(
-      errors.Code.OWNER_UNAVAILABLE,
-      f'No response from {address}: {type(error).__name__}.',
-      ran=errors.RunStatus.NOT_RUN if is_refused else errors.RunStatus.UNKNOWN,
+    raise _make_unavailable(
+      address,
+      error,
+      errors.RunStatus.NOT_RUN if is_refused else errors.RunStatus.UNKNOWN,
     )
 
   async def _read_chunks(
@@ -341,6 +340,34 @@
   return await local.fetch_program(steer)
 
 
+async def _check_head(response: aiohttp.ClientResponse, address: str) -> None:
+  """Raises the error in a response, or that the end of its body is not known.
+
+  The response is closed if an error is raised.
+  """
+  try:
+    response_ends.check_framed(response)
+    if response.headers.get('Woadrun-Error'):
+      raise errors.from_body(await response.read())
+  except BaseException as error:
+    response.close()
+    if isinstance(error, TimeoutError | aiohttp.ClientError | OSError):
+      raise _make_unavailable(
+        address, error, errors.RunStatus.UNKNOWN
+      ) from error
+    raise
+
+
+def _make_unavailable(
+  address: str, error: BaseException, ran: errors.RunStatus
+) -> errors.WoadrunError:
+  return errors.WoadrunError(
+    errors.Code.OWNER_UNAVAILABLE,
+    f'No response from {address}: {type(error).__name__}.',
+    ran=ran,
+  )
+
+
 def _is_retriable(error: errors.WoadrunError) -> bool:
   is_unavailable = error.code is errors.Code.OWNER_UNAVAILABLE
   return error.code is errors.Code.NOT_OWNER or is_unavailable
--- a/tests/test_truncated_product_responses.py
+++ b/tests/test_truncated_product_responses.py
@@ -10,7 +10,10 @@
 import test_call_attempts as attempts
 import test_truncated_responses as truncated
 
+from woadrun import errors
+from woadrun.connection import client
 from woadrun.connection import engine
+from woadrun.connection import peers
 from woadrun.connection import response_ends
 from woadrun.process import daemon
 from woadrun.request import calls
@@ -76,6 +79,66 @@
       writer.close()
 
 
+# --- Other daemons -----------------------------------------------------------
+
+
+@pytest.mark.parametrize('body', [b'', b'{}', b'{"a":'])
+async def test_answer_of_a_daemon_without_length_is_no_answer(body):
+  server = RawServer(UNFRAMED + body)
+  async with server.run() as session:
+    with pytest.raises(peers.NoAnswer) as caught:
+      await peers.Peers(session=session, key='k').post(
+        server.address, 'p', {}, type=dict, timeout=1.0
+      )
+  assert caught.value.ran is errors.RunStatus.UNKNOWN
+
+
+def make_forwarder(session):
+  return forwarding.Forwarder(
+    config=None,
+    members=None,
+    messenger=peers.Peers(session=session, key='k'),
+    local=None,
+  )
+
+
+async def test_forwarded_answer_without_length_is_not_complete():
+  server = RawServer(UNFRAMED + b'{}')
+  async with server.run() as session:
+    with pytest.raises(errors.WoadrunError) as caught:
+      await make_forwarder(session)._open_remote(
+        server.address, attempts.make_call(), is_stream=True
+      )
+  assert caught.value.code is errors.Code.OWNER_UNAVAILABLE
+  assert caught.value.ran is errors.RunStatus.UNKNOWN
+
+
+async def test_forwarded_answer_that_breaks_off_is_interrupted():
+  server = RawServer(b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf')
+  async with server.run() as session:
+    opened = await make_forwarder(session)._open_remote(
+      server.address, attempts.make_call(), is_stream=True
+    )
+    with pytest.raises(calls.StreamInterrupted):
+      async for _ in opened.chunks:
+        pass
+    opened.close()
+
+
+async def test_forwarded_error_that_breaks_off_is_retried():
+  server = RawServer(
+    b'HTTP/1.1 503 Unavailable\r\nWoadrun-Error: not_owner\r\n'
+    b'Content-Length: 90\r\n\r\n{"error'
+  )
+  async with server.run() as session:
+    with pytest.raises(errors.WoadrunError) as caught:
+      await make_forwarder(session)._open_remote(
+        server.address, attempts.make_call(), is_stream=True
+      )
+  assert caught.value.code is errors.Code.OWNER_UNAVAILABLE
+  assert caught.value.ran is errors.RunStatus.UNKNOWN
+
+
 # --- Callers -----------------------------------------------------------------
 
 
@@ -158,3 +221,18 @@
     found, is_reset = await truncated.read_until_end(port, make_request(b'1.0'))
   assert found.endswith(b'whole')
   assert not is_reset
+
+
+# --- Clients -----------------------------------------------------------------
+
+
+async def test_client_repeats_a_request_whose_answer_has_no_length():
+  server = RawServer(UNFRAMED + b'{"version": 1}', frame(b'{"version": 2}'))
+  async with server.run() as session, aiohttp.ClientSession() as plain:
+    for used in (session, plain):
+      server._responses[:] = [UNFRAMED + b'12', frame(b'123')]
+      caller = client.Client(
+        session=used, addresses=[server.address], token='t', patience=5.0
+      )
+      assert await caller.ask('GET', '/') == 123
+      assert caller.retries == 1
