Truncated values of the stores are not read as values

A response of the table service or the object store with neither a length nor chunks, cut by an orderly close, was a value. An empty one in place of a group of records was read as a group without records, so that a slot was loaded without them; in place of an archived program it was a program that does not exist. Half a value raised an error of the decoder, which no caller of the stores expects: a request of a caller failed with "bad request, not run", a load of a slot and the polls of the roster, the table and the VMs ended with it. A part of a listing or of a number can be a value itself.

`response_ends.is_complete` tells whether all of a body is known to have arrived: by its length, its chunks, or as JSON that shows its end, which all values of the stores are. `http.send` checks it for each value that it returns; other responses are known by their status. `http.decode` makes a malformed or empty value `platform_unavailable`, an error that all callers retry. A roster that cannot be read no longer confirms that the daemon reaches the table.

The writes were right: a truncated response to a transaction or a row is an unknown outcome, and the row is read back.

--- a/src/woadrun/connection/engine.py
+++ b/src/woadrun/connection/engine.py
@@ -127,7 +127,7 @@
   async def get_cache(self) -> list[CachedPrefix]:
     """Returns the size of the prefix cache for each salt."""
     data = await self._get('/v1/cache')
-    return msgspec.json.decode(data, type=list[CachedPrefix])
+    return http.decode(data, type=list[CachedPrefix])
 
   async def drop_cache(self, salt: str, *, fencing: int) -> None:
     """Evicts the prefix cache of a salt.
--- a/src/woadrun/connection/http.py
+++ b/src/woadrun/connection/http.py
@@ -1,18 +1,24 @@
 """HTTP requests to the platform's services.
 
-Timeouts, connection failures and server errors are raised as
-`platform_unavailable`.
+Timeouts, connection failures, truncated responses and server errors are raised
+as `platform_unavailable`.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable
 import dataclasses
+from typing import TypeVar
 
 import aiohttp
+from aiohttp import hdrs
+import msgspec
 import yarl
 
 from woadrun import errors
+from woadrun.connection import response_ends
+
+T = TypeVar('T')
 
 RETRY_AFTER_SECONDS = 1.0
 
@@ -44,9 +50,9 @@
 
   `timeout` is in seconds.  `on_silence` is called when the request times out.
 
-  Raises `platform_unavailable` when there is no response within the timeout
-  or its status is 429, or 500 and above.  Unless the error's `ran` is `not
-  run`, a write may have taken effect.
+  Raises `platform_unavailable` when there is no complete response within the
+  timeout or its status is 429, or 500 and above.  Unless the error's `ran` is
+  `not run`, a write may have taken effect.
   """
   limit = aiohttp.ClientTimeout(total=timeout)
   try:
@@ -71,9 +77,26 @@
   if response.status >= 500:
     message = f'{url}: returned status {response.status}'
     raise _unavailable(message, errors.RunStatus.UNKNOWN)
+  is_value = method == hdrs.METH_GET and response.status == 200
+  # The status of any other response has its result.
+  if is_value and not response_ends.is_complete(response, data):
+    message = f'{url}: the end of the response is not known'
+    raise _unavailable(message, errors.RunStatus.UNKNOWN)
   return Reply(status=response.status, body=data, etag=etag)
 
 
+def decode(body: bytes, *, type: type[T]) -> T:
+  """Returns the value of a JSON body, decoded as `type`.
+
+  Raises `platform_unavailable` if the body is empty or malformed.
+  """
+  try:
+    return msgspec.json.decode(body, type=type)
+  except msgspec.MsgspecError as error:
+    message = f'A response of the platform is malformed: {error}'
+    raise _unavailable(message, errors.RunStatus.UNKNOWN) from error
+
+
 def _unavailable(message: str, ran: errors.RunStatus) -> errors.WoadrunError:
   return errors.WoadrunError(
     errors.Code.PLATFORM_UNAVAILABLE,
--- a/src/woadrun/connection/objects.py
+++ b/src/woadrun/connection/objects.py
@@ -5,7 +5,6 @@
 import urllib.parse
 
 import aiohttp
-import msgspec
 
 from woadrun.connection import http
 
@@ -49,7 +48,7 @@
     """Returns all keys that start with `prefix`, in ascending order."""
     query = urllib.parse.urlencode({'prefix': prefix})
     reply = await self._send('GET', f'/objects?{query}')
-    return msgspec.json.decode(reply.body, type=list[str])
+    return http.decode(reply.body, type=list[str])
 
   async def _send(
     self, method: str, path: str, body: bytes | None = None
--- a/src/woadrun/connection/response_ends.py
+++ b/src/woadrun/connection/response_ends.py
@@ -19,6 +19,7 @@
 from aiohttp import client_proto
 from aiohttp import hdrs
 from aiohttp import web
+import msgspec
 import multidict
 
 log = logging.getLogger('woadrun.connections')
@@ -107,6 +108,26 @@
   return hdrs.CONTENT_LENGTH in headers
 
 
+def is_complete(response: aiohttp.ClientResponse, body: bytes) -> bool:
+  """Returns whether the whole body is known to have arrived.
+
+  `body` is what was read until the end of the response.  A body that ends with
+  its connection is known to be complete only if it is JSON that shows its end:
+  an object, an array or a string.  A part of a number can be a number.
+  """
+  return not ends_with_connection(response) or _is_delimited_json(body)
+
+
+def _is_delimited_json(body: bytes) -> bool:
+  if not body.lstrip().startswith((b'{', b'[', b'"')):
+    return False
+  try:
+    msgspec.json.decode(body)
+  except msgspec.DecodeError:
+    return False
+  return True
+
+
 def check_framed(response: aiohttp.ClientResponse) -> None:
   """Raises `aiohttp.ClientPayloadError` for a body without length and chunks.
 
--- a/src/woadrun/connection/table.py
+++ b/src/woadrun/connection/table.py
@@ -80,7 +80,7 @@
     self.reads += 1
     url = f'{self._url}/tables/{table}/rows?after={after}&limit={limit}'
     reply = await http.send(self._session, 'GET', url, timeout=self._timeout)
-    return msgspec.json.decode(reply.body, type=list[ListedRow])
+    return http.decode(reply.body, type=list[ListedRow])
 
   async def write(
     self, table: str, key: str, value: bytes, *, etag: str | None
@@ -130,7 +130,7 @@
     """
     while True:
       row = await self.read(table, key)
-      current = msgspec.json.decode(row.value, type=type) if row else empty
+      current = http.decode(row.value, type=type) if row else empty
       new = change(current)
       if new is None:
         return current
@@ -165,4 +165,4 @@
     row = await self.read(table, key)
     if row is None:
       return False
-    return msgspec.json.decode(row.value, type=WriteMarker).write_id == write_id
+    return http.decode(row.value, type=WriteMarker).write_id == write_id
--- a/src/woadrun/connection/vms.py
+++ b/src/woadrun/connection/vms.py
@@ -32,4 +32,4 @@
   reply = await http.send(
     session, 'GET', f'{url.rstrip("/")}/vms', timeout=timeout
   )
-  return msgspec.json.decode(reply.body, type=list[Vm])
+  return http.decode(reply.body, type=list[Vm])
--- a/src/woadrun/process/configuration.py
+++ b/src/woadrun/process/configuration.py
@@ -20,6 +20,7 @@
 
 from woadrun import errors
 from woadrun import settings
+from woadrun.connection import http
 from woadrun.connection import messages
 from woadrun.connection import objects
 from woadrun.connection import peers
@@ -145,10 +146,12 @@
     row = await self._table.read(POINTER_TABLE, POINTER_KEY)
     if row is None:
       return
-    pointer = msgspec.json.decode(row.value, type=Pointer)
+    pointer = http.decode(row.value, type=Pointer)
     data = await self._snapshots.get(_make_snapshot_key(pointer.version))
     if data is not None:
-      self._load(pointer.version, msgspec.json.decode(data))
+      self._load(
+        pointer.version, http.decode(data, type=list[dict[str, object]])
+      )
 
   def get_edits(self, after: int) -> messages.Edits:
     """Returns the edits after version `after`.
--- a/src/woadrun/process/membership.py
+++ b/src/woadrun/process/membership.py
@@ -26,6 +26,7 @@
 
 from woadrun import errors
 from woadrun import settings
+from woadrun.connection import http
 from woadrun.connection import messages
 from woadrun.connection import peers
 from woadrun.connection import table
@@ -243,9 +244,10 @@
     """
     started = time.monotonic()
     row = await self._table.read(ROSTER_TABLE, self.domain)
+    found = http.decode(row.value, type=roster.Roster) if row else None
     self._record_confirmed(started)
-    if row is not None:
-      self.apply_roster(msgspec.json.decode(row.value, type=roster.Roster))
+    if found is not None:
+      self.apply_roster(found)
 
   async def confirm_not_isolated(self) -> None:
     """Returns once it is certain that this daemon is not isolated.
--- a/src/woadrun/process/storage.py
+++ b/src/woadrun/process/storage.py
@@ -19,6 +19,7 @@
 
 from woadrun import errors
 from woadrun import settings
+from woadrun.connection import http
 from woadrun.connection import messages
 from woadrun.connection import objects
 from woadrun.process import groups
@@ -207,7 +208,7 @@
     for key in reversed(await self._store.list_keys(prefix)):
       data = await self._store.get(key)
       if data is not None:
-        found = msgspec.json.decode(data, type=Checkpoint)
+        found = http.decode(data, type=Checkpoint)
         return found.state, found.version, _get_written_at(key)
     return program.SlotState(), roster.Version(), 0.0
 
@@ -220,7 +221,9 @@
     async def read(key: str) -> list[messages.Append]:
       async with semaphore:
         data = await self._store.get(key)
-      decoded = msgspec.json.decode(data or b'[]', type=list[messages.Append])
+      if data is None:
+        return []
+      decoded = http.decode(data, type=list[messages.Append])
       return [append for append in decoded if append.slot == slot]
 
     groups = await asyncio.gather(*(read(key) for key in recent_keys))
--- a/src/woadrun/request/upstreams.py
+++ b/src/woadrun/request/upstreams.py
@@ -370,7 +370,7 @@
   async def read_archive(self, program_id: str) -> program.Program | None:
     """Returns a program archived in this domain, or None if there is none."""
     data = await self._store.get(self._get_archive_key(program_id))
-    return msgspec.json.decode(data, type=program.Program) if data else None
+    return None if data is None else http.decode(data, type=program.Program)
 
   def _get_archive_key(self, program_id: str) -> str:
     return f'history/{self._members.domain}/{program_id}'
--- a/tests/test_truncated_product_responses.py
+++ b/tests/test_truncated_product_responses.py
@@ -8,17 +8,27 @@
 from aiohttp import web
 import pytest
 import test_call_attempts as attempts
+import test_membership as members
 import test_truncated_responses as truncated
 
 from woadrun import errors
 from woadrun.connection import client
 from woadrun.connection import engine
+from woadrun.connection import http
+from woadrun.connection import objects
 from woadrun.connection import peers
 from woadrun.connection import response_ends
+from woadrun.connection import rows
+from woadrun.connection import table
+from woadrun.connection import tcp_connections
+from woadrun.connection import vms
+from woadrun.platform import store
 from woadrun.process import daemon
+from woadrun.process import storage
 from woadrun.request import calls
 from woadrun.request import forwarding
 from woadrun.request import gateway
+from woadrun.request import upstreams
 
 UNFRAMED = b'HTTP/1.1 200 OK\r\nETag: "1"\r\n\r\n'
 UNFRAMED_JSON = b'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n'
@@ -79,6 +89,172 @@
       writer.close()
 
 
+# --- Stores ------------------------------------------------------------------
+
+
+async def read_object(session, url):
+  found = objects.ObjectStore(session=session, url=url, timeout=1.0)
+  return await found.get('k')
+
+
+async def load_slot(session, url):
+  """Loads a slot without a checkpoint, whose log has one object."""
+
+  class Listed(objects.ObjectStore):
+    async def list_keys(self, prefix):
+      return [f'{prefix}1-a-1'] if prefix.startswith('log/') else []
+
+  found = storage.SlotStorage(
+    config=types.SimpleNamespace(
+      daemon=types.SimpleNamespace(domain='north', slots=1)
+    ),
+    store=Listed(session=session, url=url, timeout=1.0),
+    writer=None,
+  )
+  return await found.load(0, answers=1)
+
+
+async def read_archive(session, url):
+  found = upstreams.UpstreamCalls(
+    config=types.SimpleNamespace(engines=[], services=[]),
+    session=session,
+    members=types.SimpleNamespace(domain='north'),
+    places=None,
+    store=objects.ObjectStore(session=session, url=url, timeout=1.0),
+  )
+  return await found.read_archive('p')
+
+
+async def read_row(session, url):
+  found = table.Table(session=session, url=url, timeout=1.0)
+  return await found.read('t', 'k')
+
+
+async def update_row(session, url):
+  found = table.Table(session=session, url=url, timeout=1.0)
+  return await found.update(
+    't', 'k', lambda _: None, type=table.WriteMarker, empty=table.WriteMarker()
+  )
+
+
+async def list_rows(session, url):
+  found = table.Table(session=session, url=url, timeout=1.0)
+  return await found.list_after('t', '')
+
+
+async def list_keys(session, url):
+  found = objects.ObjectStore(session=session, url=url, timeout=1.0)
+  return await found.list_keys('')
+
+
+async def list_vms(session, url):
+  return await vms.read(session, url, timeout=1.0)
+
+
+async def get_cache(session, url):
+  return await engine.Engine(session=session, url=url).get_cache()
+
+
+def make_store(session, url):
+  return store.Store(
+    session=session,
+    address=url.removeprefix('http://'),
+    timeout=1.0,
+    addresses=tcp_connections.Addresses(),
+  )
+
+
+async def read_page(session, url):
+  return await make_store(session, url).read('t', 'p')
+
+
+async def follow_table(session, url):
+  return await make_store(session, url).follow('t', after=0, wait=0.1)
+
+
+async def read_roster(session, url):
+  found, _ = members.make_membership(None, '127.0.0.1:8000')
+  found._table = table.Table(session=session, url=url, timeout=1.0)
+  confirmed = []
+  found._record_confirmed = confirmed.append
+  try:
+    await found.refresh_roster()
+  finally:
+    assert not confirmed
+
+
+READS = [
+  read_object,
+  load_slot,
+  read_archive,
+  read_row,
+  update_row,
+  list_rows,
+  list_keys,
+  list_vms,
+  get_cache,
+  read_page,
+  follow_table,
+  read_roster,
+]
+
+
+@pytest.mark.parametrize('is_reset', [False, True])
+@pytest.mark.parametrize('body', [b'', b'[{"key": "a", "va', b'12', b'[] []'])
+@pytest.mark.parametrize('read', READS)
+async def test_truncated_response_of_a_store_is_no_value(read, body, is_reset):
+  server = RawServer(UNFRAMED + body, is_reset=is_reset)
+  async with server.run() as session:
+    with pytest.raises(errors.WoadrunError) as caught:
+      await read(session, server.url)
+    assert caught.value.code is errors.Code.PLATFORM_UNAVAILABLE
+
+
+@pytest.mark.parametrize(
+  'read', [read for read in READS if read not in (read_object, read_row)]
+)
+async def test_empty_response_of_a_store_is_no_value(read):
+  server = RawServer(EMPTY)
+  async with server.run() as session:
+    with pytest.raises(errors.WoadrunError) as caught:
+      await read(session, server.url)
+    assert caught.value.code is errors.Code.PLATFORM_UNAVAILABLE
+
+
+async def test_value_without_length_that_shows_its_end_is_read():
+  server = RawServer(UNFRAMED + b'[{"a": 1}]')
+  async with server.run() as session:
+    assert await read_object(session, server.url) == b'[{"a": 1}]'
+
+
+@pytest.mark.parametrize('is_reset', [False, True])
+async def test_transaction_with_a_truncated_response_may_have_run(is_reset):
+  server = RawServer(UNFRAMED + b'{"ver": 1', is_reset=is_reset)
+  async with server.run() as session:
+    with pytest.raises(errors.WoadrunError) as caught:
+      await make_store(session, server.url).change(
+        writes=[(rows.Key('t', 'p', 'k'), b'v')]
+      )
+  assert caught.value.ran is errors.RunStatus.UNKNOWN
+
+
+async def test_row_is_read_back_after_a_truncated_response_to_its_write():
+  server = RawServer(
+    b'HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf',
+    frame(b'{"write_id": "w"}'),
+  )
+  async with server.run() as session:
+    found = table.Table(session=session, url=server.url, timeout=1.0)
+    await found.write('t', 'k', b'{"write_id": "w"}', etag=None)
+  assert (found.writes, found.reads) == (1, 1)
+
+
+async def test_write_is_done_though_its_empty_response_has_no_length():
+  server = RawServer(b'HTTP/1.0 200 OK\r\n\r\n')
+  async with server.run() as session:
+    await http.send(session, 'PUT', server.url, timeout=1.0, body=b'{}')
+
+
 # --- Other daemons -----------------------------------------------------------
 
 
