Truncated responses of services are not recorded as outcomes

The outcome of an action is recorded for good, and retries get it under their id. A response with neither a length nor chunks, cut by an orderly close, was recorded as it had arrived: empty, or half a JSON value, with status 200, while the service had the whole outcome to tell.

Such a response is lost unless it is JSON that shows its end, by the rule for the stores. The call then takes the path of a reset: the service is asked for the outcome of an action, and the caller gets `outcome_unknown` if it cannot tell; a repeatable call is sent again. A failed call keeps its status, unless it declares JSON and has only a part of it.

A service whose successful responses are plain text without a length has no known outcomes now. Ruled out: accepting them, since a part of a text cannot be told from the whole one.

--- a/src/woadrun/connection/service.py
+++ b/src/woadrun/connection/service.py
@@ -6,9 +6,11 @@
 
 from woadrun import errors
 from woadrun.connection import http
+from woadrun.connection import response_ends
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 OUTCOME_TIMEOUT_SECONDS = 2.0
+JSON_TYPE = 'application/json'
 
 
 class Service:
@@ -24,12 +26,13 @@
     """Calls an action and returns the service's response.
 
     Raises an error whose `ran` is `not run` only when no connection was
-    established, so no byte of the call can have reached the service.
+    established, so no byte of the call can have reached the service.  A
+    response of which a part may be missing raises an error with `unknown`.
     """
     limit = aiohttp.ClientTimeout(
       total=timeout, sock_connect=CONNECT_TIMEOUT_SECONDS
     )
-    headers = {'Idempotency-Key': request, 'Content-Type': 'application/json'}
+    headers = {'Idempotency-Key': request, 'Content-Type': JSON_TYPE}
     try:
       async with self._session.post(
         f'{self._url}/actions/{action}',
@@ -38,6 +41,8 @@
         timeout=limit,
       ) as response:
         data = await response.read()
+        if _is_lost(response, data):
+          raise aiohttp.ClientPayloadError('The end of the body is not known.')
         return http.Reply(status=response.status, body=data)
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
       raise errors.WoadrunError(
@@ -67,3 +72,12 @@
     except errors.WoadrunError:
       return None
     return reply if reply.status == 200 else None
+
+
+def _is_lost(response: aiohttp.ClientResponse, body: bytes) -> bool:
+  """Returns whether a part of a response may be missing that has its result.
+
+  The result of a failed call is its status, unless there is JSON with it.
+  """
+  has_result = response.status < 400 or response.content_type == JSON_TYPE
+  return has_result and not response_ends.is_complete(response, body)
--- a/tests/test_truncated_product_responses.py
+++ b/tests/test_truncated_product_responses.py
@@ -19,6 +19,7 @@
 from woadrun.connection import peers
 from woadrun.connection import response_ends
 from woadrun.connection import rows
+from woadrun.connection import service
 from woadrun.connection import table
 from woadrun.connection import tcp_connections
 from woadrun.connection import vms
@@ -29,6 +30,7 @@
 from woadrun.request import forwarding
 from woadrun.request import gateway
 from woadrun.request import upstreams
+from woadrun.version import program
 
 UNFRAMED = b'HTTP/1.1 200 OK\r\nETag: "1"\r\n\r\n'
 UNFRAMED_JSON = b'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n'
@@ -89,6 +91,111 @@
       writer.close()
 
 
+# --- Service calls -----------------------------------------------------------
+
+
+async def run_service(*responses, is_reset=False, repeatable=False):
+  """Returns the outcome or error of a call, and the paths requested."""
+  server = RawServer(*responses, is_reset=is_reset)
+  async with server.run() as session:
+    service_calls = upstreams.UpstreamCalls(
+      config=types.SimpleNamespace(
+        engines=[],
+        services=[
+          types.SimpleNamespace(
+            name='s', url=server.url, timeout=TIMEOUT_SECONDS
+          )
+        ],
+      ),
+      session=session,
+      members=None,
+      places=None,
+      store=None,
+    )
+    accepted = attempts.make_accepted('a', repeatable=repeatable)
+    tries = iter([True, False])
+    try:
+      outcome = await service_calls.run_service(
+        accepted,
+        types.SimpleNamespace(tool_timeout=TIMEOUT_SECONDS),
+        types.SimpleNamespace(take=lambda: next(tries)),
+      )
+    except errors.WoadrunError as error:
+      outcome = error
+  return outcome, [path.split('/')[1] for path in server.paths]
+
+
+@pytest.mark.parametrize('head', [UNFRAMED, UNFRAMED_JSON])
+@pytest.mark.parametrize('body', [b'', b'{"runs": 1', b'12'])
+async def test_outcome_of_an_action_is_queried_after_a_truncated_response(
+  head, body
+):
+  outcome, paths = await run_service(head + body, frame(b'{"runs": 1}'))
+  assert paths == ['actions', 'outcomes']
+  assert outcome.outcome == program.OK
+  assert outcome.answer == '{"runs": 1}'
+
+
+async def test_truncated_error_of_a_service_is_not_its_outcome():
+  outcome, paths = await run_service(
+    UNFRAMED_JSON.replace(b'200 OK', b'409 Conflict') + b'{"held": ',
+    frame(b'{"held": 1}'),
+  )
+  assert paths == ['actions', 'outcomes']
+  assert outcome.answer == '{"held": 1}'
+
+
+@pytest.mark.parametrize('is_reset', [False, True])
+@pytest.mark.parametrize('outcome', [NOT_FOUND, UNFRAMED + b'{"runs": 1'])
+async def test_outcome_of_an_action_is_unknown_after_truncated_responses(
+  outcome, is_reset
+):
+  error, paths = await run_service(
+    UNFRAMED_JSON + b'{"runs": 1', outcome, is_reset=is_reset
+  )
+  assert paths == ['actions', 'outcomes']
+  assert error.code is errors.Code.OUTCOME_UNKNOWN
+  assert error.ran is errors.RunStatus.UNKNOWN
+
+
+async def test_action_whose_response_is_reset_is_queried():
+  outcome, paths = await run_service(UNFRAMED + b'{}', is_reset=True)
+  assert paths == ['actions', 'outcomes']
+  assert outcome.ran is errors.RunStatus.UNKNOWN
+
+
+async def test_repeatable_call_is_repeated_after_a_truncated_response():
+  outcome, paths = await run_service(
+    UNFRAMED_JSON + b'{"runs": 1', frame(b'{"runs": 2}'), repeatable=True
+  )
+  assert paths == ['actions', 'actions']
+  assert outcome.answer == '{"runs": 2}'
+
+
+@pytest.mark.parametrize(
+  ('response', 'answer'),
+  [
+    (UNFRAMED + b' {"runs": 1}\n', ' {"runs": 1}\n'),
+    (UNFRAMED_JSON + b'[1]', '[1]'),
+    (frame(b'12'), '12'),
+    (frame(b'text'), 'text'),
+    (EMPTY, ''),
+    (b'HTTP/1.0 400 Bad Request\r\n\r\nno such port', 'no such port'),
+    (b'HTTP/1.0 400 Bad Request\r\n\r\n', ''),
+  ],
+)
+async def test_service_response_that_is_known_is_an_outcome(response, answer):
+  outcome, paths = await run_service(response)
+  assert (outcome.answer, paths) == (answer, ['actions'])
+
+
+async def test_outcome_without_length_is_read_if_it_shows_its_end():
+  server = RawServer(UNFRAMED + b'{"runs": 1}')
+  async with server.run() as session:
+    found = service.Service(session=session, url=server.url)
+    assert (await found.ask('r')).body == b'{"runs": 1}'
+
+
 # --- Stores ------------------------------------------------------------------
 
 
