A model call ends with its terminating event, not with its text

The bytes `data: [DONE]` anywhere in an engine's stream ended a model call, also within the text of the model: the call was recorded as complete though its engine broke off afterwards, and the caller had received half an event, which a restart at another engine cannot take back.

Events were found by two line feeds, and their data by `data: ` with a space. With CR LF none was forwarded before the end of the stream; with CR alone, or without the space, the call failed or was never complete.

The relay now uses the parser of the platform's streams: it forwards whole events, ends with the event whose data is `[DONE]`, and passes the data of the others on to be decoded.

Streams that end inside an event or without `[DONE]` were right: such a call runs again, and the caller receives none of it.

--- a/src/woadrun/connection/engine.py
+++ b/src/woadrun/connection/engine.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import AsyncGenerator
+from collections.abc import Iterable
 import dataclasses
 from typing import Any
 
@@ -167,8 +168,9 @@
 # --- Decoding a response ----------------------------------------------------
 
 _EVENT_DECODER = msgspec.json.Decoder(Event)
-_DATA_PREFIX = b'data: '
-DONE = b'data: [DONE]'
+# The data of the event that ends each stream, and its line.
+DONE_DATA = b'[DONE]'
+DONE = b'data: ' + DONE_DATA
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -180,15 +182,17 @@
   usage: Usage | None
 
 
-def read_answer(stream: bytes) -> Answer:
-  """Returns the message, finish reason and usage in an event stream."""
+def read_answer(events: Iterable[bytes]) -> Answer:
+  """Returns the message, finish reason and usage in a stream's events.
+
+  `events` are the data of the events before the terminating one.  Raises
+  `msgspec.MsgspecError` if one of them is malformed.
+  """
   parts: list[str] = []
   finish_reason = ''
   usage: Usage | None = None
-  for line in stream.split(b'\n'):
-    if not line.startswith(_DATA_PREFIX) or line.startswith(DONE):
-      continue
-    event = _EVENT_DECODER.decode(line[len(_DATA_PREFIX) :])
+  for data in events:
+    event = _EVENT_DECODER.decode(data)
     usage = event.usage or usage
     for choice in event.choices:
       parts.append(choice.delta.content or '')
--- a/src/woadrun/request/model_call.py
+++ b/src/woadrun/request/model_call.py
@@ -11,6 +11,7 @@
 from woadrun.connection import engine
 from woadrun.decisions import budget
 from woadrun.request import calls
+from woadrun.request import events
 from woadrun.version import program
 
 
@@ -117,25 +118,44 @@
 
   Complete events are forwarded as they arrive.  The terminating `[DONE]`
   event is held back until the record of the outcome is committed.
-  `forwarded` is the number of bytes forwarded.
+  `forwarded` is the number of bytes forwarded.  `event_data` has the data of
+  each event before the terminating one.
   """
 
   answer: calls.Answer
   received: bytearray = dataclasses.field(default_factory=bytearray)
   forwarded: int = 0
+  event_data: list[bytes] = dataclasses.field(default_factory=list)
   is_complete: bool = False
+  _reader: events.EventReader = dataclasses.field(
+    default_factory=events.EventReader
+  )
 
   def feed(self, chunk: bytes) -> None:
     """Forwards the events that these bytes of the engine complete."""
-    search_start = max(self.forwarded, len(self.received) - len(engine.DONE))
-    self.received += chunk
-    done_at = self.received.find(engine.DONE, search_start)
-    self.is_complete = self.is_complete or done_at >= 0
-    end = done_at if done_at >= 0 else self.received.rfind(b'\n\n') + 2
-    if end > self.forwarded and end >= 2:
+    end = self.forwarded
+    for line in chunk.splitlines(keepends=True):
+      self.received += line
+      if self.is_complete:
+        continue
+      self._read_line(line)
+      if not self.is_complete and not self._reader.is_inside_event:
+        end = len(self.received)
+    if end > self.forwarded:
       self.answer.write(bytes(self.received[self.forwarded : end]))
       self.forwarded = end
 
+  def _read_line(self, line: bytes) -> None:
+    size = len(self._reader.data)
+    self._reader.feed(line)
+    if len(self._reader.data) == size:
+      return
+    data = bytes(self._reader.data[size:]).removesuffix(b'\n')
+    if data == engine.DONE_DATA:
+      self.is_complete = True
+    else:
+      self.event_data.append(data)
+
 
 def make_completion(
   request: str, model: str, answer: engine.Answer, usage: engine.Usage
--- a/src/woadrun/request/upstreams.py
+++ b/src/woadrun/request/upstreams.py
@@ -155,7 +155,7 @@
       except STREAM_ERRORS as error:
         reason = type(error).__name__
       # An engine sends about one event per token.
-      place.wasted_tokens += relay.received.count(b'\n\n')
+      place.wasted_tokens += len(relay.event_data)
       running.stream_answer.restart()
       await self._fail_over(place, accepted, found, row, retry_budget, reason)
 
@@ -212,7 +212,7 @@
     Also sets the end of the answer, which is sent once this outcome is
     committed.
     """
-    answer = engine.read_answer(bytes(relay.received))
+    answer = engine.read_answer(relay.event_data)
     usage = answer.usage or engine.Usage()
     self.relayed_tokens += usage.completion_tokens
     running.tail = bytes(relay.received[relay.forwarded :])
--- a/tests/test_truncated_product_responses.py
+++ b/tests/test_truncated_product_responses.py
@@ -27,8 +27,11 @@
 from woadrun.process import daemon
 from woadrun.process import storage
 from woadrun.request import calls
+from woadrun.request import execution
 from woadrun.request import forwarding
 from woadrun.request import gateway
+from woadrun.request import model_call
+from woadrun.request import placing
 from woadrun.request import upstreams
 from woadrun.version import program
 
@@ -91,6 +94,119 @@
       writer.close()
 
 
+# --- Model calls -------------------------------------------------------------
+
+
+class Places:
+  """Grants every permit; the engines are `first` and `second`."""
+
+  def __init__(self):
+    self.released = []
+
+  def get_engines(self, *_):
+    return ['first', 'second']
+
+  def choose_upstream(self, names, *_):
+    return names[0]
+
+  def release_slot(self, place):
+    self.released.append((place.name, place.is_ok))
+
+  async def acquire_slot(self, *_):
+    pass
+
+
+async def run_model(first, *, is_reset=False):
+  """Runs a call at two engines; returns its outcome, stream and attempts."""
+  good = UNFRAMED + make_event('whole') + DONE_EVENT
+  one, two = RawServer(first, is_reset=is_reset), RawServer(good)
+  async with one.run() as session, two.run():
+    model_calls = upstreams.UpstreamCalls(
+      config=types.SimpleNamespace(
+        engines=[
+          types.SimpleNamespace(name='first', url=one.url),
+          types.SimpleNamespace(name='second', url=two.url),
+        ],
+        services=[],
+      ),
+      session=session,
+      members=None,
+      places=Places(),
+      store=None,
+    )
+    running = execution.make_execution(attempts.make_call())
+    finished = await model_calls.run_model(
+      running,
+      attempts.make_accepted('a'),
+      placing.UpstreamAssignment(name='first'),
+      attempts.make_state().get_program(attempts.PROGRAM),
+      None,
+      types.SimpleNamespace(take=lambda: True),
+    )
+    stream = b''.join(running.stream_answer._chunks) + running.tail
+  return (
+    finished.messages[-1]['content'],
+    stream,
+    len(one.paths) + len(two.paths),
+  )
+
+
+@pytest.mark.parametrize('is_reset', [False, True])
+async def test_done_marker_in_the_text_does_not_end_a_model_call(is_reset):
+  stream = make_event('data: [DONE]')
+  content, received, count = await run_model(
+    UNFRAMED + stream, is_reset=is_reset
+  )
+  assert (content, count) == ('whole', 2)
+  assert received == make_event('whole') + DONE_EVENT
+
+
+@pytest.mark.parametrize(
+  'rest', [b'', b'data: {"choi', b'data: [DON', b'data: [DONE]2\n\n']
+)
+@pytest.mark.parametrize('is_reset', [False, True])
+async def test_model_call_whose_stream_is_truncated_runs_again(rest, is_reset):
+  stream = make_event('half') + rest
+  content, received, count = await run_model(
+    UNFRAMED + stream, is_reset=is_reset
+  )
+  assert (content, count) == ('whole', 2)
+  assert received == make_event('whole') + DONE_EVENT
+
+
+@pytest.mark.parametrize('line_end', [b'\n', b'\r\n', b'\r'])
+async def test_model_call_is_read_with_each_line_end(line_end):
+  stream = (make_event('a') + make_event('b') + DONE_EVENT).replace(
+    b'\n', line_end
+  )
+  content, received, count = await run_model(frame(stream))
+  assert (content, count) == ('ab', 1)
+  assert received == stream
+
+
+async def test_model_call_is_read_without_spaces_after_field_names():
+  stream = (make_event('a') + DONE_EVENT).replace(b'data: ', b'data:')
+  content, received, count = await run_model(frame(stream))
+  assert (content, received, count) == ('a', stream, 1)
+
+
+@pytest.mark.parametrize('line_end', [b'\n', b'\r\n', b'\r'])
+@pytest.mark.parametrize('size', [1, 7, 1000])
+@pytest.mark.parametrize('text', ['x', 'data: [DONE]'])
+def test_events_of_a_model_call_are_forwarded_once_whole(text, size, line_end):
+  event = make_event(text).replace(b'\n', line_end)
+  relay = model_call.Relay(answer=calls.Answer(digest=''))
+  for start in range(0, len(event) - 2 * len(line_end), size):
+    end = min(start + size, len(event) - 2 * len(line_end))
+    relay.feed(event[start:end])
+    assert relay.forwarded == 0
+  relay.feed(line_end + line_end)
+  assert relay.answer.size == relay.forwarded == len(event)
+  relay.feed(DONE_EVENT)
+  assert relay.is_complete
+  assert relay.answer.size == len(event)
+
+
 # --- Service calls -----------------------------------------------------------
 
 
