A model call that has its terminating event is complete

An engine that sent all of a call and was then reset had failed: the call ran again at another engine, and its caller's stream was aborted just before the end. A `[DONE]` event without its blank line reached the caller as it was, and the caller's parser has to drop it.

The event states that none is missing, so that how the connection ends after it does not matter. A missing blank line is added for the caller.

--- a/src/woadrun/request/model_call.py
+++ b/src/woadrun/request/model_call.py
@@ -156,6 +156,17 @@
     else:
       self.event_data.append(data)
 
+  def finish(self) -> bool:
+    """Ends the stream; returns whether it has its terminating event.
+
+    That event may lack its blank line, since its data states that no other
+    event is missing.
+    """
+    last = bytes(self.received[self.forwarded :])
+    if not self.is_complete and last.rstrip(b'\r\n') == engine.DONE:
+      self.feed(b'\n\n')
+    return self.is_complete
+
 
 def make_completion(
   request: str, model: str, answer: engine.Answer, usage: engine.Usage
--- a/src/woadrun/request/upstreams.py
+++ b/src/woadrun/request/upstreams.py
@@ -191,10 +191,19 @@
       )
       stream = client.stream(call)
     running.stream_answer.set_head(status=200, content_type=calls.STREAM_TYPE)
-    async with contextlib.aclosing(stream) as chunks:
-      async for chunk in chunks:
-        relay.feed(chunk)
-    if not relay.is_complete:
+    try:
+      async with contextlib.aclosing(stream) as chunks:
+        async for chunk in chunks:
+          relay.feed(chunk)
+    except STREAM_ERRORS as error:
+      if not relay.finish():
+        raise
+      log.info(
+        'Engine %s failed after the end of a call: %s.',
+        place.name,
+        type(error).__name__,
+      )
+    if not relay.finish():
       raise aiohttp.ClientPayloadError(
         'The event stream ended without its [DONE] event.'
       )
--- a/tests/test_truncated_product_responses.py
+++ b/tests/test_truncated_product_responses.py
@@ -207,6 +207,25 @@
   assert relay.answer.size == len(event)
 
 
+async def test_reset_after_the_end_of_a_model_call_does_not_repeat_it():
+  stream = make_event('first') + DONE_EVENT
+  content, received, count = await run_model(UNFRAMED + stream, is_reset=True)
+  assert (content, received, count) == ('first', stream, 1)
+
+
+@pytest.mark.parametrize('line_end', [b'', b'\n', b'\r\n'])
+@pytest.mark.parametrize('is_reset', [False, True])
+async def test_done_event_without_its_blank_line_ends_a_model_call(
+  line_end, is_reset
+):
+  stream = make_event('first') + b'data: [DONE]' + line_end
+  content, received, count = await run_model(
+    UNFRAMED + stream, is_reset=is_reset
+  )
+  assert (content, count) == ('first', 1)
+  assert received == stream + b'\n\n'
+
+
 # --- Service calls -----------------------------------------------------------
 
 
