An engine with a malformed event is a failed engine

A stream with `[DONE]` and an event that is not JSON, as of an engine that lost a part of it, raised an error of the decoder: its caller got an internal error, and the call had no outcome in the records of its program.

It now runs again at another engine, as after a stream that broke off. The test failed before.

--- a/src/woadrun/request/upstreams.py
+++ b/src/woadrun/request/upstreams.py
@@ -152,7 +152,7 @@
             ran=errors.RunStatus.RAN,
           ) from error
         reason = str(error)
-      except STREAM_ERRORS as error:
+      except (*STREAM_ERRORS, msgspec.MsgspecError) as error:
         reason = type(error).__name__
       # An engine sends about one event per token.
       place.wasted_tokens += len(relay.event_data)
--- a/tests/test_truncated_product_responses.py
+++ b/tests/test_truncated_product_responses.py
@@ -226,6 +226,12 @@
   assert received == stream + b'\n\n'
 
 
+async def test_model_call_with_a_malformed_event_runs_again():
+  stream = b'data: {"choices": [\n\n' + DONE_EVENT
+  content, _, count = await run_model(frame(stream))
+  assert (content, count) == ('whole', 2)
+
+
 # --- Service calls -----------------------------------------------------------
 
 
