`woadrun top` goes on when a daemon's response is truncated

A daemon that ended while it sent its state ended the command for all daemons with "No answer": the error of a truncated response is no `OSError`. Such a daemon is now shown without an answer, as one that accepts no connection is. The test failed before.

--- a/src/woadrun/cli/inspection.py
+++ b/src/woadrun/cli/inspection.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from woadrun.cli import operator
+from woadrun.connection import client
 
 CLEAR_SCREEN = '\x1b[2J\x1b[H'
 
@@ -59,7 +60,7 @@
     return operator.run_with_client(
       daemon_access, lambda c: c.ask('GET', '/operate/dump')
     )
-  except OSError:
+  except client.TRANSPORT_ERRORS:
     return None
 
 
--- a/tests/test_truncated_product_responses.py
+++ b/tests/test_truncated_product_responses.py
@@ -12,6 +12,8 @@
 import test_truncated_responses as truncated
 
 from woadrun import errors
+from woadrun.cli import inspection
+from woadrun.cli import operator
 from woadrun.connection import client
 from woadrun.connection import engine
 from woadrun.connection import http
@@ -660,3 +662,14 @@
       )
       assert await caller.ask('GET', '/') == 123
       assert caller.retries == 1
+
+
+async def test_top_shows_a_daemon_whose_response_is_truncated(
+  monkeypatch, capsys
+):
+  monkeypatch.setattr(operator, 'RETRY_TIMEOUT_SECONDS', 0.0)
+  server = RawServer(b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{')
+  async with server.run():
+    access = operator.Access(address=server.address, token='t')
+    await asyncio.to_thread(inspection.top, access=access, rounds=1)
+  assert 'no answer' in capsys.readouterr().out
