Silence after the last event does not hold a model call

An engine that stayed silent after `[DONE]`, with its response still open, held the end of the caller's answer until the read timeout of 30 s, and the call then ran again.

The call waits 0.2 s at most for the end of the body, with which the connection can be used again. The test failed before.

--- a/src/woadrun/request/upstreams.py
+++ b/src/woadrun/request/upstreams.py
@@ -41,6 +41,8 @@
 # is left to the engine.
 DROP_ATTEMPTS = 5
 DROP_RETRY_DELAY_SECONDS = 1.0
+# The most time for the end of an event stream after its last event.
+END_TIMEOUT_SECONDS = 0.2
 # Errors by which an event stream breaks off: the engine is considered failed.
 STREAM_ERRORS = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
 
@@ -192,9 +194,17 @@
       stream = client.stream(call)
     running.stream_answer.set_head(status=200, content_type=calls.STREAM_TYPE)
     try:
-      async with contextlib.aclosing(stream) as chunks:
+      async with (
+        asyncio.timeout(None) as limit,
+        contextlib.aclosing(stream) as chunks,
+      ):
         async for chunk in chunks:
           relay.feed(chunk)
+          if relay.is_complete and limit.when() is None:
+            # The end of the body follows; with it the connection is reusable.
+            limit.reschedule(
+              asyncio.get_running_loop().time() + END_TIMEOUT_SECONDS
+            )
     except STREAM_ERRORS as error:
       if not relay.finish():
         raise
--- a/tests/test_truncated_product_responses.py
+++ b/tests/test_truncated_product_responses.py
@@ -43,6 +43,7 @@
 NOT_FOUND = b'HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n'
 DONE_EVENT = b'data: [DONE]\n\n'
 TIMEOUT_SECONDS = 5.0
+PAUSE_SECONDS = 0.05
 
 
 def frame(body):
@@ -57,11 +58,13 @@
 class RawServer:
   """Sends raw responses, the last one repeatedly, and ends each connection.
 
+  There are `pause` seconds between a response and the end of its connection.
   `paths` are those of the requests.
   """
 
-  def __init__(self, *responses, is_reset=False):
+  def __init__(self, *responses, is_reset=False, pause=PAUSE_SECONDS):
     self._responses = list(responses)
+    self._pause = pause
     self._is_reset = is_reset
     self.paths = []
     self.address = ''
@@ -89,7 +92,7 @@
     response = self._responses[0] if is_last else self._responses.pop(0)
     writer.write(response)
     await writer.drain()
-    await asyncio.sleep(0.05)
+    await asyncio.sleep(self._pause)
     if self._is_reset:
       truncated.reset(writer)
     else:
@@ -118,10 +121,11 @@
     pass
 
 
-async def run_model(first, *, is_reset=False):
+async def run_model(first, *, is_reset=False, pause=PAUSE_SECONDS):
   """Runs a call at two engines; returns its outcome, stream and attempts."""
   good = UNFRAMED + make_event('whole') + DONE_EVENT
-  one, two = RawServer(first, is_reset=is_reset), RawServer(good)
+  one = RawServer(first, is_reset=is_reset, pause=pause)
+  two = RawServer(good)
   async with one.run() as session, two.run():
     model_calls = upstreams.UpstreamCalls(
       config=types.SimpleNamespace(
@@ -228,6 +232,15 @@
   assert received == stream + b'\n\n'
 
 
+async def test_silence_after_the_end_of_a_model_call_does_not_hold_it():
+  stream = make_event('first') + DONE_EVENT
+  async with asyncio.timeout(TIMEOUT_SECONDS):
+    content, received, count = await run_model(
+      UNFRAMED + stream, pause=2 * TIMEOUT_SECONDS
+    )
+  assert (content, received, count) == ('first', stream, 1)
+
+
 async def test_model_call_with_a_malformed_event_runs_again():
   stream = b'data: {"choices": [\n\n' + DONE_EVENT
   content, _, count = await run_model(frame(stream))
