--- a/src/woadrun/request/upstreams.py
+++ b/src/woadrun/request/upstreams.py
@@ -41,6 +41,8 @@
 # is left to the engine.
 DROP_ATTEMPTS = 5
 DROP_RETRY_DELAY_SECONDS = 1.0
+# The most time for the end of an event stream after its last event.
+END_TIMEOUT_SECONDS = 0.2
 # Errors by which an event stream breaks off: the engine is considered failed.
 STREAM_ERRORS = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
 
@@ -152,10 +154,10 @@
             ran=errors.RunStatus.RAN,
           ) from error
         reason = str(error)
-      except STREAM_ERRORS as error:
+      except (*STREAM_ERRORS, msgspec.MsgspecError) as error:
         reason = type(error).__name__
       # An engine sends about one event per token.
-      place.wasted_tokens += relay.received.count(b'\n\n')
+      place.wasted_tokens += len(relay.event_data)
       running.stream_answer.restart()
       await self._fail_over(place, accepted, found, row, retry_budget, reason)
 
@@ -191,10 +193,27 @@
       )
       stream = client.stream(call)
     running.stream_answer.set_head(status=200, content_type=calls.STREAM_TYPE)
-    async with contextlib.aclosing(stream) as chunks:
-      async for chunk in chunks:
-        relay.feed(chunk)
-    if not relay.is_complete:
+    try:
+      async with (
+        asyncio.timeout(None) as limit,
+        contextlib.aclosing(stream) as chunks,
+      ):
+        async for chunk in chunks:
+          relay.feed(chunk)
+          if relay.is_complete and limit.when() is None:
+            # The end of the body follows; with it the connection is reusable.
+            limit.reschedule(
+              asyncio.get_running_loop().time() + END_TIMEOUT_SECONDS
+            )
+    except STREAM_ERRORS as error:
+      if not relay.finish():
+        raise
+      log.info(
+        'Engine %s failed after the end of a call: %s.',
+        place.name,
+        type(error).__name__,
+      )
+    if not relay.finish():
       raise aiohttp.ClientPayloadError(
         'The event stream ended without its [DONE] event.'
       )
@@ -212,7 +231,7 @@
     Also sets the end of the answer, which is sent once this outcome is
     committed.
     """
-    answer = engine.read_answer(bytes(relay.received))
+    answer = engine.read_answer(relay.event_data)
     usage = answer.usage or engine.Usage()
     self.relayed_tokens += usage.completion_tokens
     running.tail = bytes(relay.received[relay.forwarded :])
@@ -370,7 +389,7 @@
   async def read_archive(self, program_id: str) -> program.Program | None:
     """Returns a program archived in this domain, or None if there is none."""
     data = await self._store.get(self._get_archive_key(program_id))
-    return msgspec.json.decode(data, type=program.Program) if data else None
+    return None if data is None else http.decode(data, type=program.Program)
 
   def _get_archive_key(self, program_id: str) -> str:
     return f'history/{self._members.domain}/{program_id}'
