The soak's proxies reset connections and pass resets on

A proxy ended connections by aborting their transports, which the peer sees as an orderly close unless it had sent more; a reset on one side left the other side open. Responses that are truncated by a reset could not pass a proxy.

Proxies now reset with a linger time of 0, and a reset on one side resets the other. Half of the resets of links to the store remain orderly closes.

--- a/bench/fleet_soak/faults.py
+++ b/bench/fleet_soak/faults.py
@@ -135,7 +135,10 @@
   async def _reset_link(self) -> None:
     daemon = self._rng.choice(self._fleet)
     daemon.record_fault()
-    daemon.link.reset()
+    if self._rng.random() < 0.5:
+      daemon.link.reset()
+    else:
+      daemon.link.close_connections()
 
   async def _record_fault_while(self, daemon: daemons.Daemon) -> None:
     remaining = self._rng.uniform(0.2, MAX_FAULT_SECONDS)
@@ -177,5 +180,6 @@
     )
 
   async def _reset_instance(self) -> None:
+    # An orderly close would complete a response without length and chunks.
     self._record_fault_of_all()
     self._rng.choice(self._environment.instances).proxy.reset()
--- a/bench/fleet_soak/proxy.py
+++ b/bench/fleet_soak/proxy.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
+
+from fleet_soak import sockets
 
 
 class Proxy:
-  """Forwards connections to an address, with faults.
+  """Forwards connections and their resets to an address, with faults.
 
   Each chunk is delayed by `delay` seconds.  `drops_requests` drops the data of
   clients, `drops_responses` the data of the server.  Connections stay open
@@ -40,7 +41,12 @@
     self.reset()
 
   def reset(self) -> None:
-    """Aborts all open connections."""
+    """Resets all open connections."""
+    for writer in list(self._writers):
+      sockets.reset(writer)
+
+  def close_connections(self) -> None:
+    """Closes all open connections at once, mostly in an orderly way."""
     for writer in list(self._writers):
       writer.transport.abort()
 
@@ -73,19 +79,21 @@
     except asyncio.CancelledError:
       # The proxy is stopping; asyncio would log the cancellation as an error.
       return
+    except OSError:
+      for end in (writer, target_writer):
+        sockets.reset(end)
     finally:
       for end in (writer, target_writer):
         self._writers.discard(end)
         end.transport.abort()
 
   async def _forward(self, reader, writer, is_dropping) -> None:
-    with contextlib.suppress(OSError):
-      while data := await reader.read(65536):
-        if self.delay:
-          await asyncio.sleep(self.delay)
-        if is_dropping():
-          # Forwards nothing more, since the stream has a gap.
-          await asyncio.Event().wait()
-        writer.write(data)
-        await writer.drain()
-      writer.write_eof()
+    while data := await reader.read(65536):
+      if self.delay:
+        await asyncio.sleep(self.delay)
+      if is_dropping():
+        # Forwards nothing more, since the stream has a gap.
+        await asyncio.Event().wait()
+      writer.write(data)
+      await writer.drain()
+    writer.write_eof()
