Soaked instances truncate responses in every framing

The soak's instances framed every response and completed it, and its callers could not tell a reset from the end of a response without framing, so that no run could show truncated responses that count as complete.

Callers read responses with a client of their own, which states whether the framing is complete, keep connections while these are open, and send a tenth of the requests in HTTP/1.0.

The checker reports a 200 that is complete to its caller and is not the whole body (the data of a stream's events before), a turn that runs after a truncated one, and an end that the instance did not state. An answer that its instance broke off is not reported as cut by the stop of the daemon.

--- a/bench/fleet_soak/__main__.py
+++ b/bench/fleet_soak/__main__.py
@@ -67,6 +67,7 @@
         await daemon.kill()
       if daemon.link is not None:
         await daemon.link.stop()
+    caller_pool.close()
     await environment.stop()
     hosts.close()
   statuses = sorted({attempt.status for attempt in caller_pool.attempts})
@@ -107,6 +108,13 @@
         for turn in failing
       ]
       failing = [turn for turn, attempt in found if attempt.status != 200]
+    # The checker reports those that run.
+    await asyncio.gather(
+      *(
+        caller_pool.continue_turn(session, turn)
+        for turn in guarantees.find_truncated_turns(CHECKED_TURNS)
+      )
+    )
   return [f'{turn.request} can no longer be continued' for turn in failing]
 
 
--- a/bench/fleet_soak/callers.py
+++ b/bench/fleet_soak/callers.py
@@ -10,12 +10,15 @@
 import aiohttp
 
 from fleet_soak import daemons
+from fleet_soak import http_client
 from fleet_soak import outside
 
 NOT_RUN_STATUSES = (402, 408, 421, 429, 503)
 REQUEST_TIMEOUT_SECONDS = 4.0
 MAX_ATTEMPTS = 6
 BUDGET, MAX_TOKENS = 60, 8
+# Share of requests in HTTP/1.0, whose responses have no chunks.
+OLD_HTTP_SHARE = 0.1
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -23,8 +26,9 @@
   """An attempt of a request, as its caller saw it.
 
   `status` is 0 if the answer is missing or incomplete, `error` the code of a
-  refusal.  `input` is the body that was sent, `parent` the turn that the
-  request continues, `daemon` the daemon to which the request was sent.
+  refusal.  `is_framed` tells that the answer states where it ends.  `input` is
+  the body that was sent, `parent` the turn that the request continues, `daemon`
+  the daemon to which the request was sent.
   """
 
   request: str
@@ -38,6 +42,7 @@
   status: int = 0
   error: str = ''
   signature: str = ''
+  is_framed: bool = False
   body: bytes = b''
   tokens: int = 0
 
@@ -55,26 +60,29 @@
     self._rng = random.Random(f'callers/{seed}')
     self._count = count
     self._ids = 0
+    self._client = http_client.Client()
 
   async def run(self) -> None:
     """Runs programs until `is_stopped` is set."""
-    connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=10)
-    async with aiohttp.ClientSession(connector=connector) as session:
+    async with aiohttp.ClientSession() as session:
       poller = asyncio.ensure_future(self._poll_readiness(session))
       try:
         await asyncio.gather(
-          *(self._run_programs(session) for _ in range(self._count))
+          *(self._run_programs() for _ in range(self._count))
         )
       finally:
         poller.cancel()
 
+  def close(self) -> None:
+    """Closes the callers' connections."""
+    self._client.close()
+
   async def continue_turn(
     self, session: aiohttp.ClientSession, attempt: Attempt
   ) -> Attempt:
     """Sends a turn that continues a complete one, and returns the attempt."""
     await self._update_ready_daemons(session)
     return await self._send(
-      session,
       path=f'{outside.CHAT}x',
       program=f'after-{attempt.request}',
       input=b'<after>',
@@ -93,11 +101,11 @@
     ]
     self._ready = ready or list(self.fleet)
 
-  async def _run_programs(self, session: aiohttp.ClientSession) -> None:
+  async def _run_programs(self) -> None:
     while not self.is_stopped:
-      await self._run_program(session)
+      await self._run_program()
 
-  async def _run_program(self, session: aiohttp.ClientSession) -> None:
+  async def _run_program(self) -> None:
     program = self._make_id()
     # Every other program uses the route whose programs may be refused.
     prefix = outside.CHAT if int(program, 16) % 2 else outside.CHAT_ONCE
@@ -106,18 +114,17 @@
       if self.is_stopped:
         return
       turn = await self._send_with_retries(
-        session, f'{prefix}x', program, f'<{program}>'.encode(), parent
+        f'{prefix}x', program, f'<{program}>'.encode(), parent
       )
       if turn is None:
         return
       parent = turn.request
       path = self._rng.choice((outside.ACT, outside.LOOK))
-      await self._send_with_retries(session, f'{path}x', program, b'do', '')
+      await self._send_with_retries(f'{path}x', program, b'do', '')
       await asyncio.sleep(self._rng.uniform(0.02, 0.2))
 
   async def _send_with_retries(
     self,
-    session: aiohttp.ClientSession,
     path: str,
     program: str,
     input: bytes,
@@ -126,7 +133,7 @@
     """Retries a request; returns the attempt that succeeded, or None."""
     for _ in range(MAX_ATTEMPTS):
       attempt = await self._send(
-        session, path=path, program=program, input=input, parent=parent
+        path=path, program=program, input=input, parent=parent
       )
       if attempt.status == 200:
         return attempt
@@ -140,7 +147,6 @@
 
   async def _send(
     self,
-    session: aiohttp.ClientSession,
     *,
     path: str,
     program: str,
@@ -158,25 +164,35 @@
       began=time.monotonic(),
     )
     self.attempts.append(attempt)
+    is_look = path.startswith(outside.LOOK)
+    response = http_client.Response()
     try:
-      async with session.request(
-        'GET' if path.startswith(outside.LOOK) else 'POST',
-        f'http://{daemon.host}:{daemons.FRONT_PORT}{path}',
-        data=input if not path.startswith(outside.LOOK) else None,
-        headers=_get_headers(attempt),
-        timeout=aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_SECONDS + 0.5),
-      ) as response:
-        async for chunk in response.content.iter_any():
-          attempt.body += chunk
-          attempt.tokens = attempt.body.count(b'data:')
-        attempt.status = response.status
-        attempt.error = response.headers.get('Woadrun-Error', '')
-        attempt.signature = response.headers.get('Server-Signature', '')
-    except (TimeoutError, aiohttp.ClientError, OSError):
+      async with asyncio.timeout(REQUEST_TIMEOUT_SECONDS + 0.5):
+        await self._client.send(
+          (daemon.host, daemons.FRONT_PORT),
+          response,
+          method='GET' if is_look else 'POST',
+          path=path,
+          headers=_get_headers(attempt),
+          body=b'' if is_look else input,
+          version=self._draw_version(),
+        )
+      attempt.status = response.status
+    except (TimeoutError, OSError):
       attempt.status = 0
+    headers = response.header_by_name
+    attempt.error = headers.get('woadrun-error', '')
+    attempt.signature = headers.get('server-signature', '')
+    attempt.is_framed = response.is_framed
+    attempt.body = response.body
+    attempt.tokens = attempt.body.count(b'data:')
     attempt.ended = time.monotonic()
     return attempt
 
+  def _draw_version(self) -> str:
+    is_old = self._rng.random() < OLD_HTTP_SHARE
+    return 'HTTP/1.0' if is_old else 'HTTP/1.1'
+
   def _make_id(self) -> str:
     self._ids += 1
     return f'{self._ids:016x}'
--- a/bench/fleet_soak/checker.py
+++ b/bench/fleet_soak/checker.py
@@ -9,6 +9,7 @@
 
 from fleet_soak import callers
 from fleet_soak import outside
+from fleet_soak import responses
 from woadrun import errors
 
 # Time after a fault during which violations of the faulted daemon are excused.
@@ -41,12 +42,14 @@
     )
     for run in self._environment.runs:
       self._runs_by_request[run.request].append(run)
+    self._truncated = self._environment.truncated_requests
     checks = (
       self._check_once,
       self._check_refusals,
       self._check_full,
       self._check_histories,
       self._check_answers,
+      self._check_stated_ends,
       self._check_parents,
       self._check_budgets,
       self._check_draining,
@@ -99,6 +102,9 @@
       if attempt is None:
         yield f'{request} ran, but nobody sent it'
         continue
+      if attempt.parent in self._truncated:
+        yield f'{request} ran after {attempt.parent}, which was truncated'
+        continue
       expected = self._get_history(attempt.parent) + attempt.input
       if attempt.path.startswith(outside.LOOK):
         expected = b''
@@ -116,27 +122,40 @@
     return history
 
   def _check_answers(self) -> Iterator[str]:
-    events = {
-      request: count
+    body_by_request = {
+      request: response.body
       for item in self._environment.instances
-      for request, count in item.events_by_request.items()
+      for request, response in item.response_by_request.items()
     }
     for attempt in self._caller_pool.attempts:
       if attempt.status != 200:
         continue
-      output = _DATA.findall(attempt.body)
+      expected = body_by_request.get(attempt.request)
       if not attempt.signature.endswith(f'.{attempt.request}'):
         yield f'{attempt.request} got an answer of {attempt.signature}'
-      elif attempt.path.startswith(outside.CHAT):
-        expected = [
-          f'{attempt.request}-{n}'.encode()
-          for n in range(events[attempt.request])
-        ]
-        if output != expected:
-          yield f'{attempt.request} got {output}, not {expected}'
+      elif attempt.body != expected:
+        yield (
+          f'{attempt.request} got {attempt.body!r} as complete, not '
+          f'{expected!r}'
+        )
+
+  def _check_stated_ends(self) -> Iterator[str]:
+    """Yields answers with an end that their instance did not state."""
+    unframed = {
+      f'{item.service}.{item.id}.{request}'
+      for item in self._environment.instances
+      for request, response in item.response_by_request.items()
+      if response.framing is responses.Framing.NONE
+    }
+    for attempt in self._caller_pool.attempts:
+      is_ok = attempt.status == 200
+      if is_ok and attempt.is_framed and attempt.signature in unframed:
+        yield f'{attempt.request} got an end that its instance did not state'
 
   def _check_parents(self) -> Iterator[str]:
     for attempt in self._caller_pool.attempts:
+      if attempt.parent in self._truncated:
+        continue
       if attempt.parent and attempt.status in (404, 410):
         yield (
           f'{attempt.request} got {attempt.status}: '
@@ -167,6 +186,9 @@
     for attempt in self._caller_pool.attempts:
       if attempt.status or attempt.request not in self._runs_by_request:
         continue
+      if attempt.request in self._truncated:
+        # The instance broke the answer off.
+        continue
       stops = [
         at
         for at in attempt.daemon.stop_times
@@ -208,3 +230,13 @@
       and time.monotonic() - attempt.ended < 40.0
     ]
     return complete[-count:]
+
+  def find_truncated_turns(self, count: int) -> list[callers.Attempt]:
+    """Returns the newest turns that an instance truncated."""
+    truncated = self._environment.truncated_requests
+    found = [
+      attempt
+      for attempt in self._caller_pool.attempts
+      if attempt.request in truncated and attempt.path.startswith(outside.CHAT)
+    ]
+    return found[-count:]
--- a/bench/fleet_soak/outside.py
+++ b/bench/fleet_soak/outside.py
@@ -12,6 +12,7 @@
 
 from fleet_soak import network
 from fleet_soak import proxy
+from fleet_soak import responses
 from woadrun.connection import rows
 from woadrun.platform import standin
 from woadrun.standins import rows as memory
@@ -37,7 +38,10 @@
 
 
 class Instance:
-  """An instance of a service, behind a proxy of its own."""
+  """An instance of a service, behind a proxy of its own.
+
+  `response_by_request` has the latest response to each request.
+  """
 
   def __init__(
     self, *, id: str, service: str, host: str, rng: random.Random
@@ -46,27 +50,26 @@
     self.service = service
     self.host = host
     self.runs: list[Run] = []
-    self.events_by_request: dict[str, int] = {}
+    self.response_by_request: dict[str, responses.Response] = {}
     self.drained_at: float | None = None
     self._rng = rng
-    self._runner: web.AppRunner | None = None
+    self._server: asyncio.Server | None = None
+    self._tasks: set[asyncio.Task[None]] = set()
     self.proxy: proxy.Proxy | None = None
 
   async def start(self) -> None:
     """Starts the server and its proxy."""
-    server = web.Server(self._answer, access_log=None)
-    self._runner = web.ServerRunner(server, shutdown_timeout=0.1)
-    await self._runner.setup()
-    site = web.TCPSite(self._runner, self.host, 0)
-    await site.start()
-    port = self._runner.addresses[0][1]
+    self._server = await asyncio.start_server(self._serve, self.host, 0)
+    port = self._server.sockets[0].getsockname()[1]
     self.proxy = proxy.Proxy(target=(self.host, port))
     await self.proxy.start(self.host)
 
   async def stop(self) -> None:
     """Stops the proxy and the server."""
     await self.proxy.stop()
-    await self._runner.cleanup()
+    self._server.close()
+    for task in list(self._tasks):
+      task.cancel()
 
   def get_row(self, domain: str) -> bytes:
     """Returns the instance's row in the platform's list of instances."""
@@ -79,38 +82,70 @@
     }
     return msgspec.json.encode(entry)
 
-  async def _answer(self, http: web.BaseRequest) -> web.StreamResponse:
-    body = await http.read()
-    request = http.headers.get('Request-Id', '')
+  async def _serve(
+    self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+  ) -> None:
+    task = asyncio.current_task()
+    self._tasks.add(task)
+    task.add_done_callback(self._tasks.discard)
+    try:
+      while await self._answer(reader, writer):
+        pass
+    except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+      # The daemon has closed the connection, or the instance is stopping.
+      return
+    finally:
+      writer.close()
+
+  async def _answer(
+    self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+  ) -> bool:
+    """Answers a request; returns whether the connection stays open."""
+    head = (await reader.readuntil(b'\r\n\r\n')).decode()
+    request_line, *lines = head.splitlines()[:-1]
+    fields = (line.partition(':') for line in lines)
+    headers = {name.lower(): value.strip() for name, _, value in fields}
+    body = await reader.readexactly(int(headers.get('content-length', 0)))
+    request = headers.get('request-id', '')
     echo = {'Request-Id': request}
-    if http.headers.get('Expect-Instance') != self.id:
-      return web.Response(status=421, headers=echo)
+    if headers.get('expect-instance') != self.id:
+      rejection = responses.Response(parts=(), is_stream=False)
+      return await responses.write(
+        writer, rejection, headers=echo, pause=self._pause_briefly, status=421
+      )
     run = Run(
       request=request,
       instance=self.id,
       service=self.service,
-      path=http.path,
+      path=request_line.split()[1],
       body=body,
       at=time.monotonic(),
     )
     self.runs.append(run)
     echo['Server-Signature'] = f'{self.service}.{self.id}.{request}'
-    if not http.path.startswith(CHAT):
-      await asyncio.sleep(self._rng.uniform(0.01, 0.15))
-      return web.Response(body=f'done {request}'.encode(), headers=echo)
-    response = web.StreamResponse(headers=echo)
-    response.content_type = 'text/event-stream'
-    await response.prepare(http)
-    count = self._rng.randint(2, 6)
-    self.events_by_request[request] = count
-    for number in range(count):
-      await asyncio.sleep(self._rng.uniform(0.01, 0.06))
-      await response.write(
-        f'id: {number}\ndata: {request}-{number}\n\n'.encode()
-      )
-    await response.write_eof()
+    is_stream = run.path.startswith(CHAT)
+    response = self._draw_response(request, is_stream=is_stream)
+    pause = self._pause_briefly if is_stream else self._pause
+    return await responses.write(writer, response, headers=echo, pause=pause)
+
+  def _draw_response(
+    self, request: str, *, is_stream: bool
+  ) -> responses.Response:
+    events = (
+      f'id: {number}\ndata: {request}-{number}\n\n'.encode()
+      for number in range(self._rng.randint(2, 6))
+    )
+    parts = tuple(events) if is_stream else (f'done {request}'.encode(),)
+    response = responses.draw(self._rng, parts, is_stream=is_stream)
+    self.response_by_request[request] = response
     return response
 
+  async def _pause_briefly(self) -> None:
+    await asyncio.sleep(self._rng.uniform(0.01, 0.06))
+
+  async def _pause(self) -> None:
+    await asyncio.sleep(self._rng.uniform(0.01, 0.15))
+
 
 class Outside:
   """The store and all instances; writes changes of both to the store."""
@@ -154,6 +189,16 @@
     """All requests that instances started to run so far."""
     return [run for item in self.instances for run in item.runs]
 
+  @property
+  def truncated_requests(self) -> set[str]:
+    """The requests with a response that an instance truncated."""
+    return {
+      request
+      for item in self.instances
+      for request, response in item.response_by_request.items()
+      if response.is_truncated
+    }
+
   async def configure(self, service: str) -> None:
     """Writes a configuration that routes actions to a service."""
     self.version += 3
--- a/tests/test_fleet_soak.py
+++ b/tests/test_fleet_soak.py
@@ -1,11 +1,17 @@
 """The soak finds each kind of violation, and none in a short seeded run."""
 
+import asyncio
+import contextlib
+import random
 import types
 
 from fleet_soak import __main__ as program
 from fleet_soak import callers
 from fleet_soak import checker
+from fleet_soak import http_client
 from fleet_soak import outside
+from fleet_soak import proxy
+from fleet_soak import responses
 import pytest
 
 # A short run: about one fault a second, on as many daemons as two domains need
@@ -46,17 +52,20 @@
   )
 
 
-def check(attempts, runs, *, drained_at=None):
+def check(attempts, runs, *, drained_at=None, truncated=(), **options):
   item = types.SimpleNamespace(
     id='i',
     service='models',
     runs=runs,
-    events_by_request={'a': 1},
+    response_by_request={
+      'a': responses.Response(parts=(GOOD['body'],), is_stream=True, **options)
+    },
     drained_at=drained_at,
   )
   environment = types.SimpleNamespace(
     instances=[item],
     runs=runs,
+    truncated_requests=set(truncated),
     configs=[(0.0, 1, 'tools'), (90.0, 2, 'other')],
   )
   caller_pool = types.SimpleNamespace(attempts=attempts)
@@ -97,7 +106,17 @@
       [make_run('a')],
       'got an answer of',
     ),
-    ([make_attempt('a', **{**GOOD, 'body': b''})], [make_run('a')], 'got []'),
+    ([make_attempt('a', **{**GOOD, 'body': b''})], [make_run('a')], "got b''"),
+    (
+      [make_attempt('a', **{**GOOD, 'body': GOOD['body'][:-1]})],
+      [make_run('a')],
+      'as complete, not',
+    ),
+    (
+      [make_attempt('a', path=outside.ACT, **{**GOOD, 'body': b'do'})],
+      [make_run('a', path=outside.ACT, service='other')],
+      'as complete, not',
+    ),
     ([make_attempt('b', parent='a', status=404)], [], 'was complete'),
     ([make_attempt('a', tokens=69, status=502)], [], '69 tokens'),
     ([make_attempt('a', status=0)], [make_run('a')], 'cut by the stop'),
@@ -120,6 +139,148 @@
   assert 'after it was drained' in found[0]
 
 
+def test_a_turn_that_runs_after_a_truncated_one_is_reported():
+  attempts = [make_attempt('a'), make_attempt('b', parent='a', status=502)]
+  found = check(attempts, [make_run('b')], truncated='a')
+  assert found == ['b ran after a, which was truncated']
+
+
+def test_an_end_that_the_instance_did_not_state_is_reported():
+  turn = make_attempt('a', is_framed=True, **GOOD)
+  found = check([turn], [make_run('a')], framing=responses.Framing.NONE)
+  assert found == ['a got an end that its instance did not state']
+
+
+@pytest.mark.parametrize(
+  ('turn', 'truncated'),
+  [
+    (make_attempt('a', status=0), 'a'),
+    (make_attempt('b', parent='a', status=404), 'a'),
+    (make_attempt('a', **GOOD), ''),
+  ],
+)
+def test_a_truncated_answer_that_is_handled_is_not_reported(turn, truncated):
+  runs = [make_run('a')] if turn.request == 'a' else []
+  found = check(
+    [turn], runs, truncated=truncated, framing=responses.Framing.NONE
+  )
+  assert found == []
+
+
+# --- Responses that break off -------------------------------------------------
+
+
+PARTS = (b'data: a\n\n', b'data: b\n\n')
+
+
+def is_detectable(response):
+  if response.framing is not responses.Framing.NONE or response.is_reset:
+    return True
+  return response.place is responses.Place.HEAD or (
+    response.is_stream and response.place is not responses.Place.BETWEEN
+  )
+
+
+@pytest.mark.parametrize('is_stream', [False, True])
+def test_each_truncated_response_can_be_told_from_a_complete_one(is_stream):
+  rng = random.Random(1)
+  parts = PARTS if is_stream else PARTS[:1]
+  drawn = [
+    responses.draw(rng, parts, is_stream=is_stream) for _ in range(5_000)
+  ]
+  truncated = [item for item in drawn if item.is_truncated]
+  assert all(map(is_detectable, truncated))
+  kinds = {(r.framing, r.place, r.is_reset) for r in truncated}
+  places = 4 if is_stream else 3
+  # Without framing, one place of two can end orderly.
+  ends_without_framing = places + (places - 1 if is_stream else 1)
+  assert len(kinds) == 2 * 2 * places + ends_without_framing
+  assert {r.framing for r in drawn if not r.is_truncated} == set(
+    responses.Framing
+  )
+
+
+async def pause():
+  await asyncio.sleep(0.01)
+
+
+@contextlib.asynccontextmanager
+async def serve(response):
+  """Serves a response behind a proxy; yields the address."""
+
+  async def answer(reader, writer):
+    with contextlib.suppress(asyncio.IncompleteReadError):
+      while True:
+        await reader.readuntil(b'\r\n\r\n')
+        if not await responses.write(writer, response, headers={}, pause=pause):
+          break
+    writer.close()
+
+  server = await asyncio.start_server(answer, '127.0.0.1', 0)
+  link = proxy.Proxy(target=server.sockets[0].getsockname())
+  async with server:
+    await link.start('127.0.0.1')
+    host, _, port = link.address.partition(':')
+    yield host, int(port)
+    await link.stop()
+
+
+async def send(response, *, version='HTTP/1.1'):
+  """Sends two requests; returns both responses."""
+  client = http_client.Client()
+  found = [http_client.Response(), http_client.Response()]
+  async with serve(response) as address, asyncio.timeout(5):
+    try:
+      for item in found:
+        await client.send(
+          address, item, method='GET', path='/', headers={}, version=version
+        )
+    finally:
+      client.close()
+  return found
+
+
+@pytest.mark.parametrize('version', ['HTTP/1.0', 'HTTP/1.1'])
+@pytest.mark.parametrize('closes', [False, True])
+@pytest.mark.parametrize('framing', responses.Framing)
+async def test_a_caller_gets_complete_responses(framing, closes, version):
+  found = await send(
+    responses.Response(
+      parts=PARTS, is_stream=True, framing=framing, closes=closes
+    ),
+    version=version,
+  )
+  for item in found:
+    assert (item.status, item.body) == (200, b''.join(PARTS))
+    assert item.is_framed is (framing is not responses.Framing.NONE)
+
+
+@pytest.mark.parametrize('is_reset', [False, True])
+@pytest.mark.parametrize(
+  'place', [item for item in responses.Place if item is not responses.Place.END]
+)
+@pytest.mark.parametrize('framing', responses.Framing)
+async def test_a_caller_sees_that_a_response_broke_off(
+  framing, place, is_reset
+):
+  response = responses.Response(
+    parts=PARTS,
+    is_stream=True,
+    framing=framing,
+    place=place,
+    whole=1,
+    is_reset=is_reset,
+  )
+  is_unframed = framing is responses.Framing.NONE
+  if is_unframed and not is_reset and place is not responses.Place.HEAD:
+    # An orderly close is the end of such a response.
+    found, _ = await send(response)
+    assert found.body == b''.join(response.get_sent_parts())
+    return
+  with pytest.raises(OSError):
+    await send(response)
+
+
 async def test_a_short_run_has_no_violations(tmp_path):
   found = await program.soak(
     seed=SEED, seconds=SECONDS, count=DAEMONS, folder=tmp_path
