Stand-ins send answers without framing, and truncate answers

Stand-ins framed every answer and completed it, so that no test of the product's own interface could meet one that ends with its connection.

Three faults: `unframed`, `truncate` (half an answer, of a stream up to a place inside an event) and `reset` (the end is a reset). Headers stay as they are.

--- a/src/woadrun/standins/base.py
+++ b/src/woadrun/standins/base.py
@@ -3,7 +3,10 @@
 `POST /faults` with a JSON object sets the faults: `down` (answer every request
 with 503), `delay` (seconds before each answer), `lose` (number of following
 writes that are applied but whose connection is aborted instead of answered),
-`rate` (limit in requests per second, 429 above it; 0 for no limit).
+`rate` (limit in requests per second, 429 above it; 0 for no limit), `unframed`
+(send answers without length and chunks, which end with their connection),
+`truncate` (number of following answers to POST requests of which only a half is
+sent) and `reset` (end these with a reset, else with an orderly close).
 
 Requests from the IP addresses in `StandIn.cut` are delayed by
 `PARTITION_DELAY_SECONDS`, which is longer than any client waits.
@@ -13,9 +16,12 @@
 
 import asyncio
 from collections.abc import Iterable
+import socket
+import struct
 import time
 from typing import Any
 
+from aiohttp import hdrs
 from aiohttp import web
 import msgspec
 
@@ -24,6 +30,8 @@
 # that the client sees no answer.
 PARTITION_DELAY_SECONDS = 30.0
 SHUTDOWN_TIMEOUT_SECONDS = 0.1
+# Value of SO_LINGER with which closing a socket resets its connection.
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 
 class Faults(msgspec.Struct, kw_only=True):
@@ -33,6 +41,16 @@
   delay: float = 0.0
   lose: int = 0
   rate: float = 0.0
+  unframed: bool = False
+  truncate: int = 0
+  reset: bool = False
+
+
+class _UnframedResponse(web.StreamResponse):
+  """A response without length and chunks, which ends with its connection."""
+
+  # aiohttp would otherwise send chunks.
+  _length_check = False
 
 
 class StandIn:
@@ -99,8 +117,57 @@
       if self.faults.lose and request.transport is not None:
         self.faults.lose -= 1
         request.transport.abort()
+    if isinstance(response, web.Response) and not response.prepared:
+      return await self._send_body(request, response)
     return response
 
+  async def _send_body(
+    self, request: web.Request, response: web.Response
+  ) -> web.StreamResponse:
+    """Sends a response with the faults of its framing and its end, if any."""
+    is_truncated = self.take_truncation(request)
+    if not is_truncated and not self.faults.unframed:
+      return response
+    body = response.body if isinstance(response.body, bytes) else b''
+    sent = self.make_stream(status=response.status)
+    sent.headers.extend(response.headers)
+    sent.headers.pop(hdrs.CONTENT_LENGTH, None)
+    if not self.faults.unframed:
+      sent.content_length = len(body)
+    await sent.prepare(request)
+    await sent.write(body[: len(body) // 2] if is_truncated else body)
+    if is_truncated:
+      self.break_off(request)
+    return sent
+
+  def make_stream(self, *, status: int = 200) -> web.StreamResponse:
+    """Returns a response to be streamed, with the framing of the faults."""
+    if not self.faults.unframed:
+      return web.StreamResponse(status=status)
+    response = _UnframedResponse(status=status)
+    response.force_close()
+    return response
+
+  def take_truncation(self, request: web.Request) -> bool:
+    """Returns whether to truncate the response, and counts it if so."""
+    if not self.faults.truncate or request.method != 'POST':
+      return False
+    self.faults.truncate -= 1
+    return True
+
+  def break_off(self, request: web.Request) -> None:
+    """Ends the connection of a response that is truncated."""
+    transport = request.transport
+    if transport is None:
+      return
+    if self.faults.reset:
+      transport.get_extra_info('socket').setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+      )
+      transport.abort()
+    else:
+      transport.close()
+
   def _is_within_rate(self) -> bool:
     rate = self.faults.rate
     if not rate:
--- a/src/woadrun/standins/engine.py
+++ b/src/woadrun/standins/engine.py
@@ -148,9 +148,12 @@
   async def _send(
     self, request: web.Request, stream: _Stream
   ) -> web.StreamResponse:
-    response = web.StreamResponse()
+    response = self.make_stream()
     response.content_type = 'text/event-stream'
     await response.prepare(request)
+    if self.take_truncation(request):
+      await self._send_half(request, response, stream)
+      return response
     index = 0
     while True:
       changed = stream.changed
@@ -167,6 +170,20 @@
     await response.write_eof()
     return response
 
+  async def _send_half(
+    self,
+    request: web.Request,
+    response: web.StreamResponse,
+    stream: _Stream,
+  ) -> None:
+    """Sends about half of a stream, up to a place inside an event."""
+    while not stream.is_done:
+      await stream.changed.wait()
+    half = b''.join(stream.events)
+    half = half[: len(half) // 2].removesuffix(b'\n').removesuffix(b'\n')
+    await response.write(half)
+    self.break_off(request)
+
   async def _resume(self, request: web.Request) -> web.StreamResponse:
     stream = self._stream_by_id.get(request.match_info['id'])
     if stream is None or stream.is_cancelled:
