--- a/bench/fleet_soak/responses.py
+++ b/bench/fleet_soak/responses.py
@@ -4,11 +4,11 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
 import enum
 import random
-from typing import Any
 
 from fleet_soak import sockets
 
@@ -138,7 +138,7 @@
   response: Response,
   *,
   headers: dict[str, str],
-  pause: Callable[[], Any],
+  pause: Callable[[], Awaitable[None]],
   status: int = 200,
 ) -> bool:
   """Writes a response; returns whether the connection can be used again.
@@ -162,7 +162,7 @@
 
 
 async def _frame(
-  response: Response, pause: Callable[[], Any]
+  response: Response, pause: Callable[[], Awaitable[None]]
 ) -> AsyncIterator[bytes]:
   is_chunked = response.framing is Framing.CHUNKS
   for part in response.get_sent_parts():
