Names and a docstring of responses read ahead

A reply that is given up is not a truncated one; the bound on held bytes counts more than the answers of slow callers. No change in behaviour.

--- a/src/woadrun/platform/read_ahead.py
+++ b/src/woadrun/platform/read_ahead.py
@@ -1,8 +1,8 @@
 """Reads answers of instances ahead of slow callers, within a bound.
 
 An instance cuts off an answer that stays unread for some seconds.  The answer
-of a slow caller is therefore read into memory while all such answers together
-hold fewer bytes than a bound; reading pauses at the bound.
+of a slow caller is therefore read into memory while fewer bytes than a bound
+are held of all answers; reading pauses at the bound.
 """
 
 from __future__ import annotations
--- a/src/woadrun/request/attempts.py
+++ b/src/woadrun/request/attempts.py
@@ -365,7 +365,7 @@
       await buffer.fill()
     except BaseException as error:
       await attempt.stack.aclose()
-      self._record_truncated(sending, buffer, error)
+      self._record_incomplete(sending, buffer, error)
       raise
     result.is_failure = is_failure
     reply.chunks = buffer.read()
@@ -517,7 +517,7 @@
       )
       self._log_outcome(sending, f'no reply: {error}')
 
-  def _record_truncated(
+  def _record_incomplete(
     self,
     sending: exchange.RequestAttempt,
     buffer: response_buffer.ResponseBuffer,
