--- a/src/woadrun/request/attempts.py
+++ b/src/woadrun/request/attempts.py
@@ -418,7 +418,9 @@
     else:
       result.is_failure = False
       if sending.is_stream and reply.status < 300:
-        reply.events = events.EventReader(keeps_data=sending.keeps_history)
+        reply.event_reader = events.EventReader(
+          keeps_data=sending.keeps_history
+        )
     reply.chunks = self._relay_chunks(sending, reply, reply.chunks, result)
 
   async def _relay_chunks(
@@ -436,12 +438,12 @@
     try:
       async with contextlib.aclosing(chunks):
         async for chunk in chunks:
-          if reply.events is not None:
-            reply.events.feed(chunk)
+          if reply.event_reader is not None:
+            reply.event_reader.feed(chunk)
           yield chunk
       self._log_end(sending, reply)
-      if reply.events is not None:
-        _check_complete(reply.events, reply)
+      if reply.event_reader is not None:
+        _check_complete(reply.event_reader, reply)
     except exchange.ResponseLost:
       result.is_failure = True
       self._loads.health.record_failure(id)
@@ -450,13 +452,15 @@
   def _log_end(
     self, sending: exchange.RequestAttempt, reply: exchange.Reply
   ) -> None:
-    found = reply.events
-    if reply.ends_with_connection or (found and found.is_inside_event):
+    reader = reply.event_reader
+    if reply.ends_with_connection or (reader and reader.is_inside_event):
       how = 'connection' if reply.ends_with_connection else 'length or chunks'
       where = ''
-      if found is not None:
-        place = 'inside an event' if found.is_inside_event else 'between events'
-        where = f', {place}, after {found.count} events'
+      if reader is not None:
+        place = (
+          'inside an event' if reader.is_inside_event else 'between events'
+        )
+        where = f', {place}, after {reader.count} events'
       self._log_outcome(sending, f'response ended by its {how}{where}')
 
   async def _time_chunks(
@@ -480,7 +484,7 @@
     running = (timer.running + self._loads.get_total(id) - 1) / 2
     size = service_times.TurnSize(
       uncached=sending.uncached or 0,
-      tokens=reply.events.count if reply.events else 0,
+      tokens=reply.event_reader.count if reply.event_reader else 0,
       running=max(0.0, running),
       slots=instance.slots,
     )
@@ -643,14 +647,14 @@
       await task.result().stack.aclose()
 
 
-def _check_complete(found: events.EventReader, reply: exchange.Reply) -> None:
+def _check_complete(reader: events.EventReader, reply: exchange.Reply) -> None:
   """Raises `ResponseLost` if a stream that has ended is not complete.
 
   A stream without a length that ends between two events counts as complete.
   """
-  if found.is_inside_event:
+  if reader.is_inside_event:
     raise exchange.ResponseLost('the stream ended inside an event')
-  if reply.ends_with_connection and not found.has_events:
+  if reply.ends_with_connection and not reader.has_events:
     raise exchange.ResponseLost('the connection ended before the first event')
 
 
--- a/src/woadrun/request/exchange.py
+++ b/src/woadrun/request/exchange.py
@@ -124,7 +124,7 @@
   `has_run` is false if the instance states that it did not run the request.
   `is_genuine` is true if the response has the id of this request and the
   instance's signature.  `ends_with_connection` is true if only the end of the
-  connection ends the body.  `events` reads the body if it is a stream of
+  connection ends the body.  `event_reader` reads the body if it is a stream of
   events.  `abort` aborts the response: `chunks` then raises `ResponseLost`.
   `is_reusable` returns, after the request has ended, whether its connection can
   be reused.
@@ -136,7 +136,7 @@
   is_genuine: bool
   chunks: AsyncGenerator[bytes]
   ends_with_connection: bool = False
-  events: events.EventReader | None = None
+  event_reader: events.EventReader | None = None
   abort: Callable[[], None] = lambda: None
   is_reusable: Callable[[], bool] = lambda: False
 
--- a/src/woadrun/request/serving.py
+++ b/src/woadrun/request/serving.py
@@ -224,8 +224,8 @@
     self, running: _RunningTurn, reply: exchange.Reply
   ) -> AsyncGenerator[bytes]:
     """Yields a reply's chunks, then closes the turn if it has a history."""
-    if reply.events is not None:
-      running.reader = reply.events
+    if reply.event_reader is not None:
+      running.reader = reply.event_reader
     async for chunk in reply.chunks:
       yield chunk
     if not 200 <= reply.status < 300 or not running.route.keeps_history:
--- a/tests/test_truncated_responses.py
+++ b/tests/test_truncated_responses.py
@@ -449,8 +449,8 @@
     reply = make_stream_reply(*[EVENT] * 1000)
     fleet.engines.faults.append(reply)
     await fleet.ask('n1', nodes.make_request('a', path='/draft/'))
-    assert reply.events.count == 1000
-    assert len(reply.events.data) == 0
+    assert reply.event_reader.count == 1000
+    assert len(reply.event_reader.data) == 0
 
 
 @contextlib.asynccontextmanager
