--- a/src/woadrun/connection/http.py
+++ b/src/woadrun/connection/http.py
@@ -78,7 +78,7 @@
     message = f'{url}: returned status {response.status}'
     raise _unavailable(message, errors.RunStatus.UNKNOWN)
   is_value = method == hdrs.METH_GET and response.status == 200
-  # The status of any other response has its result.
+  # Others are known by their status, or decoded by the sender.
   if is_value and not response_ends.is_complete(response, data):
     message = f'{url}: the end of the response is not known'
     raise _unavailable(message, errors.RunStatus.UNKNOWN)
