A truncated event costs its tokens

A stream that ends inside an event has passed on a part of it, which was not counted: a program with many such turns could receive more than its budget.

The truncated event counts with the tokens of a whole one. Found by reading, with the schedules of faults.

--- a/src/woadrun/request/serving.py
+++ b/src/woadrun/request/serving.py
@@ -279,7 +279,9 @@
     tokens_per_event = (
       service.tokens_per_event if service else running.turn.max_output
     )
-    return min(running.turn.max_output, running.reader.count * tokens_per_event)
+    # The part of a truncated event may hold its tokens.
+    events = running.reader.count + running.reader.is_inside_event
+    return min(running.turn.max_output, events * tokens_per_event)
 
   def _close_in_background(self, running: _RunningTurn) -> None:
     message = self._make_close_message(running, is_complete=False)
--- a/tests/test_truncated_responses.py
+++ b/tests/test_truncated_responses.py
@@ -525,3 +525,14 @@
       async for _ in reply.chunks:
         pass
   assert 'this daemon' not in str(caught.value)
+
+
+async def test_truncated_event_costs_its_tokens():
+  """The caller has received a part of it."""
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1')
+    fleet.engines.faults.append(make_stream_reply(EVENT, HALF_EVENT))
+    with pytest.raises(exchange.ResponseLost):
+      await fleet.turn('n1', 'a', most=10)
+    entry = fleet.by_name['n1'].programs.entry_by_program['p']
+    await nodes.wait_until(lambda: entry.ledger.spent == 6)
