Lost responses are logged with the identity of their request

The log lines of a request that ends its instances and of its neighbours were the same: nothing named a request beyond its try, nor how long it had run, nor what else was lost with it. Attempts whose response is lost or breaks off now log the incarnation, the time, the other requests of the daemon there and a fingerprint of the request, equal for all its tries.

No logic is changed.

--- a/src/woadrun/request/attempts.py
+++ b/src/woadrun/request/attempts.py
@@ -36,6 +36,7 @@
 from woadrun.request import authorization
 from woadrun.request import events
 from woadrun.request import exchange
+from woadrun.request import fingerprints
 from woadrun.request import held_bytes
 from woadrun.request import partition_monitor
 from woadrun.request import response_buffer
@@ -100,7 +101,7 @@
   the incarnations that were chosen so far, `last_error` is the error of the
   latest attempt without a reply, and `refusal` is the authorization error that
   forbids further attempts.  `not_run` counts the attempts that certainly did
-  not run.
+  not run.  `fingerprint` identifies the request across its tries.
   """
 
   request: exchange.Request
@@ -109,6 +110,7 @@
   body: bytes
   cached_by_instance: dict[str, int]
   grant: authorization.Grant
+  fingerprint: str
   refusal: errors.WoadrunError | None = None
   tried: list[str] = dataclasses.field(default_factory=list)
   last_error: Exception | None = None
@@ -174,13 +176,17 @@
     `upstream_unavailable`.
     """
     route = grant.route
+    sent_body = body if body is not None else request.body
     state = _SendState(
       request=request,
       service=service,
       deadline=deadline,
-      body=body if body is not None else request.body,
+      body=sent_body,
       cached_by_instance=cached_by_instance or {},
       grant=grant,
+      fingerprint=fingerprints.get_fingerprint(
+        request, team=grant.team_name, body=sent_body
+      ),
     )
     async with contextlib.AsyncExitStack() as stack:
       while (sending := self._prepare_next(state)) is not None:
@@ -266,6 +272,7 @@
       uncached=uncached,
       is_stream=_is_stream(state.request, state.route),
       keeps_history=state.route.keeps_history,
+      fingerprint=state.fingerprint,
     )
 
   async def _start_attempt(
@@ -386,18 +393,20 @@
     )
     stack.enter_context(self._loads.count(id))
     result = _Result()
-    stack.callback(self._record_duration, sending, time.monotonic(), result)
+    started_at = time.monotonic()
+    stack.callback(self._record_duration, sending, started_at, result)
     self._loads.health.record_request(stack, id, sending.instance.service)
     try:
       reply = await stack.enter_async_context(self._upstreams.send(sending))
       self._loads.health.record_response(stack)
     except BaseException as error:
+      beside = self._loads.get_running().get(id, 1) - 1
       await stack.aclose()
-      self._record_failure(sending, error)
+      self._record_failure(sending, error, started_at, beside)
       raise
     finally:
       self._loads.health.record_end(stack)
-    self._record_reply(sending, reply, result)
+    self._record_reply(sending, reply, result, started_at)
     if timer is not None and not result.is_failure and reply.status < 300:
       reply.chunks = self._time_chunks(sending, reply, reply.chunks, timer)
     stack.callback(self._record_idle_connection, id, reply)
@@ -409,6 +418,7 @@
     sending: exchange.RequestAttempt,
     reply: exchange.Reply,
     result: _Result,
+    started_at: float,
   ) -> None:
     id = sending.instance.incarnation_id
     if not reply.has_run:
@@ -421,7 +431,9 @@
         reply.event_reader = events.EventReader(
           keeps_data=sending.keeps_history
         )
-    reply.chunks = self._relay_chunks(sending, reply, reply.chunks, result)
+    reply.chunks = self._relay_chunks(
+      sending, reply, reply.chunks, result, started_at
+    )
 
   async def _relay_chunks(
     self,
@@ -429,6 +441,7 @@
     reply: exchange.Reply,
     chunks: AsyncGenerator[bytes],
     result: _Result,
+    started_at: float,
   ) -> AsyncGenerator[bytes]:
     """Yields a reply's chunks; a truncated reply is a failure of the instance.
 
@@ -444,9 +457,11 @@
       self._log_end(sending, reply)
       if reply.event_reader is not None:
         _check_complete(reply.event_reader, reply)
-    except exchange.ResponseLost:
+    except exchange.ResponseLost as error:
       result.is_failure = True
       self._loads.health.record_failure(id)
+      beside = self._loads.get_running().get(id, 1) - 1
+      self._log_lost(sending, 'response broke off', error, started_at, beside)
       raise
 
   def _log_end(
@@ -509,7 +524,11 @@
     )
 
   def _record_failure(
-    self, sending: exchange.RequestAttempt, error: BaseException
+    self,
+    sending: exchange.RequestAttempt,
+    error: BaseException,
+    started_at: float,
+    beside: int,
   ) -> None:
     if isinstance(error, exchange.RequestNotSent):
       self._loads.record_unreachable(sending.instance.incarnation_id)
@@ -519,7 +538,7 @@
       self._loads.health.record_failure(
         sending.instance.incarnation_id, health.TIMEOUT_WEIGHT
       )
-      self._log_outcome(sending, f'no reply: {error}')
+      self._log_lost(sending, 'no reply', error, started_at, beside)
 
   def _record_incomplete(
     self,
@@ -546,6 +565,28 @@
         instance.incarnation_id, health.TIMEOUT_WEIGHT
       )
 
+  def _log_lost(
+    self,
+    sending: exchange.RequestAttempt,
+    what: str,
+    error: BaseException,
+    started_at: float,
+    beside: int,
+  ) -> None:
+    """Logs a lost response.
+
+    An instance that ends loses all its responses at once, and the tries of one
+    request have one fingerprint: with both, the log tells a request that ends
+    its instances from those beside it.
+    """
+    milliseconds = (time.monotonic() - started_at) * 1000
+    self._log_outcome(
+      sending,
+      f'{what} after {milliseconds:.0f} ms, beside {beside} other requests of '
+      f'this daemon (incarnation {sending.instance.incarnation_id}, '
+      f'fingerprint {fingerprints.shorten(sending.fingerprint)}): {error}',
+    )
+
   def _log_outcome(
     self, sending: exchange.RequestAttempt, outcome: str
   ) -> None:
--- a/src/woadrun/request/exchange.py
+++ b/src/woadrun/request/exchange.py
@@ -103,6 +103,7 @@
   prompt tokens that the instance has to process, None if the time of the
   request is not measured.  `is_stream` is true if the response is a stream of
   events, and `keeps_history` if their data becomes part of a history.
+  `fingerprint` is equal for all tries of the same request.
   """
 
   request: Request
@@ -115,6 +116,7 @@
   uncached: int | None = None
   is_stream: bool = False
   keeps_history: bool = False
+  fingerprint: str = ''
 
 
 @dataclasses.dataclass(kw_only=True)
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 import copy
+import dataclasses
+import re
 
 import nodes
 import pytest
@@ -288,3 +290,23 @@
         await asyncio.sleep(0.001)
   assert len(sizes) == expected
   assert all(size.uncached == 9 and size.tokens for size in sizes)
+
+
+async def test_a_lost_response_is_logged_with_the_identity_of_its_request(
+  caplog,
+):
+  caplog.set_level('INFO', 'woadrun.attempts')
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1')
+    request = nodes.make_request('r', path='/act/')
+    for id in ('r1', 'r2'):
+      fleet.engines.faults.append(exchange.ResponseLost('reset'))
+      with pytest.raises(errors.WoadrunError):
+        await fleet.ask('n1', dataclasses.replace(request, id=id))
+    fleet.engines.faults.append(nodes.make_torn_reply())
+    with pytest.raises(exchange.ResponseLost):
+      await fleet.ask('n1', dataclasses.replace(request, id='r3'))
+  lost = [m for m in caplog.messages if 'fingerprint' in m]
+  assert [line.split()[1] for line in lost] == ['r1', 'r2', 'r3']
+  assert len({re.search('fingerprint ([0-9a-f]{16})', m)[1] for m in lost}) == 1
+  assert all('beside 0 other requests' in line for line in lost)
