Failing tests: a request that ends its instances is sent on without end

What callers saw: a request under which instances end is sent to further ones, which end too, and the requests beside it are lost each time.

Stand-in instances end when they run a marked request: in tests (daemons in one process), in ./dev faults (kind crash, beside all others) and in the soak (real processes). Requests whose connection alone is lost are all sent, which must stay so.

--- /dev/null
+++ b/bench/faults/crashes.py
@@ -0,0 +1,180 @@
+"""Callers whose request ends each instance that runs it, sent again and again.
+
+A request must end at most `MAX_ENDED` instances.  A try may end one more if its
+daemon cannot have heard of those before: it began before any instance had
+ended, or within the time that reports take, or its daemon had just started.
+The sides of a partition count separately.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import random
+import time
+
+from faults import fleet
+from faults import network
+from faults import outside
+from faults import tenancy
+from woadrun import errors
+from woadrun.request import exchange
+from woadrun.version import teams
+
+MAX_ENDED = 3
+TRY_TIMEOUT_SECONDS = 1.0
+# Range of the pause between two tries.
+PAUSE_SECONDS = (0.02, 0.3)
+# Share of the tries that are sent beside another one.
+OVERLAP_SHARE = 0.1
+# Time that a report takes, without and with delayed or lost datagrams.
+REPORT_SECONDS = 0.02
+DISTURBED_REPORT_SECONDS = 1.0
+# Time after its start within which a daemon has heard of earlier reports.
+LEARNING_SECONDS = 3.0
+DISTURBING_KINDS = frozenset(('delay', 'lose-datagrams'))
+PARTITIONING_KINDS = frozenset(('cut', 'cut-one-way'))
+# The routes of both services, of each kind.
+PATHS = (fleet.LOOK, fleet.ACT, fleet.DRAFT, fleet.CHAT)
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Try:
+  """One try, sent at `at` to a daemon that started at `daemon_started_at`."""
+
+  request: exchange.Request
+  at: float
+  daemon_started_at: float
+  code: str = ''
+
+
+class FatalCaller:
+  """A caller of one request that ends its instances.
+
+  `kinds` has the kinds of all faults of the run.
+  """
+
+  def __init__(
+    self,
+    *,
+    served: fleet.Fleet,
+    name: str,
+    path: str,
+    kinds: frozenset[str],
+  ) -> None:
+    self._served = served
+    self._path = path
+    self._kinds = kinds
+    self._rng = random.Random(name)
+    self._name = name
+    self._body = outside.FATAL_MARK + name.encode()
+    self._tries: list[_Try] = []
+
+  async def run(self, seconds: float) -> None:
+    """Sends the request until a time has passed, then checks the result."""
+    until = time.monotonic() + seconds
+    beside: set[asyncio.Task[None]] = set()
+    while time.monotonic() < until:
+      sent = asyncio.ensure_future(self._send())
+      if self._rng.random() < OVERLAP_SHARE:
+        beside.add(sent)
+      else:
+        await sent
+      await asyncio.sleep(self._rng.uniform(*PAUSE_SECONDS))
+    await asyncio.gather(*beside)
+    self._served.violations.extend(self._find_violations())
+
+  async def _send(self) -> None:
+    alive = self._served.get_alive()
+    if not alive:
+      return
+    site = self._rng.choice(alive)
+    sent = self._make_try(site)
+    self._tries.append(sent)
+    work = site.run(_get_code(site, sent.request))
+    try:
+      async with asyncio.timeout(TRY_TIMEOUT_SECONDS):
+        sent.code = await work
+    except (TimeoutError, asyncio.CancelledError):
+      if not work.done():
+        raise
+      sent.code = 'no answer'
+
+  def _make_try(self, site: network.Site) -> _Try:
+    now = time.monotonic()
+    key = self._served.tenancy.get_key(tenancy.TEAM_NAMES[0])
+    is_turn = self._path in (fleet.CHAT, fleet.DRAFT)
+    turn = exchange.TurnInfo(
+      program=self._name, max_output=9, budget=10_000, prompt_tokens=9
+    )
+    request = exchange.Request(
+      id=f'{self._name}-{len(self._tries)}',
+      method='POST',
+      host='h',
+      target=f'{self._path}x',
+      headers=[],
+      body=self._body,
+      deadline=now + TRY_TIMEOUT_SECONDS,
+      key_digest=teams.digest_key(key.secret),
+      program=self._name,
+      turn=turn if is_turn else None,
+    )
+    return _Try(request=request, at=now, daemon_started_at=site.started_at)
+
+  # --- Checks ---------------------------------------------------------------
+
+  def _find_violations(self) -> list[str]:
+    instances = self._served.instances
+    ended = [
+      (instances.ended_at_by_id[id], id)
+      for id in instances.ended_by_body.get(self._body, ())
+    ]
+    found = [
+      f'refused: {item.request.id} ran and got {item.code}'
+      for item in self._tries
+      if item.code in ('request_quarantined', 'upstream_unavailable')
+      and item.request.id in instances.fatal_requests
+    ]
+    if not ended:
+      return found
+    allowed = MAX_ENDED + self._count_uninformed(sorted(ended))
+    if self._kinds & PARTITIONING_KINDS:
+      allowed *= len(self._served.domains)
+    if 'kill-all' in self._kinds:
+      allowed *= 2
+    if len(ended) > allowed:
+      found.append(
+        f'crashes: {len(ended)} instances ended under {self._name}, '
+        f'allowed are {allowed}'
+      )
+    return found
+
+  def _count_uninformed(self, ended: list[tuple[float, str]]) -> int:
+    """Returns the tries whose daemons may not have known of those before."""
+    fatal = [
+      item
+      for item in self._tries
+      if item.request.id in self._served.instances.fatal_requests
+    ]
+    is_disturbed = bool(self._kinds & DISTURBING_KINDS)
+    seconds = DISTURBED_REPORT_SECONDS if is_disturbed else REPORT_SECONDS
+    events = [at for at, _ in ended] + [item.at for item in fatal]
+    return sum(
+      item.at < ended[0][0] + seconds
+      or any(0 < item.at - at < seconds for at in events)
+      or item.at - item.daemon_started_at < LEARNING_SECONDS
+      for item in fatal[MAX_ENDED:]
+    )
+
+
+async def _get_code(site: network.Site, request: exchange.Request) -> str:
+  """Returns the error code of a try, or its status."""
+  try:
+    async with site.daemon.serving.handle_request(request) as answer:
+      async for _ in answer.chunks:
+        pass
+      return str(answer.status)
+  except errors.WoadrunError as error:
+    return error.code.value
+  except exchange.ResponseLost:
+    return 'broken off'
--- a/bench/faults/fleet.py
+++ b/bench/faults/fleet.py
@@ -18,8 +18,9 @@
 from woadrun.platform import discovery
 from woadrun.platform import operator
 from woadrun.process import node
+from woadrun.version import instances
 
-CHAT, DRAFT, ACT = '/chat/', '/draft/', '/act/'
+CHAT, DRAFT, ACT, LOOK = '/chat/', '/draft/', '/act/', '/look/'
 # Numbers of instances of the two services.
 MODEL_INSTANCES, TOOL_INSTANCES = 4, 2
 # Time within which starting daemons must discover each other.
@@ -54,6 +55,13 @@
       'kind': 'non_idempotent',
       'service': 'tools',
     },
+    {
+      **_ROUTE,
+      'name': 'look',
+      'path_prefix': LOOK,
+      'kind': 'idempotent',
+      'service': 'tools',
+    },
   ],
   'services': [
     {
@@ -86,7 +94,15 @@
     ]
     self.network = network.Network(rng=dice)
     self.store = outside.Store(rng=dice)
-    self.instances = outside.Instances(rng=dice)
+    self.instances = outside.Instances(
+      rng=dice, replace=self._start_replacing_instance
+    )
+    # The kinds of all faults of the run, and what these found.
+    self.fault_kinds: frozenset[str] = frozenset()
+    self.violations: list[str] = []
+    self._dice = dice
+    self._replacements = itertools.count(1)
+    self._tasks: set[asyncio.Task[None]] = set()
     self.site_by_name: dict[str, network.Site] = {}
     self._ports = itertools.count(1)
 
@@ -135,6 +151,22 @@
       while not self._is_settled():
         await asyncio.sleep(0.1)
 
+  def _start_replacing_instance(self, instance: instances.Instance) -> None:
+    task = asyncio.ensure_future(self._replace_instance(instance))
+    self._tasks.add(task)
+    task.add_done_callback(self._tasks.discard)
+
+  async def _replace_instance(self, instance: instances.Instance) -> None:
+    """Starts another instance, and lets the entry of the ended one expire."""
+    entry = _make_entry(instance.service, instance.domain)
+    name = f'{instance.service}-r{next(self._replacements)}'
+    key = rows.Key('servers', '', name)
+    # The store's rows, since instances write despite the faults of daemons.
+    await self.store.rows.change(writes=[(key, entry)])
+    await asyncio.sleep(self._dice.uniform(*outside.STALE_ENTRY_SECONDS))
+    ended = rows.Key('servers', '', instance.id)
+    await self.store.rows.change(removes=[ended])
+
   async def write_teams(self) -> None:
     """Writes the current teams to the operator's table."""
     await self.store.rows.change(writes=[self._make_table_row()])
@@ -234,12 +266,16 @@
 def _make_instance_row(
   service: str, number: int, domains: list[str]
 ) -> tuple[rows.Key, bytes]:
+  key = rows.Key('servers', '', f'{service}-{number}')
+  return key, _make_entry(service, domains[number % len(domains)])
+
+
+def _make_entry(service: str, domain: str) -> bytes:
   entry: dict[str, Any] = {
     'service': service,
     'address': '127.0.0.1:9',
-    'zone': domains[number % len(domains)],
+    'zone': domain,
     'slots': 64,
     'state': 'ready',
   }
-  key = rows.Key('servers', '', f'{service}-{number}')
-  return key, msgspec.json.encode(entry)
+  return msgspec.json.encode(entry)
--- a/bench/faults/network.py
+++ b/bench/faults/network.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable
 import dataclasses
 import random
+import time
 from typing import Any
 from typing import TypeVar
 
@@ -26,11 +27,15 @@
 
 @dataclasses.dataclass(kw_only=True, eq=False)
 class Site:
-  """A daemon on the network; its `tasks` are cancelled when it is killed."""
+  """A daemon on the network; its `tasks` are cancelled when it is killed.
+
+  `started_at` is the time of its start on the monotonic clock.
+  """
 
   daemon: node.Node
   domain: str
   is_dead: bool = False
+  started_at: float = dataclasses.field(default_factory=time.monotonic)
   tasks: set[asyncio.Task[Any]] = dataclasses.field(default_factory=set)
 
   def run(self, work: Coroutine[Any, Any, T]) -> asyncio.Task[T]:
--- a/bench/faults/outside.py
+++ b/bench/faults/outside.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 import contextlib
 import random
+import time
 from typing import Any
 
 from faults import network
@@ -15,6 +16,7 @@
 from woadrun.connection import rows
 from woadrun.request import exchange
 from woadrun.standins import rows as standin
+from woadrun.version import instances
 
 # Response times of the store: normal, and the mean extra time when slow.
 RESPONSE_SECONDS = 0.004
@@ -29,6 +31,12 @@
 UNSENT_SHARE, REJECTED_SHARE, RESET_SHARE = 0.01, 0.01, 0.02
 # Share of answers that have neither a length nor chunks.
 UNFRAMED_SHARE = 0.3
+# A request whose body begins with this ends the instance that runs it, after a
+# time in this range.
+FATAL_MARK = b'fatal'
+FATAL_SECONDS = (0.005, 0.1)
+# Range of the time for which the entry of an ended instance stays in the store.
+STALE_ENTRY_SECONDS = (0.2, 1.5)
 # Shares of streams that end orderly inside an event, and of those that do so
 # before the first event of an answer without length and chunks.
 PARTIAL_EVENT_SHARE, NO_EVENT_SHARE = 0.02, 0.01
@@ -120,16 +128,29 @@
 
   `answer_by_request` has the complete body of each answer, also of those in
   `truncated_requests`, whose callers must see that a part is missing.  The
-  answers to `unframed_requests` end with their connection.
+  answers to `unframed_requests` end with their connection.  `ended_at_by_id`
+  has the times at which instances ended, and `ended_by_body` the instances that
+  ended while they ran a body.  `replace` is called with each that has ended.
   """
 
-  def __init__(self, *, rng: random.Random) -> None:
+  def __init__(
+    self,
+    *,
+    rng: random.Random,
+    replace: Callable[[instances.Instance], None] = lambda instance: None,
+  ) -> None:
     self._rng = rng
+    self._replace = replace
+    self.ended_at_by_id: dict[str, float] = {}
+    self.ended_by_body: dict[bytes, list[str]] = {}
+    # The requests that each instance runs, each with its connection.
+    self._running_by_id: dict[str, dict[asyncio.Event, bytes]] = {}
     self.bodies_by_request: dict[str, list[bytes]] = {}
     self.team_by_request: dict[str, str | None] = {}
     self.answer_by_request: dict[str, bytes] = {}
     self.truncated_requests: set[str] = set()
     self.unframed_requests: set[str] = set()
+    self.fatal_requests: set[str] = set()
 
   def make_upstreams(self, site: network.Site | None) -> exchange.Upstreams:
     """Returns the upstreams by which a daemon reaches all instances."""
@@ -141,6 +162,37 @@
   ) -> AsyncIterator[exchange.Reply]:
     if site is not None and site.is_dead:
       await asyncio.Event().wait()
+    instance = sending.instance
+    if instance.id in self.ended_at_by_id:
+      raise exchange.RequestNotSent('refused')
+    connection = asyncio.Event()
+    running = self._running_by_id.setdefault(instance.id, {})
+    running[connection] = sending.request.body
+    try:
+      if sending.request.body.startswith(FATAL_MARK):
+        self.fatal_requests.add(sending.request.id)
+        await asyncio.sleep(self._rng.uniform(*FATAL_SECONDS))
+        self.end(instance)
+        raise exchange.ResponseLost('disconnected')
+      async with self._answer(sending, connection) as reply:
+        yield reply
+    finally:
+      running.pop(connection, None)
+
+  def end(self, instance: instances.Instance) -> None:
+    """Ends an instance: it loses all its connections and refuses new ones."""
+    if instance.id in self.ended_at_by_id:
+      return
+    self.ended_at_by_id[instance.id] = time.monotonic()
+    for connection, body in self._running_by_id.pop(instance.id, {}).items():
+      connection.set()
+      self.ended_by_body.setdefault(body, []).append(instance.id)
+    self._replace(instance)
+
+  @contextlib.asynccontextmanager
+  async def _answer(
+    self, sending: exchange.RequestAttempt, connection: asyncio.Event
+  ) -> AsyncIterator[exchange.Reply]:
     draw = self._rng.random()
     if draw < UNSENT_SHARE:
       raise exchange.RequestNotSent('refused')
@@ -166,7 +218,7 @@
       self.truncated_requests.add(id)
     yield _make_reply(
       200,
-      self._stream(sent, is_reset=is_reset),
+      self._stream(id, sent, connection, is_reset=is_reset),
       has_run=True,
       ends_with_connection=is_unframed,
     )
@@ -187,10 +239,18 @@
     return events
 
   async def _stream(
-    self, chunks: list[bytes], *, is_reset: bool
+    self,
+    id: str,
+    chunks: list[bytes],
+    connection: asyncio.Event,
+    *,
+    is_reset: bool,
   ) -> AsyncGenerator[bytes]:
     for chunk in chunks:
       await asyncio.sleep(self._rng.uniform(*EVENT_INTERVAL_SECONDS))
+      if connection.is_set():
+        self.truncated_requests.add(id)
+        raise exchange.ResponseLost('disconnected')
       yield chunk
     if is_reset:
       raise exchange.ResponseLost('reset')
--- a/bench/faults/schedule.py
+++ b/bench/faults/schedule.py
@@ -13,6 +13,7 @@
 
 from faults import callers
 from faults import clock
+from faults import crashes
 from faults import fleet
 from faults import network
 from faults import tenancy
@@ -134,6 +135,7 @@
     calls=any(fault.kind == 'limit' for fault in schedule.faults),
   )
   caller_task = asyncio.ensure_future(caller_pool.run())
+  served.fault_kinds = frozenset(fault.kind for fault in schedule.faults)
   await asyncio.gather(
     *(_inject_fault(served, fault) for fault in schedule.faults)
   )
@@ -141,7 +143,7 @@
   caller_pool.is_stopping = True
   await caller_task
   return Result(
-    violations=tuple(caller_pool.violations),
+    violations=(*caller_pool.violations, *served.violations),
     count_by_status=caller_pool.count_by_status,
   )
 
@@ -344,7 +346,18 @@
   await served.write_teams()
 
 
+async def _send_fatal_requests(served: fleet.Fleet, fault: Fault) -> None:
+  """Sends a request again and again that ends each instance that runs it."""
+  await crashes.FatalCaller(
+    served=served,
+    name=f'f{fault.target}-{fault.at}',
+    path=crashes.PATHS[fault.variant],
+    kinds=served.fault_kinds,
+  ).run(fault.seconds)
+
+
 _INJECT_BY_KIND: dict[str, Callable[[fleet.Fleet, Fault], Awaitable[None]]] = {
+  'crash': _send_fatal_requests,
   'cut': _cut_domain,
   'cut-one-way': _cut_one_way,
   'delay': _delay_messages,
--- a/bench/fleet_soak/callers.py
+++ b/bench/fleet_soak/callers.py
@@ -17,6 +17,11 @@
 REQUEST_TIMEOUT_SECONDS = 4.0
 MAX_ATTEMPTS = 6
 BUDGET, MAX_TOKENS = 60, 8
+# Tries of a request that ends its instances, the range of the pauses between
+# them, and the share of them that are sent beside the next one.
+FATAL_TRIES = 14
+FATAL_PAUSE_SECONDS = (0.02, 0.5)
+FATAL_OVERLAP_SHARE = 0.1
 # Share of requests in HTTP/1.0, whose responses have no chunks.
 OLD_HTTP_SHARE = 0.1
 
@@ -68,7 +73,8 @@
       poller = asyncio.ensure_future(self._poll_readiness(session))
       try:
         await asyncio.gather(
-          *(self._run_programs() for _ in range(self._count))
+          *(self._run_programs() for _ in range(self._count)),
+          self._send_fatal_requests(),
         )
       finally:
         poller.cancel()
@@ -123,6 +129,27 @@
       await self._send_with_retries(f'{path}x', program, b'do', '')
       await asyncio.sleep(self._rng.uniform(0.02, 0.2))
 
+  async def _send_fatal_requests(self) -> None:
+    """Sends one request after the other that ends its instances."""
+    number = 0
+    while not self.is_stopped:
+      number += 1
+      prefix = self._rng.choice((outside.CHAT, outside.ACT, outside.LOOK))
+      path = f'{prefix}{outside.FATAL}-{number}'
+      program = self._make_id()
+      beside = []
+      for _ in range(FATAL_TRIES):
+        if self.is_stopped:
+          break
+        sent = asyncio.ensure_future(
+          self._send(path=path, program=program, input=b'fatal', parent='')
+        )
+        beside.append(sent)
+        if self._rng.random() >= FATAL_OVERLAP_SHARE:
+          await sent
+        await asyncio.sleep(self._rng.uniform(*FATAL_PAUSE_SECONDS))
+      await asyncio.gather(*beside)
+
   async def _send_with_retries(
     self,
     path: str,
--- a/bench/fleet_soak/checker.py
+++ b/bench/fleet_soak/checker.py
@@ -20,6 +20,11 @@
 MESSAGE_SLACK_SECONDS = 1.0
 # No program may be refused while fewer of the slots than this are in use.
 IDLE_FRACTION = 0.1
+# No try of a request that begins this long after the third instance ended under
+# it may run, at a daemon whose process ran all the while.
+MAX_ENDED = 3
+REPORT_TIMEOUT_SECONDS = 0.5
+LEARNING_SECONDS = 4.0
 _DATA = re.compile(rb'^data: (.*)$', re.MULTILINE)
 
 
@@ -55,6 +60,8 @@
       self._check_draining,
       self._check_graceful_stops,
       self._check_configurations,
+      self._check_crashes,
+      self._check_quarantine,
     )
     return [found for check in checks for found in check()]
 
@@ -73,7 +80,9 @@
   def _check_full(self) -> Iterator[str]:
     attempts = self._caller_pool.attempts
     models = (i for i in self._environment.instances if i.service == 'models')
-    slots = outside.SLOTS * sum(item.drained_at is None for item in models)
+    slots = outside.SLOTS * sum(
+      item.drained_at is None and item.ended_at is None for item in models
+    )
     for attempt in attempts:
       if attempt.error != errors.Code.SERVICE_FULL.value:
         continue
@@ -220,6 +229,41 @@
       at - FAULT_GRACE_SECONDS, at
     )
 
+  def _check_crashes(self) -> Iterator[str]:
+    runs_by_path: dict[str, list[outside.Run]] = collections.defaultdict(list)
+    for runs in self._runs_by_request.values():
+      for run in runs:
+        if outside.FATAL in run.path:
+          runs_by_path[run.path].append(run)
+    for path, runs in runs_by_path.items():
+      ended_at_by_id = {
+        item.id: item.ended_at
+        for item in self._environment.instances
+        if item.ended_at is not None and item.id in {r.instance for r in runs}
+      }
+      ended = sorted(ended_at_by_id.values())
+      if len(ended) <= MAX_ENDED:
+        continue
+      limit = ended[MAX_ENDED - 1] + REPORT_TIMEOUT_SECONDS
+      for run in runs:
+        attempt = self._attempt_by_request[run.request]
+        is_informed = attempt.began > limit and attempt.daemon.is_present(
+          attempt.began - LEARNING_SECONDS, run.at
+        )
+        if is_informed:
+          yield (
+            f'{run.request} ran at {run.instance}, although {MAX_ENDED} '
+            f'instances had ended under {path}'
+          )
+
+  def _check_quarantine(self) -> Iterator[str]:
+    for attempt in self._caller_pool.attempts:
+      if (
+        attempt.error == 'request_quarantined'
+        and outside.FATAL not in attempt.path
+      ):
+        yield f'{attempt.request} was refused, but ends no instance'
+
   def find_recent_turns(self, count: int) -> list[callers.Attempt]:
     """Returns the newest turns that were answered completely."""
     complete = [
@@ -227,6 +271,7 @@
       for attempt in self._caller_pool.attempts
       if attempt.status == 200
       and attempt.path.startswith(outside.CHAT)
+      and outside.FATAL not in attempt.path
       and time.monotonic() - attempt.ended < 40.0
     ]
     return complete[-count:]
--- a/bench/fleet_soak/daemons.py
+++ b/bench/fleet_soak/daemons.py
@@ -24,7 +24,8 @@
   """A daemon; the fault that stops it also restarts it.
 
   `fault_times` are the times of the daemon's unplanned faults, `stop_times` the
-  times of its graceful stops.
+  times of its graceful stops, `absence_times` those at which its process was
+  started, suspended or resumed.
   """
 
   def __init__(
@@ -37,12 +38,14 @@
     self.link: proxy.Proxy | None = None
     self.fault_times: list[float] = []
     self.stop_times: list[float] = []
+    self.absence_times: list[float] = []
     self.is_frozen = False
     self._settings = folder / f'{self.name}.json'
     self._log = (folder / f'{self.name}.log').open('ab')
 
   async def start(self, store: tuple[str, int]) -> None:
     """Starts the process, and on the first start its proxy to the store."""
+    self.absence_times.append(time.monotonic())
     if self.link is None:
       self.link = proxy.Proxy(target=store)
       await self.link.start(self.host)
@@ -78,6 +81,10 @@
     """Returns whether no fault affected the daemon between two times."""
     return not any(since <= at <= until for at in self.fault_times)
 
+  def is_present(self, since: float, until: float) -> bool:
+    """Returns whether the process ran without a break between two times."""
+    return not any(since <= at <= until for at in self.absence_times)
+
   async def kill(self) -> None:
     """Kills the process and waits for its exit."""
     self.record_fault()
@@ -88,12 +95,14 @@
   def freeze(self) -> None:
     """Suspends the process with SIGSTOP."""
     self.record_fault()
+    self.absence_times.append(time.monotonic())
     self.is_frozen = True
     self.process.send_signal(signal.SIGSTOP)
 
   def resume(self) -> None:
     """Resumes a suspended process."""
     self.record_fault()
+    self.absence_times.append(time.monotonic())
     self.is_frozen = False
     self.process.send_signal(signal.SIGCONT)
 
--- a/bench/fleet_soak/faults.py
+++ b/bench/fleet_soak/faults.py
@@ -182,4 +182,5 @@
   async def _reset_instance(self) -> None:
     # An orderly close would complete a response without length and chunks.
     self._record_fault_of_all()
-    self._rng.choice(self._environment.instances).proxy.reset()
+    alive = [i for i in self._environment.instances if i.ended_at is None]
+    self._rng.choice(alive).proxy.reset()
--- a/bench/fleet_soak/outside.py
+++ b/bench/fleet_soak/outside.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 import dataclasses
 import random
 import time
+from typing import Any
 
 from aiohttp import web
 import msgspec
@@ -22,6 +24,13 @@
 # Turns with a single attempt.
 CHAT_ONCE = f'{CHAT}once/'
 SLOTS = 16
+# A request to a path with this in it ends the instance that runs it.
+FATAL = 'fatal'
+HEALTH = '/health'
+# Ranges of the time for which such a request runs, and for which the row of an
+# ended instance stays in the store.
+FATAL_SECONDS = (0.01, 0.1)
+STALE_ROW_SECONDS = (0.2, 3.0)
 DRAIN_TIMEOUT_SECONDS = 2.0
 
 
@@ -40,18 +49,29 @@
 class Instance:
   """An instance of a service, behind a proxy of its own.
 
-  `response_by_request` has the latest response to each request.
+  `response_by_request` has the latest response to each request, `lost_requests`
+  those that were running when the instance ended, which is at `ended_at`.
   """
 
   def __init__(
-    self, *, id: str, service: str, host: str, rng: random.Random
+    self,
+    *,
+    id: str,
+    service: str,
+    host: str,
+    rng: random.Random,
+    on_fatal_request: Callable[[Instance], None],
   ) -> None:
     self.id = id
+    self.on_fatal_request = on_fatal_request
     self.service = service
     self.host = host
     self.runs: list[Run] = []
     self.response_by_request: dict[str, responses.Response] = {}
     self.drained_at: float | None = None
+    self.ended_at: float | None = None
+    self.lost_requests: set[str] = set()
+    self._running: set[str] = set()
     self._rng = rng
     self._server: asyncio.Server | None = None
     self._tasks: set[asyncio.Task[None]] = set()
@@ -71,6 +91,14 @@
     for task in list(self._tasks):
       task.cancel()
 
+  async def end(self) -> None:
+    """Ends the instance: resets its connections and refuses new ones."""
+    if self.ended_at is not None:
+      return
+    self.ended_at = time.monotonic()
+    self.lost_requests |= self._running
+    await self.stop()
+
   def get_row(self, domain: str) -> bytes:
     """Returns the instance's row in the platform's list of instances."""
     entry = {
@@ -113,11 +141,18 @@
       return await responses.write(
         writer, rejection, headers=echo, pause=self._pause_briefly, status=421
       )
+    path = request_line.split()[1]
+    if path == HEALTH:
+      writer.write(
+        f'HTTP/1.1 200 OK\r\nInstance-Id: {self.id}\r\n'
+        'Content-Length: 0\r\n\r\n'.encode()
+      )
+      return True
     run = Run(
       request=request,
       instance=self.id,
       service=self.service,
-      path=request_line.split()[1],
+      path=path,
       body=body,
       at=time.monotonic(),
     )
@@ -126,7 +161,16 @@
     is_stream = run.path.startswith(CHAT)
     response = self._draw_response(request, is_stream=is_stream)
     pause = self._pause_briefly if is_stream else self._pause
-    return await responses.write(writer, response, headers=echo, pause=pause)
+    self._running.add(request)
+    try:
+      if FATAL in path:
+        await asyncio.sleep(self._rng.uniform(*FATAL_SECONDS))
+        self.on_fatal_request(self)
+        # The end of the instance cancels this task.
+        await asyncio.Event().wait()
+      return await responses.write(writer, response, headers=echo, pause=pause)
+    finally:
+      self._running.discard(request)
 
   def _draw_response(
     self, request: str, *, is_stream: bool
@@ -156,6 +200,7 @@
     self._hosts = hosts
     self.memory_rows = memory.MemoryRowStore()
     self.instances: list[Instance] = []
+    self._tasks: set[asyncio.Task[None]] = set()
     self._domains = domains
     self._rng = random.Random(f'outside/{seed}')
     self._runner: web.AppRunner | None = None
@@ -180,8 +225,11 @@
 
   async def stop(self) -> None:
     """Stops all instances and the store."""
+    for task in self._tasks:
+      task.cancel()
     for instance in self.instances:
-      await instance.stop()
+      if instance.ended_at is None:
+        await instance.stop()
     await self._runner.cleanup()
 
   @property
@@ -197,7 +245,7 @@
       for item in self.instances
       for request, response in item.response_by_request.items()
       if response.is_truncated
-    }
+    } | {request for item in self.instances for request in item.lost_requests}
 
   async def configure(self, service: str) -> None:
     """Writes a configuration that routes actions to a service."""
@@ -217,7 +265,15 @@
         _make_route('act', ACT, 'non_idempotent', service),
         _make_route('look', LOOK, 'idempotent', 'tools'),
       ],
-      'services': [{'name': 'models', 'engine': {'tokens_per_event': 1}}],
+      'services': [
+        {
+          'name': 'models',
+          'health_check_path': HEALTH,
+          'engine': {'tokens_per_event': 1},
+        },
+        {'name': 'tools', 'health_check_path': HEALTH},
+        {'name': 'other', 'health_check_path': HEALTH},
+      ],
     }
     key = rows.Key('op', '', 'config')
     await self._write([(key, msgspec.json.encode(config))])
@@ -231,17 +287,34 @@
       service=service,
       host=self._hosts.get_host(2, number),
       rng=self._rng,
+      on_fatal_request=self._start_ending,
     )
     self.instances.append(instance)
     await instance.start()
     await self._write_row(instance)
 
+  def _start_ending(self, instance: Instance) -> None:
+    task = asyncio.ensure_future(self._end(instance))
+    self._tasks.add(task)
+    task.add_done_callback(self._tasks.discard)
+
+  async def _end(self, instance: Instance) -> None:
+    """Ends an instance, starts another one and later removes the row."""
+    if instance.ended_at is not None:
+      return
+    await instance.end()
+    await self.add(instance.service)
+    await asyncio.sleep(self._rng.uniform(*STALE_ROW_SECONDS))
+    await self._change(removes=[rows.Key('servers', '', instance.id)])
+
   async def replace(self, service: str) -> None:
     """Drains a random instance of a service after it adds a new one."""
     candidates = [
       item
       for item in self.instances
-      if item.service == service and item.drained_at is None
+      if item.service == service
+      and item.drained_at is None
+      and item.ended_at is None
     ]
     await self.add(service)
     instance = self._rng.choice(candidates)
@@ -256,12 +329,15 @@
     await self._write([(key, instance.get_row(domain))])
 
   async def _write(self, writes: list[tuple[rows.Key, bytes]]) -> None:
+    await self._change(writes=writes)
+
+  async def _change(self, **options: Any) -> None:
     # The operator's writes succeed despite faults of the store.
     memory_rows = self.memory_rows
     was_out, memory_rows.is_out = memory_rows.is_out, False
     lost, memory_rows.loses_answers = memory_rows.loses_answers, False
     delay, memory_rows.delay = memory_rows.delay, 0.0
-    await memory_rows.change(writes=writes)
+    await memory_rows.change(**options)
     memory_rows.is_out, memory_rows.loses_answers, memory_rows.delay = (
       was_out,
       lost,
--- /dev/null
+++ b/tests/crashing_engines.py
@@ -0,0 +1,113 @@
+"""Instances that end when they run a marked request, for tests."""
+
+import asyncio
+import contextlib
+import itertools
+
+import msgspec
+import nodes
+
+from woadrun.connection import rows
+from woadrun.request import exchange
+
+# A request whose body contains this ends the instance that runs it.
+MARK = b'fatal'
+
+
+class CrashingEngines(nodes.Engines):
+  """Instances of two services, of which a marked request ends each one.
+
+  An instance that ends loses the responses of all requests that it runs, and
+  its address refuses connections.  Its entry is removed after `entry_seconds`,
+  and another instance starts at once.  With `loses_connections`, a marked
+  request resets its connection and the instance lives on.
+  `ended_by_body` lists the instances that ended under each body, marked or not.
+  """
+
+  def __init__(self, *, entry_seconds=0.0, loses_connections=False):
+    super().__init__()
+    self.entry_seconds = entry_seconds
+    self.loses_connections = loses_connections
+    self.has_head = False
+    self.seconds = 0.02
+    self.ended = []
+    self.ended_by_body = {}
+    self.shared = None
+    self._running_by_id = {}
+    self._numbers = itertools.count(1)
+    self._tasks = set()
+
+  @contextlib.asynccontextmanager
+  async def send(self, sending):
+    id = sending.instance.id
+    if id in self.ended:
+      raise exchange.RequestNotSent('connection refused')
+    self.sent.append(sending)
+    running = self._running_by_id.setdefault(id, {})
+    lost = asyncio.get_running_loop().create_future()
+    running[lost] = sending.body
+    try:
+      if MARK in sending.body and not self.has_head:
+        await self._run(sending, lost)
+        raise AssertionError('A marked request loses its response.')
+      if not self.has_head:
+        await self._run(sending, lost)
+      yield exchange.Reply(
+        status=200,
+        headers=[],
+        has_run=True,
+        is_genuine=True,
+        chunks=self._stream_or_end(sending, lost),
+      )
+    finally:
+      running.pop(lost, None)
+
+  async def _stream_or_end(self, sending, lost):
+    yield b'id: 0\ndata: first\n\n'
+    if self.has_head:
+      await self._run(sending, lost)
+    yield b'id: 1\ndata: second\n\n'
+
+  async def _run(self, sending, lost):
+    """Runs a request; raises `ResponseLost` if its response is lost."""
+    await asyncio.wait({lost}, timeout=self.seconds)
+    if lost.done():
+      raise exchange.ResponseLost('server disconnected')
+    if MARK not in sending.body:
+      return
+    if self.loses_connections:
+      raise exchange.ResponseLost('connection reset by peer')
+    self.end(sending.instance)
+    raise exchange.ResponseLost('server disconnected')
+
+  def end(self, instance):
+    """Ends an instance and starts another one of its service."""
+    if instance.id in self.ended:
+      return
+    self.ended.append(instance.id)
+    for lost, body in self._running_by_id.get(instance.id, {}).items():
+      self.ended_by_body.setdefault(body, []).append(instance.id)
+      if not lost.done():
+        lost.set_result(None)
+    task = asyncio.ensure_future(self._replace(instance))
+    self._tasks.add(task)
+    task.add_done_callback(self._tasks.discard)
+
+  async def _replace(self, instance):
+    entry = nodes.make_entry(service=instance.service, zone=instance.domain)
+    name = f'{instance.service}-{next(self._numbers)}'
+    await self.shared.change(
+      writes=[(rows.Key('servers', '', name), msgspec.json.encode(entry))]
+    )
+    await asyncio.sleep(self.entry_seconds)
+    await self.shared.change(removes=[rows.Key('servers', '', instance.id)])
+
+
+@contextlib.asynccontextmanager
+async def make_fleet(*names, **options):
+  """Returns a context with started daemons before such instances."""
+  async with nodes.Nodes() as fleet:
+    fleet.engines = CrashingEngines(**options)
+    fleet.engines.shared = fleet.shared
+    await fleet.start(*names)
+    yield fleet
--- /dev/null
+++ b/tests/test_crashing_requests.py
@@ -0,0 +1,136 @@
+"""A request that ends its instances is not sent to more than three of them."""
+
+import asyncio
+import dataclasses
+
+import crashing_engines
+import nodes
+import pytest
+
+from woadrun import errors
+from woadrun.request import exchange
+
+TRIES = 8
+MAX_ENDED = 3
+PAUSE_SECONDS = 0.05
+
+
+def make_request(id, *, path, content, program='p', key=''):
+  """Returns one try of a request: a turn where the route has histories."""
+  request = nodes.make_request(id, path=path, key=key)
+  turn = exchange.TurnInfo(
+    program=program, max_output=10, budget=1000, prompt_tokens=9
+  )
+  return dataclasses.replace(
+    request, body=content, turn=turn if path == '/chat/' else None
+  )
+
+
+async def send(fleet, name, request):
+  """Returns the error code of a try, or its status."""
+  try:
+    return (await fleet.ask(name, request))[0]
+  except errors.WoadrunError as error:
+    return error.code.value
+  except exchange.ResponseLost:
+    return 'broken off'
+
+
+async def send_tries(fleet, *, path, key=''):
+  """Sends a marked request several times, in turn to all daemons."""
+  names = sorted(fleet.by_name)
+  found = []
+  for number in range(TRIES):
+    request = make_request(
+      f'r{number}', path=path, content=crashing_engines.MARK, key=key
+    )
+    name = names[number % len(names)]
+    found.append(await send(fleet, name, request))
+    await asyncio.sleep(PAUSE_SECONDS)
+  return found
+
+
+@pytest.mark.parametrize('names', [('n1',), ('n1', 'n2', 's1')])
+@pytest.mark.parametrize('path', ['/chat/', '/look/', '/act/'])
+@pytest.mark.parametrize('has_head', [False, True])
+async def test_a_request_under_which_three_instances_ended_is_not_sent_again(
+  names, path, has_head
+):
+  async with crashing_engines.make_fleet(*names) as fleet:
+    fleet.engines.has_head = has_head
+    found = await send_tries(fleet, path=path)
+    assert len(fleet.engines.ended) <= MAX_ENDED
+    assert found[-1] == 'request_quarantined'
+
+
+@pytest.mark.parametrize('path', ['/chat/', '/look/', '/act/'])
+async def test_instances_are_known_to_have_ended_before_their_entries_expire(
+  path,
+):
+  async with crashing_engines.make_fleet(
+    'n1', 'n2', 's1', entry_seconds=1.5
+  ) as fleet:
+    found = await send_tries(fleet, path=path)
+    assert len(fleet.engines.ended) <= MAX_ENDED
+    assert found[-1] == 'request_quarantined'
+
+
+@pytest.mark.parametrize('path', ['/chat/', '/look/', '/act/'])
+async def test_a_request_whose_connections_are_lost_is_always_sent(path):
+  async with crashing_engines.make_fleet(
+    'n1', 'n2', 's1', loses_connections=True
+  ) as fleet:
+    await send_tries(fleet, path=path)
+    expected = TRIES * (2 if path == '/look/' else 1)
+    assert len(fleet.engines.sent) == expected
+
+
+@pytest.mark.parametrize('path', ['/chat/', '/look/', '/act/'])
+async def test_other_requests_are_served_while_one_ends_its_instances(path):
+  async with crashing_engines.make_fleet('n1', 'n2', 's1') as fleet:
+    tries = asyncio.ensure_future(send_tries(fleet, path=path))
+    codes = []
+    for number in range(40):
+      # An instance that ends takes these with it, as long as they run beside.
+      request = make_request(
+        f'i{number}', path=path, content=b'%d' % number, program=f'i{number}'
+      )
+      codes.append(await send(fleet, 's1', request))
+    await tries
+    assert 'request_quarantined' not in codes
+    assert codes.count(200) >= len(codes) - MAX_ENDED
+
+
+async def test_a_request_that_ran_beside_two_that_end_instances_is_served():
+  async with crashing_engines.make_fleet('n1') as fleet:
+    for number in range(2):
+      directory = fleet.by_name['n1'].catalogue.directory
+      known = set(directory.by_id)
+      innocent = make_request(f'i{number}', path='/act/', content=b'innocent')
+      task = asyncio.ensure_future(send(fleet, 'n1', innocent))
+      await nodes.wait_until(lambda: fleet.engines.sent)
+      fleet.engines.end(fleet.engines.sent.pop().instance)
+      assert await task == 'outcome_unknown'
+      await nodes.wait_until(lambda: set(directory.by_id) - known)  # noqa: B023
+    last = make_request('last', path='/act/', content=b'innocent')
+    assert await send(fleet, 'n1', last) == 200
+
+
+async def test_a_request_that_ends_its_instances_is_refused_for_its_team_only():
+  async with crashing_engines.make_fleet('n1') as fleet:
+    config = {
+      **nodes.CONFIG,
+      'version': 2,
+      'tenants': [
+        {'name': name, 'api_keys': [f'key-{name}']} for name in ('red', 'blue')
+      ],
+    }
+    await fleet.configure(config)
+    catalogue = fleet.by_name['n1'].catalogue
+    await nodes.wait_until(lambda: catalogue.version == 2)
+    found = {}
+    for team in ('red', 'blue'):
+      found[team] = await send_tries(fleet, path='/act/', key=f'key-{team}')
+    ended = ['outcome_unknown'] * MAX_ENDED
+    expected = [*ended, *['request_quarantined'] * (TRIES - MAX_ENDED)]
+    assert found == {'red': expected, 'blue': expected}
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -3,9 +3,11 @@
 import asyncio
 import random
 import time
+import types
 
 from faults import callers
 from faults import clock
+from faults import crashes
 from faults import fleet
 from faults import schedule
 from faults import tenancy
@@ -80,6 +82,54 @@
   assert next(violations, '').startswith('budget:')
 
 
+def make_fatal_caller(*, began, ended_at, kinds=()):
+  served = fleet.Fleet(dice=random.Random(1), daemons=1, domains=2)
+  caller = crashes.FatalCaller(
+    served=served, name='f', path=fleet.LOOK, kinds=frozenset(kinds)
+  )
+  for number, at in enumerate(began):
+    request = types.SimpleNamespace(id=f'f-{number}')
+    served.instances.fatal_requests.add(request.id)
+    caller._tries.append(
+      crashes._Try(request=request, at=at, daemon_started_at=0.0)
+    )
+  ids = [f'i{number}' for number in range(len(ended_at))]
+  served.instances.ended_at_by_id.update(zip(ids, ended_at, strict=True))
+  served.instances.ended_by_body[caller._body] = ids
+  return caller
+
+
+@pytest.mark.parametrize(
+  ('began', 'ended_at', 'kinds', 'is_violated'),
+  [
+    ([10.0, 11.0, 12.0], [10.1, 11.1, 12.1], (), False),
+    ([10.0, 11.0, 12.0, 13.0], [10.1, 11.1, 12.1, 13.1], (), True),
+    # Sent before any instance had ended.
+    ([10.0, 10.05, 10.06, 10.07], [10.1, 10.11, 10.12, 10.13], (), False),
+    # Sent before the third end was known everywhere.
+    ([10.0, 11.0, 12.0, 12.11], [10.1, 11.1, 12.1, 12.2], (), False),
+    ([10.0, 11.0, 12.0, 12.15], [10.1, 11.1, 12.1, 12.2], (), True),
+    ([10.0, 11.0, 12.0, 12.15], [10.1, 11.1, 12.1, 12.2], ('delay',), False),
+    # Two sides of a partition.
+    ([float(n) for n in range(10, 16)], range(11, 17), ('cut',), False),
+    ([float(n) for n in range(10, 17)], range(11, 18), ('cut',), True),
+  ],
+)
+def test_more_ended_instances_than_a_request_may_end_are_found(
+  began, ended_at, kinds, is_violated
+):
+  caller = make_fatal_caller(began=began, ended_at=ended_at, kinds=kinds)
+  assert bool(caller._find_violations()) is is_violated
+
+
+def test_a_request_that_ran_and_was_refused_is_found():
+  caller = make_fatal_caller(began=[10.0], ended_at=[10.1])
+  caller._tries[0].code = 'request_quarantined'
+  assert caller._find_violations() == [
+    'refused: f-0 ran and got request_quarantined'
+  ]
+
+
 # --- Checks of the callers ----------------------------------------------------
 
 
--- a/tests/test_fleet_soak.py
+++ b/tests/test_fleet_soak.py
@@ -26,6 +26,9 @@
   def is_fault_free(self, since, until):
     return True
 
+  def is_present(self, since, until):
+    return True
+
 
 def make_attempt(request, *, path=outside.CHAT, **fields):
   fields.setdefault('began', 99.0)
@@ -61,6 +64,7 @@
       'a': responses.Response(parts=(GOOD['body'],), is_stream=True, **options)
     },
     drained_at=drained_at,
+    ended_at=None,
   )
   environment = types.SimpleNamespace(
     instances=[item],
@@ -133,6 +137,55 @@
   assert word in found[0]
 
 
+def make_crash_checker(count):
+  """Returns a checker of tries a second apart, of which each ends an instance.
+
+  The first try was sent at 101 s.
+  """
+  path = f'{outside.LOOK}{outside.FATAL}-1'
+  numbers = range(1, count + 1)
+  environment = types.SimpleNamespace(
+    instances=[
+      types.SimpleNamespace(
+        id=f'i{n}', service='tools', ended_at=100.2 + n, drained_at=None
+      )
+      for n in numbers
+    ]
+  )
+  attempts = [make_attempt(f'{n}', began=100.0 + n) for n in numbers]
+  guarantees = checker.Checker(
+    environment=environment,
+    caller_pool=types.SimpleNamespace(attempts=attempts),
+  )
+  guarantees._attempt_by_request = {item.request: item for item in attempts}
+  guarantees._runs_by_request = {
+    f'{n}': [
+      outside.Run(
+        request=f'{n}',
+        instance=f'i{n}',
+        service='tools',
+        path=path,
+        body=b'',
+        at=100.1 + n,
+      )
+    ]
+    for n in numbers
+  }
+  return guarantees
+
+
+def test_a_fourth_instance_that_ends_under_a_request_is_reported():
+  assert list(make_crash_checker(3)._check_crashes()) == []
+  found = list(make_crash_checker(4)._check_crashes())
+  assert len(found) == 1
+  assert found[0].startswith('4 ran at i4')
+
+
+def test_a_refused_request_that_ends_no_instance_is_reported():
+  refused = make_attempt('a', status=502, error='request_quarantined')
+  assert check([refused], []) == ['a was refused, but ends no instance']
+
+
 def test_a_run_at_a_drained_instance_is_reported():
   found = check([make_attempt('a', **GOOD)], [make_run('a')], drained_at=95.0)
   assert len(found) == 1
