--- a/bench/faults/crashes.py
+++ b/bench/faults/crashes.py
@@ -1,9 +1,9 @@
 """Callers whose request ends each instance that runs it, sent again and again.
 
-A request must end at most `MAX_ENDED` instances.  A try may end one more if its
-daemon cannot have heard of those before: it began before any instance had
-ended, or within the time that reports take, or its daemon had just started.
-The sides of a partition count separately.
+A request must end at most `MAX_ENDED` instances.  A run may end one more if its
+daemon cannot have known of those before: it began before any instance had
+ended, or reports are lost or late, or its daemon had just started.  The sides
+of a partition count separately.
 """
 
 from __future__ import annotations
@@ -32,6 +32,7 @@
 DISTURBED_REPORT_SECONDS = 1.0
 # Time after its start within which a daemon has heard of earlier reports.
 LEARNING_SECONDS = 3.0
+NOT_RUN_CODES = ('request_quarantined', 'upstream_unavailable')
 DISTURBING_KINDS = frozenset(('delay', 'lose-datagrams'))
 PARTITIONING_KINDS = frozenset(('cut', 'cut-one-way'))
 # The routes of both services, of each kind.
@@ -125,45 +126,46 @@
 
   def _find_violations(self) -> list[str]:
     instances = self._served.instances
-    ended = [
-      (instances.ended_at_by_id[id], id)
-      for id in instances.ended_by_body.get(self._body, ())
-    ]
+    try_by_id = {item.request.id: item for item in self._tries}
+    runs = sorted(run for run in instances.fatal_runs if run[1] in try_by_id)
+    ran = {id for _, id in runs}
     found = [
       f'refused: {item.request.id} ran and got {item.code}'
       for item in self._tries
-      if item.code in ('request_quarantined', 'upstream_unavailable')
-      and item.request.id in instances.fatal_requests
+      if item.code in NOT_RUN_CODES and item.request.id in ran
     ]
-    if not ended:
+    ended_at = sorted(
+      instances.ended_at_by_id[id]
+      for id in instances.ended_by_body.get(self._body, ())
+    )
+    if not ended_at:
       return found
-    allowed = MAX_ENDED + self._count_uninformed(sorted(ended))
+    uninformed = sum(
+      self._is_uninformed(at, try_by_id[id], ended_at)
+      for at, id in runs[MAX_ENDED:]
+    )
+    allowed = MAX_ENDED + uninformed
     if self._kinds & PARTITIONING_KINDS:
       allowed *= len(self._served.domains)
     if 'kill-all' in self._kinds:
       allowed *= 2
-    if len(ended) > allowed:
+    if len(ended_at) > allowed:
       found.append(
-        f'crashes: {len(ended)} instances ended under {self._name}, '
+        f'crashes: {len(ended_at)} instances ended under {self._name}, '
         f'allowed are {allowed}'
       )
     return found
 
-  def _count_uninformed(self, ended: list[tuple[float, str]]) -> int:
-    """Returns the tries whose daemons may not have known of those before."""
-    fatal = [
-      item
-      for item in self._tries
-      if item.request.id in self._served.instances.fatal_requests
-    ]
+  def _is_uninformed(
+    self, at: float, sent: _Try, ended_at: list[float]
+  ) -> bool:
+    """Returns whether a daemon that ran a try `at` may not know of others."""
     is_disturbed = bool(self._kinds & DISTURBING_KINDS)
     seconds = DISTURBED_REPORT_SECONDS if is_disturbed else REPORT_SECONDS
-    events = [at for at, _ in ended] + [item.at for item in fatal]
-    return sum(
-      item.at < ended[0][0] + seconds
-      or any(0 < item.at - at < seconds for at in events)
-      or item.at - item.daemon_started_at < LEARNING_SECONDS
-      for item in fatal[MAX_ENDED:]
+    return (
+      at < ended_at[0] + seconds
+      or at - sent.daemon_started_at < LEARNING_SECONDS
+      or (is_disturbed and any(0 < at - end < seconds for end in ended_at))
     )
 
 
--- a/bench/faults/outside.py
+++ b/bench/faults/outside.py
@@ -35,6 +35,8 @@
 # time in this range.
 FATAL_MARK = b'fatal'
 FATAL_SECONDS = (0.005, 0.1)
+# Time that a probe of an instance takes.
+PROBE_SECONDS = 0.002
 # Range of the time for which the entry of an ended instance stays in the store.
 STALE_ENTRY_SECONDS = (0.2, 1.5)
 # Shares of streams that end orderly inside an event, and of those that do so
@@ -150,11 +152,14 @@
     self.answer_by_request: dict[str, bytes] = {}
     self.truncated_requests: set[str] = set()
     self.unframed_requests: set[str] = set()
-    self.fatal_requests: set[str] = set()
+    # The times at which marked requests began to run, with their ids.
+    self.fatal_runs: list[tuple[float, str]] = []
 
   def make_upstreams(self, site: network.Site | None) -> exchange.Upstreams:
     """Returns the upstreams by which a daemon reaches all instances."""
-    return _Upstreams(send=lambda sending: self._send(site, sending))
+    return _Upstreams(
+      send=lambda sending: self._send(site, sending), probe=self._probe
+    )
 
   @contextlib.asynccontextmanager
   async def _send(
@@ -170,7 +175,7 @@
     running[connection] = sending.request.body
     try:
       if sending.request.body.startswith(FATAL_MARK):
-        self.fatal_requests.add(sending.request.id)
+        self.fatal_runs.append((time.monotonic(), sending.request.id))
         await asyncio.sleep(self._rng.uniform(*FATAL_SECONDS))
         self.end(instance)
         raise exchange.ResponseLost('disconnected')
@@ -179,6 +184,13 @@
     finally:
       running.pop(connection, None)
 
+  async def _probe(
+    self, instance: instances.Instance, *, health_path: str
+  ) -> exchange.Liveness:
+    await asyncio.sleep(PROBE_SECONDS)
+    is_ended = instance.id in self.ended_at_by_id
+    return exchange.Liveness.ENDED if is_ended else exchange.Liveness.ALIVE
+
   def end(self, instance: instances.Instance) -> None:
     """Ends an instance: it loses all its connections and refuses new ones."""
     if instance.id in self.ended_at_by_id:
@@ -262,8 +274,14 @@
 class _Upstreams:
   """Sends through a function; implements `exchange.Upstreams`."""
 
-  def __init__(self, *, send: Callable[[exchange.RequestAttempt], Any]) -> None:
+  def __init__(
+    self,
+    *,
+    send: Callable[[exchange.RequestAttempt], Any],
+    probe: Callable[..., Any],
+  ) -> None:
     self.send = send
+    self.probe = probe
 
 
 def _make_reply(
--- /dev/null
+++ b/src/woadrun/connection/attempt_reports.py
@@ -0,0 +1,49 @@
+"""Reports between daemons on attempts of requests that may end instances."""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+
+class State(enum.IntEnum):
+  """The state of an attempt; of two reports the later state is the newer one.
+
+  CLAIMED: a daemon is about to send the request to an instance.  RUNNING: the
+  instance runs the request.  ABANDONED: the daemon gave up waiting, and the
+  instance may still run it.  LOST: the connection was lost, and it is not known
+  yet whether the instance ended.  ENDED: the instance ended while it ran the
+  request.  SURVIVED: the instance runs on.  COMPLETE: the response was received
+  completely, which also clears the request of attempts before.
+  """
+
+  CLAIMED = -1
+  RUNNING = 0
+  ABANDONED = 1
+  LOST = 2
+  ENDED = 3
+  SURVIVED = 4
+  COMPLETE = 5
+
+
+class AttemptReport(
+  msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True
+):
+  """The state of one attempt, which it entered `age` seconds ago.
+
+  `fingerprint` identifies the request across its tries, `incarnation_id` the
+  instance; for CLAIMED, which has no instance yet, it is the daemon's name.
+  """
+
+  fingerprint: str
+  incarnation_id: str
+  state: State
+  age: float
+
+
+class AttemptReports(msgspec.Struct, frozen=True, array_like=True):
+  """The content of a datagram, which was passed on by `hops` hubs so far."""
+
+  reports: tuple[AttemptReport, ...]
+  hops: int = 0
--- a/src/woadrun/errors.py
+++ b/src/woadrun/errors.py
@@ -45,6 +45,7 @@
   DEADLINE_PASSED = 'deadline_passed'
   UPSTREAM_UNAVAILABLE = 'upstream_unavailable'
   UPSTREAM_FAILED = 'upstream_failed'
+  REQUEST_QUARANTINED = 'request_quarantined'
   OUTCOME_UNKNOWN = 'outcome_unknown'
   CANCELLED = 'cancelled'
   NOT_OWNER = 'not_owner'
@@ -83,6 +84,7 @@
   Code.DEADLINE_PASSED: 504,
   Code.UPSTREAM_UNAVAILABLE: 503,
   Code.UPSTREAM_FAILED: 502,
+  Code.REQUEST_QUARANTINED: 502,
   Code.OUTCOME_UNKNOWN: 502,
   Code.CANCELLED: 409,
   Code.NOT_OWNER: 421,
--- a/src/woadrun/platform/operator.py
+++ b/src/woadrun/platform/operator.py
@@ -54,6 +54,7 @@
 class _Service(msgspec.Struct, kw_only=True):
   name: str
   max_connections: int = 0
+  health_check_path: str = ''
   engine: _Engine | None = None
 
 
@@ -178,4 +179,5 @@
     name=service.name,
     max_connections=service.max_connections,
     tokens_per_event=engine.tokens_per_event if engine else 1,
+    health_path=service.health_check_path,
   )
--- a/src/woadrun/platform/read_ahead.py
+++ b/src/woadrun/platform/read_ahead.py
@@ -58,7 +58,11 @@
           yield chunk
         finally:
           self._timer.cancel()
-    except (aiohttp.ClientError, TimeoutError, OSError) as error:
+    except TimeoutError as error:
+      raise exchange.ResponseOverdue(
+        str(error) or type(error).__name__
+      ) from error
+    except (aiohttp.ClientError, OSError) as error:
       raise exchange.ResponseLost(str(error) or type(error).__name__) from error
 
   def close(self) -> None:
--- a/src/woadrun/platform/upstream.py
+++ b/src/woadrun/platform/upstream.py
@@ -10,12 +10,14 @@
 import aiohttp
 import yarl
 
+from woadrun.connection import endpoints
 from woadrun.connection import response_ends
 from woadrun.connection import tcp_connections
 from woadrun.platform import read_ahead
 from woadrun.platform import wire
 from woadrun.request import exchange
 from woadrun.request import held_bytes
+from woadrun.version import instances
 
 # A reachable instance accepts a connection within a round trip; one that is
 # down or behind a network partition never does.
@@ -24,6 +26,9 @@
 # response may be on a dead connection that was not reset.  Turns queued at an
 # instance start sooner.
 SILENCE_THRESHOLD_SECONDS = 1.0
+# Time for a probe of an instance.  A process that has ended, or another one at
+# its address, answers within a round trip.
+PROBE_TIMEOUT_SECONDS = 0.5
 # Headers that the client library would otherwise add by itself.
 _SKIPPED_AUTO_HEADERS = (
   'Accept',
@@ -49,6 +54,7 @@
     self._held = held or held_bytes.HeldBytes()
     self._session = session
     self._addresses = addresses
+    self._probes = 0
 
   @contextlib.asynccontextmanager
   async def send(
@@ -113,7 +119,12 @@
       raise exchange.RequestNotSent(
         str(error) or type(error).__name__
       ) from error
-    except (aiohttp.ClientError, TimeoutError, OSError) as error:
+    except TimeoutError as error:
+      self._note_silence(sending, began, generation)
+      raise exchange.ResponseOverdue(
+        str(error) or type(error).__name__
+      ) from error
+    except (aiohttp.ClientError, OSError) as error:
       self._note_silence(sending, began, generation)
       raise exchange.ResponseLost(str(error) or type(error).__name__) from error
     except asyncio.CancelledError:
@@ -121,6 +132,54 @@
       self._note_silence(sending, began, generation)
       raise
 
+  async def probe(
+    self, instance: instances.Instance, *, health_path: str
+  ) -> exchange.Liveness:
+    """Returns whether an instance still runs, over a connection of its own.
+
+    A refused connection tells that it has ended, and so does another instance
+    at its address.
+    """
+    try:
+      if not health_path:
+        await self._probe_connection(instance.address)
+        return exchange.Liveness.UNKNOWN
+      return await self._probe_health(instance, health_path)
+    except ConnectionRefusedError:
+      return exchange.Liveness.ENDED
+    except aiohttp.ClientConnectorError as error:
+      is_refused = isinstance(error.os_error, ConnectionRefusedError)
+      return (
+        exchange.Liveness.ENDED if is_refused else exchange.Liveness.UNKNOWN
+      )
+    except (aiohttp.ClientError, TimeoutError, OSError):
+      return exchange.Liveness.UNKNOWN
+
+  async def _probe_connection(self, address: str) -> None:
+    """Opens a connection to IP:PORT and closes it."""
+    host, port = endpoints.split(address)
+    async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
+      _, writer = await asyncio.open_connection(host, port)
+    writer.close()
+
+  async def _probe_health(
+    self, instance: instances.Instance, health_path: str
+  ) -> exchange.Liveness:
+    # A host name of its own keeps the connection out of the pool.
+    self._probes += 1
+    host = self._addresses.get_host(
+      instance.address, incarnation_id=f'probe {self._probes}'
+    )
+    async with self._session.get(
+      yarl.URL(f'http://{host}{health_path}', encoded=True),
+      headers=wire.encode_probe_headers(instance),
+      skip_auto_headers=_SKIPPED_AUTO_HEADERS,
+      allow_redirects=False,
+      timeout=aiohttp.ClientTimeout(total=PROBE_TIMEOUT_SECONDS),
+    ) as response:
+      is_own = wire.is_from(instance, response.status, response.headers)
+    return exchange.Liveness.ALIVE if is_own else exchange.Liveness.ENDED
+
   def _note_silence(
     self, sending: exchange.RequestAttempt, began: float, generation: int
   ) -> None:
--- a/src/woadrun/platform/wire.py
+++ b/src/woadrun/platform/wire.py
@@ -17,6 +17,7 @@
 from woadrun import errors
 from woadrun.connection import turn_messages
 from woadrun.request import exchange
+from woadrun.version import instances
 from woadrun.version import teams
 
 # In requests and responses.
@@ -28,6 +29,7 @@
 # In instances' responses.  `Not-Executed` states that the request has not run.
 NOT_RUN = 'Not-Executed'
 SIGNATURE = 'Server-Signature'
+INSTANCE = 'Instance-Id'
 # In requests: the API key of a caller, and the name of its team for instances.
 AUTHORIZATION = 'Authorization'
 TEAM = 'Tenant'
@@ -196,6 +198,23 @@
   return headers
 
 
+def encode_probe_headers(instance: instances.Instance) -> dict[str, str]:
+  """Returns the headers of a health check that is meant for one instance."""
+  return {EXPECTED_INSTANCE: instance.id, 'Connection': 'close'}
+
+
+def is_from(
+  instance: instances.Instance,
+  status: int,
+  headers: multidict.CIMultiDictProxy[str],
+) -> bool:
+  """Returns whether a response to a health check is an instance's own.
+
+  Status 421 is that of an instance which expects another id.
+  """
+  return status != 421 and headers.get(INSTANCE, instance.id) == instance.id
+
+
 def decode_reply_headers(
   headers: multidict.CIMultiDictProxy[str],
 ) -> list[tuple[str, str]]:
--- a/src/woadrun/process/counters.py
+++ b/src/woadrun/process/counters.py
@@ -58,6 +58,18 @@
       ('service',),
       registry=self.registry,
     )
+    self._ended = prometheus_client.Counter(
+      'woadrun_instances_ended',
+      'Instances found to have ended while they ran requests of this daemon.',
+      ('service',),
+      registry=self.registry,
+    )
+    self._quarantined = prometheus_client.Counter(
+      'woadrun_quarantined_requests',
+      'Requests refused because they ended the instances that ran them.',
+      ('service',),
+      registry=self.registry,
+    )
     self._programs = prometheus_client.Counter(
       'woadrun_programs',
       'Programs that asked this daemon to begin, by outcome.',
@@ -69,6 +81,14 @@
     """Records that a response broke off before its caller received any."""
     self._truncated.labels(service).inc()
 
+  def record_ended(self, service: str) -> None:
+    """Records that an instance ended while it ran requests of this daemon."""
+    self._ended.labels(service).inc()
+
+  def record_quarantined(self, service: str) -> None:
+    """Records a request refused because it ended the instances that ran it."""
+    self._quarantined.labels(service).inc()
+
   def record_program(self, service: str, kind: str, is_admitted: bool) -> None:
     """Records that a program was admitted to a service, or refused."""
     outcome = 'admitted' if is_admitted else 'refused'
--- /dev/null
+++ b/src/woadrun/process/crash_reports.py
@@ -0,0 +1,126 @@
+"""Sends reports on attempts that may end instances to all daemons.
+
+A caller sends a request again within milliseconds, so that reports are sent at
+once, as datagrams.  Each is sent again a little later, in case a datagram is
+lost, and the ends of instances are sent from time to time, for daemons that
+have just started.  Without lost connections nothing is sent.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+import logging
+
+import mode
+import msgspec
+
+from woadrun.connection import attempt_reports
+from woadrun.process import datagrams
+from woadrun.process import fleet
+from woadrun.process import fleet_heartbeats
+from woadrun.process import ticks
+from woadrun.process.load import crash_records
+
+log = logging.getLogger('woadrun.crashes')
+
+# Reports in one datagram, so that it stays below the limit of datagrams.
+MAX_REPORTS = 64
+# Delays after which a report is sent again, in seconds.
+REPEAT_DELAYS_SECONDS = (0.1, 0.3)
+# Interval at which ends of instances are sent anew, and how many at a time.
+REFRESH_INTERVAL_SECONDS = 1.0
+MAX_REFRESHED = 6
+# Interval at which members that are new are told of the ended instances.
+INFORM_INTERVAL_SECONDS = 0.25
+# Hubs that pass a report on: that of its own domain, and one of another domain.
+MAX_HOPS = 2
+
+
+class CrashReports(mode.Service):
+  """Sends this daemon's reports, passes on those of others and applies them."""
+
+  def __init__(
+    self, *, members: fleet.Fleet, records: crash_records.CrashRecords
+  ) -> None:
+    super().__init__()
+    self._members = members
+    self._records = records
+    self._unsent: list[attempt_reports.AttemptReport] = []
+    self._flush: asyncio.Handle | None = None
+    members.datagrams.handle(datagrams.ATTEMPT_REPORTS, self._receive)
+
+  def send(self, report: attempt_reports.AttemptReport) -> None:
+    """Sends a report to all daemons, with others of the same moment."""
+    self._unsent.append(report)
+    if self._flush is None:
+      self._flush = asyncio.get_running_loop().call_soon(self._send_unsent)
+
+  def _send_unsent(self) -> None:
+    reports, self._unsent, self._flush = self._unsent, [], None
+    self._send_with_repeats(reports, hops=0)
+
+  def _send_with_repeats(
+    self, reports: Sequence[attempt_reports.AttemptReport], *, hops: int
+  ) -> None:
+    loop = asyncio.get_running_loop()
+    self._send(reports, self._members.find_news_receivers(), hops=hops)
+    for delay in REPEAT_DELAYS_SECONDS:
+      loop.call_later(delay, self._send_again, reports, delay, hops)
+
+  def _send_again(
+    self,
+    reports: Sequence[attempt_reports.AttemptReport],
+    seconds: float,
+    hops: int,
+  ) -> None:
+    older = [
+      msgspec.structs.replace(report, age=report.age + seconds)
+      for report in reports
+    ]
+    self._send(older, self._members.find_news_receivers(), hops=hops)
+
+  def _send(
+    self,
+    reports: Sequence[attempt_reports.AttemptReport],
+    receivers: Sequence[fleet_heartbeats.Member],
+    *,
+    hops: int,
+  ) -> None:
+    for first in range(0, len(reports), MAX_REPORTS):
+      part = tuple(reports[first : first + MAX_REPORTS])
+      data = msgspec.json.encode(attempt_reports.AttemptReports(part, hops))
+      for member in receivers:
+        self._members.datagrams.send(
+          member.address, datagrams.ATTEMPT_REPORTS, data
+        )
+
+  def _receive(self, data: bytes) -> None:
+    try:
+      message = msgspec.json.decode(data, type=attempt_reports.AttemptReports)
+    except msgspec.MsgspecError as error:
+      log.warning('Ignored malformed reports of attempts: %s', error)
+      return
+    news = self._records.apply_reports(message.reports)
+    if news and self._members.is_relaying and message.hops < MAX_HOPS:
+      self._send_with_repeats(news, hops=message.hops + 1)
+
+  @mode.Service.task
+  async def _refresh(self) -> None:
+    while not self.should_stop:
+      await ticks.sleep(REFRESH_INTERVAL_SECONDS)
+      reports = self._records.find_reports(limit=MAX_REFRESHED)
+      if reports:
+        self._send(reports, self._members.find_news_receivers(), hops=0)
+
+  @mode.Service.task
+  async def _inform_new_members(self) -> None:
+    known: set[str] = set()
+    while not self.should_stop:
+      await ticks.sleep(INFORM_INTERVAL_SECONDS)
+      receivers = self._members.find_news_receivers()
+      new = [member for member in receivers if member.name not in known]
+      known = {member.name for member in receivers}
+      reports = self._records.find_reports(limit=MAX_REPORTS) if new else []
+      if reports:
+        self._send(reports, new, hops=0)
--- a/src/woadrun/process/datagrams.py
+++ b/src/woadrun/process/datagrams.py
@@ -11,6 +11,8 @@
 # A copy of a program, for its standby or for another domain.
 PROGRAM_COPY = b'c'
 REMOTE_PROGRAM_COPY = b'f'
+# Reports on attempts of requests that may end instances.
+ATTEMPT_REPORTS = b'r'
 # A request, and the response to it.
 CALL = b'q'
 RESPONSE = b'a'
--- a/src/woadrun/process/fleet.py
+++ b/src/woadrun/process/fleet.py
@@ -109,6 +109,10 @@
     self._view = views.View(at=-math.inf)
     self._last_digest_at = -math.inf
     self._relayed_at = -math.inf
+    # In a large fleet: the hubs of the own domain, and the members to which
+    # this daemon sends digests.
+    self._chosen_hubs: list[fleet_heartbeats.Member] = []
+    self._digest_receivers: list[fleet_heartbeats.Member] = []
     self._heard_at_by_domain: dict[str, float] = {}
     self._returning_domains = returning_domains.ReturningDomains()
     self._started_at = time.monotonic()
@@ -562,6 +566,7 @@
     )
     plan = [(to_hubs, [member for member in chosen if member != self.me])]
     listeners = self._find_digest_receivers(chosen)
+    self._chosen_hubs, self._digest_receivers = chosen, listeners
     if listeners:
       plan.append((self._hubs.make_answer(mine), listeners))
     if own is not None:
@@ -576,6 +581,27 @@
       plan.append((to_remote, self._find_remote_hubs()))
     return plan
 
+  @property
+  def is_relaying(self) -> bool:
+    """Whether other members get news of their domain through this daemon."""
+    return not self.is_full_mesh and self._hubs.is_hub
+
+  def find_news_receivers(self) -> list[fleet_heartbeats.Member]:
+    """Returns the members to which this daemon sends news that cannot wait.
+
+    In a small fleet these are all others.  In a large one they are the hubs of
+    the own domain, and for a hub also the members of its domain and the hubs of
+    other domains.  The hubs pass the news on.
+    """
+    if self.is_full_mesh:
+      return [m for m in self.member_by_name.values() if m != self.me]
+    found = {member.name: member for member in self._chosen_hubs}
+    if self._hubs.is_hub:
+      found |= {member.name: member for member in self._digest_receivers}
+      found |= {member.name: member for member in self._find_remote_hubs()}
+    found.pop(self.me.name, None)
+    return list(found.values())
+
   def _find_expected(self) -> list[fleet_heartbeats.Member]:
     """Returns the own domain's members that must have sent a heartbeat by now.
 
--- /dev/null
+++ b/src/woadrun/process/load/crash_records.py
@@ -0,0 +1,527 @@
+"""Records of requests under which instances ended, shared by all daemons.
+
+A caller sends a request again through any daemon, so that no daemon can count
+alone.  Each records the attempts that it makes and those that others report
+(`process/crash_reports.py`).  Nothing is kept for a request until it loses a
+connection, except that it is running.
+
+A request is identified by its fingerprint (`request/fingerprints.py`), an
+instance by its incarnation.  All times are on the monotonic clock.
+"""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Iterator
+import contextlib
+import dataclasses
+import hashlib
+import logging
+import math
+import time
+
+from woadrun.connection import attempt_reports
+from woadrun.decisions import crash_limit
+from woadrun.request import fingerprints
+
+log = logging.getLogger('woadrun.crashes')
+
+# Maximum number of requests with a record, about 1 KB each.
+MAX_RECORDS = 4096
+# Maximum number of attempts in a record; the oldest ones are dropped first.
+MAX_ATTEMPTS = 16
+# Number of the oldest records among which one is dropped to make room.
+MAX_EVICTION_CANDIDATES = 32
+# Time for which an attempt counts as running, or as possibly ended, without
+# news: its daemon may have ended itself.
+RUNNING_TTL_SECONDS = 6.0
+LOST_TTL_SECONDS = 1.5
+# Time for which a daemon that announced an attempt counts as running it.
+CLAIM_TTL_SECONDS = 0.3
+# Time within which the list of instances shows that an instance has ended whose
+# connections tell nothing.
+ABANDONED_TTL_SECONDS = 10.0
+# Maximum number of instances that are known to have ended.
+MAX_ENDED_INSTANCES = 1024
+# Reports are at most this much older than their age says.
+REPORT_DELAY_SECONDS = 0.2
+
+State = attempt_reports.State
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Attempt:
+  """The state of an attempt since the time `at`."""
+
+  state: State
+  at: float
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Record:
+  """The attempts of a request by instance; `complete_at` is the last success.
+
+  Attempts before the last success are not kept.  `claimed_at_by_daemon` has the
+  times at which daemons announced an attempt.
+  """
+
+  attempt_by_instance: dict[str, _Attempt] = dataclasses.field(
+    default_factory=dict
+  )
+  complete_at: float = -math.inf
+  claimed_at_by_daemon: dict[str, float] = dataclasses.field(
+    default_factory=dict
+  )
+
+  def find(self, state: State, *, since: float = -math.inf) -> list[str]:
+    """Returns the instances whose attempt entered a state since a time."""
+    return [
+      id
+      for id, attempt in self.attempt_by_instance.items()
+      if attempt.state is state and attempt.at >= since
+    ]
+
+
+class CrashRecords:
+  """The attempts that ended their instances, or may have.
+
+  `name` is the name of this daemon.
+  `on_change` is called with each report of this daemon, for all others.
+  `on_ended` is called with each instance that has ended.
+  """
+
+  def __init__(
+    self,
+    *,
+    name: str,
+    on_change: Callable[[attempt_reports.AttemptReport], None] = (
+      lambda report: None
+    ),
+    on_ended: Callable[[str], None] = lambda incarnation_id: None,
+  ) -> None:
+    self._name = name
+    self._on_change = on_change
+    self._on_ended = on_ended
+    self._record_by_fingerprint: dict[str, _Record] = {}
+    self._ended_at_by_instance: dict[str, float] = {}
+    # This daemon's running attempts, by request and instance.
+    self._running: dict[str, collections.Counter[str]] = {}
+
+  def __len__(self) -> int:
+    return len(self._record_by_fingerprint)
+
+  # --- Decisions ------------------------------------------------------------
+
+  def judge(self, fingerprint: str) -> crash_limit.Verdict:
+    """Returns whether a request may be sent to an instance now."""
+    record = self._record_by_fingerprint.get(fingerprint)
+    if record is None:
+      return crash_limit.Verdict.RUN
+    now = time.monotonic()
+    running = record.find(State.RUNNING, since=now - RUNNING_TTL_SECONDS)
+    claims = self._count_claims(record, fingerprint, now)
+    return crash_limit.decide(
+      ended=self._count_ended(record, now),
+      lost=len(record.find(State.LOST, since=now - LOST_TTL_SECONDS)),
+      running=len(running) + claims,
+    )
+
+  def _count_claims(self, record: _Record, fingerprint: str, now: float) -> int:
+    """Returns the claims of daemons that go before this one.
+
+    Daemons that claim a request at the same time would otherwise all wait for
+    each other, or all send it.
+    """
+    own_rank = _get_rank(fingerprint, self._name)
+    return sum(
+      name != self._name
+      and now - at < CLAIM_TTL_SECONDS
+      and _get_rank(fingerprint, name) < own_rank
+      for name, at in record.claimed_at_by_daemon.items()
+    )
+
+  def claim(self, fingerprint: str) -> bool:
+    """Announces that this daemon is about to send a request to an instance.
+
+    Returns False if another claim of this daemon is in force.
+    """
+    now = time.monotonic()
+    record = self._get_record(fingerprint)
+    claimed_at = record.claimed_at_by_daemon.get(self._name, -math.inf)
+    if now - claimed_at < CLAIM_TTL_SECONDS:
+      return False
+    self._set(fingerprint, self._name, State.CLAIMED)
+    return True
+
+  def release(self, fingerprint: str) -> None:
+    """Ends a claim of this daemon, for itself: for others it expires."""
+    record = self._record_by_fingerprint.get(fingerprint)
+    if record is not None:
+      record.claimed_at_by_daemon.pop(self._name, None)
+
+  def is_suspect(self, fingerprint: str) -> bool:
+    """Returns whether a request ended an instance, or may have."""
+    record = self._record_by_fingerprint.get(fingerprint)
+    if record is None:
+      return False
+    now = time.monotonic()
+    is_lost = record.find(State.LOST, since=now - LOST_TTL_SECONDS)
+    return bool(is_lost) or self._count_ended(record, now) > 0
+
+  def find_ended(self, fingerprint: str) -> list[str]:
+    """Returns the instances that ended while they ran a request."""
+    record = self._record_by_fingerprint.get(fingerprint)
+    return [] if record is None else record.find(State.ENDED)
+
+  def count_quarantined(self) -> int:
+    """Returns the number of requests that are refused."""
+    now = time.monotonic()
+    return sum(
+      self._count_ended(record, now) >= crash_limit.MAX_ENDED_INSTANCES
+      for record in self._record_by_fingerprint.values()
+    )
+
+  def _count_ended(self, record: _Record, now: float) -> int:
+    ended = record.find(State.ENDED)
+    if not ended:
+      return 0
+    last_at = max(record.attempt_by_instance[id].at for id in ended)
+    return crash_limit.count_ended(len(ended), seconds=now - last_at)
+
+  # --- Attempts of this daemon ----------------------------------------------
+
+  @contextlib.contextmanager
+  def run(self, fingerprint: str, incarnation_id: str) -> Iterator[None]:
+    """Returns a context in which an instance runs a request.
+
+    If it is left without another state of the attempt, the request counts as
+    abandoned.
+    """
+    running = self._running.setdefault(fingerprint, collections.Counter())
+    running[incarnation_id] += 1
+    if fingerprint in self._record_by_fingerprint:
+      if self._get_state(fingerprint, incarnation_id) is not State.ENDED:
+        self._set(fingerprint, incarnation_id, State.RUNNING)
+      self.release(fingerprint)
+    try:
+      yield
+    finally:
+      running[incarnation_id] -= 1
+      if not running[incarnation_id]:
+        del running[incarnation_id]
+      if not running:
+        self._running.pop(fingerprint, None)
+      is_running = self._get_state(fingerprint, incarnation_id) is State.RUNNING
+      if is_running and not running.get(incarnation_id):
+        self._set(fingerprint, incarnation_id, State.ABANDONED)
+
+  def _get_state(self, fingerprint: str, incarnation_id: str) -> State | None:
+    """Returns the state of an attempt, or None if it has no record."""
+    record = self._record_by_fingerprint.get(fingerprint)
+    if record is None or incarnation_id not in record.attempt_by_instance:
+      return None
+    return record.attempt_by_instance[incarnation_id].state
+
+  def complete(self, fingerprint: str, incarnation_id: str) -> None:
+    """Records that a complete response arrived."""
+    if fingerprint in self._record_by_fingerprint:
+      self._set(fingerprint, incarnation_id, State.COMPLETE)
+
+  def reject(self, fingerprint: str, incarnation_id: str) -> None:
+    """Records that an instance does not run a request after all."""
+    if self._get_state(fingerprint, incarnation_id) is State.RUNNING:
+      self._set(fingerprint, incarnation_id, State.SURVIVED)
+
+  def lose(self, fingerprint: str, incarnation_id: str) -> None:
+    """Records that the connection of an attempt was lost."""
+    is_ended = self.has_ended(incarnation_id)
+    state = State.ENDED if is_ended else State.LOST
+    self._set(fingerprint, incarnation_id, state)
+
+  def has_ended(self, incarnation_id: str) -> bool:
+    """Returns whether an instance is known to have ended."""
+    return incarnation_id in self._ended_at_by_instance
+
+  def abandon(self, fingerprint: str, incarnation_id: str) -> None:
+    """Records that this daemon gave up waiting for a response."""
+    if self._get_state(fingerprint, incarnation_id) is State.ENDED:
+      return
+    # Without another suspicion, it matters to others only if the instance is
+    # found to have ended.
+    self._set(
+      fingerprint,
+      incarnation_id,
+      State.ABANDONED,
+      is_reported=self.is_suspect(fingerprint),
+    )
+
+  def give_up(self, incarnation_id: str) -> None:
+    """Records that it cannot be told whether an instance has ended."""
+    for fingerprint, record in list(self._record_by_fingerprint.items()):
+      attempt = record.attempt_by_instance.get(incarnation_id)
+      if attempt is not None and attempt.state is State.LOST:
+        self._set(fingerprint, incarnation_id, State.ABANDONED)
+
+  def find_open(self) -> set[str]:
+    """Returns the instances of which it is not known whether they ended."""
+    now = time.monotonic()
+    return {
+      id
+      for record in self._record_by_fingerprint.values()
+      for id, attempt in record.attempt_by_instance.items()
+      if attempt.state in (State.LOST, State.ABANDONED)
+      and now - attempt.at < ABANDONED_TTL_SECONDS
+    }
+
+  def resolve(
+    self, incarnation_id: str, *, is_ended: bool, before: float = math.inf
+  ) -> list[str]:
+    """Records whether an instance has ended; returns the requests it lost.
+
+    That is the state of the attempts whose outcome was not known, of those that
+    failed before a time.
+    """
+    state = State.ENDED if is_ended else State.SURVIVED
+    found = [
+      fingerprint
+      for fingerprint, record in self._record_by_fingerprint.items()
+      if (attempt := record.attempt_by_instance.get(incarnation_id))
+      and attempt.state in (State.LOST, State.ABANDONED)
+      and attempt.at <= before
+    ]
+    if is_ended:
+      self._record_end(incarnation_id, time.monotonic())
+    for fingerprint in found:
+      self._set(fingerprint, incarnation_id, state)
+    return found
+
+  def is_lost(self, incarnation_id: str) -> bool:
+    """Returns whether an instance may have ended with a request."""
+    return any(
+      attempt.state is State.LOST
+      for record in self._record_by_fingerprint.values()
+      if (attempt := record.attempt_by_instance.get(incarnation_id))
+    )
+
+  def _record_end(self, incarnation_id: str, at: float) -> None:
+    if incarnation_id not in self._ended_at_by_instance:
+      self._ended_at_by_instance[incarnation_id] = at
+      if len(self._ended_at_by_instance) > MAX_ENDED_INSTANCES:
+        oldest = next(iter(self._ended_at_by_instance))
+        del self._ended_at_by_instance[oldest]
+      self._on_ended(incarnation_id)
+
+  def record_response(self, incarnation_id: str, *, sent_at: float) -> None:
+    """Records a response to a request that was sent to an instance at a time.
+
+    An instance that responds to a later request has not ended.
+    """
+    ended_at = self._ended_at_by_instance.get(incarnation_id)
+    if ended_at is not None and sent_at > ended_at + REPORT_DELAY_SECONDS:
+      self.refute(incarnation_id)
+
+  def refute(self, incarnation_id: str) -> None:
+    """Records that an instance which counts as ended runs on."""
+    if self._ended_at_by_instance.pop(incarnation_id, None) is None:
+      return
+    log.info('Instance %s has not ended.', incarnation_id)
+    for fingerprint, record in list(self._record_by_fingerprint.items()):
+      attempt = record.attempt_by_instance.get(incarnation_id)
+      if attempt is not None and attempt.state is State.ENDED:
+        self._set(fingerprint, incarnation_id, State.SURVIVED)
+
+  def find_ended_since(self, seconds: float) -> list[str]:
+    """Returns the instances that ended at least some seconds ago."""
+    limit = time.monotonic() - seconds
+    return [id for id, at in self._ended_at_by_instance.items() if at <= limit]
+
+  def _set(
+    self,
+    fingerprint: str,
+    incarnation_id: str,
+    state: State,
+    *,
+    is_reported: bool = True,
+  ) -> None:
+    now = time.monotonic()
+    record = self._get_record(fingerprint)
+    self._apply(record, fingerprint, incarnation_id, state, now)
+    if is_reported:
+      self._on_change(
+        attempt_reports.AttemptReport(fingerprint, incarnation_id, state, 0.0)
+      )
+
+  def _get_record(self, fingerprint: str) -> _Record:
+    """Returns the record of a request, as the newest one, maybe a new one."""
+    record = self._record_by_fingerprint.pop(fingerprint, None)
+    if record is None:
+      record = _Record()
+      if len(self._record_by_fingerprint) >= MAX_RECORDS:
+        self._evict()
+    self._record_by_fingerprint[fingerprint] = record
+    return record
+
+  def _evict(self) -> None:
+    """Drops a record, of the oldest ones one with the fewest ended instances.
+
+    A flood of requests that lose their connections must not displace the
+    requests that are refused.
+    """
+    candidates = list(self._record_by_fingerprint)[:MAX_EVICTION_CANDIDATES]
+    chosen = min(
+      candidates,
+      key=lambda item: len(self._record_by_fingerprint[item].find(State.ENDED)),
+    )
+    del self._record_by_fingerprint[chosen]
+
+  def _apply(
+    self,
+    record: _Record,
+    fingerprint: str,
+    incarnation_id: str,
+    state: State,
+    at: float,
+  ) -> None:
+    attempts = record.attempt_by_instance
+    if state is State.CLAIMED:
+      record.claimed_at_by_daemon[incarnation_id] = at
+      return
+    was_ended = len(record.find(State.ENDED))
+    if state is State.COMPLETE:
+      record.complete_at = at
+      record.attempt_by_instance = {
+        id: attempt for id, attempt in attempts.items() if attempt.at > at
+      }
+      if was_ended:
+        log.info(
+          'Request fingerprint %s is cleared of %d ended instances: %s '
+          'completed it.',
+          fingerprints.shorten(fingerprint),
+          was_ended,
+          incarnation_id,
+        )
+      return
+    was_known = incarnation_id in record.find(State.ENDED)
+    attempts.pop(incarnation_id, None)
+    attempts[incarnation_id] = _Attempt(state=state, at=at)
+    if len(attempts) > MAX_ATTEMPTS:
+      del attempts[min(attempts, key=lambda id: attempts[id].state)]
+    if state is State.ENDED and not was_known:
+      log.warning(
+        'Instance %s ended while running request fingerprint %s: %d of %d '
+        'instances.',
+        incarnation_id,
+        fingerprints.shorten(fingerprint),
+        len(record.find(State.ENDED)),
+        crash_limit.MAX_ENDED_INSTANCES,
+      )
+
+  # --- Attempts of other daemons --------------------------------------------
+
+  def apply_reports(
+    self, reports: Iterable[attempt_reports.AttemptReport]
+  ) -> list[attempt_reports.AttemptReport]:
+    """Adds the reports of another daemon; returns those that are news."""
+    now = time.monotonic()
+    return [
+      report
+      for report in reports
+      if self._apply_report(report, now - max(0.0, report.age))
+    ]
+
+  def _apply_report(
+    self, report: attempt_reports.AttemptReport, at: float
+  ) -> bool:
+    """Returns whether a report, about a state entered at `at`, is news."""
+    known = self._record_by_fingerprint.get(report.fingerprint)
+    if known is None and report.state is State.COMPLETE:
+      return False
+    if known is not None and not _is_news(known, report, at):
+      return False
+    record = self._get_record(report.fingerprint)
+    self._apply(
+      record, report.fingerprint, report.incarnation_id, report.state, at
+    )
+    if report.state is State.ENDED:
+      self._record_end(report.incarnation_id, at)
+    if known is None:
+      # The others do not know of the attempts that were no matter until now.
+      for id in list(self._running.get(report.fingerprint, ())):
+        if id not in record.attempt_by_instance:
+          self._set(report.fingerprint, id, State.RUNNING)
+    return True
+
+  def find_reports(self, *, limit: int) -> list[attempt_reports.AttemptReport]:
+    """Returns reports of ended instances, the least recently returned first.
+
+    A daemon that has just started learns of them by these.
+    """
+    now = time.monotonic()
+    found: list[attempt_reports.AttemptReport] = []
+    for fingerprint in list(self._record_by_fingerprint):
+      record = self._record_by_fingerprint[fingerprint]
+      ended = record.find(State.ENDED)
+      if not ended:
+        continue
+      if found and len(found) + len(ended) > limit:
+        break
+      found.extend(
+        attempt_reports.AttemptReport(
+          fingerprint,
+          id,
+          State.ENDED,
+          round(now - record.attempt_by_instance[id].at, 3),
+        )
+        for id in ended
+      )
+      self._record_by_fingerprint[fingerprint] = (
+        self._record_by_fingerprint.pop(fingerprint)
+      )
+    return found
+
+  def drop_expired(self) -> None:
+    """Drops the records that no longer count."""
+    now = time.monotonic()
+    for id in self.find_ended_since(
+      crash_limit.MAX_ENDED_INSTANCES * crash_limit.QUARANTINE_SECONDS
+    ):
+      del self._ended_at_by_instance[id]
+    for fingerprint, record in list(self._record_by_fingerprint.items()):
+      newest = max(
+        (attempt.at for attempt in record.attempt_by_instance.values()),
+        default=record.complete_at,
+      )
+      is_recent = now - newest < ABANDONED_TTL_SECONDS
+      if not is_recent and not self._count_ended(record, now):
+        del self._record_by_fingerprint[fingerprint]
+
+
+def _is_news(
+  record: _Record, report: attempt_reports.AttemptReport, at: float
+) -> bool:
+  """Returns whether a report is newer than what a record has.
+
+  Times of reports differ by their delay, so that a report about the same
+  attempt is newer by its state.
+  """
+  if at <= record.complete_at + REPORT_DELAY_SECONDS:
+    return False
+  if report.state is State.COMPLETE:
+    return True
+  if report.state is State.CLAIMED:
+    claimed_at = record.claimed_at_by_daemon.get(report.incarnation_id)
+    return claimed_at is None or at > claimed_at + REPORT_DELAY_SECONDS
+  known = record.attempt_by_instance.get(report.incarnation_id)
+  if known is None:
+    return True
+  if known.state is report.state:
+    # Delays add up on the way, so that a repeated report can look newer.
+    return False
+  return report.state > known.state or at > known.at + REPORT_DELAY_SECONDS
+
+
+def _get_rank(fingerprint: str, name: str) -> bytes:
+  """Returns the place of a daemon among those that claim a request."""
+  return hashlib.blake2b(f'{fingerprint} {name}'.encode()).digest()
--- a/src/woadrun/process/node.py
+++ b/src/woadrun/process/node.py
@@ -37,6 +37,7 @@
 from woadrun.connection import turn_messages
 from woadrun.process import catalogue
 from woadrun.process import counters
+from woadrun.process import crash_reports
 from woadrun.process import datagram_calls
 from woadrun.process import feed_sync
 from woadrun.process import fleet
@@ -51,10 +52,12 @@
 from woadrun.process import sweeper
 from woadrun.process import ticks
 from woadrun.process import turn_store
+from woadrun.process.load import crash_records
 from woadrun.process.load import loads
 from woadrun.process.load import program_gate
 from woadrun.request import attempts
 from woadrun.request import authorization
+from woadrun.request import crash_guard
 from woadrun.request import exchange
 from woadrun.request import held_bytes
 from woadrun.request import rates
@@ -235,6 +238,19 @@
       messenger=self.calls,
       gate=self.gate,
     )
+    crashes = crash_records.CrashRecords(
+      name=config.name, on_change=lambda report: self.crash_reports.send(report)
+    )
+    self.crash_reports = crash_reports.CrashReports(
+      members=self.fleet, records=crashes
+    )
+    self.crash_guard = crash_guard.CrashGuard(
+      records=crashes,
+      upstreams=binding.upstreams,
+      catalogue=self.catalogue,
+      counters=self.counters,
+      is_domain_silent=self.fleet.is_domain_silent,
+    )
     access = authorization.Authorization(catalogue=self.catalogue)
     self.rate_owner = rate_owner.RateOwner(
       members=self.fleet,
@@ -254,6 +270,7 @@
         upstreams=binding.upstreams,
         held=binding.held,
         counters=self.counters,
+        guard=self.crash_guard,
         is_partitioned=self._is_cut_off,
       ),
       turn_client=turn_client.TurnClient(
@@ -294,6 +311,8 @@
       self.feeds,
       self.programs,
       self.rate_owner,
+      self.crash_reports,
+      self.crash_guard,
       self.sweeper,
     ):
       await self.add_runtime_dependency(part)
@@ -355,6 +374,8 @@
       'store_is_silent': self.store.is_silent,
       'peer_messages': self.links.messages + self.calls.answered_calls,
       'answer_bytes_held': self._held.total,
+      'crash_records': len(self.crash_guard.records),
+      'requests_quarantined': self.crash_guard.records.count_quarantined(),
       'rows_swept': self.sweeper.removed_rows,
     }
 
--- a/src/woadrun/request/attempts.py
+++ b/src/woadrun/request/attempts.py
@@ -34,6 +34,7 @@
 from woadrun.process.load import health
 from woadrun.process.load import loads
 from woadrun.request import authorization
+from woadrun.request import crash_guard
 from woadrun.request import events
 from woadrun.request import exchange
 from woadrun.request import fingerprints
@@ -99,8 +100,8 @@
   `deadline` is on the monotonic clock.  `cached_by_instance` has the number of
   prompt tokens that each incarnation is expected to have cached.  `tried` lists
   the incarnations that were chosen so far, `last_error` is the error of the
-  latest attempt without a reply, and `refusal` is the authorization error that
-  forbids further attempts.  `not_run` counts the attempts that certainly did
+  latest attempt without a reply, and `refusal` is the error that forbids
+  further attempts.  `not_run` counts the attempts that certainly did
   not run.  `fingerprint` identifies the request across its tries.
   """
 
@@ -143,6 +144,7 @@
     upstreams: exchange.Upstreams,
     held: held_bytes.HeldBytes,
     counters: counters.Counters,
+    guard: crash_guard.CrashGuard,
     is_partitioned: Callable[[str], bool] = lambda domain: False,
   ) -> None:
     self._catalogue = catalogue
@@ -151,6 +153,7 @@
     self._upstreams = upstreams
     self._held = held
     self._counters = counters
+    self._guard = guard
     self._partition_watch = partition_monitor.PartitionMonitor(
       is_partitioned=is_partitioned
     )
@@ -172,8 +175,8 @@
     The reply may have any status.  `deadline` is on the monotonic clock; `body`
     replaces that of the request.  Raises `outcome_unknown` if an instance may
     have run the request but none sent a genuine reply.  If no instance may have
-    run it, raises the error of `Authorization.check` if that failed, else
-    `upstream_unavailable`.
+    run it, raises the error of `Authorization.check` or `CrashGuard.admit` if
+    one of them failed, else `upstream_unavailable`.
     """
     route = grant.route
     sent_body = body if body is not None else request.body
@@ -189,7 +192,7 @@
       ),
     )
     async with contextlib.AsyncExitStack() as stack:
-      while (sending := self._prepare_next(state)) is not None:
+      while (sending := await self._admit_next(state)) is not None:
         try:
           attempt = await self._start_attempt(state, sending)
         except exchange.RequestNotSent as error:
@@ -218,6 +221,19 @@
 
   # --- Attempts -------------------------------------------------------------
 
+  async def _admit_next(
+    self, state: _SendState
+  ) -> exchange.RequestAttempt | None:
+    """Returns the next attempt once it may be sent, None if there is none."""
+    try:
+      await self._guard.admit(
+        state.fingerprint, service=state.service, deadline=state.deadline
+      )
+    except errors.WoadrunError as error:
+      state.refusal = error
+      return None
+    return self._prepare_next(state)
+
   def _prepare_next(self, state: _SendState) -> exchange.RequestAttempt | None:
     """Returns the next attempt and counts it as tried; None if there is none.
 
@@ -304,7 +320,7 @@
     except TimeoutError as error:
       if not scope.expired():
         raise
-      raise exchange.ResponseLost(
+      raise exchange.ResponseOverdue(
         f'failure domain {domain} is cut off'
       ) from error
     attempt.stack.enter_context(
@@ -335,7 +351,8 @@
       await asyncio.wait(
         tasks, timeout=hedging.get_hedge_delay(average_seconds)
       )
-      if not tasks[0].done() and self._hedge_budget.take():
+      is_suspect = self._guard.records.is_suspect(state.fingerprint)
+      if not tasks[0].done() and not is_suspect and self._hedge_budget.take():
         second = self._prepare_next(state)
         if second is not None:
           self._log_outcome(
@@ -392,6 +409,7 @@
       else None
     )
     stack.enter_context(self._loads.count(id))
+    stack.enter_context(self._guard.run(sending))
     result = _Result()
     started_at = time.monotonic()
     stack.callback(self._record_duration, sending, started_at, result)
@@ -401,11 +419,14 @@
       self._loads.health.record_response(stack)
     except BaseException as error:
       beside = self._loads.get_running().get(id, 1) - 1
+      # Before the context ends, in which the request counts as running.
+      self._record_crash_risk(sending, error, silent_since=started_at)
       await stack.aclose()
       self._record_failure(sending, error, started_at, beside)
       raise
     finally:
       self._loads.health.record_end(stack)
+    self._guard.record_reply(sending, reply, sent_at=started_at)
     self._record_reply(sending, reply, result, started_at)
     if timer is not None and not result.is_failure and reply.status < 300:
       reply.chunks = self._time_chunks(sending, reply, reply.chunks, timer)
@@ -448,16 +469,23 @@
     Raises `ResponseLost` in that case.
     """
     id = sending.instance.incarnation_id
+    received_at = time.monotonic()
     try:
       async with contextlib.aclosing(chunks):
         async for chunk in chunks:
           if reply.event_reader is not None:
             reply.event_reader.feed(chunk)
           yield chunk
+          received_at = time.monotonic()
       self._log_end(sending, reply)
       if reply.event_reader is not None:
         _check_complete(reply.event_reader, reply)
+      self._guard.record_complete(sending, reply)
+    except (GeneratorExit, asyncio.CancelledError) as error:
+      self._record_crash_risk(sending, error, silent_since=received_at)
+      raise
     except exchange.ResponseLost as error:
+      self._record_crash_risk(sending, error, silent_since=received_at)
       result.is_failure = True
       self._loads.health.record_failure(id)
       beside = self._loads.get_running().get(id, 1) - 1
@@ -565,6 +593,24 @@
         instance.incarnation_id, health.TIMEOUT_WEIGHT
       )
 
+  def _record_crash_risk(
+    self,
+    sending: exchange.RequestAttempt,
+    error: BaseException,
+    *,
+    silent_since: float,
+  ) -> None:
+    """Records that an attempt failed whose instance may have ended.
+
+    A caller that gave up on a silent instance counts as well.
+    """
+    is_given_up = isinstance(error, (GeneratorExit, asyncio.CancelledError))
+    silent_seconds = time.monotonic() - silent_since
+    if not is_given_up:
+      self._guard.record_error(sending, error)
+    elif silent_seconds > sending.silence_seconds:
+      self._guard.record_overdue(sending)
+
   def _log_lost(
     self,
     sending: exchange.RequestAttempt,
--- a/src/woadrun/request/exchange.py
+++ b/src/woadrun/request/exchange.py
@@ -7,6 +7,7 @@
 from collections.abc import Sequence
 import contextlib
 import dataclasses
+import enum
 import time
 from typing import Protocol
 
@@ -151,6 +152,18 @@
   """Raised if a response is missing or truncated: the request may have run."""
 
 
+class ResponseOverdue(ResponseLost):
+  """Raised if a daemon gave up waiting for a response on a sound connection."""
+
+
+class Liveness(enum.Enum):
+  """Whether an incarnation of an instance still runs, as far as is known."""
+
+  ALIVE = 'alive'
+  ENDED = 'ended'
+  UNKNOWN = 'unknown'
+
+
 class Upstreams(Protocol):
   """Interface for sending requests to instances."""
 
@@ -162,6 +175,15 @@
     Entering it raises `RequestNotSent` or `ResponseLost` if there is no reply.
     """
 
+  async def probe(
+    self, instance: instances.Instance, *, health_path: str
+  ) -> Liveness:
+    """Returns whether an instance still runs, over a connection of its own.
+
+    `health_path` is the path of the health checks of its service, empty if it
+    has none.
+    """
+
 
 def get_seconds_left(deadline: float) -> float:
   """Returns the seconds until `deadline`, a time of the monotonic clock."""
--- a/src/woadrun/version/routes.py
+++ b/src/woadrun/version/routes.py
@@ -59,12 +59,13 @@
 
   `tokens_per_event` is the maximum number of tokens in one event of a stream.
   `max_connections` is the maximum number of connections from all daemons to one
-  instance.
+  instance.  `health_path` is the path of its health checks, empty without any.
   """
 
   name: str
   max_connections: int = 0
   tokens_per_event: int = 1
+  health_path: str = ''
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/tests/crashing_engines.py
+++ b/tests/crashing_engines.py
@@ -20,7 +20,8 @@
   An instance that ends loses the responses of all requests that it runs, and
   its address refuses connections.  Its entry is removed after `entry_seconds`,
   and another instance starts at once.  With `loses_connections`, a marked
-  request resets its connection and the instance lives on.
+  request resets its connection and the instance lives on.  With `is_silent`, an
+  instance that ends resets nothing: its connections stay silent.
   `ended_by_body` lists the instances that ended under each body, marked or not.
   """
 
@@ -29,6 +30,7 @@
     self.entry_seconds = entry_seconds
     self.loses_connections = loses_connections
     self.has_head = False
+    self.is_silent = False
     self.seconds = 0.02
     self.ended = []
     self.ended_by_body = {}
@@ -78,8 +80,17 @@
     if self.loses_connections:
       raise exchange.ResponseLost('connection reset by peer')
     self.end(sending.instance)
+    if self.is_silent:
+      await asyncio.Event().wait()
     raise exchange.ResponseLost('server disconnected')
 
+  async def probe(self, instance, *, health_path):
+    await asyncio.sleep(0.001)
+    is_ended = instance.id in self.ended
+    if is_ended and self.is_silent:
+      return exchange.Liveness.UNKNOWN
+    return exchange.Liveness.ENDED if is_ended else exchange.Liveness.ALIVE
+
   def end(self, instance):
     """Ends an instance and starts another one of its service."""
     if instance.id in self.ended:
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -138,6 +138,9 @@
       chunks=self._stream(sending.request.id),
     )
 
+  async def probe(self, instance, *, health_path):
+    return exchange.Liveness.ALIVE
+
   async def _stream(self, id):
     for number in range(self.events):
       await asyncio.sleep(0)
--- /dev/null
+++ b/tests/test_crash_records.py
@@ -0,0 +1,238 @@
+"""Tests for the records of requests under which instances ended."""
+
+import pytest
+
+from woadrun.connection import attempt_reports
+from woadrun.decisions import crash_limit
+from woadrun.process.load import crash_records
+
+State = attempt_reports.State
+Verdict = crash_limit.Verdict
+
+
+class Clock:
+  def __init__(self):
+    self.now = 1000.0
+
+  def monotonic(self):
+    return self.now
+
+
+@pytest.fixture
+def clock(monkeypatch):
+  fake = Clock()
+  monkeypatch.setattr(crash_records.time, 'monotonic', fake.monotonic)
+  return fake
+
+
+def make(name='n1'):
+  sent = []
+  records = crash_records.CrashRecords(name=name, on_change=sent.append)
+  return records, sent
+
+
+def end(records, fingerprint, *ids):
+  for id in ids:
+    records.lose(fingerprint, id)
+    records.resolve(id, is_ended=True)
+
+
+def report(fingerprint, id, state, age=0.0):
+  return attempt_reports.AttemptReport(fingerprint, id, state, age)
+
+
+@pytest.mark.parametrize(
+  ('ended', 'lost', 'running', 'verdict'),
+  [
+    (0, 0, 50, Verdict.RUN),
+    (0, 2, 0, Verdict.RUN),
+    (0, 3, 0, Verdict.WAIT),
+    (1, 0, 1, Verdict.RUN),
+    (1, 0, 2, Verdict.WAIT),
+    (2, 0, 0, Verdict.RUN),
+    (2, 1, 0, Verdict.WAIT),
+    (3, 0, 0, Verdict.REFUSE),
+    (3, 1, 5, Verdict.REFUSE),
+  ],
+)
+def test_verdict(ended, lost, running, verdict):
+  assert crash_limit.decide(ended=ended, lost=lost, running=running) is verdict
+
+
+def test_a_request_is_refused_after_three_instances_ended(clock):
+  records, _ = make()
+  end(records, 'f', 'a', 'b')
+  assert records.judge('f') is Verdict.RUN
+  end(records, 'f', 'c')
+  assert records.judge('f') is Verdict.REFUSE
+  assert records.judge('other') is Verdict.RUN
+  assert sorted(records.find_ended('f')) == ['a', 'b', 'c']
+
+
+def test_a_refused_request_is_tried_once_in_each_period(clock):
+  records, _ = make()
+  end(records, 'f', 'a', 'b', 'c')
+  clock.now += crash_limit.QUARANTINE_SECONDS + 1
+  assert records.judge('f') is Verdict.RUN
+  end(records, 'f', 'd')
+  assert records.judge('f') is Verdict.REFUSE
+  clock.now += crash_limit.QUARANTINE_SECONDS - 1
+  assert records.judge('f') is Verdict.REFUSE
+
+
+def test_a_complete_response_clears_a_request(clock):
+  records, sent = make()
+  end(records, 'f', 'a', 'b')
+  clock.now += 1
+  records.complete('f', 'c')
+  assert not records.is_suspect('f')
+  assert sent[-1] == report('f', 'c', State.COMPLETE)
+  # A late report of an end before it changes nothing.
+  assert records.apply_reports([report('f', 'a', State.ENDED, age=1.0)]) == []
+  assert not records.is_suspect('f')
+
+
+def test_an_instance_that_lives_on_does_not_count(clock):
+  records, _ = make()
+  for id in 'abc':
+    records.lose('f', id)
+  assert records.judge('f') is Verdict.WAIT
+  for id in 'abc':
+    records.resolve(id, is_ended=False)
+  assert records.judge('f') is Verdict.RUN
+
+
+def test_a_lost_connection_of_a_daemon_without_news_expires(clock):
+  records, _ = make()
+  records.apply_reports([report('f', id, State.LOST) for id in 'abc'])
+  assert records.judge('f') is Verdict.WAIT
+  clock.now += crash_records.LOST_TTL_SECONDS + 0.1
+  assert records.judge('f') is Verdict.RUN
+
+
+def test_a_probe_says_nothing_of_connections_that_are_lost_after_it(clock):
+  records, _ = make()
+  began = clock.now
+  clock.now += 0.1
+  records.lose('f', 'a')
+  records.resolve('a', is_ended=False, before=began)
+  assert records.is_lost('a')
+
+
+def test_a_connection_that_is_lost_to_an_ended_instance_is_its_end(clock):
+  records, _ = make()
+  end(records, 'f', 'a')
+  records.lose('g', 'a')
+  assert records.find_ended('g') == ['a']
+
+
+def test_a_response_to_a_later_request_refutes_the_end(clock):
+  records, sent = make()
+  end(records, 'f', 'a', 'b', 'c')
+  records.record_response('a', sent_at=clock.now - 0.1)
+  assert records.judge('f') is Verdict.REFUSE
+  clock.now += 1
+  records.record_response('a', sent_at=clock.now)
+  assert records.judge('f') is Verdict.RUN
+  assert sent[-1] == report('f', 'a', State.SURVIVED)
+
+
+def test_a_daemon_learns_of_ends_and_of_their_refutation(clock):
+  records, _ = make()
+  ends = [report('f', id, State.ENDED) for id in 'abc']
+  assert records.apply_reports(ends) == ends
+  assert records.judge('f') is Verdict.REFUSE
+  # Sent again a little later, also after a long way.
+  again = [report('f', id, State.ENDED, age=0.1) for id in 'abc']
+  clock.now += 0.5
+  assert records.apply_reports(again) == []
+  records.apply_reports([report('f', 'a', State.SURVIVED)])
+  assert records.judge('f') is Verdict.RUN
+
+
+def test_running_attempts_are_announced_once_their_request_is_suspect(clock):
+  records, sent = make()
+  with records.run('f', 'x'):
+    assert sent == []
+    records.apply_reports([report('f', 'a', State.ENDED)])
+    assert sent == [report('f', 'x', State.RUNNING)]
+    records.apply_reports([report('f', 'b', State.RUNNING)])
+    assert records.judge('f') is Verdict.WAIT
+  assert sent[-1] == report('f', 'x', State.ABANDONED)
+  assert records.judge('f') is Verdict.RUN
+
+
+def test_of_two_daemons_that_claim_a_request_one_goes_first(clock):
+  daemons = {name: make(name) for name in ('n1', 'n2')}
+  for records, _ in daemons.values():
+    records.apply_reports([report('f', id, State.ENDED) for id in 'ab'])
+    assert records.claim('f')
+    assert not records.claim('f')
+  (first, sent_by_first), (second, sent_by_second) = daemons.values()
+  first.apply_reports(sent_by_second)
+  second.apply_reports(sent_by_first)
+  verdicts = {records.judge('f') for records, _ in daemons.values()}
+  assert verdicts == {Verdict.RUN, Verdict.WAIT}
+
+
+def test_an_abandoned_attempt_counts_if_its_instance_has_ended(clock):
+  records, sent = make()
+  records.abandon('f', 'a')
+  assert sent == []
+  assert records.find_open() == {'a'}
+  records.resolve('a', is_ended=True)
+  assert sent == [report('f', 'a', State.ENDED)]
+
+
+def test_another_attempt_at_an_ended_instance_does_not_hide_its_end(clock):
+  records, _ = make()
+  end(records, 'f', 'a', 'b', 'c')
+  with records.run('f', 'a'):
+    assert records.judge('f') is Verdict.REFUSE
+    records.reject('f', 'a')
+  records.abandon('f', 'b')
+  assert records.judge('f') is Verdict.REFUSE
+
+
+def test_a_rejected_request_does_not_run(clock):
+  records, _ = make()
+  end(records, 'f', 'a')
+  with records.run('f', 'x'), records.run('f', 'y'):
+    assert records.judge('f') is Verdict.WAIT
+    records.reject('f', 'x')
+    assert records.judge('f') is Verdict.RUN
+
+
+def test_a_flood_of_lost_connections_displaces_no_refused_request(clock):
+  records, _ = make()
+  end(records, 'f', 'a', 'b', 'c')
+  for number in range(2 * crash_records.MAX_RECORDS):
+    records.lose(f'flood-{number}', f'i-{number}')
+  assert len(records) == crash_records.MAX_RECORDS
+  assert records.judge('f') is Verdict.REFUSE
+
+
+def test_records_expire(clock):
+  records, _ = make()
+  records.lose('lost', 'x')
+  end(records, 'f', 'a', 'b', 'c')
+  clock.now += crash_records.ABANDONED_TTL_SECONDS + 1
+  records.drop_expired()
+  assert len(records) == 1
+  clock.now += 3 * crash_limit.QUARANTINE_SECONDS
+  records.drop_expired()
+  assert len(records) == 0
+
+
+def test_ends_are_reported_anew_in_turn(clock):
+  records, _ = make()
+  end(records, 'f', 'a', 'b')
+  end(records, 'g', 'c')
+  clock.now += 2
+  found = [records.find_reports(limit=2) for _ in range(3)]
+  assert [{item.fingerprint for item in part} for part in found] == [
+    {'f'},
+    {'g'},
+    {'f'},
+  ]
+  assert found[0][0].age == 2.0
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -134,3 +134,84 @@
     ended = ['outcome_unknown'] * MAX_ENDED
     expected = [*ended, *['request_quarantined'] * (TRIES - MAX_ENDED)]
     assert found == {'red': expected, 'blue': expected}
+
+
+async def send_once(fleet, name, id, *, path='/act/'):
+  content = crashing_engines.MARK
+  return await send(fleet, name, make_request(id, path=path, content=content))
+
+
+async def test_daemons_that_send_at_the_same_time_end_three_instances():
+  async with crashing_engines.make_fleet('n1', 'n2', 's1', 's2') as fleet:
+    assert await send_once(fleet, 'n1', 'first') == 'outcome_unknown'
+    await asyncio.sleep(PAUSE_SECONDS)
+    codes = await asyncio.gather(
+      *(
+        send_once(fleet, name, f'{name}-{number}')
+        for name in fleet.by_name
+        for number in range(3)
+      )
+    )
+    assert len(fleet.engines.ended) == MAX_ENDED
+    assert set(codes) <= {
+      'outcome_unknown',
+      'request_quarantined',
+      'upstream_unavailable',
+    }
+
+
+async def test_each_side_of_a_partition_counts_for_itself():
+  async with crashing_engines.make_fleet('n1', 's1') as fleet:
+    assert await send_once(fleet, 'n1', 'before') == 'outcome_unknown'
+    await asyncio.sleep(PAUSE_SECONDS)
+    fleet.cut_off('south')
+    for number in range(TRIES):
+      for name in fleet.by_name:
+        await send_once(fleet, name, f'{name}-{number}')
+        await asyncio.sleep(PAUSE_SECONDS)
+    sides = 2
+    known = 1
+    assert len(fleet.engines.ended) <= known + sides * (MAX_ENDED - known)
+
+
+async def test_a_daemon_that_has_just_started_learns_of_ended_instances():
+  async with crashing_engines.make_fleet('n1') as fleet:
+    found = await send_tries(fleet, path='/act/')
+    assert found[-1] == 'request_quarantined'
+    await fleet.start('n2')
+    records = fleet.by_name['n2'].crash_guard.records
+    await nodes.wait_until(lambda: records.count_quarantined() == 1, seconds=3)
+    assert await send_once(fleet, 'n2', 'later') == 'request_quarantined'
+
+
+async def test_an_instance_without_a_sign_of_its_end_ends_with_its_entry():
+  async with crashing_engines.make_fleet('n1') as fleet:
+    fleet.engines.is_silent = True
+    records = fleet.by_name['n1'].crash_guard.records
+    for _ in range(MAX_ENDED):
+      with pytest.raises(TimeoutError):
+        async with asyncio.timeout(1.5):
+          await send_once(fleet, 'n1', 'r')
+      await nodes.wait_until(lambda: not records.find_open())
+    assert await send_once(fleet, 'n1', 'last') == 'request_quarantined'
+    assert len(fleet.engines.ended) == MAX_ENDED
+
+
+async def test_a_quarantined_request_is_refused_at_once_and_not_sent(caplog):
+  caplog.set_level('INFO', 'woadrun')
+  async with crashing_engines.make_fleet('n1') as fleet:
+    await send_tries(fleet, path='/act/')
+    sent = len(fleet.engines.sent)
+    with pytest.raises(errors.WoadrunError) as caught:
+      await fleet.ask(
+        'n1', make_request('q', path='/act/', content=crashing_engines.MARK)
+      )
+    assert caught.value.code is errors.Code.REQUEST_QUARANTINED
+    assert caught.value.ran is errors.RunStatus.NOT_RUN
+    assert caught.value.retry_after is None
+    assert all(id in caught.value.message for id in fleet.engines.ended)
+    assert len(fleet.engines.sent) == sent
+    metrics = fleet.by_name['n1'].counters.encode().decode()
+  assert 'woadrun_quarantined_requests_total{service="tools"}' in metrics
+  assert 'woadrun_instances_ended_total{service="tools"} 3.0' in metrics
+  assert 'woadrun_requests_quarantined 1.0' in metrics
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -89,7 +89,7 @@
   )
   for number, at in enumerate(began):
     request = types.SimpleNamespace(id=f'f-{number}')
-    served.instances.fatal_requests.add(request.id)
+    served.instances.fatal_runs.append((at, request.id))
     caller._tries.append(
       crashes._Try(request=request, at=at, daemon_started_at=0.0)
     )
@@ -106,9 +106,9 @@
     ([10.0, 11.0, 12.0, 13.0], [10.1, 11.1, 12.1, 13.1], (), True),
     # Sent before any instance had ended.
     ([10.0, 10.05, 10.06, 10.07], [10.1, 10.11, 10.12, 10.13], (), False),
-    # Sent before the third end was known everywhere.
-    ([10.0, 11.0, 12.0, 12.11], [10.1, 11.1, 12.1, 12.2], (), False),
-    ([10.0, 11.0, 12.0, 12.15], [10.1, 11.1, 12.1, 12.2], (), True),
+    ([10.0, 10.05, 10.06, 10.13], [10.1, 10.11, 10.12, 10.2], (), True),
+    # Sent while the reports of the third end may be late.
+    ([10.0, 11.0, 12.0, 12.11], [10.1, 11.1, 12.1, 12.2], (), True),
     ([10.0, 11.0, 12.0, 12.15], [10.1, 11.1, 12.1, 12.2], ('delay',), False),
     # Two sides of a partition.
     ([float(n) for n in range(10, 16)], range(11, 17), ('cut',), False),
--- a/tools/reference.py
+++ b/tools/reference.py
@@ -44,6 +44,7 @@
   errors.Code.DEADLINE_PASSED: 'the deadline of the program has passed',
   errors.Code.UPSTREAM_UNAVAILABLE: 'no upstream takes the call now',
   errors.Code.UPSTREAM_FAILED: 'the upstream failed the call',
+  errors.Code.REQUEST_QUARANTINED: 'instances ended while they ran it',
   errors.Code.OUTCOME_UNKNOWN: 'the action may or may not have run',
   errors.Code.CANCELLED: 'the call was broken off',
   errors.Code.NOT_OWNER: 'between daemons: the slot is owned elsewhere',
