A request whose connection is lost is not sent again by the HTTP library

aiohttp sends GET, HEAD, PUT, DELETE, OPTIONS and TRACE requests again by itself, on another connection, if theirs is lost before the response. So an instance that had run a request could run it again, on a route of kind once as well and beyond max_attempts; and where the second connection was refused, the request counted as not sent, which callers were told by a 503 although it had run.

Found by the soak: a request ended instances whose daemons logged only 'instance not reached', and no end was counted. A middleware hands a lost connection on under an error that the library does not repeat.

test_a_request_whose_connection_is_lost_is_not_sent_again fails before, on new connections and reused ones.

--- a/src/woadrun/platform/upstream.py
+++ b/src/woadrun/platform/upstream.py
@@ -111,6 +111,7 @@
           skip_auto_headers=_SKIPPED_AUTO_HEADERS,
           allow_redirects=False,
           timeout=timeout,
+          middlewares=(_prevent_resending,),
         )
     except (
       aiohttp.ClientConnectorError,
@@ -189,6 +190,24 @@
       )
 
 
+async def _prevent_resending(
+  request: aiohttp.ClientRequest, send: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+  """Sends a request once; raises `ClientPayloadError` if its connection fails.
+
+  aiohttp sends a request with an idempotent method again by itself if its
+  connection is lost, although the instance may have run it.
+  """
+  try:
+    return await send(request)
+  except (aiohttp.ClientConnectorError, aiohttp.ServerTimeoutError):
+    raise
+  except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+    raise aiohttp.ClientPayloadError(
+      str(error) or type(error).__name__
+    ) from error
+
+
 def _is_reusable(response: aiohttp.ClientResponse) -> bool:
   is_closed = wire.closes_connection(
     response.headers
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -184,3 +184,45 @@
   await asyncio.sleep(0.01)
   assert held.total == 0
   await chunks.aclose()
+
+
+@pytest.mark.parametrize('is_reused', [False, True])
+async def test_a_request_whose_connection_is_lost_is_not_sent_again(is_reused):
+  received = []
+
+  async def serve(reader, writer):
+    number = 0
+    while await reader.readuntil(b'\r\n\r\n'):
+      received.append(number)
+      number += 1
+      if number > is_reused:
+        writer.transport.abort()
+        return
+      writer.write(
+        b'HTTP/1.1 200 OK\r\nRequest-Id: r\r\nContent-Length: 0\r\n\r\n'
+      )
+
+  server = await asyncio.start_server(serve, '127.0.0.1', 0)
+  port = server.sockets[0].getsockname()[1]
+  request = nodes.make_request('r', path='/look/')
+  sending = exchange.RequestAttempt(
+    request=dataclasses.replace(request, method='GET', headers=[('Host', 'h')]),
+    instance=instances.Instance(
+      id='i', service='s', address=f'127.0.0.1:{port}', domain='north'
+    ),
+    body=b'',
+    seconds=5.0,
+  )
+  connector = tcp_connections.make_connector(limit=10, keepalive=5.0)
+  async with aiohttp.ClientSession(connector=connector) as session:
+    client = upstream.HttpUpstreams(
+      session=session, addresses=tcp_connections.Addresses()
+    )
+    for _ in range(is_reused):
+      async with client.send(sending) as reply:
+        assert [chunk async for chunk in reply.chunks] == []
+    with pytest.raises(exchange.ResponseLost):
+      async with client.send(sending):
+        pass
+  server.close()
+  assert received == ([0, 1] if is_reused else [0])
