All daemons skip an instance that has ended, while its entry stays

The entry of an instance that has ended stays in the list for seconds. Each daemon learned by a refused connection of its own that the address is dead, and for a second only; on a route with max_attempts 2 two dead addresses end a request that no instance has seen. Daemons now skip an instance that any of them found to have ended, for as long as its entry may stay.

--- a/src/woadrun/process/load/loads.py
+++ b/src/woadrun/process/load/loads.py
@@ -45,6 +45,8 @@
 INITIAL_ESTIMATE_SECONDS = 0.2
 # Time for which an unreachable instance is skipped while there are others.
 UNREACHABLE_BACKOFF_SECONDS = 1.0
+# Time within which the entry of an instance that has ended expires.
+ENTRY_TTL_SECONDS = 3.0
 # Age at which a peer's counts expire.
 COUNTS_TTL_SECONDS = 1.5
 # Prompt tokens that an engine processes per second: the order of magnitude of
@@ -287,6 +289,14 @@
     load = self._load_by_id.setdefault(id, Load())
     load.unreachable_until = time.monotonic() + UNREACHABLE_BACKOFF_SECONDS
 
+  def record_ended(self, id: str) -> None:
+    """Makes `choose` skip an instance until its entry has expired.
+
+    The entry of an instance that has ended stays for some seconds.
+    """
+    load = self._load_by_id.setdefault(id, Load())
+    load.unreachable_until = time.monotonic() + ENTRY_TTL_SECONDS
+
   def drop_unknown(self, known: Collection[str]) -> None:
     """Drops the state of all instances that are not in `known`.
 
--- a/src/woadrun/process/node.py
+++ b/src/woadrun/process/node.py
@@ -239,7 +239,9 @@
       gate=self.gate,
     )
     crashes = crash_records.CrashRecords(
-      name=config.name, on_change=lambda report: self.crash_reports.send(report)
+      name=config.name,
+      on_change=lambda report: self.crash_reports.send(report),
+      on_ended=self.loads.record_ended,
     )
     self.crash_reports = crash_reports.CrashReports(
       members=self.fleet, records=crashes
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -215,3 +215,15 @@
   assert 'woadrun_quarantined_requests_total{service="tools"}' in metrics
   assert 'woadrun_instances_ended_total{service="tools"} 3.0' in metrics
   assert 'woadrun_requests_quarantined 1.0' in metrics
+
+
+async def test_an_ended_instance_gets_no_requests_of_other_daemons():
+  async with crashing_engines.make_fleet('n1', 's1', entry_seconds=10) as fleet:
+    assert await send_once(fleet, 'n1', 'r') == 'outcome_unknown'
+    ended = fleet.engines.ended[0]
+    await asyncio.sleep(PAUSE_SECONDS)
+    loads = fleet.by_name['s1'].loads
+    group = fleet.by_name['s1'].catalogue.directory.find('tools')
+    assert ended in group.by_incarnation_id
+    chosen = {loads.choose(group, tried=[]).incarnation_id for _ in range(50)}
+    assert ended not in chosen
