Calls of the product's own interface stop after three broken upstreams

The same cause elsewhere: a model call whose engine broke off was moved to the next engine for as long as the retry budget lasted, and a repeatable service call was sent again and again, so that one call could end all engines. Both now end with request_quarantined after three lost responses; engines that refuse a call do not count, as before.

--- a/src/woadrun/request/placing.py
+++ b/src/woadrun/request/placing.py
@@ -61,7 +61,7 @@
   sent by an earlier owner, and its stream is resumed.  `is_ok` is reported with
   the release: whether the upstream did not fail.  `wasted_tokens` counts
   the tokens of abandoned attempts, and `tried` has the engines that failed the
-  call.
+  call, of which `lost` broke off before the end.
   """
 
   name: str
@@ -70,6 +70,7 @@
   is_resumed: bool = False
   is_ok: bool = True
   wasted_tokens: int = 0
+  lost: int = 0
   tried: set[str] = dataclasses.field(default_factory=set)
 
 
--- a/src/woadrun/request/upstreams.py
+++ b/src/woadrun/request/upstreams.py
@@ -27,6 +27,7 @@
 from woadrun.connection import service
 from woadrun.decisions import admission
 from woadrun.decisions import budget
+from woadrun.decisions import crash_limit
 from woadrun.process import membership
 from woadrun.request import calls
 from woadrun.request import execution
@@ -134,9 +135,10 @@
     """Returns the outcome of a model call, forwarding its events meanwhile.
 
     A call whose engine fails is moved to another engine and starts again from
-    its first token.  Raises `upstream_failed` if an engine rejects the call
-    with a 4xx status, if no other engine is left or if the retry budget is used
-    up.  Also raises the errors of `CallPlacer.choose_upstream` and
+    its first token.  Raises `request_quarantined` once as many engines broke
+    off as a request may end.  Raises `upstream_failed` if an engine rejects the
+    call with a 4xx status, if no other engine is left or if the retry budget is
+    used up.  Also raises the errors of `CallPlacer.choose_upstream` and
     `CallPlacer.acquire_slot` for the next engine.
     """
     while True:
@@ -156,6 +158,7 @@
         reason = str(error)
       except (*STREAM_ERRORS, msgspec.MsgspecError) as error:
         reason = type(error).__name__
+        place.lost += not place.is_resumed
       # An engine sends about one event per token.
       place.wasted_tokens += len(relay.event_data)
       running.stream_answer.restart()
@@ -283,6 +286,8 @@
       if n not in place.tried
     ]
     log.info('A call to engine %s failed: %s.', place.name, reason)
+    if place.lost >= crash_limit.MAX_ENDED_INSTANCES:
+      raise _make_quarantined(accepted, place.lost)
     if not names or not (was_resumed or retry_budget.take()):
       raise make_upstream_failed(place.name, reason)
     self.retries += 1
@@ -308,11 +313,17 @@
     raises the error of the last attempt: `upstream_unavailable` if the service
     accepts no connection, `outcome_unknown` if it sends no complete response,
     and `upstream_failed` if it answers a repeatable call with a 5xx status.
+    A repeatable call raises `request_quarantined` once as many responses were
+    lost as a request may end instances.
     """
+    lost = 0
     while True:
       try:
         return await self._call_service(accepted, row)
       except errors.WoadrunError as error:
+        lost += error.ran is errors.RunStatus.UNKNOWN
+        if accepted.repeatable and lost >= crash_limit.MAX_ENDED_INSTANCES:
+          raise _make_quarantined(accepted, lost) from error
         if accepted.repeatable and retry_budget.take():
           self.retries += 1
           continue
@@ -428,6 +439,17 @@
   )
 
 
+def _make_quarantined(
+  accepted: program.Accepted, lost: int
+) -> errors.WoadrunError:
+  """Returns the error for a call that may have ended its upstreams."""
+  return errors.WoadrunError(
+    errors.Code.REQUEST_QUARANTINED,
+    f'{lost} upstreams broke off while they ran {make_service_id(accepted)}.',
+    ran=errors.RunStatus.RAN,
+  )
+
+
 def make_upstream_failed(name: str, reason: str) -> errors.WoadrunError:
   """Returns the error for a call whose upstream failed.
 
