Reports of attempts: fewer lines in the log, fewer datagrams

Now only the daemon whose attempt it was writes a line, and all do when the third instance ended; only states that last are sent again.

--- a/src/woadrun/process/crash_reports.py
+++ b/src/woadrun/process/crash_reports.py
@@ -1,7 +1,7 @@
 """Sends reports on attempts that may end instances to all daemons.
 
 A caller sends a request again within milliseconds, so that reports are sent at
-once, as datagrams.  Each is sent again a little later, in case a datagram is
+once, as datagrams.  Most are sent again a little later, in case a datagram is
 lost, and the ends of instances are sent from time to time, for daemons that
 have just started.  Without lost connections nothing is sent.
 """
@@ -26,6 +26,14 @@
 
 # Reports in one datagram, so that it stays below the limit of datagrams.
 MAX_REPORTS = 64
+# States that are sent again, since no other state follows them soon.
+LASTING_STATES = frozenset(
+  (
+    attempt_reports.State.RUNNING,
+    attempt_reports.State.ENDED,
+    attempt_reports.State.COMPLETE,
+  )
+)
 # Delays after which a report is sent again, in seconds.
 REPEAT_DELAYS_SECONDS = (0.1, 0.3)
 # Interval at which ends of instances are sent anew, and how many at a time.
@@ -63,10 +71,12 @@
   def _send_with_repeats(
     self, reports: Sequence[attempt_reports.AttemptReport], *, hops: int
   ) -> None:
-    loop = asyncio.get_running_loop()
     self._send(reports, self._members.find_news_receivers(), hops=hops)
-    for delay in REPEAT_DELAYS_SECONDS:
-      loop.call_later(delay, self._send_again, reports, delay, hops)
+    lasting = [report for report in reports if report.state in LASTING_STATES]
+    if lasting:
+      loop = asyncio.get_running_loop()
+      for delay in REPEAT_DELAYS_SECONDS:
+        loop.call_later(delay, self._send_again, lasting, delay, hops)
 
   def _send_again(
     self,
--- a/src/woadrun/process/load/crash_records.py
+++ b/src/woadrun/process/load/crash_records.py
@@ -347,7 +347,7 @@
   ) -> None:
     now = time.monotonic()
     record = self._get_record(fingerprint)
-    self._apply(record, fingerprint, incarnation_id, state, now)
+    self._apply(record, fingerprint, incarnation_id, state, now, is_own=True)
     if is_reported:
       self._on_change(
         attempt_reports.AttemptReport(fingerprint, incarnation_id, state, 0.0)
@@ -383,10 +383,16 @@
     incarnation_id: str,
     state: State,
     at: float,
+    *,
+    is_own: bool = False,
   ) -> None:
     attempts = record.attempt_by_instance
     if state is State.CLAIMED:
-      record.claimed_at_by_daemon[incarnation_id] = at
+      record.claimed_at_by_daemon = {
+        name: claimed_at
+        for name, claimed_at in record.claimed_at_by_daemon.items()
+        if at - claimed_at < CLAIM_TTL_SECONDS
+      } | {incarnation_id: at}
       return
     was_ended = len(record.find(State.ENDED))
     if state is State.COMPLETE:
@@ -394,7 +400,7 @@
       record.attempt_by_instance = {
         id: attempt for id, attempt in attempts.items() if attempt.at > at
       }
-      if was_ended:
+      if was_ended and is_own:
         log.info(
           'Request fingerprint %s is cleared of %d ended instances: %s '
           'completed it.',
@@ -408,13 +414,16 @@
     attempts[incarnation_id] = _Attempt(state=state, at=at)
     if len(attempts) > MAX_ATTEMPTS:
       del attempts[min(attempts, key=lambda id: attempts[id].state)]
-    if state is State.ENDED and not was_known:
-      log.warning(
+    count = len(record.find(State.ENDED))
+    is_limit = count == crash_limit.MAX_ENDED_INSTANCES
+    if state is State.ENDED and not was_known and (is_own or is_limit):
+      log.log(
+        logging.WARNING if is_limit else logging.INFO,
         'Instance %s ended while running request fingerprint %s: %d of %d '
         'instances.',
         incarnation_id,
         fingerprints.shorten(fingerprint),
-        len(record.find(State.ENDED)),
+        count,
         crash_limit.MAX_ENDED_INSTANCES,
       )
 
