Writes to stores whose connection is lost are sent once

The same cause elsewhere: aiohttp also sent PUT and DELETE of http.send again by itself. A conditional write of the table then failed by its own first effect, so that the change was applied anew to the row that had it already; and where the second connection was refused, the write counted as not run although it may have taken effect, against what http.send says. Reads are sent again as before.

--- a/src/woadrun/connection/http.py
+++ b/src/woadrun/connection/http.py
@@ -36,6 +36,26 @@
   """Raised when a service rejects a request over the rate of all callers."""
 
 
+async def prevent_resending(
+  request: aiohttp.ClientRequest, send: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+  """Sends a request once; a middleware for sessions of aiohttp.
+
+  aiohttp sends a request with an idempotent method again by itself if its
+  connection is lost, although the server may have run it.  A conditional write
+  then fails by its own first effect, and the second error may tell that nothing
+  was sent.  Raises `aiohttp.ClientPayloadError` instead.
+  """
+  try:
+    return await send(request)
+  except (aiohttp.ClientConnectorError, aiohttp.ServerTimeoutError):
+    raise
+  except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+    raise aiohttp.ClientPayloadError(
+      str(error) or type(error).__name__
+    ) from error
+
+
 async def send(
   session: aiohttp.ClientSession,
   method: str,
@@ -57,7 +77,12 @@
   limit = aiohttp.ClientTimeout(total=timeout)
   try:
     async with session.request(
-      method, url, data=body, headers=headers, timeout=limit
+      method,
+      url,
+      data=body,
+      headers=headers,
+      timeout=limit,
+      middlewares=() if method == hdrs.METH_GET else (prevent_resending,),
     ) as response:
       data = await response.read()
       etag = response.headers.get('ETag', '')
--- a/src/woadrun/platform/upstream.py
+++ b/src/woadrun/platform/upstream.py
@@ -11,6 +11,7 @@
 import yarl
 
 from woadrun.connection import endpoints
+from woadrun.connection import http
 from woadrun.connection import response_ends
 from woadrun.connection import tcp_connections
 from woadrun.platform import read_ahead
@@ -111,7 +112,7 @@
           skip_auto_headers=_SKIPPED_AUTO_HEADERS,
           allow_redirects=False,
           timeout=timeout,
-          middlewares=(_prevent_resending,),
+          middlewares=(http.prevent_resending,),
         )
     except (
       aiohttp.ClientConnectorError,
@@ -190,24 +191,6 @@
       )
 
 
-async def _prevent_resending(
-  request: aiohttp.ClientRequest, send: aiohttp.ClientHandlerType
-) -> aiohttp.ClientResponse:
-  """Sends a request once; raises `ClientPayloadError` if its connection fails.
-
-  aiohttp sends a request with an idempotent method again by itself if its
-  connection is lost, although the instance may have run it.
-  """
-  try:
-    return await send(request)
-  except (aiohttp.ClientConnectorError, aiohttp.ServerTimeoutError):
-    raise
-  except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
-    raise aiohttp.ClientPayloadError(
-      str(error) or type(error).__name__
-    ) from error
-
-
 def _is_reusable(response: aiohttp.ClientResponse) -> bool:
   is_closed = wire.closes_connection(
     response.headers
