A full instance that refuses connections does not count as ended

Found by reading: an instance that is full may refuse new connections, so that a refused probe after a lost connection would have counted it as ended, made all daemons skip it, and counted against requests that had nothing to do with it. An instance that has ended loses all its connections at once: a refused probe counts only if this daemon has no attempt running there any more, and bytes that arrive later refute an end. A retry after a mere reset waits for the probe, not for the announcement of an attempt; states are reported only for suspect requests.

test_a_full_instance_that_refuses_connections_has_not_ended fails without the check for running attempts.

--- a/src/woadrun/process/load/crash_records.py
+++ b/src/woadrun/process/load/crash_records.py
@@ -50,6 +50,9 @@
 
 State = attempt_reports.State
 
+# States that are no reason to keep a record.
+HARMLESS_STATES = frozenset((State.ABANDONED, State.SURVIVED, State.COMPLETE))
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _Attempt:
@@ -161,6 +164,15 @@
     if record is not None:
       record.claimed_at_by_daemon.pop(self._name, None)
 
+  def is_unresolved(self, fingerprint: str) -> bool:
+    """Returns whether a request may have ended instances, and none for sure."""
+    record = self._record_by_fingerprint.get(fingerprint)
+    if record is None or record.find(State.ENDED):
+      return False
+    return bool(
+      record.find(State.LOST, since=time.monotonic() - LOST_TTL_SECONDS)
+    )
+
   def is_suspect(self, fingerprint: str) -> bool:
     """Returns whether a request ended an instance, or may have."""
     record = self._record_by_fingerprint.get(fingerprint)
@@ -203,7 +215,7 @@
     running[incarnation_id] += 1
     if fingerprint in self._record_by_fingerprint:
       if self._get_state(fingerprint, incarnation_id) is not State.ENDED:
-        self._set(fingerprint, incarnation_id, State.RUNNING)
+        self._set_if_suspect(fingerprint, incarnation_id, State.RUNNING)
       self.release(fingerprint)
     try:
       yield
@@ -215,7 +227,7 @@
         self._running.pop(fingerprint, None)
       is_running = self._get_state(fingerprint, incarnation_id) is State.RUNNING
       if is_running and not running.get(incarnation_id):
-        self._set(fingerprint, incarnation_id, State.ABANDONED)
+        self._set_if_suspect(fingerprint, incarnation_id, State.ABANDONED)
 
   def _get_state(self, fingerprint: str, incarnation_id: str) -> State | None:
     """Returns the state of an attempt, or None if it has no record."""
@@ -227,7 +239,7 @@
   def complete(self, fingerprint: str, incarnation_id: str) -> None:
     """Records that a complete response arrived."""
     if fingerprint in self._record_by_fingerprint:
-      self._set(fingerprint, incarnation_id, State.COMPLETE)
+      self._set_if_suspect(fingerprint, incarnation_id, State.COMPLETE)
 
   def reject(self, fingerprint: str, incarnation_id: str) -> None:
     """Records that an instance does not run a request after all."""
@@ -246,16 +258,8 @@
 
   def abandon(self, fingerprint: str, incarnation_id: str) -> None:
     """Records that this daemon gave up waiting for a response."""
-    if self._get_state(fingerprint, incarnation_id) is State.ENDED:
-      return
-    # Without another suspicion, it matters to others only if the instance is
-    # found to have ended.
-    self._set(
-      fingerprint,
-      incarnation_id,
-      State.ABANDONED,
-      is_reported=self.is_suspect(fingerprint),
-    )
+    if self._get_state(fingerprint, incarnation_id) is not State.ENDED:
+      self._set_if_suspect(fingerprint, incarnation_id, State.ABANDONED)
 
   def give_up(self, incarnation_id: str) -> None:
     """Records that it cannot be told whether an instance has ended."""
@@ -313,15 +317,21 @@
         del self._ended_at_by_instance[oldest]
       self._on_ended(incarnation_id)
 
-  def record_response(self, incarnation_id: str, *, sent_at: float) -> None:
-    """Records a response to a request that was sent to an instance at a time.
+  def record_bytes(self, incarnation_id: str) -> None:
+    """Records that a part of a response has arrived from an instance.
 
-    An instance that responds to a later request has not ended.
+    One that arrives a while after the end of the instance refutes it.
     """
     ended_at = self._ended_at_by_instance.get(incarnation_id)
-    if ended_at is not None and sent_at > ended_at + REPORT_DELAY_SECONDS:
+    if ended_at is None:
+      return
+    if time.monotonic() > ended_at + REPORT_DELAY_SECONDS:
       self.refute(incarnation_id)
 
+  def count_running(self, incarnation_id: str) -> int:
+    """Returns the attempts of this daemon that an instance is running."""
+    return sum(running[incarnation_id] for running in self._running.values())
+
   def refute(self, incarnation_id: str) -> None:
     """Records that an instance which counts as ended runs on."""
     if self._ended_at_by_instance.pop(incarnation_id, None) is None:
@@ -337,6 +347,17 @@
     limit = time.monotonic() - seconds
     return [id for id, at in self._ended_at_by_instance.items() if at <= limit]
 
+  def _set_if_suspect(
+    self, fingerprint: str, incarnation_id: str, state: State
+  ) -> None:
+    """Sets the state of an attempt, which is reported only if it matters.
+
+    It matters to others if the request is suspect, or once its instance is
+    found to have ended.
+    """
+    is_reported = self.is_suspect(fingerprint)
+    self._set(fingerprint, incarnation_id, state, is_reported=is_reported)
+
   def _set(
     self,
     fingerprint: str,
@@ -445,7 +466,7 @@
   ) -> bool:
     """Returns whether a report, about a state entered at `at`, is news."""
     known = self._record_by_fingerprint.get(report.fingerprint)
-    if known is None and report.state is State.COMPLETE:
+    if known is None and report.state in HARMLESS_STATES:
       return False
     if known is not None and not _is_news(known, report, at):
       return False
--- a/src/woadrun/request/attempts.py
+++ b/src/woadrun/request/attempts.py
@@ -237,8 +237,9 @@
   def _prepare_next(self, state: _SendState) -> exchange.RequestAttempt | None:
     """Returns the next attempt and counts it as tried; None if there is none.
 
-    There is none once the limit of attempts or the deadline is reached, the
-    request is no longer authorized, or no instance is left.
+    There is none once the limit of
+    attempts or the deadline is reached, the request is no longer authorized, or
+    no instance is left.
     """
     seconds = exchange.get_seconds_left(state.deadline)
     if seconds < MIN_REMAINING_SECONDS or not attempt_limit.may_send(
@@ -426,7 +427,7 @@
       raise
     finally:
       self._loads.health.record_end(stack)
-    self._guard.record_reply(sending, reply, sent_at=started_at)
+    self._guard.record_reply(sending, reply)
     self._record_reply(sending, reply, result, started_at)
     if timer is not None and not result.is_failure and reply.status < 300:
       reply.chunks = self._time_chunks(sending, reply, reply.chunks, timer)
@@ -475,6 +476,7 @@
         async for chunk in chunks:
           if reply.event_reader is not None:
             reply.event_reader.feed(chunk)
+          self._guard.record_bytes(sending)
           yield chunk
           received_at = time.monotonic()
       self._log_end(sending, reply)
--- a/src/woadrun/request/crash_guard.py
+++ b/src/woadrun/request/crash_guard.py
@@ -32,6 +32,7 @@
 # Longest wait for the outcome of other attempts of a request.
 MAX_WAIT_SECONDS = 1.0
 POLL_INTERVAL_SECONDS = 0.02
+PROBE_POLL_SECONDS = 0.005
 # Time for which an attempt of a suspect request is announced before it begins.
 # Reports take a few milliseconds, and longer between distant domains.
 CLAIM_SECONDS = 0.05
@@ -40,6 +41,8 @@
 # Probes of an instance whose connection opens and breaks off without an answer.
 MAX_PROBES = 3
 PROBE_INTERVAL_SECONDS = 0.05
+# Time within which all connections to an instance that has ended are lost.
+SETTLE_SECONDS = 0.01
 # Interval between two comparisons with the list of instances.
 CHECK_INTERVAL_SECONDS = 0.25
 # An instance that is listed for longer than this after its end has not ended:
@@ -91,17 +94,15 @@
     until = min(deadline, time.monotonic() + MAX_WAIT_SECONDS)
     while not await self._may_run(fingerprint, service):
       if time.monotonic() >= until:
-        raise errors.WoadrunError(
-          errors.Code.UPSTREAM_UNAVAILABLE,
-          'Instances ended, or may have ended, while they ran this request '
-          f'(fingerprint {fingerprints.shorten(fingerprint)}), and others '
-          'still run it.',
-          retry_after=RETRY_AFTER_SECONDS,
-        )
+        raise make_undecided(fingerprint)
       await asyncio.sleep(POLL_INTERVAL_SECONDS)
 
   async def _may_run(self, fingerprint: str, service: str) -> bool:
     """Returns whether a request may be sent to an instance now."""
+    until = time.monotonic() + CLAIM_SECONDS
+    while self.records.is_unresolved(fingerprint) and time.monotonic() < until:
+      # A probe mostly tells at once that only a connection was lost.
+      await asyncio.sleep(PROBE_POLL_SECONDS)
     verdict = self._judge(fingerprint, service)
     if not self.records.is_suspect(fingerprint):
       return verdict is crash_limit.Verdict.RUN
@@ -134,17 +135,16 @@
     )
 
   def record_reply(
-    self,
-    sending: exchange.RequestAttempt,
-    reply: exchange.Reply,
-    *,
-    sent_at: float,
+    self, sending: exchange.RequestAttempt, reply: exchange.Reply
   ) -> None:
     """Records that the response of an instance to an attempt has begun."""
-    id = sending.instance.incarnation_id
-    self.records.record_response(id, sent_at=sent_at)
+    self.record_bytes(sending)
     if not reply.has_run:
-      self.records.reject(sending.fingerprint, id)
+      self.records.reject(sending.fingerprint, sending.instance.incarnation_id)
+
+  def record_bytes(self, sending: exchange.RequestAttempt) -> None:
+    """Records that a part of a response has arrived."""
+    self.records.record_bytes(sending.instance.incarnation_id)
 
   def record_complete(
     self, sending: exchange.RequestAttempt, reply: exchange.Reply
@@ -228,7 +228,13 @@
       )
       if self._is_domain_silent(instance.domain):
         break
-      if liveness is not exchange.Liveness.UNKNOWN:
+      if liveness is exchange.Liveness.ALIVE:
+        return liveness
+      await asyncio.sleep(SETTLE_SECONDS)
+      # A full instance may refuse connections as well.  One that has ended
+      # loses all that it has.
+      is_running = self.records.count_running(instance.incarnation_id) > 0
+      if liveness is exchange.Liveness.ENDED and not is_running:
         return liveness
       await asyncio.sleep(PROBE_INTERVAL_SECONDS)
     return exchange.Liveness.UNKNOWN
@@ -289,6 +295,17 @@
       probe.cancel()
 
 
+def make_undecided(fingerprint: str) -> errors.WoadrunError:
+  """Returns the error for a request that waits for others in vain."""
+  return errors.WoadrunError(
+    errors.Code.UPSTREAM_UNAVAILABLE,
+    'Instances ended, or may have ended, while they ran this request '
+    f'(fingerprint {fingerprints.shorten(fingerprint)}), and it is not known '
+    'yet whether it may be sent to another one.',
+    retry_after=RETRY_AFTER_SECONDS,
+  )
+
+
 def _make_quarantined(
   fingerprint: str, ended: list[str]
 ) -> errors.WoadrunError:
--- a/tests/crashing_engines.py
+++ b/tests/crashing_engines.py
@@ -21,7 +21,8 @@
   its address refuses connections.  Its entry is removed after `entry_seconds`,
   and another instance starts at once.  With `loses_connections`, a marked
   request resets its connection and the instance lives on.  With `is_silent`, an
-  instance that ends resets nothing: its connections stay silent.
+  instance that ends resets nothing: its connections stay silent.  With
+  `refuses_probes` all instances refuse probes.
   `ended_by_body` lists the instances that ended under each body, marked or not.
   """
 
@@ -31,6 +32,7 @@
     self.loses_connections = loses_connections
     self.has_head = False
     self.is_silent = False
+    self.refuses_probes = False
     self.seconds = 0.02
     self.ended = []
     self.ended_by_body = {}
@@ -86,7 +88,7 @@
 
   async def probe(self, instance, *, health_path):
     await asyncio.sleep(0.001)
-    is_ended = instance.id in self.ended
+    is_ended = instance.id in self.ended or self.refuses_probes
     if is_ended and self.is_silent:
       return exchange.Liveness.UNKNOWN
     return exchange.Liveness.ENDED if is_ended else exchange.Liveness.ALIVE
@@ -104,12 +106,16 @@
     self._tasks.add(task)
     task.add_done_callback(self._tasks.discard)
 
-  async def _replace(self, instance):
-    entry = nodes.make_entry(service=instance.service, zone=instance.domain)
-    name = f'{instance.service}-{next(self._numbers)}'
+  async def add(self, service, *, domain='north'):
+    """Starts another instance of a service."""
+    entry = nodes.make_entry(service=service, zone=domain)
+    name = f'{service}-{next(self._numbers)}'
     await self.shared.change(
       writes=[(rows.Key('servers', '', name), msgspec.json.encode(entry))]
     )
+
+  async def _replace(self, instance):
+    await self.add(instance.service, domain=instance.domain)
     await asyncio.sleep(self.entry_seconds)
     await self.shared.change(removes=[rows.Key('servers', '', instance.id)])
 
--- a/tests/test_crash_records.py
+++ b/tests/test_crash_records.py
@@ -126,13 +126,14 @@
   assert records.find_ended('g') == ['a']
 
 
-def test_a_response_to_a_later_request_refutes_the_end(clock):
+def test_bytes_that_arrive_later_refute_the_end(clock):
   records, sent = make()
   end(records, 'f', 'a', 'b', 'c')
-  records.record_response('a', sent_at=clock.now - 0.1)
+  # Sent before the end.
+  records.record_bytes('a')
   assert records.judge('f') is Verdict.REFUSE
   clock.now += 1
-  records.record_response('a', sent_at=clock.now)
+  records.record_bytes('a')
   assert records.judge('f') is Verdict.RUN
   assert sent[-1] == report('f', 'a', State.SURVIVED)
 
@@ -175,6 +176,18 @@
   assert verdicts == {Verdict.RUN, Verdict.WAIT}
 
 
+def test_attempts_without_suspicion_are_not_reported(clock):
+  records, sent = make()
+  records.abandon('f', 'a')
+  with records.run('f', 'b'):
+    assert records.count_running('b') == 1
+  records.complete('f', 'c')
+  assert sent == []
+  for state in (State.ABANDONED, State.SURVIVED, State.COMPLETE):
+    assert records.apply_reports([report('g', 'a', state)]) == []
+  assert len(records) == 1
+
+
 def test_an_abandoned_attempt_counts_if_its_instance_has_ended(clock):
   records, sent = make()
   records.abandon('f', 'a')
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -227,3 +227,24 @@
     assert ended in group.by_incarnation_id
     chosen = {loads.choose(group, tried=[]).incarnation_id for _ in range(50)}
     assert ended not in chosen
+
+
+async def test_a_full_instance_that_refuses_connections_has_not_ended():
+  async with crashing_engines.make_fleet('n1') as fleet:
+    directory = fleet.by_name['n1'].catalogue.directory
+    await fleet.engines.add('tools')
+    await nodes.wait_until(lambda: len(directory.find('tools')) == 3)
+    fleet.engines.loses_connections = True
+    fleet.engines.refuses_probes = True
+    fleet.engines.seconds = 1.0
+    beside = []
+    # Until each instance has a request that runs on.
+    while len({item.instance.id for item in fleet.engines.sent}) < 3:
+      number = len(beside)
+      request = make_request(f'b{number}', path='/act/', content=b'%d' % number)
+      beside.append(asyncio.ensure_future(send(fleet, 'n1', request)))
+      await nodes.wait_until(lambda: len(fleet.engines.sent) == len(beside))
+    fleet.engines.seconds = 0.02
+    tries = await send_tries(fleet, path='/act/')
+    assert set(tries) == {'outcome_unknown'}
+    assert set(await asyncio.gather(*beside)) == {200}
