--- a/src/woadrun/process/load/crash_records.py
+++ b/src/woadrun/process/load/crash_records.py
@@ -182,6 +182,31 @@
     is_lost = record.find(State.LOST, since=now - LOST_TTL_SECONDS)
     return bool(is_lost) or self._count_ended(record, now) > 0
 
+  def find_avoided(self, fingerprint: str) -> set[str]:
+    """Returns the instances that a suspect request should not be sent to.
+
+    They are running other suspect requests: if one of them ended, it would not
+    be known which request it was.  Returns none for other requests.
+    """
+    if not self.is_suspect(fingerprint):
+      return set()
+    since = time.monotonic() - RUNNING_TTL_SECONDS
+    return {
+      id
+      for other, record in self._record_by_fingerprint.items()
+      if other != fingerprint and record.find(State.ENDED)
+      for id in record.find(State.RUNNING, since=since)
+    }
+
+  def has_last_attempt(self, fingerprint: str) -> bool:
+    """Returns whether a request is refused if one more instance ends."""
+    record = self._record_by_fingerprint.get(fingerprint)
+    return (
+      record is not None
+      and self._count_ended(record, time.monotonic())
+      == crash_limit.MAX_ENDED_INSTANCES - 1
+    )
+
   def find_ended(self, fingerprint: str) -> list[str]:
     """Returns the instances that ended while they ran a request."""
     record = self._record_by_fingerprint.get(fingerprint)
--- a/src/woadrun/request/attempts.py
+++ b/src/woadrun/request/attempts.py
@@ -19,6 +19,7 @@
 from collections.abc import AsyncGenerator
 from collections.abc import AsyncIterator
 from collections.abc import Callable
+from collections.abc import Collection
 import contextlib
 import dataclasses
 import logging
@@ -225,19 +226,34 @@
     self, state: _SendState
   ) -> exchange.RequestAttempt | None:
     """Returns the next attempt once it may be sent, None if there is none."""
-    try:
-      await self._guard.admit(
-        state.fingerprint, service=state.service, deadline=state.deadline
-      )
-    except errors.WoadrunError as error:
-      state.refusal = error
-      return None
-    return self._prepare_next(state)
-
-  def _prepare_next(self, state: _SendState) -> exchange.RequestAttempt | None:
+    until = time.monotonic() + crash_guard.MAX_WAIT_SECONDS
+    while True:
+      try:
+        await self._guard.admit(
+          state.fingerprint, service=state.service, deadline=state.deadline
+        )
+      except errors.WoadrunError as error:
+        state.refusal = error
+        return None
+      avoided = self._guard.records.find_avoided(state.fingerprint)
+      sending = self._prepare_next(state, avoided=avoided)
+      if sending is not None or not avoided:
+        return sending
+      if not self._guard.records.has_last_attempt(state.fingerprint):
+        return self._prepare_next(state)
+      # Its last attempt: one that runs beside another suspect request would
+      # be held against both.
+      if time.monotonic() >= min(until, state.deadline):
+        state.refusal = crash_guard.make_undecided(state.fingerprint)
+        return None
+      await asyncio.sleep(crash_guard.POLL_INTERVAL_SECONDS)
+
+  def _prepare_next(
+    self, state: _SendState, *, avoided: Collection[str] = ()
+  ) -> exchange.RequestAttempt | None:
     """Returns the next attempt and counts it as tried; None if there is none.
 
-    There is none once the limit of
+    It is not made at an instance in `avoided`.  There is none once the limit of
     attempts or the deadline is reached, the request is no longer authorized, or
     no instance is left.
     """
@@ -259,7 +275,7 @@
     prompt = turn.prompt_tokens if turn else 0
     instance = self._loads.choose(
       self._catalogue.directory.find(state.service),
-      tried=state.tried,
+      tried=[*state.tried, *avoided],
       prompt=prompt,
       parts=turn.parts if turn else (),
       cached_by_id=state.cached_by_instance,
--- a/tests/test_crash_records.py
+++ b/tests/test_crash_records.py
@@ -188,6 +188,19 @@
   assert len(records) == 1
 
 
+def test_a_suspect_request_avoids_instances_that_run_another_one(clock):
+  records, _ = make()
+  end(records, 'f', 'a')
+  end(records, 'g', 'a', 'b')
+  with records.run('f', 'x'), records.run('calm', 'y'):
+    assert records.find_avoided('g') == {'x'}
+    assert records.find_avoided('f') == set()
+    assert records.find_avoided('calm') == set()
+  assert records.find_avoided('g') == set()
+  assert records.has_last_attempt('g')
+  assert not records.has_last_attempt('f')
+
+
 def test_an_abandoned_attempt_counts_if_its_instance_has_ended(clock):
   records, sent = make()
   records.abandon('f', 'a')
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -248,3 +248,28 @@
     tries = await send_tries(fleet, path='/act/')
     assert set(tries) == {'outcome_unknown'}
     assert set(await asyncio.gather(*beside)) == {200}
+
+
+async def test_a_request_beside_one_that_ends_its_instances_is_not_refused():
+  async with crashing_engines.make_fleet('n1', 'n2') as fleet:
+    for service in ('tools', 'tools'):
+      await fleet.engines.add(service)
+    innocents = {f'i{number}': [] for number in range(6)}
+    fatal = asyncio.ensure_future(send_tries(fleet, path='/act/'))
+    for _ in range(TRIES):
+      codes = await asyncio.gather(
+        *(
+          send(
+            fleet,
+            'n1',
+            make_request(f'{id}-', path='/act/', content=id.encode()),
+          )
+          for id in innocents
+        )
+      )
+      for id, code in zip(innocents, codes, strict=True):
+        innocents[id].append(code)
+    await fatal
+    assert len(fleet.engines.ended) <= MAX_ENDED
+    codes = {code for found in innocents.values() for code in found}
+    assert 'request_quarantined' not in codes
