--- /dev/null
+++ b/tests/test_crash_reports.py
@@ -0,0 +1,127 @@
+"""Tests for the reports on attempts that daemons send each other."""
+
+import asyncio
+
+import msgspec
+import pytest
+
+from woadrun.connection import attempt_reports
+from woadrun.process import crash_reports
+from woadrun.process import datagrams
+from woadrun.process import fleet_heartbeats
+from woadrun.process.load import crash_records
+
+State = attempt_reports.State
+
+
+class Members:
+  """A fleet whose datagrams are recorded as `sent`, by address."""
+
+  def __init__(self, *, is_relaying=False):
+    self.is_relaying = is_relaying
+    self.datagrams = self
+    self.names = ['n2']
+    self.sent = []
+    self.handler_by_kind = {}
+
+  def handle(self, kind, handler):
+    self.handler_by_kind[kind] = handler
+
+  def send(self, address, kind, data):
+    assert kind == datagrams.ATTEMPT_REPORTS
+    assert len(data) < datagrams.MAX_DATAGRAM_BYTES
+    message = msgspec.json.decode(data, type=attempt_reports.AttemptReports)
+    self.sent.append((address, message))
+
+  def find_news_receivers(self):
+    return [
+      fleet_heartbeats.Member(name=name, address=f'at-{name}', domain='north')
+      for name in self.names
+    ]
+
+  def receive(self, *reports, hops=0):
+    message = attempt_reports.AttemptReports(reports, hops)
+    self.handler_by_kind[datagrams.ATTEMPT_REPORTS](
+      msgspec.json.encode(message)
+    )
+
+
+def make(members):
+  records = crash_records.CrashRecords(
+    name='n1', on_change=lambda report: reports.send(report)
+  )
+  reports = crash_reports.CrashReports(members=members, records=records)
+  return records, reports
+
+
+def report(number, state):
+  return attempt_reports.AttemptReport(f'{number:032x}', 'i-1', state, 0.0)
+
+
+async def test_reports_of_a_moment_share_a_datagram_and_lasting_ones_repeat():
+  members = Members()
+  records, _ = make(members)
+  records.lose('f', 'a')
+  records.resolve('a', is_ended=True)
+  await asyncio.sleep(0.01)
+  assert [
+    [item.state for item in message.reports] for _, message in members.sent
+  ] == [[State.LOST, State.ENDED]]
+  await asyncio.sleep(max(crash_reports.REPEAT_DELAYS_SECONDS) + 0.1)
+  repeated = [message.reports for _, message in members.sent[1:]]
+  assert [[item.state for item in part] for part in repeated] == [
+    [State.ENDED]
+  ] * len(crash_reports.REPEAT_DELAYS_SECONDS)
+  assert [part[0].age for part in repeated] == [
+    pytest.approx(delay) for delay in crash_reports.REPEAT_DELAYS_SECONDS
+  ]
+
+
+async def test_many_reports_are_split_into_datagrams():
+  members = Members()
+  _, reports = make(members)
+  for number in range(3 * crash_reports.MAX_REPORTS):
+    reports.send(report(number, State.LOST))
+  await asyncio.sleep(0.01)
+  assert len(members.sent) == 3
+
+
+@pytest.mark.parametrize(
+  ('is_relaying', 'hops', 'expected'),
+  [(False, 0, []), (True, 0, [1]), (True, 1, [2]), (True, 2, [])],
+)
+async def test_hubs_pass_news_on(is_relaying, hops, expected):
+  members = Members(is_relaying=is_relaying)
+  records, _ = make(members)
+  members.receive(report(1, State.LOST), hops=hops)
+  members.receive(report(1, State.LOST), hops=hops)
+  assert [message.hops for _, message in members.sent] == expected
+  assert len(records) == 1
+
+
+async def test_malformed_reports_are_ignored(caplog):
+  members = Members()
+  records, _ = make(members)
+  receive = members.handler_by_kind[datagrams.ATTEMPT_REPORTS]
+  for data in (b'', b'{', b'[[["f","i",99,0.0]],0]', b'[[["f"]],0]'):
+    receive(data)
+  assert len(records) == 0
+  assert len(caplog.messages) == 4
+
+
+async def test_a_new_member_is_told_of_ended_instances(monkeypatch):
+  monkeypatch.setattr(crash_reports, 'INFORM_INTERVAL_SECONDS', 0.02)
+  members = Members()
+  records, reports = make(members)
+  records.lose('f', 'a')
+  records.resolve('a', is_ended=True)
+  await reports.start()
+  await asyncio.sleep(0.1)
+  members.sent.clear()
+  members.names.append('n3')
+  await asyncio.sleep(0.1)
+  told = [m.reports for address, m in members.sent if address == 'at-n3']
+  assert [(item.fingerprint, item.state) for item in told[0]] == [
+    ('f', State.ENDED)
+  ]
+  await reports.stop()
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -226,3 +226,68 @@
         pass
   server.close()
   assert received == ([0, 1] if is_reused else [0])
+
+
+HEALTHY = b'HTTP/1.1 200 OK\r\nInstance-Id: i\r\nContent-Length: 0\r\n\r\n'
+
+
+@pytest.mark.parametrize(
+  ('answer', 'path', 'expected'),
+  [
+    (HEALTHY, '/health', exchange.Liveness.ALIVE),
+    (
+      HEALTHY.replace(b'200 OK', b'503 Draining'),
+      '/health',
+      exchange.Liveness.ALIVE,
+    ),
+    (HEALTHY.replace(b': i', b': j'), '/health', exchange.Liveness.ENDED),
+    (
+      b'HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n',
+      '/health',
+      exchange.Liveness.ENDED,
+    ),
+    # A connection that is accepted proves nothing.
+    (b'', '/health', exchange.Liveness.UNKNOWN),
+    (None, '/health', exchange.Liveness.UNKNOWN),
+    (HEALTHY, '', exchange.Liveness.UNKNOWN),
+  ],
+)
+async def test_a_probe_tells_an_instance_from_its_successor(
+  answer, path, expected, monkeypatch
+):
+  monkeypatch.setattr(upstream, 'PROBE_TIMEOUT_SECONDS', 0.2)
+  heads = []
+
+  async def serve(reader, writer):
+    heads.append(await reader.readuntil(b'\r\n\r\n'))
+    if answer is None:
+      await asyncio.sleep(1.0)
+    writer.write(answer or b'')
+    writer.close()
+
+  server = await asyncio.start_server(serve, '127.0.0.1', 0)
+  address = f'127.0.0.1:{server.sockets[0].getsockname()[1]}'
+  assert await probe(address, path) is expected
+  server.close()
+  assert all(b'Expect-Instance: i\r\n' in head for head in heads)
+  assert bool(heads) is bool(path)
+
+
+@pytest.mark.parametrize('path', ['/health', ''])
+async def test_a_probe_of_a_refusing_address_tells_that_the_instance_ended(
+  path,
+):
+  address = f'127.0.0.1:{nodes.find_port()}'
+  assert await probe(address, path) is exchange.Liveness.ENDED
+
+
+async def probe(address, path):
+  connector = tcp_connections.make_connector(limit=10, keepalive=5.0)
+  async with aiohttp.ClientSession(connector=connector) as session:
+    client = upstream.HttpUpstreams(
+      session=session, addresses=tcp_connections.Addresses()
+    )
+    instance = instances.Instance(
+      id='i', service='s', address=address, domain='north'
+    )
+    return await client.probe(instance, health_path=path)
