A suspect request without an attempt left fails at once

Found by reading: the next attempt was admitted before the limit of attempts and the deadline were checked, so that a suspect request that had used its attempts waited 50 ms, a second at most, and announced an attempt that nobody made.

test_a_request_without_an_attempt_left_fails_without_a_wait fails before.

--- a/src/woadrun/request/attempts.py
+++ b/src/woadrun/request/attempts.py
@@ -227,7 +227,7 @@
   ) -> exchange.RequestAttempt | None:
     """Returns the next attempt once it may be sent, None if there is none."""
     until = time.monotonic() + crash_guard.MAX_WAIT_SECONDS
-    while True:
+    while _has_attempt_left(state):
       try:
         await self._guard.admit(
           state.fingerprint, service=state.service, deadline=state.deadline
@@ -247,6 +247,7 @@
         state.refusal = crash_guard.make_undecided(state.fingerprint)
         return None
       await asyncio.sleep(crash_guard.POLL_INTERVAL_SECONDS)
+    return None
 
   def _prepare_next(
     self, state: _SendState, *, avoided: Collection[str] = ()
@@ -257,14 +258,7 @@
     attempts or the deadline is reached, the request is no longer authorized, or
     no instance is left.
     """
-    seconds = exchange.get_seconds_left(state.deadline)
-    if seconds < MIN_REMAINING_SECONDS or not attempt_limit.may_send(
-      max_attempts=state.route.max_attempts,
-      tried=len(state.tried),
-      not_run=state.not_run,
-      elapsed=time.monotonic() - state.started_at,
-      total=state.deadline - state.started_at,
-    ):
+    if not _has_attempt_left(state):
       return None
     try:
       self._authorization.check(state.request, state.grant)
@@ -298,7 +292,7 @@
       request=state.request,
       instance=instance,
       body=state.body,
-      seconds=seconds,
+      seconds=exchange.get_seconds_left(state.deadline),
       urgency=_get_urgency(state),
       team=state.grant.team_name,
       silence_seconds=self._loads.health.get_overdue_seconds(state.service),
@@ -684,6 +678,18 @@
     )
 
 
+def _has_attempt_left(state: _SendState) -> bool:
+  """Returns whether the limits on attempts and time allow another one."""
+  seconds = exchange.get_seconds_left(state.deadline)
+  return seconds >= MIN_REMAINING_SECONDS and attempt_limit.may_send(
+    max_attempts=state.route.max_attempts,
+    tried=len(state.tried),
+    not_run=state.not_run,
+    elapsed=time.monotonic() - state.started_at,
+    total=state.deadline - state.started_at,
+  )
+
+
 def _is_stream(request: exchange.Request, route: routes.Route) -> bool:
   """Returns whether the response consists of events, as a history does."""
   keeps_history = route.keeps_history and request.turn is not None
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -273,3 +273,13 @@
     assert len(fleet.engines.ended) <= MAX_ENDED
     codes = {code for found in innocents.values() for code in found}
     assert 'request_quarantined' not in codes
+
+
+async def test_a_request_without_an_attempt_left_fails_without_a_wait():
+  async with crashing_engines.make_fleet('n1') as fleet:
+    assert await send_once(fleet, 'n1', 'r', path='/look/') == 'outcome_unknown'
+    records = fleet.by_name['n1'].crash_guard.records
+    record = next(iter(records._record_by_fingerprint.values()))
+    # Claimed for the second attempt only, not for a third one.
+    assert record.claimed_at_by_daemon == {}
+    assert len(fleet.engines.sent) == 2
