An attempt of a daemon that ended with it is not forgotten

A refused connection clears only an attempt that the same daemon announced; it makes the daemon probe an instance that has open attempts of others, and the end of an instance, found or reported, is the end of all that it was running.

--- a/src/woadrun/process/load/crash_records.py
+++ b/src/woadrun/process/load/crash_records.py
@@ -52,6 +52,8 @@
 
 # States that are no reason to keep a record.
 HARMLESS_STATES = frozenset((State.ABANDONED, State.SURVIVED, State.COMPLETE))
+# States of attempts whose instance may end or may have ended.
+OPEN_STATES = frozenset((State.RUNNING, State.ABANDONED, State.LOST))
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -111,6 +113,8 @@
     self._ended_at_by_instance: dict[str, float] = {}
     # This daemon's running attempts, by request and instance.
     self._running: dict[str, collections.Counter[str]] = {}
+    # Those of them that it announced, as request and instance.
+    self._announced: set[tuple[str, str]] = set()
 
   def __len__(self) -> int:
     return len(self._record_by_fingerprint)
@@ -239,8 +243,7 @@
     running = self._running.setdefault(fingerprint, collections.Counter())
     running[incarnation_id] += 1
     if fingerprint in self._record_by_fingerprint:
-      if self._get_state(fingerprint, incarnation_id) is not State.ENDED:
-        self._set_if_suspect(fingerprint, incarnation_id, State.RUNNING)
+      self._announce(fingerprint, incarnation_id)
       self.release(fingerprint)
     try:
       yield
@@ -248,11 +251,27 @@
       running[incarnation_id] -= 1
       if not running[incarnation_id]:
         del running[incarnation_id]
+        self._end_announced(fingerprint, incarnation_id)
       if not running:
         self._running.pop(fingerprint, None)
-      is_running = self._get_state(fingerprint, incarnation_id) is State.RUNNING
-      if is_running and not running.get(incarnation_id):
-        self._set_if_suspect(fingerprint, incarnation_id, State.ABANDONED)
+
+  def _announce(self, fingerprint: str, incarnation_id: str) -> None:
+    """Sets the state of an attempt to running, unless another one is open.
+
+    The instance may have ended under that one, and refuse this one.
+    """
+    known = self._get_state(fingerprint, incarnation_id)
+    if known is not State.ENDED and known not in OPEN_STATES:
+      self._announced.add((fingerprint, incarnation_id))
+      self._set_if_suspect(fingerprint, incarnation_id, State.RUNNING)
+
+  def _end_announced(self, fingerprint: str, incarnation_id: str) -> None:
+    """Sets an attempt that was announced and has no outcome to abandoned."""
+    if (fingerprint, incarnation_id) not in self._announced:
+      return
+    self._announced.discard((fingerprint, incarnation_id))
+    if self._get_state(fingerprint, incarnation_id) is State.RUNNING:
+      self._set_if_suspect(fingerprint, incarnation_id, State.ABANDONED)
 
   def _get_state(self, fingerprint: str, incarnation_id: str) -> State | None:
     """Returns the state of an attempt, or None if it has no record."""
@@ -268,9 +287,24 @@
 
   def reject(self, fingerprint: str, incarnation_id: str) -> None:
     """Records that an instance does not run a request after all."""
-    if self._get_state(fingerprint, incarnation_id) is State.RUNNING:
+    is_running = self._get_state(fingerprint, incarnation_id) is State.RUNNING
+    if is_running and (fingerprint, incarnation_id) in self._announced:
       self._set(fingerprint, incarnation_id, State.SURVIVED)
 
+  def has_open_attempt(self, incarnation_id: str) -> bool:
+    """Returns whether an instance may have ended with a request.
+
+    Attempts of daemons that ended themselves stay open.
+    """
+    return any(
+      self._is_open(record, incarnation_id)
+      for record in self._record_by_fingerprint.values()
+    )
+
+  def _is_open(self, record: _Record, incarnation_id: str) -> bool:
+    attempt = record.attempt_by_instance.get(incarnation_id)
+    return attempt is not None and attempt.state in OPEN_STATES
+
   def lose(self, fingerprint: str, incarnation_id: str) -> None:
     """Records that the connection of an attempt was lost."""
     is_ended = self.has_ended(incarnation_id)
@@ -316,9 +350,10 @@
     found = [
       fingerprint
       for fingerprint, record in self._record_by_fingerprint.items()
-      if (attempt := record.attempt_by_instance.get(incarnation_id))
-      and attempt.state in (State.LOST, State.ABANDONED)
-      and attempt.at <= before
+      if self._is_open(record, incarnation_id)
+      and (attempt := record.attempt_by_instance[incarnation_id]).at <= before
+      # What another daemon runs there goes on as long as the instance does.
+      and (is_ended or attempt.state is not State.RUNNING)
     ]
     if is_ended:
       self._record_end(incarnation_id, time.monotonic())
@@ -499,12 +534,17 @@
     self._apply(
       record, report.fingerprint, report.incarnation_id, report.state, at
     )
-    if report.state is State.ENDED:
+    if report.state is State.ENDED and not self.has_ended(
+      report.incarnation_id
+    ):
       self._record_end(report.incarnation_id, at)
+      if not self.count_running(report.incarnation_id):
+        self.resolve(report.incarnation_id, is_ended=True)
     if known is None:
       # The others do not know of the attempts that were no matter until now.
       for id in list(self._running.get(report.fingerprint, ())):
         if id not in record.attempt_by_instance:
+          self._announced.add((report.fingerprint, id))
           self._set(report.fingerprint, id, State.RUNNING)
     return True
 
--- a/src/woadrun/request/crash_guard.py
+++ b/src/woadrun/request/crash_guard.py
@@ -163,6 +163,8 @@
     id = instance.incarnation_id
     if isinstance(error, exchange.RequestNotSent):
       self.records.reject(sending.fingerprint, id)
+      if self.records.has_open_attempt(id):
+        self._start_probe(instance)
     elif isinstance(error, exchange.ResponseOverdue):
       # The entry of an instance may expire while a request waits for it.
       if not self._is_draining(instance):
--- a/tests/test_crash_records.py
+++ b/tests/test_crash_records.py
@@ -229,6 +229,35 @@
     assert records.judge('f') is Verdict.RUN
 
 
+def test_an_attempt_of_a_daemon_that_ended_too_is_not_forgotten(clock):
+  records, _ = make()
+  end(records, 'f', 'a', 'b')
+  # Its daemon is killed, so that nobody reports what becomes of it.
+  records.apply_reports([report('f', 'x', State.RUNNING)])
+  with records.run('f', 'x'):
+    records.reject('f', 'x')
+  assert records.judge('f') is Verdict.WAIT
+  assert records.has_open_attempt('x')
+  records.resolve('x', is_ended=True)
+  assert records.judge('f') is Verdict.REFUSE
+
+
+def test_the_end_of_an_instance_under_one_request_ends_all_that_it_ran(clock):
+  records, _ = make()
+  end(records, 'f', 'a', 'b')
+  records.apply_reports([report('f', 'x', State.RUNNING)])
+  records.apply_reports([report('g', 'x', State.ENDED)])
+  assert records.judge('f') is Verdict.REFUSE
+
+
+def test_an_instance_that_lives_on_goes_on_with_what_it_runs(clock):
+  records, _ = make()
+  end(records, 'f', 'a', 'b')
+  records.apply_reports([report('f', 'x', State.RUNNING)])
+  records.resolve('x', is_ended=False)
+  assert records.judge('f') is Verdict.WAIT
+
+
 def test_a_flood_of_lost_connections_displaces_no_refused_request(clock):
   records, _ = make()
   end(records, 'f', 'a', 'b', 'c')
