Equal requests of different programs are not the same request

Three instances ended under some of these, two of them since other requests ended them, and for 60 s the requests of all programs were refused.

The program belongs to the fingerprint now, so that a refusal concerns one program.

--- a/src/woadrun/request/fingerprints.py
+++ b/src/woadrun/request/fingerprints.py
@@ -25,8 +25,9 @@
   requests of another one are handled.  Headers that differ between tries, such
   as ids and deadlines, are left out.
 
-  A request without a body consists of little but its path, which many callers
-  share: it counts as the same within one session of a program only.
+  Programs send equal requests that have nothing to do with each other, so that
+  a request counts as the same within its program, and without a body, which
+  leaves little but its path, within one session of it.
   """
   parts = [
     # Requests without teams differ from requests of a team without a name.
@@ -35,9 +36,9 @@
     request.host.lower().encode(),
     request.target.encode(),
     *_encode_cookies(request.headers),
+    request.program.encode(),
+    b'' if body else request.session_id.encode(),
   ]
-  if not body:
-    parts.extend((request.program.encode(), request.session_id.encode()))
   digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
   for part in parts:
     # The length keeps the parts apart.
