A daemon that does not know of an end does not hide it from the others

Only a report that the instance runs on refutes an end now, and an attempt that was not made has a state of its own, which ends nothing but its announcement.

test_a_daemon_that_does_not_know_of_an_end_does_not_hide_it fails before.

--- a/src/woadrun/connection/attempt_reports.py
+++ b/src/woadrun/connection/attempt_reports.py
@@ -11,20 +11,22 @@
   """The state of an attempt; of two reports the later state is the newer one.
 
   CLAIMED: a daemon is about to send the request to an instance.  RUNNING: the
-  instance runs the request.  ABANDONED: the daemon gave up waiting, and the
-  instance may still run it.  LOST: the connection was lost, and it is not known
-  yet whether the instance ended.  ENDED: the instance ended while it ran the
-  request.  SURVIVED: the instance runs on.  COMPLETE: the response was received
-  completely, which also clears the request of attempts before.
+  instance runs the request.  NOT_RUN: it does not run it after all.  ABANDONED:
+  the daemon gave up waiting, and the instance may still run it.  LOST: the
+  connection was lost, and it is not known yet whether the instance ended.
+  ENDED: the instance ended while it ran the request.  SURVIVED: the instance
+  runs on.  COMPLETE: the response was received completely, which also clears
+  the request of attempts before.
   """
 
   CLAIMED = -1
   RUNNING = 0
-  ABANDONED = 1
-  LOST = 2
-  ENDED = 3
-  SURVIVED = 4
-  COMPLETE = 5
+  NOT_RUN = 1
+  ABANDONED = 2
+  LOST = 3
+  ENDED = 4
+  SURVIVED = 5
+  COMPLETE = 6
 
 
 class AttemptReport(
--- a/src/woadrun/process/load/crash_records.py
+++ b/src/woadrun/process/load/crash_records.py
@@ -51,7 +51,9 @@
 State = attempt_reports.State
 
 # States that are no reason to keep a record.
-HARMLESS_STATES = frozenset((State.ABANDONED, State.SURVIVED, State.COMPLETE))
+HARMLESS_STATES = frozenset(
+  (State.NOT_RUN, State.ABANDONED, State.SURVIVED, State.COMPLETE)
+)
 # States of attempts whose instance may end or may have ended.
 OPEN_STATES = frozenset((State.RUNNING, State.ABANDONED, State.LOST))
 
@@ -289,7 +291,7 @@
     """Records that an instance does not run a request after all."""
     is_running = self._get_state(fingerprint, incarnation_id) is State.RUNNING
     if is_running and (fingerprint, incarnation_id) in self._announced:
-      self._set(fingerprint, incarnation_id, State.SURVIVED)
+      self._set(fingerprint, incarnation_id, State.NOT_RUN)
 
   def has_open_attempt(self, incarnation_id: str) -> bool:
     """Returns whether an instance may have ended with a request.
@@ -614,6 +616,11 @@
   if known.state is report.state:
     # Delays add up on the way, so that a repeated report can look newer.
     return False
+  if known.state is State.ENDED:
+    # A daemon that does not know of the end may try the instance again.
+    return report.state is State.SURVIVED
+  if report.state is State.NOT_RUN:
+    return known.state is State.RUNNING
   return report.state > known.state or at > known.at + REPORT_DELAY_SECONDS
 
 
--- a/tests/test_crash_records.py
+++ b/tests/test_crash_records.py
@@ -250,6 +250,21 @@
   assert records.judge('f') is Verdict.REFUSE
 
 
+@pytest.mark.parametrize(
+  'state', [State.RUNNING, State.NOT_RUN, State.ABANDONED, State.LOST]
+)
+def test_a_daemon_that_does_not_know_of_an_end_does_not_hide_it(clock, state):
+  records, _ = make()
+  end(records, 'f', 'a', 'b', 'c')
+  clock.now += 1
+  assert records.apply_reports([report('f', 'a', state)]) == []
+  assert records.judge('f') is Verdict.REFUSE
+  # The end of an attempt that was not made is that of an announcement.
+  records.apply_reports([report('g', 'x', State.LOST)])
+  clock.now += 1
+  assert records.apply_reports([report('g', 'x', State.NOT_RUN)]) == []
+
+
 def test_an_instance_that_lives_on_goes_on_with_what_it_runs(clock):
   records, _ = make()
   end(records, 'f', 'a', 'b')
