--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -299,3 +299,36 @@
     # Claimed for the second attempt only, not for a third one.
     assert record.claimed_at_by_daemon == {}
     assert len(fleet.engines.sent) == 2
+
+
+async def test_turns_that_end_their_instances_do_not_exceed_a_budget():
+  most, budget = 6, 30
+  async with crashing_engines.make_fleet('n1', 'n2', 's1') as fleet:
+    fleet.engines.has_head = True
+    names = sorted(fleet.by_name)
+    events = 0
+    for number in range(40):
+      name = names[number % len(names)]
+      await wait_for_instance(fleet, name, '/chat/')
+      # Each turn is another request, so that none is refused for its tries.
+      request = dataclasses.replace(
+        make_request(f'r{number}', path='/chat/', content=b'fatal %d' % number),
+        turn=exchange.TurnInfo(
+          program='p', max_output=most, budget=budget, prompt_tokens=9
+        ),
+      )
+      try:
+        async with fleet.by_name[name].serving.handle_request(
+          request
+        ) as answer:
+          async for chunk in answer.chunks:
+            events += chunk.count(b'data: ')
+      except errors.WoadrunError as error:
+        if error.code is errors.Code.BUDGET_EXCEEDED:
+          break
+      except exchange.ResponseLost:
+        continue
+    else:
+      raise AssertionError('The budget was never spent.')
+    tokens_per_event = 3
+    assert 0 < events * tokens_per_event <= budget + most
