Review, draft: scripts for TWICE and LOST, and their stand-ins

Cause: a server's late surplus refusal is taken for the answer to another request, and the early turns of a long chain are removed while it goes on.

--- /dev/null
+++ b/review/2/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# TROUBLE=0 plays the same without the disruption.
+cd "$(dirname "$0")/../.." || exit 2
+exec env PYTHONPATH=target/deps python3 review/2/case.py
--- /dev/null
+++ b/review/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the cases of this review."""
