Review case 2: shorter pauses; limits of the store in its stand-in

Cause: with pauses of 2.5 s the fifth try of a lost turn often came after the retention time, so that it did not count.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -28,7 +28,7 @@
 # Times after the start of the daemons.  Before the first one, turns follow each
 # other closely, so that there are many early turns.
 CLOSE_TURNS_UNTIL, STOP_AT, END_AT = 9.0, 80.0, 100.0
-CLOSE_PAUSE_SECONDS, PAUSE_SECONDS = 0.4, 2.5
+CLOSE_PAUSE_SECONDS, PAUSE_SECONDS = 0.4, 1.3
 # As `roll_term` of the site file: 45 in 100 machines, one after the other.
 STOPPED_DAEMONS, STOP_GAP_SECONDS = 2, 1.3
 FIRST_TURNS_PER_SECOND = 5.0
--- a/review/standins/platform.py
+++ b/review/standins/platform.py
@@ -17,6 +17,8 @@
 from aiohttp import web
 
 MOST_ROWS = 500
+# The most that one transaction and one row may hold.
+MOST_ENTRIES, MOST_BYTES, ROW_BYTES = 100, 1_000_000, 65_536
 
 Key = tuple[str, str, str]
 
@@ -26,6 +28,8 @@
 
   def __init__(self) -> None:
     self.version = 0
+    # Transactions that were refused for their size.
+    self.too_large = 0
     self._row_by_key: dict[Key, dict[str, Any]] = {}
     # The keys of each table and part, sorted by name.
     self._names_by_part: dict[tuple[str, str], list[str]] = (
@@ -43,7 +47,7 @@
 
   async def start(self, host: str) -> None:
     """Starts to listen at a free port."""
-    application = web.Application()
+    application = web.Application(client_max_size=16 * MOST_BYTES)
     application.add_routes(
       [
         web.post('/-/rows-tx', self._change),
@@ -99,7 +103,17 @@
       self._event_by_table.pop(table, asyncio.Event()).set()
 
   async def _change(self, request: web.Request) -> web.Response:
-    body = json.loads(await request.read())
+    data = await request.read()
+    body = json.loads(data)
+    writes, removes = body['writes'], body['remove']
+    entries = len(body['expected_revision']) + len(writes) + len(removes)
+    if (
+      len(data) > MOST_BYTES
+      or entries > MOST_ENTRIES
+      or any(len(item['value']) > 4 / 3 * ROW_BYTES + 4 for item in writes)
+    ):
+      self.too_large += 1
+      return web.Response(status=413)
     conditions = [
       (_get_key(item), item['ver']) for item in body['expected_revision']
     ]
@@ -110,8 +124,8 @@
     if [row['ver'] for row in current] != [version for _, version in conditions]:
       return self._answer(current, status=412)
     self._apply(
-      [(_get_key(item), item['value']) for item in body['writes']],
-      [_get_key(item) for item in body['remove']],
+      [(_get_key(item), item['value']) for item in writes],
+      [_get_key(item) for item in removes],
     )
     return self._answer([])
 
