--- a/review/2/case.py
+++ b/review/2/case.py
@@ -23,12 +23,12 @@
 
 SERVICE, PATH = 'agent-models', '/chat/'
 # The sites have 60 s; with that a run would last for more than 120 s.
-RETENTION_SECONDS = 8.0
+RETENTION_SECONDS = 7.0
 CONVERSATIONS = 80
 # Times after the start of the daemons.  Before the first one, turns follow each
 # other closely, so that there are many early turns.
 CLOSE_TURNS_UNTIL, STOP_AT, END_AT = 9.0, 80.0, 100.0
-CLOSE_PAUSE_SECONDS, PAUSE_SECONDS = 0.4, 1.3
+CLOSE_PAUSE_SECONDS, PAUSE_SECONDS = 0.4, 1.0
 # As `roll_term` of the site file: 45 in 100 machines, one after the other.
 STOPPED_DAEMONS, STOP_GAP_SECONDS = 2, 1.3
 FIRST_TURNS_PER_SECOND = 5.0
@@ -38,6 +38,7 @@
 GRACE_SECONDS = 8.0
 TRIES_OF_RULE, SHARE_OF_FIRST_TURNS = 5, 0.9
 RETRY_SECONDS = 0.25
+RESEND_SECONDS = (0.1, 0.4)
 
 CONFIG = {
   'version': 7,
@@ -123,9 +124,14 @@
         self.previous = turn.tries[-1][0]
         self.previous_at = time.monotonic()
         return turn
-      # Clients honour Retry-After up to a third of the time left.
-      wait = float(answer.headers.get('retry-after', RETRY_SECONDS))
-      await asyncio.sleep(min(wait, DEADLINE_SECONDS / 3))
+      if len(turn.tries) % 2:
+        # The retry of the client, which honours Retry-After up to a third of
+        # the time left.
+        wait = float(answer.headers.get('retry-after', RETRY_SECONDS))
+        await asyncio.sleep(min(wait, DEADLINE_SECONDS / 3))
+      else:
+        # The turn has failed and is sent anew from its start.
+        await asyncio.sleep(random.uniform(*RESEND_SECONDS))
     return turn
 
   def _choose_daemon(self) -> None:
