--- a/review/1/case.py
+++ b/review/1/case.py
@@ -18,11 +18,11 @@
 from standins import servers  # noqa: E402
 
 SERVICE, PATH = 'roster-app', '/payroll/'
-SERVERS, SLOTS, QUEUE = 3, 6, 2
+SERVERS, SLOTS, QUEUE = 5, 4, 2
 # Work of a request, as of the class `payroll-sync` of the site file.
 MEAN_WORK_SECONDS, MAX_WORK_SECONDS = 0.208, 0.89
 # Slightly less than the servers can do, so that they are full at times.
-REQUESTS_PER_SECOND = 85.0
+REQUESTS_PER_SECOND = 95.0
 TRAFFIC_SECONDS = 75.0
 CLIENTS = 24
 DEADLINE_SECONDS = 4.0
@@ -85,7 +85,10 @@
     parts.record.write(f'answered {request}: {answer.status}')
     if answer.status not in (429, 503):
       return
-    await asyncio.sleep(min(1.0, float(answer.headers.get('retry-after', 0))))
+    # The retry comes on a new connection.
+    client.close()
+    wait = float(answer.headers.get('retry-after', 0))
+    await asyncio.sleep(min(wait, DEADLINE_SECONDS / 3))
 
 
 async def play(parts: deployment.Deployment) -> int:
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -29,12 +29,15 @@
 # other closely, so that there are many early turns.
 CLOSE_TURNS_UNTIL, STOP_AT, END_AT = 9.0, 80.0, 100.0
 CLOSE_PAUSE_SECONDS, PAUSE_SECONDS = 0.4, 1.0
-# As `roll_term` of the site file: 45 in 100 machines, one after the other.
+# As `roll_term` of the day scale-1: half of the machines (0.51 there), with a
+# longer gap (1.1 s there).
 STOPPED_DAEMONS, STOP_GAP_SECONDS = 2, 1.3
 FIRST_TURNS_PER_SECOND = 5.0
 DEADLINE_SECONDS = 4.0
 # A turn is tried by the client at most twice, and sent anew at most twice.
 MOST_TRIES = 6
+# The time objective of a program, which lies after the end of the run.
+PROGRAM_SECONDS = 110.0
 GRACE_SECONDS = 8.0
 TRIES_OF_RULE, SHARE_OF_FIRST_TURNS = 5, 0.9
 RETRY_SECONDS = 0.25
@@ -99,6 +102,7 @@
     self.previous = ''
     self.previous_at = 0.0
     self.turns = 0
+    self._finish_at = time.monotonic() + PROGRAM_SECONDS
     self._parts = parts
     self._daemon = daemon
     self._client = clients.Client(daemon.address)
@@ -124,6 +128,8 @@
         self.previous = turn.tries[-1][0]
         self.previous_at = time.monotonic()
         return turn
+      # Each further try comes on a new connection.
+      self._client.close()
       if len(turn.tries) % 2:
         # The retry of the client, which honours Retry-After up to a third of
         # the time left.
@@ -155,10 +161,11 @@
       'Deadline-Ms': str(int(DEADLINE_SECONDS * 1000)),
       'Program-Id': self.program,
       'Session-Id': self.session,
-      'Finish-Ms': '110000',
+      'Finish-Ms': str(int((self._finish_at - time.monotonic()) * 1000)),
       'Token-Budget': '100000',
       'Model': 'm',
       'Token-Usage': f'{100 + 20 * self.turns},32',
+      'Prompt-Prefix': f'5c1e07a2:100,{self.session}:{20 * self.turns}',
     }
     if turn.previous:
       headers['Previous-Turn'] = turn.previous
--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -46,7 +46,8 @@
     try:
       async with asyncio.timeout(MAX_SECONDS):
         result = await play(parts)
-    except (TimeoutError, OSError, asyncio.CancelledError) as error:
+    # Also a fault of the script itself must not look like a broken rule.
+    except (Exception, asyncio.CancelledError) as error:
       kept.say(f'The case could not run: {type(error).__name__} {error}')
       result = COULD_NOT_RUN
     finally:
--- a/review/standins/platform.py
+++ b/review/standins/platform.py
@@ -72,7 +72,16 @@
     self._put('op', 'config', config)
 
   async def put_server(self, id: str, entry: dict[str, Any]) -> None:
-    """Writes the entry of a server, as the server itself does."""
+    """Writes the entry of a server, as the server itself does.
+
+    An entry counts as changed only if more than `call_seq` changes.
+    """
+    row = self._row_by_key.get(('servers', '', id))
+    if row is not None:
+      known = json.loads(base64.b64decode(row['value']))
+      if {**known, 'call_seq': entry['call_seq']} == entry:
+        row['value'] = base64.b64encode(json.dumps(entry).encode()).decode()
+        return
     self._put('servers', id, entry)
 
   def has_row(self, table: str, name: str) -> bool:
--- a/review/standins/servers.py
+++ b/review/standins/servers.py
@@ -13,6 +13,8 @@
 from standins import record
 
 HEARTBEAT_SECONDS = 1.2
+# A health check takes a slot like a request, or is refused like one.
+HEALTH = '/health'
 # Time after which a server closes an idle connection.
 IDLE_SECONDS = 15.0
 
@@ -130,7 +132,7 @@
         writer.write(data)
         await writer.drain()
         surplus = b''
-        if path != '/health' and self._is_surplus_due():
+        if path != HEALTH and self._is_surplus_due():
           surplus = data
           self.surpluses.append(request)
           self._record.write(
@@ -148,9 +150,7 @@
     request = headers.get('request-id', '')
     if headers.get('expect-instance', self.id) != self.id:
       return Answer(status=421, has_run=False)
-    if path == '/health':
-      return Answer()
-    if not request:
+    if not request and path != HEALTH:
       return Answer(status=400, has_run=False)
     if self._held >= self._slots + self._queue:
       self.refusals += 1
@@ -159,6 +159,8 @@
     self._held += 1
     try:
       async with self._places:
+        if path == HEALTH:
+          return Answer()
         run = Run(
           request=request, server=self.id, body=body, at=time.monotonic()
         )
