--- a/review/2/case.py
+++ b/review/2/case.py
@@ -205,7 +205,7 @@
     )
     for number, zone in enumerate(deployment.ZONES)
   ]
-  parts.daemons_per_zone = DAEMONS_PER_ZONE
+  deployment.DAEMONS_PER_ZONE = DAEMONS_PER_ZONE
   if not await parts.start(CONFIG, found):
     parts.record.say('The daemons are not ready.')
     return case.COULD_NOT_RUN
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -28,7 +28,6 @@
     self.servers: list[servers.Server] = []
     self.daemons: list[daemons.Daemon] = []
     self._folder = folder
-    self.daemons_per_zone = DAEMONS_PER_ZONE
 
   async def start(
     self, config: dict[str, Any], found: list[servers.Server]
@@ -39,7 +38,7 @@
     for number, server in enumerate(found):
       await server.start(self.network.get_host(3, number), self.platform)
       self.servers.append(server)
-    for number in range(len(ZONES) * self.daemons_per_zone):
+    for number in range(len(ZONES) * DAEMONS_PER_ZONE):
       zone = ZONES[number % len(ZONES)]
       daemon = daemons.Daemon(
         name=f'front-{zone}-{number // len(ZONES) + 1}',
