--- a/review/2/case.py
+++ b/review/2/case.py
@@ -24,15 +24,14 @@
 SERVICE, PATH = 'agent-models', '/chat/'
 # The sites have 60 s; with that a run would last for more than 120 s.
 RETENTION_SECONDS = 8.0
-DAEMONS_PER_ZONE = 4
-CONVERSATIONS = 64
+CONVERSATIONS = 80
 # Times after the start of the daemons.  Before the first one, turns follow each
 # other closely, so that there are many early turns.
 CLOSE_TURNS_UNTIL, STOP_AT, END_AT = 9.0, 80.0, 100.0
-CLOSE_PAUSE_SECONDS, PAUSE_SECONDS = 0.4, 1.5
+CLOSE_PAUSE_SECONDS, PAUSE_SECONDS = 0.4, 1.0
 # As `roll_term` of the day scale-1: half of the machines (0.51 there), with a
 # longer gap (1.1 s there).
-STOPPED_DAEMONS, STOP_GAP_SECONDS = 4, 1.3
+STOPPED_DAEMONS, STOP_GAP_SECONDS = 2, 1.3
 FIRST_TURNS_PER_SECOND = 5.0
 DEADLINE_SECONDS = 4.0
 # A turn is tried by the client at most twice, and sent anew at most twice.
@@ -148,7 +147,7 @@
     self._client.close()
     self._daemon = next(
       item
-      for item in reversed(self._parts.daemons)
+      for item in self._parts.daemons
       if item.zone == self._daemon.zone and item.stopped_at is None
     )
     self._client = clients.Client(self._daemon.address)
@@ -205,7 +204,6 @@
     )
     for number, zone in enumerate(deployment.ZONES)
   ]
-  deployment.DAEMONS_PER_ZONE = DAEMONS_PER_ZONE
   if not await parts.start(CONFIG, found):
     parts.record.say('The daemons are not ready.')
     return case.COULD_NOT_RUN
@@ -243,7 +241,7 @@
   parts: deployment.Deployment, began: float, turns: list[Turn]
 ) -> None:
   """Begins programs after the stop, as a measure of what is served then."""
-  await asyncio.sleep(began + STOP_AT + 4.5 - time.monotonic())
+  await asyncio.sleep(began + STOP_AT + 3.0 - time.monotonic())
   tasks = []
   while time.monotonic() - began < END_AT - 8:
     staying = [item for item in parts.daemons if item.stopped_at is None]
