Match responses of instances to requests by their id

Callers saw requests that may run once run twice, and 503, which promises that a request has not run, for requests that had run; others got 502.

Cause: HTTP matches responses to requests by their order. A second copy of a refusal, late, in the place of the next response on its connection, counted as the refusal of the next request, and the connection stayed one response behind for as long as it was used. The id was compared for successes only.

Why it works: the protocol of the connection returns the response with the request's id and drops others, before anything reads a status or header; the right response follows on the same connection, so that nothing is lost. Bytes on an idle connection close it. A response without an id counts by its place and ends its connection.

--- a/bench/fleet_soak/outside.py
+++ b/bench/fleet_soak/outside.py
@@ -73,6 +73,7 @@
     self.lost_requests: set[str] = set()
     self._running: set[str] = set()
     self._rng = rng
+    self._fault_rng = random.Random(f'faults of {id}')
     self._server: asyncio.Server | None = None
     self._tasks: set[asyncio.Task[None]] = set()
     self.proxy: proxy.Proxy | None = None
@@ -116,9 +117,10 @@
     task = asyncio.current_task()
     self._tasks.add(task)
     task.add_done_callback(self._tasks.discard)
+    surplus: bytes | None = b''
     try:
-      while await self._answer(reader, writer):
-        pass
+      while surplus is not None:
+        surplus = await self._answer(reader, writer, surplus)
     except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
       # The daemon has closed the connection, or the instance is stopping.
       return
@@ -126,28 +128,37 @@
       writer.close()
 
   async def _answer(
-    self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-  ) -> bool:
-    """Answers a request; returns whether the connection stays open."""
+    self,
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    surplus: bytes,
+  ) -> bytes | None:
+    """Answers a request, after it has sent the surplus of the one before.
+
+    Returns what to send in the place of the next response, or None if the
+    connection ends.
+    """
     head = (await reader.readuntil(b'\r\n\r\n')).decode()
     request_line, *lines = head.splitlines()[:-1]
     fields = (line.partition(':') for line in lines)
     headers = {name.lower(): value.strip() for name, _, value in fields}
     body = await reader.readexactly(int(headers.get('content-length', 0)))
+    writer.write(surplus)
     request = headers.get('request-id', '')
     echo = {'Request-Id': request}
+    refusal = responses.Response(parts=(), is_stream=False)
     if headers.get('expect-instance') != self.id:
-      rejection = responses.Response(parts=(), is_stream=False)
-      return await responses.write(
-        writer, rejection, headers=echo, pause=self._pause_briefly, status=421
-      )
+      return await self._write(writer, refusal, echo, status=421)
     path = request_line.split()[1]
     if path == HEALTH:
       writer.write(
         f'HTTP/1.1 200 OK\r\nInstance-Id: {self.id}\r\n'
         'Content-Length: 0\r\n\r\n'.encode()
       )
-      return True
+      return b''
+    if self._fault_rng.random() < responses.REFUSED_SHARE:
+      echo['Not-Executed'] = '1'
+      return await self._write(writer, refusal, echo, status=503)
     run = Run(
       request=request,
       instance=self.id,
@@ -160,7 +171,6 @@
     echo['Server-Signature'] = f'{self.service}.{self.id}.{request}'
     is_stream = run.path.startswith(CHAT)
     response = self._draw_response(request, is_stream=is_stream)
-    pause = self._pause_briefly if is_stream else self._pause
     self._running.add(request)
     try:
       if FATAL in path:
@@ -168,10 +178,33 @@
         self.on_fatal_request(self)
         # The end of the instance cancels this task.
         await asyncio.Event().wait()
-      return await responses.write(writer, response, headers=echo, pause=pause)
+      return await self._write(writer, response, echo)
     finally:
       self._running.discard(request)
 
+  async def _write(
+    self,
+    writer: asyncio.StreamWriter,
+    response: responses.Response,
+    headers: dict[str, str],
+    *,
+    status: int = 200,
+  ) -> bytes | None:
+    """Writes a response; returns the same as `_answer`."""
+    is_short = response.is_stream or not response.parts
+    stays_open = await responses.write(
+      writer,
+      response,
+      headers=headers,
+      pause=self._pause_briefly if is_short else self._pause,
+      status=status,
+    )
+    if not stays_open:
+      return None
+    if self._fault_rng.random() >= responses.SURPLUS_SHARE:
+      return b''
+    return responses.encode(response, headers=headers, status=status)
+
   def _draw_response(
     self, request: str, *, is_stream: bool
   ) -> responses.Response:
--- a/bench/fleet_soak/responses.py
+++ b/bench/fleet_soak/responses.py
@@ -14,6 +14,10 @@
 
 # Share of responses that are truncated.
 TRUNCATED_SHARE = 0.06
+# Shares of requests that are refused, and of complete responses that are sent a
+# second time in the place of the next response on their connection.
+REFUSED_SHARE = 0.04
+SURPLUS_SHARE = 0.1
 
 
 class Framing(enum.Enum):
@@ -133,6 +137,16 @@
   )
 
 
+def encode(
+  response: Response, *, headers: dict[str, str], status: int = 200
+) -> bytes:
+  """Returns all bytes of a complete response."""
+  frames = (_frame_part(response, part) for part in response.parts)
+  end = b'0\r\n\r\n' if response.framing is Framing.CHUNKS else b''
+  head = response.make_head(headers=headers, status=status)
+  return head + b''.join(frames) + end
+
+
 async def write(
   writer: asyncio.StreamWriter,
   response: Response,
@@ -164,9 +178,14 @@
 async def _frame(
   response: Response, pause: Callable[[], Awaitable[None]]
 ) -> AsyncIterator[bytes]:
-  is_chunked = response.framing is Framing.CHUNKS
   for part in response.get_sent_parts():
     await pause()
-    yield b'%x\r\n%b\r\n' % (len(part), part) if is_chunked else part
-  if is_chunked and not response.is_truncated:
+    yield _frame_part(response, part)
+  if response.framing is Framing.CHUNKS and not response.is_truncated:
     yield b'0\r\n\r\n'
+
+
+def _frame_part(response: Response, part: bytes) -> bytes:
+  if response.framing is not Framing.CHUNKS:
+    return part
+  return b'%x\r\n%b\r\n' % (len(part), part)
--- a/src/woadrun/connection/response_ends.py
+++ b/src/woadrun/connection/response_ends.py
@@ -17,11 +17,14 @@
 
 import aiohttp
 from aiohttp import client_proto
+from aiohttp import client_reqrep
 from aiohttp import hdrs
 from aiohttp import web
 import msgspec
 import multidict
 
+from woadrun.connection import response_ids
+
 log = logging.getLogger('woadrun.connections')
 
 # Statuses of responses that have no body.
@@ -44,8 +47,21 @@
     # aiohttp has no public parameter for the protocol of its connections.
     self._factory = functools.partial(_make_handler, self._loop)
 
-
-class _ResponseHandler(client_proto.ResponseHandler):
+  def _release(
+    self,
+    key: client_reqrep.ConnectionKey,
+    protocol: client_proto.ResponseHandler,
+    *,
+    should_close: bool = False,
+  ) -> None:
+    # aiohttp would read bytes that arrive on an idle connection as the response
+    # to its next request.
+    super()._release(key, protocol, should_close=should_close)
+    if isinstance(protocol, response_ids.ResponseHandler):
+      protocol.mark_idle()
+
+
+class _ResponseHandler(response_ids.ResponseHandler):
   """The protocol of one connection to a server."""
 
   _is_closed_by_peer = False
--- a/src/woadrun/platform/upstream.py
+++ b/src/woadrun/platform/upstream.py
@@ -13,6 +13,7 @@
 from woadrun.connection import endpoints
 from woadrun.connection import http
 from woadrun.connection import response_ends
+from woadrun.connection import response_ids
 from woadrun.connection import tcp_connections
 from woadrun.platform import read_ahead
 from woadrun.platform import wire
@@ -37,6 +38,10 @@
   'User-Agent',
   'Content-Type',
 )
+_MIDDLEWARES = (
+  http.prevent_resending,
+  response_ids.match_responses(wire.REQUEST_ID),
+)
 
 
 class HttpUpstreams:
@@ -112,7 +117,7 @@
           skip_auto_headers=_SKIPPED_AUTO_HEADERS,
           allow_redirects=False,
           timeout=timeout,
-          middlewares=(http.prevent_resending,),
+          middlewares=_MIDDLEWARES,
         )
     except (
       aiohttp.ClientConnectorError,
--- a/src/woadrun/platform/wire.py
+++ b/src/woadrun/platform/wire.py
@@ -183,6 +183,9 @@
 def encode_headers(sending: exchange.RequestAttempt) -> list[tuple[str, str]]:
   """Returns the headers of a request to an instance."""
   headers = list(sending.request.headers)
+  # Instances echo the id.  A caller may name its header in `Connection`.
+  if all(name.lower() != REQUEST_ID.lower() for name, _ in headers):
+    headers.append((REQUEST_ID, sending.request.id))
   # None: requests need no key.  Empty: the request belongs to no team.
   if sending.team is None:
     headers.extend(sending.request.access_headers)
