Keep the turns before a turn as long as it can be continued

Cause: each turn expired by its own end, and was swept a minute after that, though later turns continue from it and are of no use without it.

Why it works: a turn knows until when its line is kept. What can be continued ends before its line expires, so that a line is always extended in time. The same cause on related paths: caches of turns dropped early turns of lines that go on; a domain without the store for long stores again what others swept; a history in memory is not used once its line has expired. Turns of older daemons are read, and their lines extended by the next turn. A missing turn of a line is logged with its place and counted. A part is swept once in ten minutes at most, so that a large fleet does not read the rows of lines all the time.

tests/test_turns.py: a turn that ended in 1970 is expired and not cached; the test of the size limit uses turns that have just ended. Three tests name the changed attribute of the cache that they clear.

--- a/src/woadrun/connection/turn_messages.py
+++ b/src/woadrun/connection/turn_messages.py
@@ -15,8 +15,11 @@
   `line` lists the ids of the preceding turns, oldest first.  `input` is the
   turn's input; `output` is the data of each event, each followed by a line
   feed.  `tokens` is the number of tokens sent to the caller, `instance` the
-  instance that ran the turn.  `ended_at` is Unix time in seconds; the turn may
-  be deleted `retention` seconds later.
+  instance that ran the turn.  `ended_at` is Unix time in seconds; the turn can
+  be continued for `retention` seconds.  The turn and its line are kept until
+  `expires_at`, Unix time, and are not continued after it; it is 0 in turns that
+  were written before the field existed.  `extends_line` tells that the turns of
+  the line were kept for a shorter time before.
   """
 
   request: str
@@ -28,6 +31,13 @@
   instance: str = ''
   ended_at: float = 0.0
   retention: float = 60.0
+  expires_at: float = 0.0
+  extends_line: bool = False
+
+  @property
+  def kept_until(self) -> float:
+    """Until when the turn and its line are kept, in Unix time."""
+    return self.expires_at or self.ended_at + self.retention
 
 
 class PromptPart(msgspec.Struct, frozen=True, array_like=True):
@@ -92,7 +102,8 @@
   """Admits a turn, or names the domain that can.
 
   `line` lists the ids of the preceding turns, oldest first; `history` is their
-  input and output, and `instance` ran the last of them.  If `home` is set, the
+  input and output, and `instance` ran the last of them.  They are kept until
+  `kept_until`, in Unix time.  If `home` is set, the
   turn was not admitted, only a daemon of that domain can admit it, and the
   history is present only with `has_history`.  `cached_by_instance` estimates
   how many tokens of the prompt each instance still has cached.
@@ -101,6 +112,7 @@
   line: tuple[str, ...] = ()
   history: bytes = b''
   instance: str = ''
+  kept_until: float = 0.0
   home: str = ''
   has_history: bool = False
   cached_by_instance: dict[str, int] = {}
--- a/src/woadrun/process/feed.py
+++ b/src/woadrun/process/feed.py
@@ -340,18 +340,20 @@
       self._history_from = self._tombstone_by_name.pop(oldest).version
 
 
-async def read_all(store: rows.RowStore, table: str, part: str) -> rows.Page:
-  """Returns all rows of a part, reading page by page.
-
-  The version of the result is that of the first page: later ones do not have
-  the changes made meanwhile to the rows of earlier ones.  Raises `WoadrunError`
-  if the store does not respond.
+async def read_all(
+  store: rows.RowStore, table: str, part: str, *, first: str = '', end: str = ''
+) -> rows.Page:
+  """Returns the rows of a part, reading page by page.
+
+  They have names from `first` up to `end`, which is excluded; if it is empty
+  there is no upper bound.  The version of the result is that of the first page:
+  later ones do not have the changes made meanwhile to the rows of earlier ones.
+  Raises `WoadrunError` if the store does not respond.
   """
   found: list[rows.Row] = []
   version: int | None = None
-  first = ''
   while True:
-    page = await store.read(table, part, first=first)
+    page = await store.read(table, part, first=first, end=end)
     found.extend(page.rows)
     version = page.version if version is None else version
     if not page.is_cut or not page.rows:
--- a/src/woadrun/process/flusher.py
+++ b/src/woadrun/process/flusher.py
@@ -43,9 +43,9 @@
 class Flusher(mode.Service):
   """Writes unsaved turns and ledgers once the store is reachable.
 
-  `entry_by_program` and `unsaved` are those of the daemon's programs.  Up to
-  five daemons keep a turn of an outage: the member that ranks first in the
-  turn's domain stores it, and the others ask that member.  When all of them
+  `entry_by_program`, `cache` and `unsaved` are those of the daemon's programs.
+  Up to five daemons keep a turn of an outage: the member that ranks first in
+  the turn's domain stores it, and the others ask that member.  When all of them
   stored it, the store refused other calls for exceeding its rate after the
   outage.
   """
@@ -60,6 +60,7 @@
     program_store: program_rows.ProgramRows,
     copies: program_copies.Copies,
     entry_by_program: dict[str, program_rows.Entry],
+    cache: turn_store.TurnCache,
     unsaved: unsaved_turns.UnsavedTurns,
   ) -> None:
     super().__init__()
@@ -71,6 +72,7 @@
     self._rows = program_store
     self._copies = copies
     self._entry_by_program = entry_by_program
+    self._cache = cache
     self._unsaved = unsaved
 
   @mode.Service.task
@@ -137,10 +139,15 @@
     if not turns:
       return
     semaphore = asyncio.Semaphore(MAX_PARALLEL_WRITES)
+    restored: set[str] = set()
 
     async def write(turn: turn_messages.Turn) -> None:
       async with semaphore:
         await self._turns.write(turn)
+        for before in self._find_expired_line(turn):
+          if before.request not in restored:
+            restored.add(before.request)
+            await self._turns.write(before)
       self._unsaved.drop(turn.request)
 
     results = await asyncio.gather(
@@ -149,7 +156,29 @@
     failures = [r for r in results if isinstance(r, BaseException)]
     for failure in failures[:1]:
       log.warning('%d turns not stored yet: %s', len(failures), failure)
-    log.info('Stored %d turns.', len(turns) - len(failures))
+    log.info(
+      'Stored %d turns, and %d before them that may have expired meanwhile.',
+      len(turns) - len(failures),
+      len(restored),
+    )
+
+  def _find_expired_line(
+    self, turn: turn_messages.Turn
+  ) -> list[turn_messages.Turn]:
+    """Returns the turns before an unsaved one that the store may have removed.
+
+    Members that reached the store during an outage of this one did not know
+    that the line went on.
+    """
+    before = [self._cache.get(request) for request in turn.line]
+    saved = [
+      item
+      for item in before
+      if item is not None and item.request not in self._unsaved
+    ]
+    if not saved or saved[-1].kept_until >= time.time():
+      return []
+    return saved
 
   async def _flush_ledgers(self) -> None:
     limit = time.monotonic() - SETTLE_DELAY_SECONDS
--- a/src/woadrun/process/node.py
+++ b/src/woadrun/process/node.py
@@ -228,13 +228,13 @@
       get_weights=self._get_team_weights,
       record_decision=self.counters.record_program,
     )
-    turns = turn_store.TurnStore(
+    self.turns = turn_store.TurnStore(
       store=self.store.bounded, row_bytes=config.row_bytes
     )
     self.programs = programs.Programs(
       members=self.fleet,
       store=self.store,
-      turns=turns,
+      turns=self.turns,
       messenger=self.calls,
       gate=self.gate,
     )
@@ -279,7 +279,7 @@
         members=self.fleet,
         local=self.programs,
         messenger=self.calls,
-        turns=turns,
+        turns=self.turns,
         get_outage=self._get_outage,
       ),
       domain=config.domain,
@@ -379,6 +379,7 @@
       'crash_records': len(self.crash_guard.records),
       'requests_quarantined': self.crash_guard.records.count_quarantined(),
       'rows_swept': self.sweeper.removed_rows,
+      'turns_missing': self.turns.missing_turns,
     }
 
   # --- Datagrams between daemons --------------------------------------------
--- a/src/woadrun/process/programs.py
+++ b/src/woadrun/process/programs.py
@@ -110,6 +110,7 @@
       program_store=self._rows,
       copies=self._copies,
       entry_by_program=self.entry_by_program,
+      cache=self.cache,
       unsaved=self.unsaved,
     )
 
@@ -425,7 +426,7 @@
     or become unreachable before a program's next turn.  Failures are logged.
     """
     turns_by_program: dict[str, list[turn_messages.Turn]] = {}
-    for turn in self.cache.get_all():
+    for turn in self.cache.get_recent():
       turns_by_program.setdefault(turn.program, []).append(turn)
     start = time.monotonic() - ACTIVE_WINDOW_SECONDS
     entries = [e for e in self.entry_by_program.values() if e.used_at > start]
--- a/src/woadrun/process/sweeper.py
+++ b/src/woadrun/process/sweeper.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections.abc import Iterator
+import dataclasses
 import logging
 import time
 
@@ -18,14 +19,18 @@
 from woadrun.connection import rows
 from woadrun.process import feed
 from woadrun.process import fleet
+from woadrun.process import line_expiries
 from woadrun.process import program_rows
 from woadrun.process import turn_store
 from woadrun.version import ledger
 
 log = logging.getLogger('woadrun.sweeper')
 
-# Interval between two parts: a daemon reads a few kilobytes a second.
+# Minimum interval between two parts: a daemon reads a few kilobytes a second.
 SWEEP_INTERVAL_SECONDS = 15.0
+# Minimum time between two sweeps of the same part: in a large fleet each daemon
+# has few parts, and would otherwise read the turns that are kept too often.
+MIN_PASS_SECONDS = 600.0
 # Margin after the expiry of a turn, because clocks of VMs differ and a request
 # may just be reading the turn.
 EXPIRY_MARGIN_SECONDS = 60.0
@@ -35,6 +40,20 @@
 MAX_BATCH_ROWS = 100
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _StoredTurn:
+  """A turn as stored, with the rows of its pieces in order."""
+
+  request: str
+  pieces: tuple[rows.Row, ...]
+
+  @property
+  def first_turn(self) -> str:
+    """The request id of the first turn of its line."""
+    data = b''.join(row.value for row in self.pieces)
+    return turn_store.find_first_turn(data, request=self.request)
+
+
 class Sweeper(mode.Service):
   """Sweeps one part after another."""
 
@@ -49,30 +68,35 @@
     while not self.should_stop:
       # A daemon that has just started has more urgent work.
       await asyncio.sleep(SWEEP_INTERVAL_SECONDS)
-      for table, part in self._find_parts():
+      parts = list(self._find_parts())
+      pause = max(SWEEP_INTERVAL_SECONDS, MIN_PASS_SECONDS / max(1, len(parts)))
+      for table, part in parts:
         try:
           await self.sweep(table, part, now=time.time())
         except errors.WoadrunError as error:
           log.info(
             'Part %s of table %s not swept: %s', part, table, error.message
           )
-        await asyncio.sleep(SWEEP_INTERVAL_SECONDS)
+        await asyncio.sleep(pause)
 
   def _find_parts(self) -> Iterator[tuple[str, str]]:
     parts = [f'{number:02x}' for number in range(turn_store.PART_COUNT)]
     for part in self._members.find_first_ranked_keys(parts):
       yield turn_store.TABLE, part
       yield program_rows.TABLE, part
+    for part in self._members.find_first_ranked_keys(line_expiries.PARTS):
+      yield line_expiries.TABLE, part
 
   async def sweep(self, table: str, part: str, *, now: float) -> None:
     """Removes the expired rows of a part."""
     page = await feed.read_all(self._store, table, part)
-    find = (
-      _find_expired_turns
-      if table == turn_store.TABLE
-      else _find_expired_programs
-    )
-    expired = list(find(page.rows, now))
+    limit = now - EXPIRY_MARGIN_SECONDS
+    if table == turn_store.TABLE:
+      expired = await self._find_expired_turns(page.rows, limit)
+    elif table == line_expiries.TABLE:
+      expired = list(_find_expired_lines(page.rows, limit))
+    else:
+      expired = list(_find_expired_programs(page.rows, now))
     for at in range(0, len(expired), MAX_BATCH_ROWS):
       await self._store.change(removes=expired[at : at + MAX_BATCH_ROWS])
     self.removed_rows += len(expired)
@@ -81,18 +105,48 @@
         'Removed %d rows of part %s of table %s.', len(expired), part, table
       )
 
+  async def _find_expired_turns(
+    self, found: tuple[rows.Row, ...], limit: float
+  ) -> list[rows.Key]:
+    """Returns the rows of turns that expired before `limit`, in Unix time.
+
+    A turn whose own expiry has passed is kept while its line goes on.
+    """
+    expired = [
+      (turn.first_turn, turn.pieces)
+      for turn in _group_pieces(found)
+      if turn_store.is_expired(turn.pieces[0].value, now=limit)
+    ]
+    kept = await line_expiries.find_kept(
+      self._store, {first for first, _ in expired}, now=limit
+    )
+    return [
+      row.key
+      for first, pieces in expired
+      if first not in kept
+      # The first piece last: without it the others would stay for good.
+      for row in reversed(pieces)
+    ]
+
+
+def _group_pieces(found: tuple[rows.Row, ...]) -> Iterator[_StoredTurn]:
+  """Yields the turns whose first piece is among the rows."""
+  rows_by_request: dict[str, list[rows.Row]] = {}
+  for row in found:
+    request = turn_store.get_request(row.key.name)
+    rows_by_request.setdefault(request, []).append(row)
+  for request, pieces in rows_by_request.items():
+    pieces.sort(key=lambda row: turn_store.get_piece_number(row.key.name))
+    # Only the first piece has the expiry.
+    if pieces[0].key.name == request:
+      yield _StoredTurn(request=request, pieces=tuple(pieces))
 
-def _find_expired_turns(
-  found: tuple[rows.Row, ...], now: float
+
+def _find_expired_lines(
+  found: tuple[rows.Row, ...], limit: float
 ) -> Iterator[rows.Key]:
-  is_expired = False
   for row in found:
-    # The further pieces of a turn sort after its first piece.
-    if '/' not in row.key.name:
-      is_expired = turn_store.is_expired(
-        row.value, now=now - EXPIRY_MARGIN_SECONDS
-      )
-    if is_expired:
+    if line_expiries.is_expired(row.value, now=limit):
       yield row.key
 
 
--- a/src/woadrun/process/turn_store.py
+++ b/src/woadrun/process/turn_store.py
@@ -9,23 +9,40 @@
 
 import asyncio
 from collections.abc import Iterable
+import dataclasses
 import hashlib
-import struct
+import logging
 import time
 
 import msgspec
 
 from woadrun.connection import rows
 from woadrun.connection import turn_messages
+from woadrun.process import line_expiries
+
+log = logging.getLogger('woadrun.turns')
 
 TABLE = 'turns'
 # Parts of a table, which spread the writes; their names have two digits.
 PART_COUNT = 256
 # Maximum parallel reads for one history.
 MAX_PARALLEL_READS = 8
-# The first piece of a turn starts with the turn's expiry, in seconds of the
-# time of day, so that the sweeper need not decode the rest.
-_EXPIRY_HEADER = struct.Struct('>d')
+# The first piece of a turn starts with the turn's expiry, so that the sweeper
+# need not decode the rest.
+_EXPIRY_HEADER = line_expiries.EXPIRY
+# The most that the clocks of VMs may differ when they tell whether a turn has
+# expired.
+CLOCK_SKEW_SECONDS = 30.0
+# Maximum total size of cached turns beyond their own retention time, which are
+# cached for the turns that continue from them.
+MAX_LINE_CACHE_BYTES = 8_000_000
+
+
+class _FirstTurn(msgspec.Struct, frozen=True):
+  """The part of a stored turn that tells the first turn of its line."""
+
+  request: str
+  line: tuple[str, ...] = ()
 
 
 def get_part(name: str) -> str:
@@ -35,23 +52,59 @@
 
 def is_expired(piece: bytes, *, now: float) -> bool:
   """Returns whether the turn that starts with this piece has expired."""
-  (until,) = _EXPIRY_HEADER.unpack_from(piece)
-  return bool(until < now)
+  return line_expiries.is_expired(piece, now=now)
+
+
+def may_be_continued(kept_until: float) -> bool:
+  """Returns whether a line that is kept until a time may still be continued.
+
+  The rows of a line that has expired may be removed while the turn runs that
+  continues from it.
+  """
+  return time.time() < kept_until + CLOCK_SKEW_SECONDS
+
+
+def find_first_turn(data: bytes, *, request: str) -> str:
+  """Returns the first turn of the line of a stored turn, of all its pieces.
+
+  For a turn that cannot be decoded it returns its own `request`.
+  """
+  try:
+    found = msgspec.msgpack.decode(data[_EXPIRY_HEADER.size :], type=_FirstTurn)
+  except msgspec.MsgspecError as error:
+    log.warning('Stored turn %s cannot be decoded: %s', request, error)
+    return request
+  return found.line[0] if found.line else found.request
 
 
 class TurnStore:
   """Turns by request id, in the store.
 
-  `row_bytes` is the largest value of a row.
+  `row_bytes` is the largest value of a row.  `missing_turns` counts the turns
+  before others that the store did not have when it was asked for them.
   """
 
   def __init__(self, *, store: rows.RowStore, row_bytes: int) -> None:
     self._store = store
     self._row_bytes = row_bytes
+    self.missing_turns = 0
 
   async def write(self, turn: turn_messages.Turn) -> None:
-    """Stores a turn; storing it again has no effect."""
-    header = _EXPIRY_HEADER.pack(turn.ended_at + turn.retention)
+    """Stores a turn, and the expiry of its line if it extends that.
+
+    Storing it again has no effect.
+    """
+    written = [self._write_pieces(turn)]
+    if turn.extends_line and turn.line:
+      key, value = line_expiries.make_write(turn)
+      written.append(self._store.change(writes=[(key, value)]))
+    results = await asyncio.gather(*written, return_exceptions=True)
+    for result in results:
+      if isinstance(result, BaseException):
+        raise result
+
+  async def _write_pieces(self, turn: turn_messages.Turn) -> rows.Outcome:
+    header = _EXPIRY_HEADER.pack(turn.kept_until)
     data = header + msgspec.msgpack.encode(turn)
     part = get_part(turn.request)
     size = self._row_bytes
@@ -60,7 +113,7 @@
       (rows.Key(TABLE, part, _get_row_name(turn.request, number)), piece)
       for number, piece in enumerate(pieces)
     ]
-    await self._store.change(writes=writes)
+    return await self._store.change(writes=writes)
 
   async def read(self, request: str) -> turn_messages.Turn | None:
     """Returns a turn, or None if the store has none."""
@@ -70,43 +123,87 @@
     )
     if not page.rows:
       return None
-    found = sorted(page.rows, key=lambda row: _get_piece_number(row.key.name))
+    found = sorted(page.rows, key=lambda row: get_piece_number(row.key.name))
     data = b''.join(row.value for row in found)
     return msgspec.msgpack.decode(
       data[_EXPIRY_HEADER.size :], type=turn_messages.Turn
     )
 
 
+@dataclasses.dataclass(kw_only=True)
+class _CachedTurn:
+  """A cached turn, with times on the monotonic clock.
+
+  It can be continued until `own_until`, and some turn that continues from it
+  until `line_until`.
+  """
+
+  turn: turn_messages.Turn
+  own_until: float
+  line_until: float
+
+  @property
+  def size(self) -> int:
+    """Bytes of the turn's text."""
+    return len(self.turn.input) + len(self.turn.output)
+
+
 class TurnCache:
-  """Cache of turns, each kept for its retention time."""
+  """Cache of turns, each kept as long as a turn of its line can be continued.
+
+  Those that cannot be continued themselves are evicted first if all exceed
+  MAX_LINE_CACHE_BYTES; they are read from the store again when needed.
+  """
 
   def __init__(self) -> None:
-    self._turn_by_request: dict[str, turn_messages.Turn] = {}
-    self._until_by_request: dict[str, float] = {}
+    self._cached_by_request: dict[str, _CachedTurn] = {}
+    self._bytes = 0
 
   def __len__(self) -> int:
-    return len(self._turn_by_request)
+    return len(self._cached_by_request)
 
   def get(self, request: str) -> turn_messages.Turn | None:
     """Returns a cached turn, or None if it is not cached."""
-    return self._turn_by_request.get(request)
+    found = self._cached_by_request.get(request)
+    return None if found is None else found.turn
 
-  def get_all(self) -> list[turn_messages.Turn]:
-    """Returns all cached turns."""
-    return list(self._turn_by_request.values())
+  def get_recent(self) -> list[turn_messages.Turn]:
+    """Returns the cached turns that can still be continued themselves."""
+    now = time.monotonic()
+    return [
+      found.turn
+      for found in self._cached_by_request.values()
+      if found.own_until >= now
+    ]
 
   def put(self, turn: turn_messages.Turn) -> None:
-    """Adds a turn, or replaces it and restarts its retention time."""
-    self._turn_by_request[turn.request] = turn
-    self._until_by_request[turn.request] = time.monotonic() + turn.retention
+    """Adds a turn, or replaces it and restarts its retention time.
+
+    The cached turns of its line are kept for as long.
+    """
+    until = time.monotonic() + turn.retention
+    self._remove(turn.request)
+    added = _CachedTurn(turn=turn, own_until=until, line_until=until)
+    self._cached_by_request[turn.request] = added
+    self._bytes += added.size
+    for request in turn.line:
+      before = self._cached_by_request.get(request)
+      if before is not None:
+        before.line_until = max(before.line_until, until)
 
   def expire(self) -> None:
-    """Evicts the turns whose retention time is over."""
+    """Evicts the turns whose line cannot be continued any more."""
     now = time.monotonic()
-    expired = [r for r, until in self._until_by_request.items() if until < now]
-    for request in expired:
-      del self._until_by_request[request]
-      del self._turn_by_request[request]
+    cached = list(self._cached_by_request.items())
+    for request, found in cached:
+      is_over = self._bytes > MAX_LINE_CACHE_BYTES and found.own_until < now
+      if found.line_until < now or is_over:
+        self._remove(request)
+
+  def _remove(self, request: str) -> None:
+    found = self._cached_by_request.pop(request, None)
+    if found is not None:
+      self._bytes -= found.size
 
 
 async def load_turns(
@@ -132,6 +229,12 @@
   return f'{request}/{number}' if number else request
 
 
-def _get_piece_number(name: str) -> int:
+def get_request(name: str) -> str:
+  """Returns the request id of the turn to which a row belongs."""
+  return name.partition('/')[0]
+
+
+def get_piece_number(name: str) -> int:
+  """Returns the place of a row among the pieces of its turn, from 0."""
   _, _, number = name.partition('/')
   return int(number or 0)
--- a/src/woadrun/request/history_cache.py
+++ b/src/woadrun/request/history_cache.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from woadrun.connection import turn_messages
+from woadrun.process import turn_store
 
 # Maximum total size of the cached histories: those of a few dozen programs.
 MAX_BYTES = 1_000_000
@@ -21,8 +22,15 @@
     self._bytes = 0
 
   def get(self, request: str) -> turn_messages.OpenedTurn | None:
-    """Returns the history for a turn that follows `request`, or None."""
-    return self._opened_by_request.get(request)
+    """Returns the history for a turn that follows `request`, or None.
+
+    It is None as well if the store may no longer have the turns.
+    """
+    known = self._opened_by_request.get(request)
+    if known is None or turn_store.may_be_continued(known.kept_until):
+      return known
+    self._evict(request)
+    return None
 
   def put(
     self, opened: turn_messages.OpenedTurn, turn: turn_messages.Turn
@@ -33,6 +41,7 @@
       line=(*opened.line, turn.request),
       history=opened.history + turn.input + turn.output,
       instance=turn.instance,
+      kept_until=turn.kept_until,
     )
     self._opened_by_request[turn.request] = extended
     self._bytes += len(extended.history)
--- a/src/woadrun/request/serving.py
+++ b/src/woadrun/request/serving.py
@@ -19,6 +19,7 @@
 
 from woadrun import errors
 from woadrun.connection import turn_messages
+from woadrun.decisions import line_expiry
 from woadrun.process import catalogue
 from woadrun.process import counters
 from woadrun.request import attempts
@@ -329,16 +330,26 @@
 
 def _make_turn(running: _RunningTurn, tokens: int) -> turn_messages.Turn:
   """Returns a completed turn in the form that later turns continue from."""
+  opened, route = running.opened, running.route
+  ended_at = time.time()
+  expiry = line_expiry.plan(
+    ended_at=ended_at,
+    retention=route.retention,
+    timeout=route.timeout,
+    line_expires_at=opened.kept_until if opened.line else None,
+  )
   return turn_messages.Turn(
     request=running.id,
     program=running.turn.program,
-    line=running.opened.line,
+    line=opened.line,
     input=running.request.body,
     output=bytes(running.reader.data),
     tokens=tokens,
     instance=running.instance.incarnation_id if running.instance else '',
-    ended_at=time.time(),
-    retention=running.route.retention,
+    ended_at=ended_at,
+    retention=route.retention,
+    expires_at=expiry.expires_at,
+    extends_line=expiry.extends_line,
   )
 
 
--- a/tests/test_partitioned_domains.py
+++ b/tests/test_partitioned_domains.py
@@ -317,7 +317,7 @@
     assert asked == []
     assert fleet.get_body('b') == b'<a>a-0\na-1\n<b>'
     # The turn that is missing here comes from the home domain.
-    fleet.by_name['s1'].programs.cache._turn_by_request.pop('a')
+    fleet.by_name['s1'].programs.cache._cached_by_request.pop('a')
     await fleet.turn('s1', 'c', parent='b')
     assert fleet.get_body('c') == b'<a>a-0\na-1\n<b>b-0\nb-1\n<c>'
 
--- a/tests/test_retry_after.py
+++ b/tests/test_retry_after.py
@@ -24,8 +24,7 @@
     # The home domain of the program and the store are both silent, and this
     # domain has no copy of the program.
     south.programs.entry_by_program.clear()
-    south.programs.cache._turn_by_request.clear()
-    south.programs.cache._until_by_request.clear()
+    south.programs.cache._cached_by_request.clear()
     await nodes.wait_until(
       lambda: south.fleet.get_domain_silence_seconds() > 1.3
     )
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -280,8 +280,7 @@
     # The state of a daemon that was restarted in between.
     first_programs = fleet.by_name[first].programs
     first_programs.unsaved.drop('a')
-    first_programs.cache._turn_by_request.clear()
-    first_programs.cache._until_by_request.clear()
+    first_programs.cache._cached_by_request.clear()
     fleet.clear_calls()
     fleet.shared.is_out = False
     await nodes.wait_until(lambda: not second.unsaved)
@@ -531,12 +530,19 @@
       assert fleet.get_body(f'{name}-c') == expected.replace(b'-b>', b'-c>')
 
 
+def make_turn(request):
+  """Returns a turn that has just ended."""
+  return turn_messages.Turn(
+    request=request, program='p', ended_at=time.time(), retention=60.0
+  )
+
+
 def test_recent_lines_evict_the_oldest_above_the_size_limit():
   lines = history_cache.HistoryCache()
   opened = turn_messages.OpenedTurn(history=b'x' * 300_000)
   for name in 'abcd':
-    lines.put(opened, turn_messages.Turn(request=name, program='p'))
+    lines.put(opened, make_turn(name))
   assert lines.get('a') is None
   assert lines.get('d').line == ('d',)
-  lines.put(opened, turn_messages.Turn(request='d', program='p'))
+  lines.put(opened, make_turn('d'))
   assert lines.get('b') is not None
