Tell a member that restarted unnoticed of ended instances

A daemon that is killed and starts again within half a second is never missed: its heartbeats go on. The others sent it no list of the instances that ended, only six of them a second, so that for some seconds it sent requests on that had ended three instances already.

Heartbeats tell when the sender's process started, and a member whose process is another one is told like a new one. Daemons without the field count as before. The test failed before.

--- a/src/woadrun/process/crash_reports.py
+++ b/src/woadrun/process/crash_reports.py
@@ -125,12 +125,17 @@
 
   @mode.Service.task
   async def _inform_new_members(self) -> None:
-    known: set[str] = set()
+    # A member that is back before it was missed has forgotten all the same.
+    known: set[tuple[str, float]] = set()
     while not self.should_stop:
       await ticks.sleep(INFORM_INTERVAL_SECONDS)
       receivers = self._members.find_news_receivers()
-      new = [member for member in receivers if member.name not in known]
-      known = {member.name for member in receivers}
+      process_by_name = {
+        member.name: (member.name, self._members.get_started_at(member.name))
+        for member in receivers
+      }
+      new = [m for m in receivers if process_by_name[m.name] not in known]
+      known = set(process_by_name.values())
       reports = self._records.find_reports(limit=MAX_REPORTS) if new else []
       if reports:
         self._send(reports, new, hops=0)
--- a/src/woadrun/process/fleet_heartbeats.py
+++ b/src/woadrun/process/fleet_heartbeats.py
@@ -103,7 +103,8 @@
   clock, in seconds, and the newest change of the routing table made before it.
   `suspects_store` says that the store has not answered the daemon for much
   longer than usual, `is_served` that it answered a moment ago; a daemon without
-  calls reports neither.
+  calls reports neither.  `started_at` is the Unix time at which its process
+  started, by which a restart is noticed however short it was.
   """
 
   name: str
@@ -127,6 +128,7 @@
   confirmed: tuple[float, int] | None = None
   suspects_store: bool = False
   is_served: bool = False
+  started_at: float = 0.0
 
 
 @dataclasses.dataclass(kw_only=True)
--- a/src/woadrun/process/node.py
+++ b/src/woadrun/process/node.py
@@ -166,6 +166,7 @@
   ) -> None:
     super().__init__()
     self.config = config
+    self._started_at = time.time()
     self.counters = counters.Counters()
     self.links = peers.Peers(
       session=session,
@@ -402,6 +403,7 @@
       confirmed=self.catalogue.get_confirmation(),
       suspects_store=self.store.is_suspect,
       is_served=self.store.has_recent_answer,
+      started_at=self._started_at,
     )
 
   def _take_beat(self, heartbeat: fleet_heartbeats.FleetHeartbeat) -> None:
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -21,6 +21,7 @@
     self.is_relaying = is_relaying
     self.datagrams = self
     self.names = ['n2']
+    self.started_at_by_name = {}
     self.sent = []
     self.handler_by_kind = {}
 
@@ -39,6 +40,9 @@
       for name in self.names
     ]
 
+  def get_started_at(self, name):
+    return self.started_at_by_name.get(name, 0.0)
+
   def receive(self, *reports, hops=0):
     message = attempt_reports.AttemptReports(reports, hops)
     self.handler_by_kind[datagrams.ATTEMPT_REPORTS](
@@ -125,3 +129,29 @@
     ('f', State.ENDED)
   ]
   await reports.stop()
+
+
+# Guards against a daemon that starts again so quickly that nobody misses it, is
+# told of a few ended instances a second and sends a fatal request on meanwhile.
+async def test_a_member_that_restarts_unnoticed_is_told_of_ended_instances(
+  monkeypatch,
+):
+  monkeypatch.setattr(crash_reports, 'INFORM_INTERVAL_SECONDS', 0.02)
+  monkeypatch.setattr(crash_reports, 'REFRESH_INTERVAL_SECONDS', 100.0)
+  members = Members()
+  records, reports = make(members)
+  for number in range(2 * crash_reports.MAX_REFRESHED):
+    records.lose(f'f{number}', 'a')
+  records.resolve('a', is_ended=True)
+  members.started_at_by_name['n2'] = 1.0
+  await reports.start()
+  await asyncio.sleep(0.6)
+  members.sent.clear()
+  await asyncio.sleep(0.1)
+  assert members.sent == []
+  members.started_at_by_name['n2'] = 2.0
+  await asyncio.sleep(0.1)
+  ((address, told),) = members.sent
+  assert address == 'at-n2'
+  assert len(told.reports) == 2 * crash_reports.MAX_REFRESHED
+  await reports.stop()
