Store turns that are larger than a transaction

A turn is written in as many transactions as needed, the first row last: with it the turn is complete. Reads follow pages. A call that the store rejects as invalid says nothing of its reach, is not relayed, and ends the answer of its turn as incomplete. Names of rows are at most 200 bytes: longer ids of turns and programs, which were rejected in the same way, and those with a slash, which marks pieces, are stored by digest. A turn is no longer read with rows of other ids of the same part that sort between its own. Rows of older daemons are read as before, but for ids with a slash.

The stand-in of the store has the limits of the platform's now.

--- a/src/woadrun/connection/rows.py
+++ b/src/woadrun/connection/rows.py
@@ -2,16 +2,32 @@
 
 The rows of a table are divided into parts; rows of the same part can be changed
 in one transaction.  Each transaction increments one counter of the store, whose
-value becomes the version of the rows written.
+value becomes the version of the rows written.  A transaction is limited in its
+rows and bytes, and so is a page of rows that are read.
 """
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from collections.abc import Sequence
 import dataclasses
+import hashlib
 from typing import NamedTuple
 from typing import Protocol
 
+from woadrun import errors
+
+# Maximum number of rows in one transaction.
+MAX_CHANGE_ROWS = 100
+# Maximum size of the values in one transaction.  A store takes a megabyte with
+# the values in base64, names and punctuation.
+MAX_CHANGE_BYTES = 700_000
+# Maximum size of a name in UTF-8.
+MAX_NAME_BYTES = 200
+# Maximum size of an id that is a name by itself; the rest is left for the
+# number of a piece.
+MAX_ID_BYTES = MAX_NAME_BYTES - 10
+
 
 class Key(NamedTuple):
   """The key of a row: its table, the part of the table, and its name."""
@@ -66,6 +82,13 @@
   clock: float | None = None
 
 
+class CallRejected(errors.WoadrunError):
+  """Raised when the store rejects a call as invalid, as it would each time.
+
+  The store itself can be reached.
+  """
+
+
 class HistoryGone(Exception):
   """Raised when the store no longer has the changes after a version."""
 
@@ -74,8 +97,8 @@
   """A client of a row store.
 
   All methods raise `platform_unavailable` when the store does not answer in
-  time or rejects the request; the error's `ran` tells whether a write may have
-  been applied.
+  time or does not serve this VM; the error's `ran` tells whether a write may
+  have been applied.  They raise `CallRejected` for a call that is not valid.
   """
 
   async def change(
@@ -105,3 +128,36 @@
     If there are none yet, waits for the first one for at most `wait` seconds.
     Raises `HistoryGone` when the store no longer has the changes.
     """
+
+
+def make_name(id: str) -> str:
+  """Returns the name of the row of an id.
+
+  It is the id itself unless that is too long, or contains a slash, by which the
+  numbers of pieces are set apart.
+  """
+  if '/' in id or id.startswith('#') or len(id.encode()) > MAX_ID_BYTES:
+    return f'#{hashlib.blake2b(id.encode(), digest_size=16).hexdigest()}'
+  return id
+
+
+def split_writes(
+  writes: Sequence[tuple[Key, bytes]],
+) -> Iterator[list[tuple[Key, bytes]]]:
+  """Yields writes in their order, grouped into transactions within the limits.
+
+  A value that exceeds the limit by itself is in a transaction of its own.
+  """
+  group: list[tuple[Key, bytes]] = []
+  size = 0
+  for key, value in writes:
+    is_full = len(group) == MAX_CHANGE_ROWS or (
+      size + len(value) > MAX_CHANGE_BYTES
+    )
+    if group and is_full:
+      yield group
+      group, size = [], 0
+    group.append((key, value))
+    size += len(value)
+  if group:
+    yield group
--- a/src/woadrun/platform/standin.py
+++ b/src/woadrun/platform/standin.py
@@ -58,7 +58,9 @@
       first=query.get('from', ''),
       end=query.get('target_version', ''),
     )
-    return _make_response(page.rows, version=page.version, clock=page.clock)
+    return _make_response(
+      page.rows, version=page.version, clock=page.clock, is_cut=page.is_cut
+    )
 
   async def _follow(self, request: web.Request) -> web.Response:
     query = request.query
@@ -80,6 +82,8 @@
   try:
     response: web.StreamResponse = await handler(request)
     return response
+  except rows.CallRejected:
+    return web.Response(status=413)
   except errors.WoadrunError:
     return web.Response(status=503)
 
@@ -94,6 +98,7 @@
   version: int,
   clock: float | None,
   status: int = 200,
+  is_cut: bool = False,
 ) -> web.Response:
   listed = [
     {
@@ -109,7 +114,7 @@
   body = {
     'rows': listed,
     'ver': version,
-    'truncated': False,
+    'truncated': is_cut,
     'now_ms': int((clock or 0.0) * 1000),
   }
   return web.Response(
--- a/src/woadrun/platform/store.py
+++ b/src/woadrun/platform/store.py
@@ -32,6 +32,8 @@
 # have been on a silent connection: the store usually answers within a few
 # milliseconds.
 SILENCE_THRESHOLD_SECONDS = 0.1
+# Statuses by which the store rejects a call for what it contains.
+_INVALID_CALL_STATUSES = frozenset((400, 413, 414, 422, 431))
 
 
 log = logging.getLogger('woadrun.store')
@@ -281,6 +283,11 @@
 def _decode(reply: http.Reply) -> _RowsReply:
   # 412 is the status of a transaction with a failed precondition; its body has
   # the current rows.
+  if reply.status in _INVALID_CALL_STATUSES:
+    raise rows.CallRejected(
+      errors.Code.PLATFORM_UNAVAILABLE,
+      f'The store rejected a call with status {reply.status}.',
+    )
   if reply.status not in (200, 412):
     raise errors.WoadrunError(
       errors.Code.PLATFORM_UNAVAILABLE,
--- a/src/woadrun/process/program_rows.py
+++ b/src/woadrun/process/program_rows.py
@@ -157,7 +157,9 @@
     """
     key = _get_key(program)
     store = self._store.bounded if is_bounded else self._store
-    page = await store.read(TABLE, key.part, first=program, end=f'{program}\0')
+    page = await store.read(
+      TABLE, key.part, first=key.name, end=f'{key.name}\0'
+    )
     if not page.rows:
       return self.make(is_split=is_split)
     row = _decode(page.rows[0].value)
@@ -274,7 +276,8 @@
 
 
 def _get_key(program: str) -> rows.Key:
-  return rows.Key(TABLE, turn_store.get_part(program), program)
+  name = rows.make_name(program)
+  return rows.Key(TABLE, turn_store.get_part(program), name)
 
 
 def _decode(value: bytes) -> ledger.LedgerRow:
--- a/src/woadrun/process/store_access.py
+++ b/src/woadrun/process/store_access.py
@@ -467,6 +467,10 @@
         result = await self._call_timed(lambda: self._call_with_retry(call))
         self._update_status(None)
         return result
+      except rows.CallRejected:
+        # The store serves this VM; a peer would get the same answer.
+        self._update_status(None)
+        raise
       except errors.WoadrunError as error:
         self._update_status(error)
         failure = error
--- a/src/woadrun/process/sweeper.py
+++ b/src/woadrun/process/sweeper.py
@@ -34,24 +34,30 @@
 # Margin after the expiry of a turn, because clocks of VMs differ and a request
 # may just be reading the turn.
 EXPIRY_MARGIN_SECONDS = 60.0
+# Time after which pieces of a turn are removed if its first one, which is
+# written last, is still missing.
+ORPHAN_SECONDS = 60.0
 # Time without a write after which a program has expired.
 PROGRAM_RETENTION_SECONDS = 3600.0
-# Rows removed in one transaction; the store takes at most a hundred.
-MAX_BATCH_ROWS = 100
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _StoredTurn:
   """A turn as stored, with the rows of its pieces in order."""
 
-  request: str
+  name: str
   pieces: tuple[rows.Row, ...]
 
+  @property
+  def is_complete(self) -> bool:
+    """Whether the first piece, which is written last, is there."""
+    return self.pieces[0].key.name == self.name
+
   @property
   def first_turn(self) -> str:
     """The request id of the first turn of its line."""
     data = b''.join(row.value for row in self.pieces)
-    return turn_store.find_first_turn(data, request=self.request)
+    return turn_store.find_first_turn(data, name=self.name)
 
 
 class Sweeper(mode.Service):
@@ -62,6 +68,8 @@
     self._store = store
     self._members = members
     self.removed_rows = 0
+    # When pieces without the first one were first seen, in Unix time.
+    self._orphaned_at_by_key: dict[rows.Key, float] = {}
 
   @mode.Service.task
   async def _sweep_periodically(self) -> None:
@@ -92,13 +100,15 @@
     page = await feed.read_all(self._store, table, part)
     limit = now - EXPIRY_MARGIN_SECONDS
     if table == turn_store.TABLE:
-      expired = await self._find_expired_turns(page.rows, limit)
+      turns = list(_group_pieces(page.rows))
+      expired = await self._find_expired_turns(turns, limit)
+      expired.extend(self._find_orphans(turns, part, now))
     elif table == line_expiries.TABLE:
       expired = list(_find_expired_lines(page.rows, limit))
     else:
       expired = list(_find_expired_programs(page.rows, now))
-    for at in range(0, len(expired), MAX_BATCH_ROWS):
-      await self._store.change(removes=expired[at : at + MAX_BATCH_ROWS])
+    for at in range(0, len(expired), rows.MAX_CHANGE_ROWS):
+      await self._store.change(removes=expired[at : at + rows.MAX_CHANGE_ROWS])
     self.removed_rows += len(expired)
     if expired:
       log.info(
@@ -106,7 +116,7 @@
       )
 
   async def _find_expired_turns(
-    self, found: tuple[rows.Row, ...], limit: float
+    self, turns: list[_StoredTurn], limit: float
   ) -> list[rows.Key]:
     """Returns the rows of turns that expired before `limit`, in Unix time.
 
@@ -114,8 +124,9 @@
     """
     expired = [
       (turn.first_turn, turn.pieces)
-      for turn in _group_pieces(found)
-      if turn_store.is_expired(turn.pieces[0].value, now=limit)
+      for turn in turns
+      if turn.is_complete
+      and turn_store.is_expired(turn.pieces[0].value, now=limit)
     ]
     kept = await line_expiries.find_kept(
       self._store, {first for first, _ in expired}, now=limit
@@ -128,18 +139,32 @@
       for row in reversed(pieces)
     ]
 
+  def _find_orphans(
+    self, turns: list[_StoredTurn], part: str, now: float
+  ) -> Iterator[rows.Key]:
+    """Yields the pieces of turns of which the first one was never written.
+
+    Its writer has ended meanwhile, or was refused.
+    """
+    keys = {
+      row.key for turn in turns if not turn.is_complete for row in turn.pieces
+    }
+    known = self._orphaned_at_by_key
+    for key in [k for k in known if k.part == part and k not in keys]:
+      del known[key]
+    for key in keys:
+      if known.setdefault(key, now) + ORPHAN_SECONDS < now:
+        yield key
+
 
 def _group_pieces(found: tuple[rows.Row, ...]) -> Iterator[_StoredTurn]:
-  """Yields the turns whose first piece is among the rows."""
-  rows_by_request: dict[str, list[rows.Row]] = {}
+  rows_by_name: dict[str, list[rows.Row]] = {}
   for row in found:
-    request = turn_store.get_request(row.key.name)
-    rows_by_request.setdefault(request, []).append(row)
-  for request, pieces in rows_by_request.items():
+    name = turn_store.get_first_name(row.key.name)
+    rows_by_name.setdefault(name, []).append(row)
+  for name, pieces in rows_by_name.items():
     pieces.sort(key=lambda row: turn_store.get_piece_number(row.key.name))
-    # Only the first piece has the expiry.
-    if pieces[0].key.name == request:
-      yield _StoredTurn(request=request, pieces=tuple(pieces))
+    yield _StoredTurn(name=name, pieces=tuple(pieces))
 
 
 def _find_expired_lines(
--- a/src/woadrun/process/turn_store.py
+++ b/src/woadrun/process/turn_store.py
@@ -1,13 +1,15 @@
 """Finished turns in the store, and a cache of them in memory.
 
 A turn is found by its request id alone, by any daemon and for any program.  A
-turn larger than a row is stored as several rows of one part, which are written
-together.
+turn larger than a row is stored as several rows of one part.  If they exceed
+the limits of a transaction, the first row is written last: with it the turn is
+complete.
 """
 
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Iterable
 import dataclasses
 import hashlib
@@ -18,6 +20,7 @@
 
 from woadrun.connection import rows
 from woadrun.connection import turn_messages
+from woadrun.process import feed
 from woadrun.process import line_expiries
 
 log = logging.getLogger('woadrun.turns')
@@ -64,16 +67,16 @@
   return time.time() < kept_until + CLOCK_SKEW_SECONDS
 
 
-def find_first_turn(data: bytes, *, request: str) -> str:
+def find_first_turn(data: bytes, *, name: str) -> str:
   """Returns the first turn of the line of a stored turn, of all its pieces.
 
-  For a turn that cannot be decoded it returns its own `request`.
+  For a turn that cannot be decoded it returns the `name` of its row.
   """
   try:
     found = msgspec.msgpack.decode(data[_EXPIRY_HEADER.size :], type=_FirstTurn)
   except msgspec.MsgspecError as error:
-    log.warning('Stored turn %s cannot be decoded: %s', request, error)
-    return request
+    log.error('Stored turn %s cannot be decoded: %s', name, error)
+    return name
   return found.line[0] if found.line else found.request
 
 
@@ -96,14 +99,10 @@
     """
     written = [self._write_pieces(turn)]
     if turn.extends_line and turn.line:
-      key, value = line_expiries.make_write(turn)
-      written.append(self._store.change(writes=[(key, value)]))
-    results = await asyncio.gather(*written, return_exceptions=True)
-    for result in results:
-      if isinstance(result, BaseException):
-        raise result
-
-  async def _write_pieces(self, turn: turn_messages.Turn) -> rows.Outcome:
+      written.append(self._write_all([line_expiries.make_write(turn)]))
+    await _gather_all(written)
+
+  async def _write_pieces(self, turn: turn_messages.Turn) -> None:
     header = _EXPIRY_HEADER.pack(turn.kept_until)
     data = header + msgspec.msgpack.encode(turn)
     part = get_part(turn.request)
@@ -113,21 +112,36 @@
       (rows.Key(TABLE, part, _get_row_name(turn.request, number)), piece)
       for number, piece in enumerate(pieces)
     ]
-    return await self._store.change(writes=writes)
+    *others, last = rows.split_writes(writes[::-1])
+    await _gather_all([self._write_all(group) for group in others])
+    await self._write_all(last)
+
+  async def _write_all(self, writes: list[tuple[rows.Key, bytes]]) -> None:
+    await self._store.change(writes=writes)
 
   async def read(self, request: str) -> turn_messages.Turn | None:
     """Returns a turn, or None if the store has none."""
+    name = rows.make_name(request)
     # '0' is the character after '/': the range covers all pieces of one turn.
-    page = await self._store.read(
-      TABLE, get_part(request), first=request, end=f'{request}0'
+    page = await feed.read_all(
+      self._store, TABLE, get_part(request), first=name, end=f'{name}0'
     )
-    if not page.rows:
+    # It may hold those of other turns as well: 'a-b' lies between 'a' and 'a0'.
+    found = sorted(
+      (row for row in page.rows if get_first_name(row.key.name) == name),
+      key=lambda row: get_piece_number(row.key.name),
+    )
+    if not found or found[0].key.name != name:
       return None
-    found = sorted(page.rows, key=lambda row: get_piece_number(row.key.name))
     data = b''.join(row.value for row in found)
-    return msgspec.msgpack.decode(
-      data[_EXPIRY_HEADER.size :], type=turn_messages.Turn
-    )
+    try:
+      return msgspec.msgpack.decode(
+        data[_EXPIRY_HEADER.size :], type=turn_messages.Turn
+      )
+    except msgspec.MsgspecError as error:
+      # Its other rows may just have been removed.
+      log.error('Stored turn %s cannot be decoded: %s', request, error)
+      return None
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -225,12 +239,21 @@
   return list(await asyncio.gather(*(find(name) for name in names)))
 
 
+async def _gather_all(writes: Iterable[Awaitable[None]]) -> None:
+  """Waits until all writes have ended; raises the error of the first failed."""
+  results = await asyncio.gather(*writes, return_exceptions=True)
+  for result in results:
+    if isinstance(result, BaseException):
+      raise result
+
+
 def _get_row_name(request: str, number: int) -> str:
-  return f'{request}/{number}' if number else request
+  name = rows.make_name(request)
+  return f'{name}/{number}' if number else name
 
 
-def get_request(name: str) -> str:
-  """Returns the request id of the turn to which a row belongs."""
+def get_first_name(name: str) -> str:
+  """Returns the name of the first row of the turn to which a row belongs."""
   return name.partition('/')[0]
 
 
--- a/src/woadrun/request/turn_client.py
+++ b/src/woadrun/request/turn_client.py
@@ -20,6 +20,7 @@
 
 from woadrun import errors
 from woadrun.connection import peers
+from woadrun.connection import rows
 from woadrun.connection import turn_messages
 from woadrun.decisions import retry_after
 from woadrun.process import fleet
@@ -344,6 +345,9 @@
         message.request,
         failure.message,
       )
+    if isinstance(store_result, rows.CallRejected):
+      # It would never be durable, so that its answer must not end as complete.
+      raise store_result
     if store_result is not None:
       await self._close_without_store(message, home)
 
--- a/src/woadrun/standins/rows.py
+++ b/src/woadrun/standins/rows.py
@@ -3,12 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterator
 from collections.abc import Sequence
+import dataclasses
 import time
 
 from woadrun import errors
 from woadrun.connection import rows
 
+# Limits of a change and of a page, with values in base64.
+MAX_BYTES = 1_000_000
+MAX_PAGE_ROWS = 500
+
 
 class MemoryRowStore:
   """Implements `rows.RowStore` in memory.
@@ -16,7 +22,8 @@
   Faults are injected by attributes.  With `is_out` all calls fail without an
   effect.  With `loses_answers` writes are applied, but then fail with an
   unknown outcome.  `delay` delays writes by some seconds.  `history_from` is
-  the oldest version after which changes are still retained.
+  the oldest version after which changes are still retained.  Changes and pages
+  have the limits of the platform's store.
   """
 
   def __init__(self) -> None:
@@ -43,6 +50,7 @@
     Nothing is changed unless all rows in `conditions` have the given versions.
     """
     self._raise_if_out()
+    _check_limits(writes, removes, conditions)
     await asyncio.sleep(self.delay)
     self.writes += 1
     current_rows = [self._get(key) for key, _ in conditions]
@@ -88,7 +96,9 @@
       and key.name >= first
       and (not end or key.name < end)
     ]
-    return self._make_page(matching_rows)
+    page_rows = list(_take_page(matching_rows))
+    page = self._make_page(page_rows)
+    return dataclasses.replace(page, is_cut=len(page_rows) < len(matching_rows))
 
   async def follow(self, table: str, *, after: int, wait: float) -> rows.Page:
     """Waits for changes after a version and returns them.
@@ -143,6 +153,38 @@
       raise _make_unavailable_error(errors.RunStatus.NOT_RUN)
 
 
+def _check_limits(
+  writes: Sequence[tuple[rows.Key, bytes]],
+  removes: Sequence[rows.Key],
+  conditions: Sequence[tuple[rows.Key, int]],
+) -> None:
+  keys = [
+    *(key for key, _ in writes),
+    *removes,
+    *(key for key, _ in conditions),
+  ]
+  encoded = sum((len(value) + 2) // 3 * 4 for _, value in writes)
+  if (
+    len(keys) > rows.MAX_CHANGE_ROWS
+    or encoded > MAX_BYTES
+    or any(len(key.name.encode()) > rows.MAX_NAME_BYTES for key in keys)
+  ):
+    raise rows.CallRejected(
+      errors.Code.PLATFORM_UNAVAILABLE,
+      f'The store rejects a change of {len(keys)} rows and {encoded} bytes.',
+    )
+
+
+def _take_page(matching_rows: Sequence[rows.Row]) -> Iterator[rows.Row]:
+  """Yields as many rows as a page holds, at least one."""
+  size = 0
+  for number, row in enumerate(matching_rows):
+    size += (len(row.value) + 2) // 3 * 4
+    if number == MAX_PAGE_ROWS or (number and size > MAX_BYTES):
+      return
+    yield row
+
+
 def _make_unavailable_error(ran: errors.RunStatus) -> errors.WoadrunError:
   return errors.WoadrunError(
     errors.Code.PLATFORM_UNAVAILABLE, 'The store is unavailable.', ran=ran
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -1,6 +1,8 @@
 """Tests for turns of programs: history, budget, and survival of failures."""
 
 import asyncio
+import dataclasses
+import itertools
 import time
 
 import msgspec
@@ -8,7 +10,9 @@
 import pytest
 
 from woadrun import errors
+from woadrun.connection import rows
 from woadrun.connection import turn_messages
+from woadrun.process import turn_store
 from woadrun.request import exchange
 from woadrun.request import history_cache
 
@@ -56,6 +60,94 @@
     assert fleet.get_body('b').count(b'\n') == body.count(b'data:') == 500
 
 
+# Guards against a turn that is answered whole and is in memories only, as the
+# store takes no transaction of its size.
+async def test_turn_larger_than_a_transaction_is_stored_completely():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1')
+    text = bytes(1_500_000)
+    request = make_large_request('a', text)
+    await fleet.ask('n1', request)
+    assert fleet.by_name['n1'].store.is_direct
+    await fleet.stop('n1')
+    await fleet.start('n2')
+    await fleet.turn('n2', 'b', parent='a')
+    assert fleet.get_body('b') == text + b'a-0\na-1\n<b>'
+
+
+def make_large_request(id, body):
+  request = nodes.make_request(
+    id,
+    path='/chat/',
+    seconds=20.0,
+    turn=exchange.TurnInfo(
+      program='p', max_output=10, budget=1000, prompt_tokens=9
+    ),
+  )
+  return dataclasses.replace(request, body=body)
+
+
+# Guards against pieces that stay for good as the writer of a large turn ends.
+async def test_pieces_without_the_first_one_are_removed_after_a_while():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1')
+    await fleet.ask('n1', make_large_request('a', bytes(300_000)))
+    part = turn_store.get_part('a')
+    await fleet.shared.change(removes=[rows.Key('turns', part, 'a')])
+    sweeper = fleet.by_name['n1'].sweeper
+    now = time.time()
+
+    async def count_after(seconds):
+      await sweeper.sweep('turns', part, now=now + seconds)
+      return sum(key.table == 'turns' for key in fleet.shared.row_by_key)
+
+    assert await count_after(0) > rows.MAX_CHANGE_ROWS
+    assert await count_after(30) > rows.MAX_CHANGE_ROWS
+    assert await count_after(100) == 0
+
+
+# Guards against an answer that ends as complete though its turn will never be
+# in the store, and against a store that counts as lost since it rejects a call.
+async def test_turn_that_the_store_rejects_does_not_end_as_complete():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1', 'n2')
+    change = fleet.shared.change
+
+    async def reject_turns(*, writes=(), **options):
+      if any(key.table == 'turns' for key, _ in writes):
+        raise rows.CallRejected(errors.Code.PLATFORM_UNAVAILABLE, 'no')
+      return await change(writes=writes, **options)
+
+    fleet.shared.change = reject_turns
+    with pytest.raises(rows.CallRejected):
+      await fleet.turn('n1', 'a')
+    assert fleet.by_name['n1'].store.is_direct
+    assert not fleet.by_name['n1'].programs.unsaved
+
+
+def find_id_of_part(prefix, part):
+  """Returns an id that begins with a prefix and lies in a part of the table."""
+  ids = (f'{prefix}{number}' for number in itertools.count())
+  return next(id for id in ids if turn_store.get_part(id) == part)
+
+
+# Guards against ids that are no names of rows, and against a turn that is read
+# with the rows of another one.
+@pytest.mark.parametrize(
+  ('id', 'prefixes'), [('x' * 300, ['x' * 300]), ('a', ['a-', 'a/', 'a.'])]
+)
+async def test_any_id_of_a_turn_or_program_can_be_stored(id, prefixes):
+  part = turn_store.get_part(id)
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1')
+    for request in (id, *(find_id_of_part(p, part) for p in prefixes)):
+      await fleet.turn('n1', request, program=id)
+    await fleet.stop('n1')
+    await fleet.start('n2')
+    await fleet.turn('n2', 'last', parent=id, program=id)
+    assert fleet.get_body('last') == f'<{id}>{id}-0\n{id}-1\n<last>'.encode()
+
+
 async def test_turn_with_unknown_parent_is_refused_and_not_run():
   async with nodes.Nodes() as fleet:
     await fleet.start('n1')
