Forward compressed bodies and empty queries unchanged

Instances got bodies with `Content-Encoding: gzip` unpacked, with the header as it was, and callers 500 if the body was not gzip: the library's server unpacks by default. Bodies are not unpacked, and the target is sent as the path of the URL, byte for byte. The three tests failed before.

--- a/src/woadrun/platform/program.py
+++ b/src/woadrun/platform/program.py
@@ -170,6 +170,7 @@
     access_log=None,
     request_factory=node.make_request_factory(MAX_BODY_BYTES),
     handler_cancellation=True,
+    auto_decompress=False,
     keepalive_timeout=KEEP_ALIVE_TIMEOUT_SECONDS,
     max_line_size=MAX_HEAD_LINE_BYTES,
     max_field_size=MAX_HEAD_LINE_BYTES,
--- a/src/woadrun/platform/upstream.py
+++ b/src/woadrun/platform/upstream.py
@@ -99,7 +99,11 @@
       instance.address,
       incarnation_id=instance.incarnation_id if instance.started_ms else '',
     )
-    url = yarl.URL(f'http://{host}{request.target}', encoded=True)
+    name, port = endpoints.split(host)
+    # Parsed as a URL, an empty query would lose its question mark.
+    url = yarl.URL.build(
+      scheme='http', host=name, port=port, path=request.target, encoded=True
+    )
     generation = self._addresses.get_generation(instance.address)
     began = time.monotonic()
     timeout = aiohttp.ClientTimeout(
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import gzip
 
 from aiohttp import web
 import multidict
@@ -68,6 +69,20 @@
     assert (sent.target, sent.body) == (path, b'\0\xff\r\n')
 
 
+# Guards against bodies that instances get unpacked, under a header that says
+# they are compressed, and against a 500 for one that is not.
+@pytest.mark.parametrize('body', [gzip.compress(b'text' * 50), b'no gzip'])
+async def test_compressed_body_is_forwarded_unchanged(body):
+  async with nodes.Nodes() as fleet, serve(fleet) as port:
+    head = make_head(
+      f'Content-Length: {len(body)}', 'Content-Encoding: gzip', method='POST'
+    )
+    assert (await send_raw(port, head + body)).startswith(b'HTTP/1.1 200 ')
+    sent = fleet.engines.sent[0].request
+    assert sent.body == body
+    assert ('Content-Encoding', 'gzip') in sent.headers
+
+
 async def test_reserved_headers_of_callers_are_not_forwarded():
   async with nodes.Nodes() as fleet, serve(fleet) as port:
     data = make_head(
--- a/tests/test_surplus_responses.py
+++ b/tests/test_surplus_responses.py
@@ -31,6 +31,7 @@
 
   `before` has the bytes to send in the place of the response to each request,
   which then follows; `after` those to send once its connection is idle.
+  `targets` lists the path and query of each request.
   `full` has the requests that it refuses, `anonymous` those whose response has
   no request id.  `sent` lists the requests it got, with the ports of their
   connections.
@@ -42,6 +43,7 @@
     self.full = set()
     self.anonymous = set()
     self.sent = []
+    self.targets = []
 
   async def serve(self, reader, writer):
     with contextlib.suppress(EOFError, OSError):
@@ -50,6 +52,7 @@
 
   async def _answer(self, reader, writer):
     head = (await reader.readuntil(b'\r\n\r\n')).decode()
+    self.targets.append(head.split(' ')[1])
     id = next(
       line.partition(': ')[2]
       for line in head.split('\r\n')
@@ -82,10 +85,12 @@
       session=session, addresses=tcp_connections.Addresses()
     )
 
-    async def send(id, *, seconds=2.0):
+    async def send(id, *, seconds=2.0, target='/pay/x'):
       request = nodes.make_request(id, path='/pay/')
       sending = exchange.RequestAttempt(
-        request=dataclasses.replace(request, headers=[('Request-Id', id)]),
+        request=dataclasses.replace(
+          request, headers=[('Request-Id', id)], target=target
+        ),
         instance=instances.Instance(
           id='i', service='s', address=f'127.0.0.1:{port}', domain='north'
         ),
@@ -183,3 +188,14 @@
     await send('a')
     with pytest.raises(exchange.ResponseLost):
       await send('b', seconds=0.3)
+
+
+# Guards against a target that reaches the server changed: an empty query lost
+# its question mark.
+async def test_target_reaches_the_server_byte_for_byte():
+  targets = ['/p/b?', '/p/b', '/p/%7e//../x%2F?a=%20+&b', '/p/x??', '/p/?#f']
+  engine = Engine()
+  async with connect(engine) as send:
+    for target in targets:
+      await send('r', target=target)
+  assert engine.targets == targets
