Reload settings that change without a signal or during the start

A daemon whose store had moved stayed with the old address until the next signal.

The file is compared with what was last loaded once a second, and SIGHUP is ignored until the daemon handles it.

--- a/src/woadrun/platform/__main__.py
+++ b/src/woadrun/platform/__main__.py
@@ -7,6 +7,7 @@
 import asyncio
 import gc
 import os
+import signal
 import sys
 
 from woadrun import errors
@@ -19,6 +20,9 @@
 
 def main() -> int:
   """Runs the daemon and returns its exit code."""
+  # A change of the settings during the imports must not end the process; the
+  # settings are read after them.
+  signal.signal(signal.SIGHUP, signal.SIG_IGN)
   # All connections of a daemon are plain HTTP.  The client library loads the
   # machine's CA certificates at import, which would be wasted work.
   os.environ['SSL_CERT_FILE'] = os.devnull
--- a/src/woadrun/platform/program.py
+++ b/src/woadrun/platform/program.py
@@ -6,6 +6,7 @@
 import dataclasses
 import logging
 import os
+import pathlib
 import signal
 
 import aiohttp
@@ -23,6 +24,7 @@
 from woadrun.platform import upstream
 from woadrun.process import event_log
 from woadrun.process import node
+from woadrun.process import ticks
 from woadrun.request import held_bytes
 
 log = logging.getLogger('woadrun.node')
@@ -36,11 +38,14 @@
 # Idle timeout of callers' connections.  It is longer than the callers' own, so
 # that the daemon does not close a connection just as a request arrives on it.
 KEEP_ALIVE_TIMEOUT_SECONDS = 60.0
+# Interval of checks whether the settings have changed without a signal.
+SETTINGS_CHECK_INTERVAL_SECONDS = 1.0
 
 
 async def run() -> None:
   """Serves until SIGTERM, then finishes the requests in progress."""
-  config = settings.load(os.environ[settings.PATH_VARIABLE])
+  path = os.environ[settings.PATH_VARIABLE]
+  config = settings.load(path)
   event_log.configure()
   connector = tcp_connections.make_connector(
     limit=node.MAX_CONNECTIONS, keepalive=node.KEEPALIVE_TIMEOUT_SECONDS
@@ -50,11 +55,11 @@
     auto_decompress=False,
     cookie_jar=aiohttp.DummyCookieJar(),
   ) as session:
-    await _serve(config, session)
+    await _serve(path, config, session)
 
 
 async def _serve(
-  config: node.NodeSettings, session: aiohttp.ClientSession
+  path: str, config: node.NodeSettings, session: aiohttp.ClientSession
 ) -> None:
   binding = make_binding(config, session)
   service = node.Node(config=config, session=session, binding=binding)
@@ -67,8 +72,9 @@
   stopped = asyncio.Event()
   loop = asyncio.get_running_loop()
   loop.add_signal_handler(signal.SIGTERM, stopped.set)
-  path = os.environ[settings.PATH_VARIABLE]
-  loop.add_signal_handler(signal.SIGHUP, lambda: reload(path, config, binding))
+  watch = SettingsWatch(path=path, config=config, binding=binding)
+  loop.add_signal_handler(signal.SIGHUP, watch.reload)
+  watch_task = asyncio.ensure_future(watch.run())
   await service.start()
   runners = await _listen(config, entry)
   await stopped.wait()
@@ -78,6 +84,42 @@
     await runner.cleanup()
   await service.finish()
   await service.stop()
+  watch_task.cancel()
+
+
+class SettingsWatch:
+  """Reloads the settings at a signal, or when their file has changed.
+
+  The file may change without a signal, also while the daemon starts.
+  """
+
+  def __init__(
+    self, *, path: str, config: node.NodeSettings, binding: node.Binding
+  ) -> None:
+    self._path = path
+    self._config = config
+    self._binding = binding
+    self._loaded = b''
+
+  async def run(self) -> None:
+    """Compares the file with what was last loaded, once in a while."""
+    while True:
+      data = self._read()
+      if data and data != self._loaded:
+        self.reload()
+      await ticks.sleep(SETTINGS_CHECK_INTERVAL_SECONDS)
+
+  def reload(self) -> None:
+    """Reloads the settings."""
+    self._loaded = self._read()
+    reload(self._path, self._config, self._binding)
+
+  def _read(self) -> bytes:
+    try:
+      return pathlib.Path(self._path).read_bytes()
+    except OSError as error:
+      log.warning('The settings cannot be read: %s', error)
+      return b''
 
 
 def reload(path: str, config: node.NodeSettings, binding: node.Binding) -> None:
