--- a/tests/test_surplus_responses.py
+++ b/tests/test_surplus_responses.py
@@ -30,7 +30,9 @@
   """A server that sends bytes before, and after, the responses to requests.
 
   `before` has the bytes to send in the place of the response to each request,
-  which then follows; `after` those to send once its connection is idle.
+  which then follows; `before_later` those a moment after these.  `in_place_of`
+  has the bytes to send instead of a response, `after` those to send once the
+  connection is idle.
   `targets` lists the path and query of each request.
   `full` has the requests that it refuses, `anonymous` those whose response has
   no request id.  `sent` lists the requests it got, with the ports of their
@@ -39,6 +41,8 @@
 
   def __init__(self):
     self.before = {}
+    self.before_later = {}
+    self.in_place_of = {}
     self.after = {}
     self.full = set()
     self.anonymous = set()
@@ -61,6 +65,10 @@
     self.sent.append((id, writer.get_extra_info('peername')[1]))
     writer.write(self.before.get(id, b''))
     await asyncio.sleep(0.01)
+    writer.write(self.before_later.get(id, b''))
+    if id in self.in_place_of:
+      writer.write(self.in_place_of[id])
+      return
     sent_id = None if id in self.anonymous else id
     if id in self.full:
       writer.write(encode(FULL, id=sent_id, headers=NOT_RUN))
@@ -155,6 +163,30 @@
   assert len(set(engine.get_ports())) == 2
 
 
+# Guards against a second copy in the same packet as the response, which is read
+# before the connection is idle.
+async def test_connection_is_not_used_after_a_copy_in_the_same_packet():
+  engine = Engine()
+  copy = encode(OK, id='a', body=b'a')
+  engine.in_place_of['a'] = copy + copy
+  async with connect(engine) as send:
+    assert (await send('a'))[1] == 'a'
+    reply, body = await send('b')
+  assert (reply.status, body) == (200, 'b')
+  assert len(set(engine.get_ports())) == 2
+
+
+# Guards against a request whose answer is lost since a copy came in two parts.
+async def test_response_is_read_after_a_late_copy_in_parts():
+  engine = Engine()
+  copy = encode(OK, id='a', body=b'a' * 100)
+  engine.before['b'], engine.before_later['b'] = copy[:40], copy[40:]
+  async with connect(engine) as send:
+    await send('a')
+    reply, body = await send('b')
+  assert (reply.status, body) == (200, 'b')
+
+
 # Guards against requests that are refused for good by servers whose refusals
 # have no id, and against late copies of these, which nothing tells apart.
 async def test_refusal_without_an_id_counts_and_ends_its_connection():
