--- a/src/woadrun/connection/rows.py
+++ b/src/woadrun/connection/rows.py
@@ -134,7 +134,7 @@
   """Returns the name of the row of an id.
 
   It is the id itself unless that is too long, or contains a slash, by which the
-  numbers of pieces are set apart.
+  numbers of pieces are set apart; then it is a number sign and a digest.
   """
   if '/' in id or id.startswith('#') or len(id.encode()) > MAX_ID_BYTES:
     return f'#{hashlib.blake2b(id.encode(), digest_size=16).hexdigest()}'
--- a/src/woadrun/connection/turn_messages.py
+++ b/src/woadrun/connection/turn_messages.py
@@ -103,10 +103,10 @@
 
   `line` lists the ids of the preceding turns, oldest first; `history` is their
   input and output, and `instance` ran the last of them.  They are kept until
-  `kept_until`, in Unix time.  If `home` is set, the
-  turn was not admitted, only a daemon of that domain can admit it, and the
-  history is present only with `has_history`.  `cached_by_instance` estimates
-  how many tokens of the prompt each instance still has cached.
+  `kept_until`, in Unix time.  If `home` is set, the turn was not admitted, only
+  a daemon of that domain can admit it, and the history is present only with
+  `has_history`.  `cached_by_instance` estimates how many tokens of the prompt
+  each instance still has cached.
   """
 
   line: tuple[str, ...] = ()
--- a/tests/test_line_expiry.py
+++ b/tests/test_line_expiry.py
@@ -54,10 +54,10 @@
   return sum(key.table == table for key in kept.row_by_key)
 
 
-async def run_line(fleet, clock, name, ids, *, parent='', pause):
+async def run_line(fleet, clock, name, ids, *, pause, parent='', program='p'):
   """Runs turns one after another, with sweeps in between."""
   for id in ids:
-    await fleet.turn(name, id, parent=parent)
+    await fleet.turn(name, id, parent=parent, program=program)
     parent = id
     clock.advance(pause)
     await sweep_all(fleet.shared, now=time.time())
@@ -90,15 +90,13 @@
     await fleet.start('n1')
     await run_line(fleet, clock, 'n1', ['a', 'b'], pause=1.0)
     ids = [f't{number}' for number in range(6)]
-    parent = 'b'
-    for id in ids:
-      await fleet.turn('n1', id, parent=parent, program='other')
-      parent = id
-      clock.advance(0.9 * RETENTION)
-      await sweep_all(fleet.shared, now=time.time())
+    pause = 0.9 * RETENTION
+    await run_line(
+      fleet, clock, 'n1', ids, parent='b', program='other', pause=pause
+    )
     await fleet.stop('n1')
     await fleet.start('n2')
-    await fleet.turn('n2', 'last', parent=parent, program='third')
+    await fleet.turn('n2', 'last', parent=ids[-1], program='third')
     assert fleet.get_body('last') == make_history(['a', 'b', *ids]) + b'<last>'
 
 
