--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -9,6 +9,7 @@
 
 from woadrun import errors
 from woadrun.request import exchange
+from woadrun.request import fingerprints
 
 TRIES = 8
 MAX_ENDED = 3
@@ -291,6 +292,35 @@
     assert 'request_quarantined' not in codes
 
 
+# Guards against a suspect request that is refused for an instance which another
+# suspect request has ended beside it.
+async def test_a_suspect_request_is_not_sent_beside_another_one():
+  async with crashing_engines.make_fleet('n1') as fleet:
+    served = fleet.by_name['n1']
+    records = served.crash_guard.records
+    suspect = make_request('s', path='/act/', content=b'suspect')
+    fingerprint = fingerprints.get_fingerprint(
+      suspect, team=None, body=suspect.body
+    )
+
+    def mark(request):
+      records.lose(request, 'ended')
+      records.resolve('ended', is_ended=True)
+
+    async def send_suspect(number):
+      mark(fingerprint)
+      request = dataclasses.replace(suspect, id=f's{number}')
+      assert await send(fleet, 'n1', request) == 200
+      return fleet.engines.sent[-1].instance.incarnation_id
+
+    # The instance that would be chosen is busy with another suspect request.
+    for number in range(10):
+      usual = await send_suspect(f'{number}-alone')
+      mark(f'other {number}')
+      with records.run(f'other {number}', usual):
+        assert await send_suspect(number) != usual
+
+
 async def test_a_request_without_an_attempt_left_fails_without_a_wait():
   async with crashing_engines.make_fleet('n1') as fleet:
     assert await send_once(fleet, 'n1', 'r', path='/look/') == 'outcome_unknown'
