Count announcements of changes only in the test of followers

Traced: the test counted every heartbeat, also the periodic ones, so that it failed where a tick fell between its change and its check; and it kept heartbeats from being sent, so that after a second every daemon follows the store. The heartbeats are sent now, and those that a change caused are told by their caller. As strict: each daemon that announces must follow the table at that moment, and those that follow must announce. With the condition on hubs left out of feed_sync it fails, as it should; the test of hubs no longer passes by a periodic heartbeat.

--- a/tests/test_feed_sync.py
+++ b/tests/test_feed_sync.py
@@ -3,6 +3,7 @@
 import dataclasses
 import json
 import math
+import sys
 import time
 
 import msgspec
@@ -124,12 +125,32 @@
 
 
 def record_announcements(fleet):
-  """Returns a list to which daemons that announce a change add their names."""
+  """Returns a list of the daemons that announce a change, by name.
+
+  With each name goes whether the daemon follows the table in the store at that
+  moment.  Heartbeats are sent as usual, and those that no change of a table
+  caused are not recorded.
+  """
   found = []
+
+  def watch(name, item):
+    send = item.fleet.send_heartbeats
+
+    def record(table):
+      found.append((name, item.feeds.should_follow(table)))
+
+    def send_heartbeats():
+      caller = sys._getframe(1).f_globals['__name__']
+      if caller == feed_sync.__name__:
+        record('servers')
+      send()
+
+    item.fleet.send_heartbeats = send_heartbeats
+    for table, each in item.feeds._feed_by_table.items():
+      each.on_change = lambda _table=table: record(_table)
+
   for name, item in fleet.by_name.items():
-    for each in item.feeds._feed_by_table.values():
-      each.on_change = lambda _name=name: found.append(_name)
-    item.fleet.send_heartbeats = lambda _name=name: found.append(_name)
+    watch(name, item)
   return found
 
 
@@ -150,7 +171,8 @@
     item = other.feeds._feed_by_table['servers']
     await other.feeds._fetch(item, source.fleet.me)
     assert 'e4' in other.catalogue.directory.by_id
-    assert set(found) <= leaders
+    assert leaders <= {name for name, _ in found}
+    assert all(is_follower for _, is_follower in found)
 
 
 async def test_a_hub_announces_changes_learned_from_a_peer_to_its_domain():
@@ -168,7 +190,7 @@
     await nodes.wait_until(lambda: leaders <= set(find_knowing(fleet, 'e5')))
     item = hub.feeds._feed_by_table['servers']
     await hub.feeds._fetch(item, source.fleet.me)
-    assert hub.config.name in found
+    assert hub.config.name in {name for name, _ in found}
 
 
 def make_feed(listed):
