Known red: instances that end without a lost connection of a listed one

Callers saw a request that had ended three instances sent on.

A lost connection that does not count, and an attempt that was given up, now have a log line with the fingerprint, which tells the hypotheses of docs/incidents/crashing-requests-again.md apart.

--- a/src/woadrun/request/crash_guard.py
+++ b/src/woadrun/request/crash_guard.py
@@ -170,6 +170,7 @@
       if not self._is_draining(instance):
         self._instance_by_id[id] = instance
         self.records.abandon(sending.fingerprint, id)
+        _log_attempt(sending, 'given up, which may have ended it')
     elif (
       isinstance(error, exchange.ResponseLost)
       # An instance that is no longer listed may end as planned.
@@ -180,6 +181,9 @@
       self.records.lose(sending.fingerprint, id)
       if not self.records.has_ended(id):
         self._start_probe(instance)
+    elif isinstance(error, exchange.ResponseLost):
+      state = 'draining' if self._is_draining(instance) else 'not listed'
+      _log_attempt(sending, f'lost, not counted: the instance is {state}')
 
   def record_overdue(self, sending: exchange.RequestAttempt) -> None:
     """Records that a caller gave up on an instance that was silent."""
@@ -299,6 +303,17 @@
       probe.cancel()
 
 
+def _log_attempt(sending: exchange.RequestAttempt, outcome: str) -> None:
+  log.info(
+    'Request %s (fingerprint %s) at instance %s: %s.',
+    sending.request.id,
+    fingerprints.shorten(sending.fingerprint),
+    sending.instance.incarnation_id,
+    outcome,
+    extra=sending.request.fields,
+  )
+
+
 def make_undecided(fingerprint: str) -> errors.WoadrunError:
   """Returns the error for a request that waits for others in vain."""
   return errors.WoadrunError(
--- a/tests/crashing_engines.py
+++ b/tests/crashing_engines.py
@@ -23,15 +23,27 @@
   request resets its connection and the instance lives on.  With `is_silent`, an
   instance that ends resets nothing: its connections stay silent.  With
   `refuses_probes` all instances refuse probes.
+  With `leaves` an instance first changes its entry, and ends `leave_seconds`
+  later: the entry is `removed` or tells that it is `draining`.
   `ended_by_body` lists the instances that ended under each body, marked or not.
   """
 
-  def __init__(self, *, entry_seconds=0.0, loses_connections=False):
+  def __init__(
+    self,
+    *,
+    entry_seconds=0.0,
+    loses_connections=False,
+    leaves='',
+    leave_seconds=0.3,
+    is_silent=False,
+  ):
     super().__init__()
+    self.leaves = leaves
+    self.leave_seconds = leave_seconds
     self.entry_seconds = entry_seconds
     self.loses_connections = loses_connections
     self.has_head = False
-    self.is_silent = False
+    self.is_silent = is_silent
     self.refuses_probes = False
     self.seconds = 0.02
     self.ended = []
@@ -81,6 +93,9 @@
       return
     if self.loses_connections:
       raise exchange.ResponseLost('connection reset by peer')
+    if self.leaves:
+      await self._leave(sending.instance)
+      await asyncio.wait({lost}, timeout=self.leave_seconds)
     self.end(sending.instance)
     if self.is_silent:
       await asyncio.Event().wait()
@@ -114,6 +129,17 @@
       writes=[(rows.Key('servers', '', name), msgspec.json.encode(entry))]
     )
 
+  async def _leave(self, instance):
+    """Changes the entry of an instance that goes on for a while."""
+    key = rows.Key('servers', '', instance.id)
+    if self.leaves == 'removed':
+      await self.shared.change(removes=[key])
+      return
+    entry = nodes.make_entry(
+      service=instance.service, zone=instance.domain, state='draining'
+    )
+    await self.shared.change(writes=[(key, msgspec.json.encode(entry))])
+
   async def _replace(self, instance):
     await self.add(instance.service, domain=instance.domain)
     await asyncio.sleep(self.entry_seconds)
