Count ends that no lost connection of a listed instance shows

Callers saw a request sent on after three instances had ended under it, until N had. Three causes of one class (the end is looked for only where somebody waits, or where the list has the instance):

- An attempt that its caller gave up counted nowhere until the entry of its instance had gone; the first one was not even reported.
Each attempt without an outcome counts as one that may end its instance now; the instance is probed once the request is sent again, by whichever daemon sends it.
A silent address keeps counting, one that answers does not.
- A lost connection did not count if the entry was gone or draining.
It does now, unless the instance departed as long ago as a planned end takes (drain_ms).
An entry that goes makes the daemon probe the instance, and a listed one is no longer taken for alive after 15 s: bytes tell that.
- Ends were held against all requests of an instance alike.
Those under a request that is refused are not held against its neighbours; a request that ends the same instances and no others is refused with it.

A refused request is tried again after an hour in place of a minute, which ended one more instance a minute.

--- a/src/woadrun/connection/attempt_reports.py
+++ b/src/woadrun/connection/attempt_reports.py
@@ -12,8 +12,9 @@
 
   CLAIMED: a daemon is about to send the request to an instance.  RUNNING: the
   instance runs the request.  NOT_RUN: it does not run it after all.  ABANDONED:
-  the daemon gave up waiting, and the instance may still run it.  LOST: the
-  connection was lost, and it is not known yet whether the instance ended.
+  the daemon gave up waiting, and the instance, which lives on as far as is
+  known, may still run it.  LOST: the connection was lost or given up, and it is
+  not known yet whether the instance ended.
   ENDED: the instance ended while it ran the request.  SURVIVED: the instance
   runs on.  COMPLETE: the response was received completely, which also clears
   the request of attempts before.
--- a/src/woadrun/decisions/crash_limit.py
+++ b/src/woadrun/decisions/crash_limit.py
@@ -15,7 +15,7 @@
 MAX_ENDED_INSTANCES = 3
 # Time after which one more instance may run a request under which
 # MAX_ENDED_INSTANCES ended: what made it end them may have been corrected.
-QUARANTINE_SECONDS = 60.0
+QUARANTINE_SECONDS = 3600.0
 
 
 class Verdict(enum.Enum):
@@ -43,9 +43,10 @@
 def decide(*, ended: int, lost: int, running: int) -> Verdict:
   """Returns the verdict on a request.
 
-  `ended` counts the instances that ended under it, `lost` those to which a
-  connection was lost and which may have ended, and `running` those that are
-  running it.  While no connection was lost, any number may run it.
+  `ended` counts the instances that ended under it, `lost` those that may have
+  ended, since a connection was lost or nobody waits for them any more, and
+  `running` those that may still run it.  While nothing was lost, any number may
+  run it.
   """
   if ended >= MAX_ENDED_INSTANCES:
     return Verdict.REFUSE
--- a/src/woadrun/platform/upstream.py
+++ b/src/woadrun/platform/upstream.py
@@ -31,6 +31,7 @@
 # Time for a probe of an instance.  A process that has ended, or another one at
 # its address, answers within a round trip.
 PROBE_TIMEOUT_SECONDS = 0.5
+PROBE_CONNECT_TIMEOUT_SECONDS = 0.4
 # Headers that the client library would otherwise add by itself.
 _SKIPPED_AUTO_HEADERS = (
   'Accept',
@@ -149,12 +150,12 @@
     """Returns whether an instance still runs, over a connection of its own.
 
     A refused connection tells that it has ended, and so does another instance
-    at its address.
+    at its address.  A connection that opens tells that its VM is not silent.
     """
     try:
       if not health_path:
         await self._probe_connection(instance.address)
-        return exchange.Liveness.UNKNOWN
+        return exchange.Liveness.REACHABLE
       return await self._probe_health(instance, health_path)
     except ConnectionRefusedError:
       return exchange.Liveness.ENDED
@@ -163,8 +164,14 @@
       return (
         exchange.Liveness.ENDED if is_refused else exchange.Liveness.UNKNOWN
       )
-    except (aiohttp.ClientError, TimeoutError, OSError):
+    except aiohttp.ConnectionTimeoutError:
       return exchange.Liveness.UNKNOWN
+    except (aiohttp.ClientError, TimeoutError, OSError):
+      return (
+        exchange.Liveness.REACHABLE
+        if health_path
+        else exchange.Liveness.UNKNOWN
+      )
 
   async def _probe_connection(self, address: str) -> None:
     """Opens a connection to IP:PORT and closes it."""
@@ -186,7 +193,9 @@
       headers=wire.encode_probe_headers(instance),
       skip_auto_headers=_SKIPPED_AUTO_HEADERS,
       allow_redirects=False,
-      timeout=aiohttp.ClientTimeout(total=PROBE_TIMEOUT_SECONDS),
+      timeout=aiohttp.ClientTimeout(
+        total=PROBE_TIMEOUT_SECONDS, sock_connect=PROBE_CONNECT_TIMEOUT_SECONDS
+      ),
     ) as response:
       is_own = wire.is_from(instance, response.status, response.headers)
     return exchange.Liveness.ALIVE if is_own else exchange.Liveness.ENDED
--- a/src/woadrun/process/load/crash_records.py
+++ b/src/woadrun/process/load/crash_records.py
@@ -37,16 +37,25 @@
 # Time for which an attempt counts as running, or as possibly ended, without
 # news: its daemon may have ended itself.
 RUNNING_TTL_SECONDS = 6.0
-LOST_TTL_SECONDS = 1.5
+LOST_TTL_SECONDS = 60.0
+# Time for which an instance that lives on may still run a request that its
+# caller gave up.
+GIVEN_UP_TTL_SECONDS = 1.5
 # Time for which a daemon that announced an attempt counts as running it.
 CLAIM_TTL_SECONDS = 0.3
 # Time within which the list of instances shows that an instance has ended whose
 # connections tell nothing.
-ABANDONED_TTL_SECONDS = 10.0
+ABANDONED_TTL_SECONDS = 60.0
 # Maximum number of instances that are known to have ended.
 MAX_ENDED_INSTANCES = 1024
 # Reports are at most this much older than their age says.
 REPORT_DELAY_SECONDS = 0.2
+# Time for which bytes that were received before may still be delivered.
+DELIVERY_SECONDS = 0.05
+# Age up to which the end of an instance is reported from time to time.
+MAX_REFRESHED_AGE_SECONDS = 180.0
+# Maximum number of requests of which a daemon that has started is told.
+MAX_TOLD_RECORDS = 1024
 
 State = attempt_reports.State
 
@@ -54,6 +63,16 @@
 HARMLESS_STATES = frozenset(
   (State.NOT_RUN, State.ABANDONED, State.SURVIVED, State.COMPLETE)
 )
+# The order of states: of two reports on an attempt the later state is newer.
+STATE_ORDER = (
+  State.RUNNING,
+  State.NOT_RUN,
+  State.LOST,
+  State.ABANDONED,
+  State.ENDED,
+  State.SURVIVED,
+  State.COMPLETE,
+)
 # States of attempts whose instance may end or may have ended.
 OPEN_STATES = frozenset((State.RUNNING, State.ABANDONED, State.LOST))
 
@@ -71,7 +90,8 @@
   """The attempts of a request by instance; `complete_at` is the last success.
 
   Attempts before the last success are not kept.  `claimed_at_by_daemon` has the
-  times at which daemons announced an attempt.
+  times at which daemons announced an attempt.  `is_refused` is set once enough
+  instances ended.
   """
 
   attempt_by_instance: dict[str, _Attempt] = dataclasses.field(
@@ -81,6 +101,7 @@
   claimed_at_by_daemon: dict[str, float] = dataclasses.field(
     default_factory=dict
   )
+  is_refused: bool = False
 
   def find(self, state: State, *, since: float = -math.inf) -> list[str]:
     """Returns the instances whose attempt entered a state since a time."""
@@ -117,6 +138,10 @@
     self._running: dict[str, collections.Counter[str]] = {}
     # Those of them that it announced, as request and instance.
     self._announced: set[tuple[str, str]] = set()
+    # The requests whose connection this daemon lost, without an outcome yet.
+    self._disconnected_by_instance: dict[str, set[str]] = {}
+    # The refused requests, by each instance that ended under them.
+    self._refused_by_instance: dict[str, set[str]] = {}
 
   def __len__(self) -> int:
     return len(self._record_by_fingerprint)
@@ -130,11 +155,12 @@
       return crash_limit.Verdict.RUN
     now = time.monotonic()
     running = record.find(State.RUNNING, since=now - RUNNING_TTL_SECONDS)
+    given_up = record.find(State.ABANDONED, since=now - GIVEN_UP_TTL_SECONDS)
     claims = self._count_claims(record, fingerprint, now)
     return crash_limit.decide(
-      ended=self._count_ended(record, now),
+      ended=self._count_ended(fingerprint, record, now),
       lost=len(record.find(State.LOST, since=now - LOST_TTL_SECONDS)),
-      running=len(running) + claims,
+      running=len(running) + len(given_up) + claims,
     )
 
   def _count_claims(self, record: _Record, fingerprint: str, now: float) -> int:
@@ -186,7 +212,7 @@
       return False
     now = time.monotonic()
     is_lost = record.find(State.LOST, since=now - LOST_TTL_SECONDS)
-    return bool(is_lost) or self._count_ended(record, now) > 0
+    return bool(is_lost) or self._count_ended(fingerprint, record, now) > 0
 
   def find_avoided(self, fingerprint: str) -> set[str]:
     """Returns the instances that a suspect request should not be sent to.
@@ -209,7 +235,7 @@
     record = self._record_by_fingerprint.get(fingerprint)
     return (
       record is not None
-      and self._count_ended(record, time.monotonic())
+      and self._count_ended(fingerprint, record, time.monotonic())
       == crash_limit.MAX_ENDED_INSTANCES - 1
     )
 
@@ -222,17 +248,66 @@
     """Returns the number of requests that are refused."""
     now = time.monotonic()
     return sum(
-      self._count_ended(record, now) >= crash_limit.MAX_ENDED_INSTANCES
-      for record in self._record_by_fingerprint.values()
+      self._count_ended(fingerprint, record, now)
+      >= crash_limit.MAX_ENDED_INSTANCES
+      for fingerprint, record in self._record_by_fingerprint.items()
     )
 
-  def _count_ended(self, record: _Record, now: float) -> int:
-    ended = record.find(State.ENDED)
+  def _count_ended(self, fingerprint: str, record: _Record, now: float) -> int:
+    ended = [
+      id
+      for id in record.find(State.ENDED)
+      if not self._is_explained(fingerprint, record, id)
+    ]
     if not ended:
       return 0
     last_at = max(record.attempt_by_instance[id].at for id in ended)
     return crash_limit.count_ended(len(ended), seconds=now - last_at)
 
+  def _is_explained(self, fingerprint: str, record: _Record, id: str) -> bool:
+    """Returns whether the end of an instance is put down to another request.
+
+    That is one that is refused, and under which an instance ended that did not
+    run this request.  Of two that are refused it is the one under which all the
+    same instances ended, and more; otherwise both are.
+    """
+    own = set(record.find(State.ENDED))
+    for other in self._refused_by_instance.get(id, ()):
+      found = self._record_by_fingerprint.get(other)
+      if other == fingerprint or found is None:
+        continue
+      others = set(found.find(State.ENDED))
+      if others > own or (others - own and not record.is_refused):
+        return True
+    return False
+
+  def _record_refusals(self, fingerprints: Iterable[str]) -> None:
+    """Notes which requests are refused from now on.
+
+    Those that reach the limit by the same end are judged by the same records.
+    """
+    now = time.monotonic()
+    found = [
+      (fingerprint, record)
+      for fingerprint in fingerprints
+      if (record := self._record_by_fingerprint.get(fingerprint)) is not None
+      and (
+        record.is_refused
+        or self._count_ended(fingerprint, record, now)
+        >= crash_limit.MAX_ENDED_INSTANCES
+      )
+    ]
+    for fingerprint, record in found:
+      record.is_refused = True
+      for id in record.find(State.ENDED):
+        self._refused_by_instance.setdefault(id, set()).add(fingerprint)
+
+  def _forget_refusal(self, fingerprint: str) -> None:
+    for id, refused in list(self._refused_by_instance.items()):
+      refused.discard(fingerprint)
+      if not refused:
+        del self._refused_by_instance[id]
+
   # --- Attempts of this daemon ----------------------------------------------
 
   @contextlib.contextmanager
@@ -277,10 +352,16 @@
 
   def _get_state(self, fingerprint: str, incarnation_id: str) -> State | None:
     """Returns the state of an attempt, or None if it has no record."""
+    attempt = self._get_attempt(fingerprint, incarnation_id)
+    return None if attempt is None else attempt.state
+
+  def _get_attempt(
+    self, fingerprint: str, incarnation_id: str
+  ) -> _Attempt | None:
     record = self._record_by_fingerprint.get(fingerprint)
-    if record is None or incarnation_id not in record.attempt_by_instance:
+    if record is None:
       return None
-    return record.attempt_by_instance[incarnation_id].state
+    return record.attempt_by_instance.get(incarnation_id)
 
   def complete(self, fingerprint: str, incarnation_id: str) -> None:
     """Records that a complete response arrived."""
@@ -309,9 +390,26 @@
 
   def lose(self, fingerprint: str, incarnation_id: str) -> None:
     """Records that the connection of an attempt was lost."""
+    if not self.has_ended(incarnation_id):
+      self._disconnected_by_instance.setdefault(incarnation_id, set()).add(
+        fingerprint
+      )
+    self._set_open(fingerprint, incarnation_id)
+
+  def orphan(self, fingerprint: str, incarnation_id: str) -> None:
+    """Records that nobody waits for an attempt that has no outcome.
+
+    Its instance may still end, and counts like one whose connection was lost.
+    """
+    if self._get_state(fingerprint, incarnation_id) is not State.ENDED:
+      self._set_open(fingerprint, incarnation_id)
+
+  def _set_open(self, fingerprint: str, incarnation_id: str) -> None:
     is_ended = self.has_ended(incarnation_id)
     state = State.ENDED if is_ended else State.LOST
     self._set(fingerprint, incarnation_id, state)
+    if is_ended:
+      self._record_refusals([fingerprint])
 
   def has_ended(self, incarnation_id: str) -> bool:
     """Returns whether an instance is known to have ended."""
@@ -329,6 +427,37 @@
       if attempt is not None and attempt.state is State.LOST:
         self._set(fingerprint, incarnation_id, State.ABANDONED)
 
+  def doubt(self, incarnation_id: str) -> None:
+    """Records that an instance which lived on has gone silent."""
+    since = time.monotonic() - ABANDONED_TTL_SECONDS
+    for fingerprint, record in list(self._record_by_fingerprint.items()):
+      if incarnation_id in record.find(State.ABANDONED, since=since):
+        self._set(fingerprint, incarnation_id, State.LOST)
+
+  def find_open_attempts(self, fingerprint: str) -> list[str]:
+    """Returns the instances that may have ended, or may end, under a request.
+
+    Without those that this daemon is waiting for, or has probed in vain.
+    """
+    record = self._record_by_fingerprint.get(fingerprint)
+    if record is None:
+      return []
+    since = time.monotonic() - ABANDONED_TTL_SECONDS
+    running = self._running.get(fingerprint, collections.Counter())
+    return [
+      id
+      for id, attempt in record.attempt_by_instance.items()
+      if attempt.state in OPEN_STATES
+      and attempt.at > since
+      and id not in running
+      and not self._is_probed(fingerprint, id, attempt)
+    ]
+
+  def _is_probed(self, fingerprint: str, id: str, attempt: _Attempt) -> bool:
+    """Returns whether a lost connection was probed without a result."""
+    requests = self._disconnected_by_instance.get(id, ())
+    return attempt.state is State.ABANDONED and fingerprint in requests
+
   def find_open(self) -> set[str]:
     """Returns the instances of which it is not known whether they ended."""
     now = time.monotonic()
@@ -348,21 +477,55 @@
     That is the state of the attempts whose outcome was not known, of those that
     failed before a time.
     """
-    state = State.ENDED if is_ended else State.SURVIVED
     found = [
       fingerprint
       for fingerprint, record in self._record_by_fingerprint.items()
       if self._is_open(record, incarnation_id)
       and (attempt := record.attempt_by_instance[incarnation_id]).at <= before
       # What another daemon runs there goes on as long as the instance does.
-      and (is_ended or attempt.state is not State.RUNNING)
+      and (is_ended or attempt.state is State.LOST)
     ]
     if is_ended:
       self._record_end(incarnation_id, time.monotonic())
     for fingerprint in found:
+      is_over = self._take_disconnected(fingerprint, incarnation_id)
+      state = State.ENDED
+      if not is_ended:
+        # An instance that lives on may still run what its caller gave up.
+        state = State.SURVIVED if is_over else State.ABANDONED
       self._set(fingerprint, incarnation_id, state)
+    if is_ended:
+      self._record_refusals(found)
     return found
 
+  def excuse(self, incarnation_id: str) -> None:
+    """Records that an instance ended as planned, under no request."""
+    for fingerprint, record in list(self._record_by_fingerprint.items()):
+      if self._is_open(record, incarnation_id):
+        self._take_disconnected(fingerprint, incarnation_id)
+        self._set(fingerprint, incarnation_id, State.SURVIVED)
+
+  def _take_disconnected(self, fingerprint: str, incarnation_id: str) -> bool:
+    """Returns whether a lost connection had no outcome; it has one now."""
+    found = self._disconnected_by_instance.get(incarnation_id, set())
+    if fingerprint not in found:
+      return False
+    found.discard(fingerprint)
+    if not found:
+      del self._disconnected_by_instance[incarnation_id]
+    return True
+
+  def _record_survival(self, incarnation_id: str) -> None:
+    """Records that an instance has outlived the connections that it lost."""
+    limit = time.monotonic() - DELIVERY_SECONDS
+    for fingerprint in list(self._disconnected_by_instance[incarnation_id]):
+      attempt = self._get_attempt(fingerprint, incarnation_id)
+      if attempt is None or attempt.state not in (State.LOST, State.ABANDONED):
+        self._take_disconnected(fingerprint, incarnation_id)
+      elif attempt.at < limit:
+        self._take_disconnected(fingerprint, incarnation_id)
+        self._set(fingerprint, incarnation_id, State.SURVIVED)
+
   def is_lost(self, incarnation_id: str) -> bool:
     """Returns whether an instance may have ended with a request."""
     return any(
@@ -382,8 +545,11 @@
   def record_bytes(self, incarnation_id: str) -> None:
     """Records that a part of a response has arrived from an instance.
 
-    One that arrives a while after the end of the instance refutes it.
+    One that arrives a while after the end of the instance refutes it, and one
+    that arrives after a lost connection shows that only that was lost.
     """
+    if incarnation_id in self._disconnected_by_instance:
+      self._record_survival(incarnation_id)
     ended_at = self._ended_at_by_instance.get(incarnation_id)
     if ended_at is None:
       return
@@ -457,7 +623,14 @@
       candidates,
       key=lambda item: len(self._record_by_fingerprint[item].find(State.ENDED)),
     )
-    del self._record_by_fingerprint[chosen]
+    self._drop(chosen)
+
+  def _drop(self, fingerprint: str) -> None:
+    record = self._record_by_fingerprint.pop(fingerprint)
+    for id in record.attempt_by_instance:
+      self._take_disconnected(fingerprint, id)
+    if record.is_refused:
+      self._forget_refusal(fingerprint)
 
   def _apply(
     self,
@@ -479,6 +652,9 @@
       return
     was_ended = len(record.find(State.ENDED))
     if state is State.COMPLETE:
+      if record.is_refused:
+        record.is_refused = False
+        self._forget_refusal(fingerprint)
       record.complete_at = at
       record.attempt_by_instance = {
         id: attempt for id, attempt in attempts.items() if attempt.at > at
@@ -517,11 +693,15 @@
   ) -> list[attempt_reports.AttemptReport]:
     """Adds the reports of another daemon; returns those that are news."""
     now = time.monotonic()
-    return [
+    news = [
       report
       for report in reports
       if self._apply_report(report, now - max(0.0, report.age))
     ]
+    self._record_refusals(
+      {item.fingerprint for item in news if item.state is State.ENDED}
+    )
+    return news
 
   def _apply_report(
     self, report: attempt_reports.AttemptReport, at: float
@@ -559,7 +739,7 @@
     found: list[attempt_reports.AttemptReport] = []
     for fingerprint in list(self._record_by_fingerprint):
       record = self._record_by_fingerprint[fingerprint]
-      ended = record.find(State.ENDED)
+      ended = record.find(State.ENDED, since=now - MAX_REFRESHED_AGE_SECONDS)
       if not ended:
         continue
       if found and len(found) + len(ended) > limit:
@@ -578,6 +758,23 @@
       )
     return found
 
+  def list_reports(self) -> list[attempt_reports.AttemptReport]:
+    """Returns what a daemon that has just started should know.
+
+    Ends come first: other states are news only of a request that is known.
+    """
+    now = time.monotonic()
+    newest = list(self._record_by_fingerprint.items())[-MAX_TOLD_RECORDS:]
+    found = [
+      attempt_reports.AttemptReport(
+        fingerprint, id, attempt.state, round(now - attempt.at, 3)
+      )
+      for fingerprint, record in newest
+      for id, attempt in record.attempt_by_instance.items()
+      if attempt.state is State.ENDED or attempt.state in OPEN_STATES
+    ]
+    return sorted(found, key=lambda report: report.state is not State.ENDED)
+
   def drop_expired(self) -> None:
     """Drops the records that no longer count."""
     now = time.monotonic()
@@ -591,8 +788,19 @@
         default=record.complete_at,
       )
       is_recent = now - newest < ABANDONED_TTL_SECONDS
-      if not is_recent and not self._count_ended(record, now):
-        del self._record_by_fingerprint[fingerprint]
+      if not is_recent and not _counts(record, now):
+        self._drop(fingerprint)
+    for id, requests in list(self._disconnected_by_instance.items()):
+      for fingerprint in list(requests):
+        if self._get_attempt(fingerprint, id) is None:
+          self._take_disconnected(fingerprint, id)
+
+
+def _counts(record: _Record, now: float) -> bool:
+  """Returns whether an end still counts, whichever request it is due to."""
+  ended = record.find(State.ENDED)
+  at = max((record.attempt_by_instance[id].at for id in ended), default=now)
+  return crash_limit.count_ended(len(ended), seconds=now - at) > 0
 
 
 def _is_news(
@@ -621,7 +829,8 @@
     return report.state is State.SURVIVED
   if report.state is State.NOT_RUN:
     return known.state is State.RUNNING
-  return report.state > known.state or at > known.at + REPORT_DELAY_SECONDS
+  is_later = STATE_ORDER.index(report.state) > STATE_ORDER.index(known.state)
+  return is_later or at > known.at + REPORT_DELAY_SECONDS
 
 
 def _get_rank(fingerprint: str, name: str) -> bytes:
--- a/src/woadrun/process/node.py
+++ b/src/woadrun/process/node.py
@@ -81,6 +81,8 @@
 # balancer checks readiness every second and removes a daemon after two failed
 # checks.
 DRAIN_DELAY_SECONDS = 2.5
+# Time for which instances drain unless the settings tell another one.
+DEFAULT_DRAIN_SECONDS = 2.0
 # Margin between the end of a planned stop and the moment at which the platform
 # kills the process.
 KILL_MARGIN_SECONDS = 0.3
@@ -120,6 +122,7 @@
   store_address: str
   row_bytes: int
   grace: float
+  drain: float = DEFAULT_DRAIN_SECONDS
   revocation: float | None = None
   memory_mb: float | None = None
 
@@ -245,7 +248,8 @@
       on_ended=self.loads.record_ended,
     )
     self.crash_reports = crash_reports.CrashReports(
-      members=self.fleet, records=crashes
+      members=self.fleet,
+      records=crashes,
     )
     self.crash_guard = crash_guard.CrashGuard(
       records=crashes,
@@ -253,6 +257,7 @@
       catalogue=self.catalogue,
       counters=self.counters,
       is_domain_silent=self.fleet.is_domain_silent,
+      drain=config.drain,
     )
     access = authorization.Authorization(catalogue=self.catalogue)
     self.rate_owner = rate_owner.RateOwner(
--- a/src/woadrun/request/attempts.py
+++ b/src/woadrun/request/attempts.py
@@ -431,7 +431,7 @@
     except BaseException as error:
       beside = self._loads.get_running().get(id, 1) - 1
       # Before the context ends, in which the request counts as running.
-      self._record_crash_risk(sending, error, silent_since=started_at)
+      self._guard.record_error(sending, error)
       await stack.aclose()
       self._record_failure(sending, error, started_at, beside)
       raise
@@ -480,7 +480,6 @@
     Raises `ResponseLost` in that case.
     """
     id = sending.instance.incarnation_id
-    received_at = time.monotonic()
     try:
       async with contextlib.aclosing(chunks):
         async for chunk in chunks:
@@ -488,16 +487,12 @@
             reply.event_reader.feed(chunk)
           self._guard.record_bytes(sending)
           yield chunk
-          received_at = time.monotonic()
       self._log_end(sending, reply)
       if reply.event_reader is not None:
         _check_complete(reply.event_reader, reply)
       self._guard.record_complete(sending, reply)
-    except (GeneratorExit, asyncio.CancelledError) as error:
-      self._record_crash_risk(sending, error, silent_since=received_at)
-      raise
     except exchange.ResponseLost as error:
-      self._record_crash_risk(sending, error, silent_since=received_at)
+      self._guard.record_error(sending, error)
       result.is_failure = True
       self._loads.health.record_failure(id)
       beside = self._loads.get_running().get(id, 1) - 1
@@ -605,24 +600,6 @@
         instance.incarnation_id, health.TIMEOUT_WEIGHT
       )
 
-  def _record_crash_risk(
-    self,
-    sending: exchange.RequestAttempt,
-    error: BaseException,
-    *,
-    silent_since: float,
-  ) -> None:
-    """Records that an attempt failed whose instance may have ended.
-
-    A caller that gave up on a silent instance counts as well.
-    """
-    is_given_up = isinstance(error, (GeneratorExit, asyncio.CancelledError))
-    silent_seconds = time.monotonic() - silent_since
-    if not is_given_up:
-      self._guard.record_error(sending, error)
-    elif silent_seconds > sending.silence_seconds:
-      self._guard.record_overdue(sending)
-
   def _log_lost(
     self,
     sending: exchange.RequestAttempt,
--- a/src/woadrun/request/crash_guard.py
+++ b/src/woadrun/request/crash_guard.py
@@ -2,14 +2,16 @@
 
 A lost connection does not tell whether the instance has ended: the instance is
 probed over a new connection, and until the outcome is known the request counts
-as one that may have ended it.  The list of instances shows later what a probe
-cannot tell.
+as one that may have ended it.  So does one that nobody waits for any more; its
+instance is probed once the request is sent again.  The list of instances shows
+later what a probe cannot tell.
 """
 
 from __future__ import annotations
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterator
 import contextlib
 import logging
 import math
@@ -45,9 +47,9 @@
 SETTLE_SECONDS = 0.01
 # Interval between two comparisons with the list of instances.
 CHECK_INTERVAL_SECONDS = 0.25
-# An instance that is listed for longer than this after its end has not ended:
-# its entry would have expired.
-MAX_LISTED_SECONDS = 15.0
+# An instance that ends as planned may end this much sooner after its departure
+# was noticed here than after it departed.
+DEPARTURE_DELAY_SECONDS = 0.25
 
 
 class CrashGuard(mode.Service):
@@ -55,6 +57,9 @@
 
   `is_domain_silent` returns whether a failure domain is cut off from this
   daemon, which cannot tell then whether an instance there has ended.
+  `is_informed` returns whether this daemon knows what the others recorded
+  before it started.  `drain` is the time in seconds for which an instance that
+  ends as planned goes on after it departed.
   """
 
   def __init__(
@@ -65,6 +70,8 @@
     catalogue: catalogue.Catalogue,
     counters: counters.Counters,
     is_domain_silent: Callable[[str], bool],
+    drain: float,
+    is_informed: Callable[[], bool] = lambda: True,
   ) -> None:
     super().__init__()
     self.records = records
@@ -72,9 +79,15 @@
     self._catalogue = catalogue
     self._counters = counters
     self._is_domain_silent = is_domain_silent
+    self._drain = drain
+    self._is_informed = is_informed
+    # The attempts without an outcome yet, by `id()`.
+    self._unfinished: set[int] = set()
     # The instances whose end is not known, with the probe of each.
     self._probe_by_id: dict[str, asyncio.Task[None]] = {}
     self._instance_by_id: dict[str, instances.Instance] = {}
+    # Those of them that were probed since they left the list.
+    self._unlisted_ids: set[str] = set()
 
   # --- Requests -------------------------------------------------------------
 
@@ -92,6 +105,8 @@
     that is not known in time.
     """
     until = min(deadline, time.monotonic() + MAX_WAIT_SECONDS)
+    while not self._is_informed() and time.monotonic() < until:
+      await asyncio.sleep(PROBE_POLL_SECONDS)
     while not await self._may_run(fingerprint, service):
       if time.monotonic() >= until:
         raise make_undecided(fingerprint)
@@ -100,7 +115,10 @@
   async def _may_run(self, fingerprint: str, service: str) -> bool:
     """Returns whether a request may be sent to an instance now."""
     until = time.monotonic() + CLAIM_SECONDS
-    while self.records.is_unresolved(fingerprint) and time.monotonic() < until:
+    probed = self._probe_open_attempts(fingerprint)
+    while (
+      self.records.is_unresolved(fingerprint) or probed & set(self._probe_by_id)
+    ) and time.monotonic() < until:
       # A probe mostly tells at once that only a connection was lost.
       await asyncio.sleep(PROBE_POLL_SECONDS)
     verdict = self._judge(fingerprint, service)
@@ -126,13 +144,21 @@
       raise _make_quarantined(fingerprint, self.records.find_ended(fingerprint))
     return verdict
 
-  def run(
-    self, sending: exchange.RequestAttempt
-  ) -> contextlib.AbstractContextManager[None]:
-    """Returns a context in which an instance runs a request."""
-    return self.records.run(
-      sending.fingerprint, sending.instance.incarnation_id
-    )
+  @contextlib.contextmanager
+  def run(self, sending: exchange.RequestAttempt) -> Iterator[None]:
+    """Returns a context in which an instance runs a request.
+
+    If it is left without an outcome, nobody waits for the response any more.
+    """
+    key = id(sending)
+    self._unfinished.add(key)
+    incarnation_id = sending.instance.incarnation_id
+    with self.records.run(sending.fingerprint, incarnation_id):
+      try:
+        yield
+      finally:
+        if key in self._unfinished:
+          self.record_error(sending, exchange.ResponseOverdue())
 
   def record_reply(
     self, sending: exchange.RequestAttempt, reply: exchange.Reply
@@ -140,6 +166,7 @@
     """Records that the response of an instance to an attempt has begun."""
     self.record_bytes(sending)
     if not reply.has_run:
+      self._unfinished.discard(id(sending))
       self.records.reject(sending.fingerprint, sending.instance.incarnation_id)
 
   def record_bytes(self, sending: exchange.RequestAttempt) -> None:
@@ -150,6 +177,7 @@
     self, sending: exchange.RequestAttempt, reply: exchange.Reply
   ) -> None:
     """Records that the response of an instance ended without an error."""
+    self._unfinished.discard(id(sending))
     if reply.has_run and reply.is_genuine and not reply.ends_with_connection:
       self.records.complete(
         sending.fingerprint, sending.instance.incarnation_id
@@ -160,47 +188,72 @@
   ) -> None:
     """Records the error by which an attempt failed."""
     instance = sending.instance
-    id = instance.incarnation_id
+    incarnation_id = instance.incarnation_id
     if isinstance(error, exchange.RequestNotSent):
-      self.records.reject(sending.fingerprint, id)
-      if self.records.has_open_attempt(id):
-        self._start_probe(instance)
-    elif isinstance(error, exchange.ResponseOverdue):
-      # The entry of an instance may expire while a request waits for it.
-      if not self._is_draining(instance):
-        self._instance_by_id[id] = instance
-        self.records.abandon(sending.fingerprint, id)
-        _log_attempt(sending, 'given up, which may have ended it')
-    elif (
-      isinstance(error, exchange.ResponseLost)
-      # An instance that is no longer listed may end as planned.
-      and self._is_listed(instance)
-      and not self._is_draining(instance)
-    ):
-      self._instance_by_id[id] = instance
-      self.records.lose(sending.fingerprint, id)
-      if not self.records.has_ended(id):
+      self._unfinished.discard(id(sending))
+      self.records.reject(sending.fingerprint, incarnation_id)
+      if self.records.has_open_attempt(incarnation_id):
         self._start_probe(instance)
     elif isinstance(error, exchange.ResponseLost):
-      state = 'draining' if self._is_draining(instance) else 'not listed'
-      _log_attempt(sending, f'lost, not counted: the instance is {state}')
-
-  def record_overdue(self, sending: exchange.RequestAttempt) -> None:
-    """Records that a caller gave up on an instance that was silent."""
-    self.record_error(sending, exchange.ResponseOverdue())
+      self._unfinished.discard(id(sending))
+      is_overdue = isinstance(error, exchange.ResponseOverdue)
+      if not is_overdue and self._has_left_as_planned(instance):
+        _log_attempt(sending, 'lost, not counted: it ended as planned')
+        return
+      self._instance_by_id[incarnation_id] = instance
+      if is_overdue:
+        self._record_orphan(sending)
+        return
+      self.records.lose(sending.fingerprint, incarnation_id)
+      if not self.records.has_ended(incarnation_id):
+        self._start_probe(instance)
 
-  def _is_listed(self, instance: instances.Instance) -> bool:
-    listed = self._catalogue.directory.by_id.get(instance.id)
-    return (
-      listed is not None and listed.incarnation_id == instance.incarnation_id
+  def _record_orphan(self, sending: exchange.RequestAttempt) -> None:
+    id = sending.instance.incarnation_id
+    if self._is_domain_silent(sending.instance.domain):
+      self.records.abandon(sending.fingerprint, id)
+    else:
+      self.records.orphan(sending.fingerprint, id)
+    _log_attempt(sending, 'given up, which may have ended it')
+
+  def _has_left_as_planned(self, instance: instances.Instance) -> bool:
+    """Returns whether an instance departed so long ago that it may end."""
+    departure = self._catalogue.directory.departures.find(
+      instance.incarnation_id
     )
-
-  def _is_draining(self, instance: instances.Instance) -> bool:
-    listed = self._catalogue.directory.by_id.get(instance.id)
-    return listed is not None and listed.is_draining
+    if departure is None:
+      return False
+    seconds = time.monotonic() - departure.at
+    return seconds >= self._drain - DEPARTURE_DELAY_SECONDS
 
   # --- Instances ------------------------------------------------------------
 
+  def _probe_open_attempts(self, fingerprint: str) -> set[str]:
+    """Probes the instances that may have ended, or may end, under a request.
+
+    Returns their ids.  Another daemon that made the attempt may have ended.
+    """
+    probed = set()
+    for id in self.records.find_open_attempts(fingerprint):
+      instance = self._find_instance(id)
+      if instance is None:
+        continue
+      if self._is_domain_silent(instance.domain):
+        self.records.give_up(id)
+        continue
+      self._start_probe(instance)
+      probed.add(id)
+    return probed
+
+  def _find_instance(self, id: str) -> instances.Instance | None:
+    directory = self._catalogue.directory
+    departure = directory.departures.find(id)
+    return (
+      self._instance_by_id.get(id)
+      or directory.find_incarnation(id)
+      or (departure.instance if departure else None)
+    )
+
   def _start_probe(self, instance: instances.Instance) -> None:
     id = instance.incarnation_id
     if id not in self._probe_by_id:
@@ -213,18 +266,40 @@
       liveness = await self._find_liveness(instance)
     finally:
       self._probe_by_id.pop(id, None)
-    if liveness is exchange.Liveness.UNKNOWN:
-      self.records.give_up(id)
-      log.info('Instance %s lost connections and cannot be probed.', id)
+    is_ended = self._judge_end(instance, liveness)
+    if is_ended is None:
+      return
+    is_silent = liveness is exchange.Liveness.UNKNOWN
+    # A planned end closes connections; a VM that goes silent does not.
+    if is_ended and not is_silent and self._has_left_as_planned(instance):
+      self.records.excuse(id)
       return
-    is_ended = liveness is exchange.Liveness.ENDED
     self._resolve(
       instance, is_ended=is_ended, before=math.inf if is_ended else began
     )
-    if self.records.is_lost(id):
+    if not is_ended and self.records.is_lost(id):
       # Connections were lost since the probe was sent.
       self._start_probe(instance)
 
+  def _judge_end(
+    self, instance: instances.Instance, liveness: exchange.Liveness
+  ) -> bool | None:
+    """Returns whether an instance has ended by a probe, None if not known."""
+    id = instance.incarnation_id
+    if liveness in (exchange.Liveness.ALIVE, exchange.Liveness.ENDED):
+      return liveness is exchange.Liveness.ENDED
+    is_listed = self._catalogue.directory.find_incarnation(id) is not None
+    if self._is_domain_silent(instance.domain):
+      self.records.give_up(id)
+    elif not is_listed:
+      return True
+    elif liveness is exchange.Liveness.REACHABLE:
+      self.records.give_up(id)
+    else:
+      self.records.doubt(id)
+    log.info('Instance %s lost connections, a probe tells nothing.', id)
+    return None
+
   async def _find_liveness(
     self, instance: instances.Instance
   ) -> exchange.Liveness:
@@ -233,7 +308,7 @@
         instance, health_path=self._get_health_path(instance)
       )
       if self._is_domain_silent(instance.domain):
-        break
+        return exchange.Liveness.UNKNOWN
       if liveness is exchange.Liveness.ALIVE:
         return liveness
       await asyncio.sleep(SETTLE_SECONDS)
@@ -242,8 +317,10 @@
       is_running = self.records.count_running(instance.incarnation_id) > 0
       if liveness is exchange.Liveness.ENDED and not is_running:
         return liveness
+      if liveness is exchange.Liveness.ENDED:
+        liveness = exchange.Liveness.REACHABLE
       await asyncio.sleep(PROBE_INTERVAL_SECONDS)
-    return exchange.Liveness.UNKNOWN
+    return liveness
 
   def _resolve(
     self,
@@ -281,21 +358,16 @@
       self.records.drop_expired()
 
   def compare_with_list(self) -> None:
-    """Finds out by the list of instances which of them have ended.
-
-    An instance that lost connections and is no longer listed has ended; one
-    that counts as ended and stays in the list has not.
-    """
+    """Probes the instances that may have ended and are no longer listed."""
     listed = self._catalogue.directory.get_incarnation_ids()
     open_ids = self.records.find_open()
     for id, instance in list(self._instance_by_id.items()):
       if id not in open_ids:
         del self._instance_by_id[id]
-      elif id not in listed:
-        self._resolve(instance, is_ended=True)
-    for id in self.records.find_ended_since(MAX_LISTED_SECONDS):
-      if id in listed and not self._catalogue.is_instance_list_lost:
-        self.records.refute(id)
+      elif id not in listed and id not in self._unlisted_ids:
+        self._unlisted_ids.add(id)
+        self._start_probe(instance)
+    self._unlisted_ids &= self._instance_by_id.keys()
 
   async def on_stop(self) -> None:
     """Ends the probes."""
--- a/src/woadrun/request/exchange.py
+++ b/src/woadrun/request/exchange.py
@@ -157,9 +157,14 @@
 
 
 class Liveness(enum.Enum):
-  """Whether an incarnation of an instance still runs, as far as is known."""
+  """Whether an incarnation of an instance still runs, as far as is known.
+
+  REACHABLE: its address accepts connections, and does not tell which process it
+  is.  UNKNOWN: its address is silent.
+  """
 
   ALIVE = 'alive'
+  REACHABLE = 'reachable'
   ENDED = 'ended'
   UNKNOWN = 'unknown'
 
--- a/src/woadrun/version/instances.py
+++ b/src/woadrun/version/instances.py
@@ -13,6 +13,8 @@
 from collections.abc import Sequence
 import dataclasses
 
+from woadrun.version import departures
+
 # The newest start time is kept for at most this many ids, including ids whose
 # entry was removed.  A late entry of an earlier incarnation is rejected by it.
 MAX_REMEMBERED_IDS = 10_000
@@ -79,7 +81,7 @@
   While the platform's list is unavailable, instances cannot renew their
   entries, so entries of running instances may expire from it.  An entry that is
   missing from a new list is therefore kept until it has been missing for
-  `grace` seconds.
+  `grace` seconds.  `departures` has those that are draining or were removed.
   """
 
   def __init__(self, *, grace: float) -> None:
@@ -89,6 +91,7 @@
     self._missing_since: dict[str, float] = {}
     self._newest_born_by_id: dict[str, int] = {}
     self._group_by_service: dict[str, Group] = {}
+    self.departures = departures.Departures()
 
   def put(self, instance: Instance) -> None:
     """Stores an entry, unless a newer incarnation of its id is known.
@@ -102,6 +105,12 @@
     if known is not None and known.service != instance.service:
       self.remove(instance.id)
     self._missing_since.pop(instance.id, None)
+    if known is not None and known.incarnation_id != instance.incarnation_id:
+      self.departures.record(known)
+    if instance.is_draining:
+      self.departures.record(instance)
+    else:
+      self.departures.withdraw(instance.incarnation_id)
     self.by_id[instance.id] = instance
     self._group_by_service.pop(instance.service, None)
     self._ids_by_service.setdefault(instance.service, {})[instance.id] = None
@@ -115,6 +124,14 @@
     if len(self._newest_born_by_id) > MAX_REMEMBERED_IDS:
       del self._newest_born_by_id[next(iter(self._newest_born_by_id))]
 
+  def find_incarnation(self, incarnation_id: str) -> Instance | None:
+    """Returns a listed instance, or None if it is not listed."""
+    for id in (incarnation_id, incarnation_id.rpartition('.')[0]):
+      found = self.by_id.get(id)
+      if found is not None and found.incarnation_id == incarnation_id:
+        return found
+    return None
+
   def get_incarnation_ids(self) -> set[str]:
     """Returns the `incarnation_id` of each known instance."""
     return {instance.incarnation_id for instance in self.by_id.values()}
@@ -124,6 +141,7 @@
     self._missing_since.pop(id, None)
     instance = self.by_id.pop(id, None)
     if instance is not None:
+      self.departures.record(instance)
       del self._ids_by_service[instance.service][id]
       self._group_by_service.pop(instance.service, None)
     return instance
--- a/tests/test_crash_records.py
+++ b/tests/test_crash_records.py
@@ -160,6 +160,9 @@
     records.apply_reports([report('f', 'b', State.RUNNING)])
     assert records.judge('f') is Verdict.WAIT
   assert sent[-1] == report('f', 'x', State.ABANDONED)
+  # Its instance may still run it.
+  assert records.judge('f') is Verdict.WAIT
+  clock.now += crash_records.GIVEN_UP_TTL_SECONDS + 0.1
   assert records.judge('f') is Verdict.RUN
 
 
@@ -306,3 +309,91 @@
     {'f'},
   ]
   assert found[0][0].age == 2.0
+
+
+# Guards against an attempt that nobody waits for and that is counted nowhere.
+def test_an_attempt_that_nobody_waits_for_counts_until_its_outcome(clock):
+  records, sent = make()
+  for id in 'abc':
+    records.orphan('f', id)
+  assert sent[0] == report('f', 'a', State.LOST)
+  assert records.judge('f') is Verdict.WAIT
+  for id in 'abc':
+    records.resolve(id, is_ended=False)
+  # Each lives on, and none has ended: the request is not suspect.
+  assert records.judge('f') is Verdict.RUN
+  records.resolve('a', is_ended=True)
+  assert records.judge('f') is Verdict.WAIT
+  records.resolve('b', is_ended=True)
+  records.resolve('c', is_ended=True)
+  assert records.judge('f') is Verdict.REFUSE
+
+
+def test_an_instance_that_goes_silent_after_a_probe_may_have_ended(clock):
+  records, _ = make()
+  for id in 'abc':
+    records.orphan('f', id)
+    records.resolve(id, is_ended=False)
+    records.doubt(id)
+  assert records.judge('f') is Verdict.WAIT
+
+
+def test_an_instance_that_ended_as_planned_counts_under_no_request(clock):
+  records, _ = make()
+  for id in 'abc':
+    records.orphan('f', id)
+    records.excuse(id)
+  assert records.judge('f') is Verdict.RUN
+  assert records.find_open() == set()
+
+
+def test_a_given_up_attempt_is_known_to_live_on_however_soon_that_is(clock):
+  records, sent = make()
+  others, _ = make('n2')
+  records.orphan('f', 'a')
+  records.resolve('a', is_ended=False)
+  others.apply_reports(sent)
+  assert not others.is_suspect('f')
+  # A datagram that was overtaken.
+  others.apply_reports(sent[:1])
+  assert not others.is_suspect('f')
+
+
+# Guards against a request that is refused for having been beside another one.
+def test_ends_under_a_refused_request_are_not_held_against_its_neighbours(
+  clock,
+):
+  records, _ = make()
+  end(records, 'fatal', 'x')
+  for id in 'abc':
+    records.lose('fatal', id)
+    records.lose('innocent', id)
+    records.resolve(id, is_ended=True)
+  assert records.judge('fatal') is Verdict.REFUSE
+  assert records.judge('innocent') is Verdict.RUN
+
+
+def test_of_two_requests_that_end_the_same_instances_both_are_refused(clock):
+  records, _ = make()
+  for id in 'abc':
+    records.lose('f', id)
+    records.lose('g', id)
+    records.resolve(id, is_ended=True)
+  assert records.judge('f') is Verdict.REFUSE
+  assert records.judge('g') is Verdict.REFUSE
+  others, _ = make('n2')
+  others.apply_reports(records.list_reports())
+  assert others.judge('f') is others.judge('g') is Verdict.REFUSE
+
+
+def test_a_daemon_that_starts_is_told_of_open_attempts_too(clock):
+  records, _ = make()
+  end(records, 'f', 'a')
+  records.orphan('f', 'b')
+  records.orphan('g', 'c')
+  told = records.list_reports()
+  assert told[0].state is State.ENDED
+  others, _ = make('n2')
+  others.apply_reports(told)
+  assert others.find_open_attempts('f') == ['b']
+  assert others.find_open_attempts('g') == ['c']
