A daemon asks for the records of attempts before it sends requests

Callers saw a request sent on by daemons that had just started: they knew of no ended instance until a member noticed them, up to 0.25 s later, and told them of ends only, by one datagram.

A daemon that starts asks up to four members for all records, with open attempts, and its requests wait for the answer, for a second at most. What a stopping daemon has not sent yet is sent as it stops.

The answer comes from before the first request, so that no interval is left in which it is asked without it, unless no member answers.

--- a/src/woadrun/connection/attempt_reports.py
+++ b/src/woadrun/connection/attempt_reports.py
@@ -50,3 +50,7 @@
 
   reports: tuple[AttemptReport, ...]
   hops: int = 0
+
+
+class RecordsQuery(msgspec.Struct, frozen=True):
+  """Asks for all that a daemon which has just started should know."""
--- a/src/woadrun/process/crash_reports.py
+++ b/src/woadrun/process/crash_reports.py
@@ -9,13 +9,18 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Sequence
+import contextlib
 import logging
+import random
 
 import mode
 import msgspec
 
+from woadrun import errors
 from woadrun.connection import attempt_reports
+from woadrun.connection import peers
 from woadrun.process import datagrams
 from woadrun.process import fleet
 from woadrun.process import fleet_heartbeats
@@ -41,17 +46,37 @@
 MAX_REFRESHED = 6
 # Interval at which members that are new are told of the ended instances.
 INFORM_INTERVAL_SECONDS = 0.25
+# Path of the message by which a daemon that starts asks for the records.
+RECORDS_PATH = 'crash/records'
+# Members that it asks, how long it waits for them, and for how long it asks.
+MAX_ASKED = 4
+RECORDS_TIMEOUT_SECONDS = 0.3
+MAX_LEARNING_SECONDS = 1.0
+LEARNING_INTERVAL_SECONDS = 0.02
 # Hubs that pass a report on: that of its own domain, and one of another domain.
 MAX_HOPS = 2
 
 
 class CrashReports(mode.Service):
-  """Sends this daemon's reports, passes on those of others and applies them."""
+  """Sends this daemon's reports, passes on those of others and applies them.
+
+  `has_member_list` returns whether the members of the fleet are known.
+  `is_informed` is set once this daemon knows the records of the others, as far
+  as they can be reached, or has waited for MAX_LEARNING_SECONDS.
+  """
 
   def __init__(
-    self, *, members: fleet.Fleet, records: crash_records.CrashRecords
+    self,
+    *,
+    members: fleet.Fleet,
+    records: crash_records.CrashRecords,
+    messenger: peers.Messenger | None = None,
+    has_member_list: Callable[[], bool] = lambda: True,
   ) -> None:
     super().__init__()
+    self._messenger = messenger
+    self._has_member_list = has_member_list
+    self.is_informed = messenger is None
     self._members = members
     self._records = records
     self._unsent: list[attempt_reports.AttemptReport] = []
@@ -115,6 +140,57 @@
     if news and self._members.is_relaying and message.hops < MAX_HOPS:
       self._send_with_repeats(news, hops=message.hops + 1)
 
+  # --- Records of before the start ------------------------------------------
+
+  async def answer(
+    self, query: attempt_reports.RecordsQuery
+  ) -> attempt_reports.AttemptReports:
+    """Returns what a daemon that has just started should know."""
+    return attempt_reports.AttemptReports(tuple(self._records.list_reports()))
+
+  @mode.Service.task
+  async def _learn(self) -> None:
+    """Asks some members for their records, until one of them answers."""
+    with contextlib.suppress(TimeoutError):
+      async with asyncio.timeout(MAX_LEARNING_SECONDS):
+        while not self.is_informed:
+          self.is_informed = await self._ask_members()
+          await asyncio.sleep(LEARNING_INTERVAL_SECONDS)
+    self.is_informed = True
+
+  async def _ask_members(self) -> bool:
+    """Returns whether a member has answered, or there is none to ask."""
+    if not self._has_member_list():
+      return False
+    me = self._members.me
+    others = [m for m in self._members.member_by_name.values() if m != me]
+    asked = random.sample(others, min(MAX_ASKED, len(others)))
+    answers = await asyncio.gather(*(self._ask(member) for member in asked))
+    return any(answers) or not asked
+
+  async def _ask(self, member: fleet_heartbeats.Member) -> bool:
+    assert self._messenger is not None
+    try:
+      told = await self._messenger.post(
+        member.address,
+        RECORDS_PATH,
+        attempt_reports.RecordsQuery(),
+        type=attempt_reports.AttemptReports,
+        timeout=RECORDS_TIMEOUT_SECONDS,
+      )
+    except errors.WoadrunError as error:
+      log.info('%s tells no records of attempts: %s', member.name, error)
+      return False
+    self._records.apply_reports(told.reports)
+    return True
+
+  async def on_stop(self) -> None:
+    """Sends what was not sent yet, which nobody else knows."""
+    if self._unsent:
+      self._send_unsent()
+
+  # --- Reports from time to time --------------------------------------------
+
   @mode.Service.task
   async def _refresh(self) -> None:
     while not self.should_stop:
--- a/src/woadrun/process/node.py
+++ b/src/woadrun/process/node.py
@@ -29,6 +29,7 @@
 import msgspec
 
 from woadrun import errors
+from woadrun.connection import attempt_reports
 from woadrun.connection import endpoints
 from woadrun.connection import peers
 from woadrun.connection import rate_messages
@@ -250,6 +251,8 @@
     self.crash_reports = crash_reports.CrashReports(
       members=self.fleet,
       records=crashes,
+      messenger=self.calls,
+      has_member_list=lambda: self.registration.feed.version is not None,
     )
     self.crash_guard = crash_guard.CrashGuard(
       records=crashes,
@@ -258,6 +261,7 @@
       counters=self.counters,
       is_domain_silent=self.fleet.is_domain_silent,
       drain=config.drain,
+      is_informed=lambda: self.crash_reports.is_informed,
     )
     access = authorization.Authorization(catalogue=self.catalogue)
     self.rate_owner = rate_owner.RateOwner(
@@ -486,6 +490,11 @@
         self.rate_owner.hand_over,
       ),
       ('feed', turn_messages.FeedQuery, self.feeds.answer),
+      (
+        crash_reports.RECORDS_PATH,
+        attempt_reports.RecordsQuery,
+        self.crash_reports.answer,
+      ),
     ]
 
   async def _open_new(
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -5,7 +5,9 @@
 import msgspec
 import pytest
 
+from woadrun import errors
 from woadrun.connection import attempt_reports
+from woadrun.connection import peers
 from woadrun.process import crash_reports
 from woadrun.process import datagrams
 from woadrun.process import fleet_heartbeats
@@ -155,3 +157,58 @@
   assert address == 'at-n2'
   assert len(told.reports) == 2 * crash_reports.MAX_REFRESHED
   await reports.stop()
+
+
+class Peer:
+  """A member that answers a question for records with `reports`, if at all."""
+
+  def __init__(self, *reports, is_silent=False):
+    self.reports = reports
+    self.is_silent = is_silent
+    self.asked = []
+
+  async def post(self, address, path, message, *, type, timeout):
+    self.asked.append(address)
+    if self.is_silent:
+      await asyncio.sleep(timeout)
+      raise peers.NoAnswer(errors.Code.OWNER_UNAVAILABLE, 'silent')
+    return attempt_reports.AttemptReports(self.reports)
+
+
+async def start_learning(peer):
+  members = Members()
+  members.me = fleet_heartbeats.Member(
+    name='n1', address='at-n1', domain='north'
+  )
+  members.member_by_name = {m.name: m for m in members.find_news_receivers()}
+  records = crash_records.CrashRecords(name='n1')
+  reports = crash_reports.CrashReports(
+    members=members, records=records, messenger=peer
+  )
+  assert not reports.is_informed
+  await reports.start()
+  return records, reports
+
+
+# Guards against a daemon that sends a refused request before it is told of it.
+async def test_a_daemon_that_starts_asks_for_the_records_of_others():
+  ends = [
+    attempt_reports.AttemptReport('f', id, State.ENDED, 1.0) for id in 'abc'
+  ]
+  records, reports = await start_learning(Peer(*ends))
+  await asyncio.sleep(0.1)
+  assert reports.is_informed
+  assert records.count_quarantined() == 1
+  await reports.stop()
+
+
+async def test_a_daemon_waits_for_silent_members_for_a_bounded_time(
+  monkeypatch,
+):
+  monkeypatch.setattr(crash_reports, 'MAX_LEARNING_SECONDS', 0.2)
+  peer = Peer(is_silent=True)
+  _, reports = await start_learning(peer)
+  await asyncio.sleep(0.4)
+  assert peer.asked
+  assert reports.is_informed
+  await reports.stop()
