Bound what an upstream sends by bytes and count, not by time alone

Cause: reading was bounded by the time of the request. Bytes beside the expected body are counted where all of them arrive, in the protocol of the connection: half a megabyte, 32 responses, and 16 times the body for the framing of small chunks. Beyond that the connection is closed and the response is lost, which the instance is blamed for. Bodies that are held whole (store, objects, services, engines, daemons, refusals) and events and data of streams have bounds of their own.

--- /dev/null
+++ b/src/woadrun/connection/bodies.py
@@ -0,0 +1,32 @@
+"""Reads bodies of responses within a bound on their size."""
+
+from __future__ import annotations
+
+import aiohttp
+
+# Size of a body that nobody reads but to reuse its connection.
+MAX_DRAINED_BYTES = 65_536
+# Size of a body that tells why a call was rejected.
+MAX_ERROR_BYTES = 65_536
+# Size of an answer of the platform's services, of which pages are the largest.
+MAX_PLATFORM_BYTES = 16 * 1024 * 1024
+# Size of the result of a call of a service, and of an answer of a daemon.
+MAX_RESULT_BYTES = 16 * 1024 * 1024
+MAX_PEER_BYTES = 64 * 1024 * 1024
+
+
+async def read(response: aiohttp.ClientResponse, *, limit: int) -> bytes:
+  """Returns the whole body of a response.
+
+  Closes the response and raises `aiohttp.ClientPayloadError` if the body has
+  more than `limit` bytes.
+  """
+  parts: list[bytes] = []
+  size = 0
+  async for part in response.content.iter_any():
+    parts.append(part)
+    size += len(part)
+    if size > limit:
+      response.close()
+      raise aiohttp.ClientPayloadError(f'The body exceeds {limit} bytes.')
+  return b''.join(parts)
--- a/src/woadrun/connection/client.py
+++ b/src/woadrun/connection/client.py
@@ -17,6 +17,7 @@
 import msgspec
 
 from woadrun import errors
+from woadrun.connection import bodies
 from woadrun.connection import response_ends
 
 RETRY_DELAY_SECONDS = 0.1
@@ -162,7 +163,7 @@
       timeout=aiohttp.ClientTimeout(total=ATTEMPT_TIMEOUT_SECONDS),
     ) as response:
       response_ends.check_framed(response)
-      content = await response.read()
+      content = await bodies.read(response, limit=bodies.MAX_PEER_BYTES)
       if response.headers.get('Woadrun-Error'):
         raise errors.from_body(content)
       return content
--- a/src/woadrun/connection/engine.py
+++ b/src/woadrun/connection/engine.py
@@ -8,6 +8,7 @@
 
 from collections.abc import AsyncGenerator
 from collections.abc import Iterable
+import contextlib
 import dataclasses
 from typing import Any
 
@@ -15,6 +16,7 @@
 import msgspec
 
 from woadrun import errors
+from woadrun.connection import bodies
 from woadrun.connection import http
 
 ADMIN_TIMEOUT_SECONDS = 2.0
@@ -108,7 +110,7 @@
       timeout=_get_stream_timeout(),
     ) as response:
       if response.status != 200:
-        raise EngineRefused(response.status, await response.read())
+        raise await _make_refusal(response)
       async for chunk in response.content.iter_any():
         yield chunk
 
@@ -121,7 +123,7 @@
       f'{self._url}/v1/streams/{stream}', timeout=_get_stream_timeout()
     ) as response:
       if response.status != 200:
-        raise EngineRefused(response.status, await response.read())
+        raise await _make_refusal(response)
       async for chunk in response.content.iter_any():
         yield chunk
 
@@ -157,6 +159,14 @@
       )
 
 
+async def _make_refusal(response: aiohttp.ClientResponse) -> EngineRefused:
+  """Returns the error for a response without a stream."""
+  body = b''
+  with contextlib.suppress(aiohttp.ClientPayloadError):
+    body = await bodies.read(response, limit=bodies.MAX_ERROR_BYTES)
+  return EngineRefused(response.status, body)
+
+
 def _get_stream_timeout() -> aiohttp.ClientTimeout:
   return aiohttp.ClientTimeout(
     total=None,
--- a/src/woadrun/connection/http.py
+++ b/src/woadrun/connection/http.py
@@ -16,6 +16,7 @@
 import yarl
 
 from woadrun import errors
+from woadrun.connection import bodies
 from woadrun.connection import response_ends
 
 T = TypeVar('T')
@@ -71,8 +72,8 @@
   `timeout` is in seconds.  `on_silence` is called when the request times out.
 
   Raises `platform_unavailable` when there is no complete response within the
-  timeout or its status is 429, or 500 and above.  Unless the error's `ran` is
-  `not run`, a write may have taken effect.
+  timeout and the bound on its size, or its status is 429, or 500 and above.
+  Unless the error's `ran` is `not run`, a write may have taken effect.
   """
   limit = aiohttp.ClientTimeout(total=timeout)
   try:
@@ -84,7 +85,7 @@
       timeout=limit,
       middlewares=() if method == hdrs.METH_GET else (prevent_resending,),
     ) as response:
-      data = await response.read()
+      data = await bodies.read(response, limit=bodies.MAX_PLATFORM_BYTES)
       etag = response.headers.get('ETag', '')
   except aiohttp.ClientConnectorError as error:
     raise _unavailable(f'{url}: {error}', errors.RunStatus.NOT_RUN) from error
--- a/src/woadrun/connection/peers.py
+++ b/src/woadrun/connection/peers.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from woadrun import errors
+from woadrun.connection import bodies
 from woadrun.connection import response_ends
 from woadrun.connection import tcp_connections
 
@@ -105,7 +106,7 @@
         ),
       ) as response:
         response_ends.check_framed(response)
-        data = await response.read()
+        data = await bodies.read(response, limit=bodies.MAX_PEER_BYTES)
     except (TimeoutError, aiohttp.ClientError, OSError) as error:
       if isinstance(error, TimeoutError) and self._addresses is not None:
         self._addresses.reset_connections(address, generation=generation)
--- a/src/woadrun/connection/response_ids.py
+++ b/src/woadrun/connection/response_ids.py
@@ -5,6 +5,9 @@
 place of the next response due, and all later ones are read one request late.
 Requests that are sent with the middleware of `match_responses` get the response
 that has their id: those with another id are read and dropped.
+
+What a server sends beside the expected response is read up to a bound: a faulty
+one may send it without end, faster than this process can parse it.
 """
 
 from __future__ import annotations
@@ -19,6 +22,16 @@
 
 log = logging.getLogger('woadrun.connections')
 
+# Bytes that a server may send beside the body of the expected response: heads,
+# framing, trailers, informational responses and those to other requests.
+MAX_EXTRA_BYTES = 512 * 1024
+# Framing of a body in small chunks may be this multiple of the body.
+MAX_FRAMING_FACTOR = 16
+# Bytes that may follow a response that its caller is still reading.
+MAX_SURPLUS_BYTES = 65_536
+# Responses that may come before the expected one.
+MAX_EXTRA_RESPONSES = 32
+
 
 def match_responses(header: str) -> aiohttp.ClientMiddlewareType:
   """Returns a middleware of aiohttp that matches responses by their id.
@@ -65,11 +78,17 @@
   _id_header = ''
   _ids: Collection[str] = ()
   _is_idle = False
+  # Bytes received beside the expected body, and that body.
+  _extra = 0
+  _expected: streams.StreamReader | None = None
+  _extra_responses = 0
 
   def set_response_params(self, **options: Any) -> None:
     """Prepares for the response to the next request."""
     self._is_idle = False
     self._id_header, self._ids = '', ()
+    self._extra = self._extra_responses = 0
+    self._expected = None
     super().set_response_params(**options)
 
   def expect_id(self, header: str, ids: Collection[str]) -> None:
@@ -90,31 +109,78 @@
       )
       self.close()
       return
+    body = self._expected
+    is_over = body is not None and body.is_eof()
+    size = body.total_bytes if body is not None else 0
     super().data_received(data)
+    self._count(len(data), body, size, is_over=is_over)
+
+  def _count(
+    self,
+    count: int,
+    body: streams.StreamReader | None,
+    size: int,
+    *,
+    is_over: bool,
+  ) -> None:
+    """Counts received bytes; closes the connection beyond a bound.
+
+    `size` is the number of bytes of the expected body before, and `is_over`
+    tells that it was complete.
+    """
+    new_size = body.total_bytes if body is not None else 0
+    self._extra += count - (1 + MAX_FRAMING_FACTOR) * (new_size - size)
+    # What a body saves must not be spent on other bytes later.
+    self._extra = max(0, self._extra)
+    limit = MAX_SURPLUS_BYTES if is_over else MAX_EXTRA_BYTES
+    if self._extra > limit and self.transport is not None:
+      self._reject(f'{self._extra} bytes beside the response')
+
+  def _reject(self, reason: str) -> None:
+    """Closes the connection: the response is lost."""
+    log.warning('%s: %s, closing.', self._describe(), reason)
+    error = aiohttp.ClientPayloadError(reason)
+    if self._payload is not None and not self._payload.is_eof():
+      self._payload.set_exception(error)
+    if self._expected is not None and not self._expected.is_eof():
+      self._expected.set_exception(error)
+    self.set_exception(error)
+    if self.transport is not None:
+      self.transport.abort()
 
   async def read(
     self,
   ) -> tuple[aiohttp.http.RawResponseMessage, streams.StreamReader]:
-    """Returns the head and the body of the expected response."""
+    """Returns the head and the body of the expected response.
+
+    Raises `aiohttp.ClientPayloadError` if too much comes before it.
+    """
     while True:
       message, body = await super().read()
-      if not self._id_header:
-        return message, body
-      id = message.headers.get(self._id_header, '')
-      if id in self._ids:
+      id = message.headers.get(self._id_header, '') if self._id_header else ''
+      is_expected = not self._id_header or not id or id in self._ids
+      if is_expected and message.code >= 200:
+        if self._id_header and not id:
+          self.force_close()
+        self._expected = body
         return message, body
-      if not id:
+      self._extra_responses += 1
+      if self._extra_responses > MAX_EXTRA_RESPONSES:
+        reason = f'{self._extra_responses} responses before the expected one'
+        self._reject(reason)
+        raise aiohttp.ClientPayloadError(reason)
+      if is_expected:
         # Informational responses need no id.
-        if message.code >= 200:
-          self.force_close()
         return message, body
-      log.warning(
-        '%s: dropped a response with status %d to request %s, waiting for %s.',
-        self._describe(),
-        message.code,
-        id,
-        ' or '.join(self._ids) or 'one without an id',
-      )
+      if self._extra_responses == 1:
+        log.warning(
+          '%s: dropped a response with status %d to request %s, waiting for '
+          '%s.',
+          self._describe(),
+          message.code,
+          id,
+          ' or '.join(self._ids) or 'one without an id',
+        )
       while await body.readany():
         pass
 
--- a/src/woadrun/connection/service.py
+++ b/src/woadrun/connection/service.py
@@ -5,6 +5,7 @@
 import aiohttp
 
 from woadrun import errors
+from woadrun.connection import bodies
 from woadrun.connection import http
 from woadrun.connection import response_ends
 
@@ -40,7 +41,7 @@
         headers=headers,
         timeout=limit,
       ) as response:
-        data = await response.read()
+        data = await bodies.read(response, limit=bodies.MAX_RESULT_BYTES)
         if _is_lost(response, data):
           raise aiohttp.ClientPayloadError('The end of the body is not known.')
         return http.Reply(status=response.status, body=data)
--- a/src/woadrun/platform/upstream.py
+++ b/src/woadrun/platform/upstream.py
@@ -10,6 +10,7 @@
 import aiohttp
 import yarl
 
+from woadrun.connection import bodies
 from woadrun.connection import endpoints
 from woadrun.connection import http
 from woadrun.connection import response_ends
@@ -220,4 +221,4 @@
   # Reads the rest of the body so that the connection can be reused.
   with contextlib.suppress(aiohttp.ClientError, TimeoutError, OSError):
     async with asyncio.timeout(0.1):
-      await response.read()
+      await bodies.read(response, limit=bodies.MAX_DRAINED_BYTES)
--- a/src/woadrun/request/attempts.py
+++ b/src/woadrun/request/attempts.py
@@ -484,7 +484,7 @@
       async with contextlib.aclosing(chunks):
         async for chunk in chunks:
           if reply.event_reader is not None:
-            reply.event_reader.feed(chunk)
+            _read_events(reply.event_reader, chunk)
           self._guard.record_bytes(sending)
           yield chunk
       self._log_end(sending, reply)
@@ -735,6 +735,14 @@
       await task.result().stack.aclose()
 
 
+def _read_events(reader: events.EventReader, chunk: bytes) -> None:
+  """Parses a part of a stream; raises `ResponseLost` if it is too large."""
+  try:
+    reader.feed(chunk)
+  except events.StreamTooLarge as error:
+    raise exchange.ResponseLost(str(error)) from error
+
+
 def _check_complete(reader: events.EventReader, reply: exchange.Reply) -> None:
   """Raises `ResponseLost` if a stream that has ended is not complete.
 
--- a/src/woadrun/request/events.py
+++ b/src/woadrun/request/events.py
@@ -6,6 +6,13 @@
 
 _LINE_END = re.compile(rb'\r\n|\n|\r')
 _BYTE_ORDER_MARK = b'\xef\xbb\xbf'
+# Bytes of an event, and of the data of a stream: both are held in memory.
+MAX_EVENT_BYTES = 1024 * 1024
+MAX_DATA_BYTES = 16 * 1024 * 1024
+
+
+class StreamTooLarge(ValueError):
+  """Raised if a stream has an event, or data, beyond the bounds."""
 
 
 class EventReader:
@@ -24,6 +31,8 @@
     self._is_at_start = True
     self._has_fields = False
     self._data_lines: list[bytes] = []
+    # Bytes of the event that is not complete yet.
+    self._event_bytes = 0
     self.has_events = False
     self.data = bytearray()
     self.count = 0
@@ -34,7 +43,10 @@
     return bool(self._partial_line) or self._has_fields
 
   def feed(self, chunk: bytes) -> None:
-    """Parses the next bytes of the stream."""
+    """Parses the next bytes of the stream.
+
+    Raises `StreamTooLarge` if an event, or the data kept, exceeds its bound.
+    """
     if self._ends_with_cr and chunk:
       # The line feed belongs to the line end of the previous chunk.
       chunk = chunk.removeprefix(b'\n')
@@ -46,10 +58,18 @@
       _LINE_END.split(chunk) if b'\r' in chunk else chunk.split(b'\n')
     )
     if first:
-      self._partial_line.append(first)
+      self._append(first)
     for line in lines:
       self._process_line(b''.join(self._partial_line))
-      self._partial_line = [line] if line else []
+      self._partial_line.clear()
+      if line:
+        self._append(line)
+
+  def _append(self, part: bytes) -> None:
+    self._event_bytes += len(part)
+    if self._event_bytes > MAX_EVENT_BYTES:
+      raise StreamTooLarge(f'An event exceeds {MAX_EVENT_BYTES} bytes.')
+    self._partial_line.append(part)
 
   def _process_line(self, line: bytes) -> None:
     if self._is_at_start:
@@ -61,6 +81,8 @@
     field, _, value = line.partition(b':')
     if not field:
       # A comment.
+      if not self._has_fields:
+        self._event_bytes = 0
       return
     self._has_fields = self.has_events = True
     if field == b'data':
@@ -68,9 +90,12 @@
 
   def _dispatch_event(self) -> None:
     self._has_fields = False
+    self._event_bytes = 0
     if not self._data_lines:
       return
     self.count += 1
     if self._keeps_data:
       self.data += b'\n'.join(self._data_lines) + b'\n'
+      if len(self.data) > MAX_DATA_BYTES:
+        raise StreamTooLarge(f'The data exceed {MAX_DATA_BYTES} bytes.')
     self._data_lines.clear()
--- a/src/woadrun/request/forwarding.py
+++ b/src/woadrun/request/forwarding.py
@@ -25,6 +25,7 @@
 
 from woadrun import errors
 from woadrun import settings
+from woadrun.connection import bodies
 from woadrun.connection import peers
 from woadrun.connection import response_ends
 from woadrun.process import membership
@@ -348,7 +349,8 @@
   try:
     response_ends.check_framed(response)
     if response.headers.get('Woadrun-Error'):
-      raise errors.from_body(await response.read())
+      limit = bodies.MAX_ERROR_BYTES
+      raise errors.from_body(await bodies.read(response, limit=limit))
   except BaseException as error:
     response.close()
     if isinstance(error, TimeoutError | aiohttp.ClientError | OSError):
--- a/src/woadrun/request/model_call.py
+++ b/src/woadrun/request/model_call.py
@@ -14,6 +14,10 @@
 from woadrun.request import events
 from woadrun.version import program
 
+# Bytes of the event stream of one call, which is held until its outcome is
+# committed.
+MAX_STREAM_BYTES = 16 * 1024 * 1024
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class PreparedCall:
@@ -132,7 +136,14 @@
   )
 
   def feed(self, chunk: bytes) -> None:
-    """Forwards the events that these bytes of the engine complete."""
+    """Forwards the events that these bytes of the engine complete.
+
+    Raises `events.StreamTooLarge` if the stream exceeds a bound.
+    """
+    if len(self.received) + len(chunk) > MAX_STREAM_BYTES:
+      raise events.StreamTooLarge(
+        f'The event stream exceeds {MAX_STREAM_BYTES} bytes.'
+      )
     end = self.forwarded
     for line in chunk.splitlines(keepends=True):
       self.received += line
--- a/src/woadrun/request/upstreams.py
+++ b/src/woadrun/request/upstreams.py
@@ -30,6 +30,7 @@
 from woadrun.decisions import crash_limit
 from woadrun.process import membership
 from woadrun.request import calls
+from woadrun.request import events
 from woadrun.request import execution
 from woadrun.request import model_call
 from woadrun.request import placing
@@ -45,7 +46,12 @@
 # The most time for the end of an event stream after its last event.
 END_TIMEOUT_SECONDS = 0.2
 # Errors by which an event stream breaks off: the engine is considered failed.
-STREAM_ERRORS = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
+STREAM_ERRORS = (
+  aiohttp.ClientError,
+  asyncio.TimeoutError,
+  OSError,
+  events.StreamTooLarge,
+)
 
 
 class UpstreamCalls(mode.Service):
