Schedules of faults: ends in silence, after a departure, and endless events

A fatal request now ends them by a reset, in silence, after its entry was removed or says that it drains, with callers that give up after 0.2 to 1 s, and some streams have an event without end.

The check passed over all runs on a machine that had been up for longer than the virtual clock tells: the start time of a daemon was read from the real clock, so that each daemon counted as one that had just started. It is read from the virtual one now, a daemon is excused for a second in place of three, and only if it started after the first end.

--- a/bench/faults/crashes.py
+++ b/bench/faults/crashes.py
@@ -1,8 +1,9 @@
 """Callers whose request ends each instance that runs it, sent again and again.
 
-A request must end at most `MAX_ENDED` instances.  A run may end one more if its
-daemon cannot have known of those before: it began before any instance had
-ended, or reports are lost or late, or its daemon had just started.  The sides
+A request must end at most `MAX_ENDED` instances, in whichever way it ends them.
+A run may end one more if its daemon cannot have known of those before: it began
+before any end could be noticed, or reports are lost or late, or its daemon had
+just started.  An end in silence is noticed once its caller gives up.  The sides
 of a partition count separately.
 """
 
@@ -23,6 +24,8 @@
 
 MAX_ENDED = 3
 TRY_TIMEOUT_SECONDS = 1.0
+# Shortest time after which a caller gives up.
+MIN_TRY_SECONDS = 0.2
 # Range of the pause between two tries.
 PAUSE_SECONDS = (0.02, 0.3)
 # Share of the tries that are sent beside another one.
@@ -31,7 +34,7 @@
 REPORT_SECONDS = 0.02
 DISTURBED_REPORT_SECONDS = 1.0
 # Time after its start within which a daemon has heard of earlier reports.
-LEARNING_SECONDS = 3.0
+LEARNING_SECONDS = 1.0
 NOT_RUN_CODES = ('request_quarantined', 'upstream_unavailable')
 DISTURBING_KINDS = frozenset(('delay', 'lose-datagrams'))
 PARTITIONING_KINDS = frozenset(('cut', 'cut-one-way'))
@@ -46,13 +49,15 @@
   request: exchange.Request
   at: float
   daemon_started_at: float
+  ended_at: float = 0.0
   code: str = ''
 
 
 class FatalCaller:
   """A caller of one request that ends its instances.
 
-  `kinds` has the kinds of all faults of the run.
+  `kinds` has the kinds of all faults of the run.  `end` is one of
+  `outside.ENDS`, drawn by name if it is not given.
   """
 
   def __init__(
@@ -62,13 +67,15 @@
     name: str,
     path: str,
     kinds: frozenset[str],
+    end: bytes | None = None,
   ) -> None:
     self._served = served
     self._path = path
     self._kinds = kinds
     self._rng = random.Random(name)
     self._name = name
-    self._body = outside.FATAL_MARK + name.encode()
+    self._end = self._rng.choice(outside.ENDS) if end is None else end
+    self._body = outside.FATAL_MARK + self._end + name.encode()
     self._tries: list[_Try] = []
 
   async def run(self, seconds: float) -> None:
@@ -94,12 +101,16 @@
     self._tries.append(sent)
     work = site.run(_get_code(site, sent.request))
     try:
-      async with asyncio.timeout(TRY_TIMEOUT_SECONDS):
+      async with asyncio.timeout(
+        self._rng.uniform(MIN_TRY_SECONDS, TRY_TIMEOUT_SECONDS)
+      ):
         sent.code = await work
     except (TimeoutError, asyncio.CancelledError):
       if not work.done():
         raise
       sent.code = 'no answer'
+    finally:
+      sent.ended_at = time.monotonic()
 
   def _make_try(self, site: network.Site) -> _Try:
     now = time.monotonic()
@@ -134,12 +145,13 @@
       for item in self._tries
       if item.code in NOT_RUN_CODES and item.request.id in ran
     ]
-    ended_at = sorted(
-      instances.ended_at_by_id[id]
-      for id in instances.ended_by_body.get(self._body, ())
-    )
+    # Copies of a request may run at one instance.
+    ended_ids = set(instances.ended_by_body.get(self._body, ()))
+    ended_at = sorted(instances.ended_at_by_id[id] for id in ended_ids)
     if not ended_at:
       return found
+    if self._end == outside.SILENT:
+      ended_at = sorted(try_by_id[id].ended_at for _, id in runs)
     uninformed = sum(
       self._is_uninformed(at, try_by_id[id], ended_at)
       for at, id in runs[MAX_ENDED:]
@@ -149,9 +161,9 @@
       allowed *= len(self._served.domains)
     if 'kill-all' in self._kinds:
       allowed *= 2
-    if len(ended_at) > allowed:
+    if len(ended_ids) > allowed:
       found.append(
-        f'crashes: {len(ended_at)} instances ended under {self._name}, '
+        f'crashes: {len(ended_ids)} instances ended under {self._name}, '
         f'allowed are {allowed}'
       )
     return found
@@ -164,7 +176,7 @@
     seconds = DISTURBED_REPORT_SECONDS if is_disturbed else REPORT_SECONDS
     return (
       at < ended_at[0] + seconds
-      or at - sent.daemon_started_at < LEARNING_SECONDS
+      or ended_at[0] < sent.daemon_started_at > at - LEARNING_SECONDS
       or (is_disturbed and any(0 < at - end < seconds for end in ended_at))
     )
 
--- a/bench/faults/fleet.py
+++ b/bench/faults/fleet.py
@@ -95,7 +95,9 @@
     self.network = network.Network(rng=dice)
     self.store = outside.Store(rng=dice)
     self.instances = outside.Instances(
-      rng=dice, replace=self._start_replacing_instance
+      rng=dice,
+      replace=self._start_replacing_instance,
+      depart=self._start_departure,
     )
     # The kinds of all faults of the run, and what these found.
     self.fault_kinds: frozenset[str] = frozenset()
@@ -156,16 +158,42 @@
     self._tasks.add(task)
     task.add_done_callback(self._tasks.discard)
 
+  def _start_departure(
+    self, instance: instances.Instance, is_draining: bool
+  ) -> None:
+    task = asyncio.ensure_future(self._change_entry(instance, is_draining))
+    self._tasks.add(task)
+    task.add_done_callback(self._tasks.discard)
+
+  async def _change_entry(
+    self, instance: instances.Instance, is_draining: bool
+  ) -> None:
+    """Removes the entry of an instance, or makes it tell that it drains.
+
+    Another instance starts at the same time.
+    """
+    key = rows.Key('servers', '', instance.id)
+    await self._start_instance(instance)
+    if not is_draining:
+      await self.store.rows.change(removes=[key])
+      return
+    entry = _make_entry(instance.service, instance.domain, state='draining')
+    await self.store.rows.change(writes=[(key, entry)])
+
   async def _replace_instance(self, instance: instances.Instance) -> None:
     """Starts another instance, and lets the entry of the ended one expire."""
+    await self._start_instance(instance)
+    await asyncio.sleep(self._dice.uniform(*outside.STALE_ENTRY_SECONDS))
+    ended = rows.Key('servers', '', instance.id)
+    await self.store.rows.change(removes=[ended])
+
+  async def _start_instance(self, instance: instances.Instance) -> None:
+    """Starts another instance like a given one."""
     entry = _make_entry(instance.service, instance.domain)
     name = f'{instance.service}-r{next(self._replacements)}'
     key = rows.Key('servers', '', name)
     # The store's rows, since instances write despite the faults of daemons.
     await self.store.rows.change(writes=[(key, entry)])
-    await asyncio.sleep(self._dice.uniform(*outside.STALE_ENTRY_SECONDS))
-    ended = rows.Key('servers', '', instance.id)
-    await self.store.rows.change(removes=[ended])
 
   async def write_teams(self) -> None:
     """Writes the current teams to the operator's table."""
@@ -270,12 +298,12 @@
   return key, _make_entry(service, domains[number % len(domains)])
 
 
-def _make_entry(service: str, domain: str) -> bytes:
+def _make_entry(service: str, domain: str, *, state: str = 'ready') -> bytes:
   entry: dict[str, Any] = {
     'service': service,
     'address': '127.0.0.1:9',
     'zone': domain,
     'slots': 64,
-    'state': 'ready',
+    'state': state,
   }
   return msgspec.json.encode(entry)
--- a/bench/faults/network.py
+++ b/bench/faults/network.py
@@ -35,7 +35,10 @@
   daemon: node.Node
   domain: str
   is_dead: bool = False
-  started_at: float = dataclasses.field(default_factory=time.monotonic)
+  # Looked up when it is called, since runs replace the clock.
+  started_at: float = dataclasses.field(
+    default_factory=lambda: time.monotonic()
+  )
   tasks: set[asyncio.Task[Any]] = dataclasses.field(default_factory=set)
 
   def run(self, work: Coroutine[Any, Any, T]) -> asyncio.Task[T]:
--- a/bench/faults/outside.py
+++ b/bench/faults/outside.py
@@ -35,6 +35,20 @@
 # time in this range.
 FATAL_MARK = b'fatal'
 FATAL_SECONDS = (0.005, 0.1)
+# What follows the mark tells how the instance ends: with a reset, in silence,
+# or with a reset after its entry was removed or says that it drains.
+RESET, SILENT = b'-reset', b'-silent'
+REMOVED, DRAINING = b'-removed', b'-drain'
+ENDS = (RESET, SILENT, REMOVED, DRAINING)
+# Range of the time from the change of the entry to the end.
+DEPARTURE_SECONDS = (0.05, 0.6)
+# Time for which a probe of a silent address waits.
+SILENT_PROBE_SECONDS = 0.4
+# Share of streams with an event that never ends, the size of its parts, and how
+# much of one may be read.
+ENDLESS_SHARE = 0.005
+ENDLESS_PART = b'x' * 65_536
+MAX_ENDLESS_BYTES = 4 * 1024 * 1024
 # Time that a probe of an instance takes.
 PROBE_SECONDS = 0.002
 # Range of the time for which the entry of an ended instance stays in the store.
@@ -132,7 +146,9 @@
   `truncated_requests`, whose callers must see that a part is missing.  The
   answers to `unframed_requests` end with their connection.  `ended_at_by_id`
   has the times at which instances ended, and `ended_by_body` the instances that
-  ended while they ran a body.  `replace` is called with each that has ended.
+  ended while they ran a body.  `replace` is called with each that has ended,
+  `depart` with each that leaves before it ends, and whether it drains.
+  `violations` has what daemons read beyond a bound.
   """
 
   def __init__(
@@ -140,9 +156,17 @@
     *,
     rng: random.Random,
     replace: Callable[[instances.Instance], None] = lambda instance: None,
+    depart: Callable[[instances.Instance, bool], None] = (
+      lambda instance, is_draining: None
+    ),
   ) -> None:
     self._rng = rng
     self._replace = replace
+    self._depart = depart
+    self._silent_ids: set[str] = set()
+    # Tells runs apart without a draw.
+    self._salt = rng.getstate()[1][:4]
+    self.violations: list[str] = []
     self.ended_at_by_id: dict[str, float] = {}
     self.ended_by_body: dict[bytes, list[str]] = {}
     # The requests that each instance runs, each with its connection.
@@ -168,6 +192,8 @@
     if site is not None and site.is_dead:
       await asyncio.Event().wait()
     instance = sending.instance
+    if instance.id in self._silent_ids:
+      await asyncio.Event().wait()
     if instance.id in self.ended_at_by_id:
       raise exchange.RequestNotSent('refused')
     connection = asyncio.Event()
@@ -177,7 +203,7 @@
       if sending.request.body.startswith(FATAL_MARK):
         self.fatal_runs.append((time.monotonic(), sending.request.id))
         await asyncio.sleep(self._rng.uniform(*FATAL_SECONDS))
-        self.end(instance)
+        await self._end_by(sending.request.body, instance)
         raise exchange.ResponseLost('disconnected')
       async with self._answer(sending, connection) as reply:
         yield reply
@@ -188,16 +214,39 @@
     self, instance: instances.Instance, *, health_path: str
   ) -> exchange.Liveness:
     await asyncio.sleep(PROBE_SECONDS)
+    if instance.id in self._silent_ids:
+      await asyncio.sleep(SILENT_PROBE_SECONDS)
+      return exchange.Liveness.UNKNOWN
     is_ended = instance.id in self.ended_at_by_id
     return exchange.Liveness.ENDED if is_ended else exchange.Liveness.ALIVE
 
-  def end(self, instance: instances.Instance) -> None:
-    """Ends an instance: it loses all its connections and refuses new ones."""
+  async def _end_by(self, body: bytes, instance: instances.Instance) -> None:
+    """Ends an instance as a fatal request tells; returns if it is noticed."""
+    how = body.removeprefix(FATAL_MARK)
+    if how.startswith((REMOVED, DRAINING)):
+      self._depart(instance, how.startswith(DRAINING))
+      rng = random.Random(f'departure of {instance.id}')
+      await asyncio.sleep(rng.uniform(*DEPARTURE_SECONDS))
+    is_silent = how.startswith(SILENT)
+    self.end(instance, is_silent=is_silent)
+    if is_silent:
+      await asyncio.Event().wait()
+
+  def end(
+    self, instance: instances.Instance, *, is_silent: bool = False
+  ) -> None:
+    """Ends an instance: it loses all its connections and refuses new ones.
+
+    One that `is_silent` loses and refuses none, and answers nothing.
+    """
     if instance.id in self.ended_at_by_id:
       return
     self.ended_at_by_id[instance.id] = time.monotonic()
+    if is_silent:
+      self._silent_ids.add(instance.id)
     for connection, body in self._running_by_id.pop(instance.id, {}).items():
-      connection.set()
+      if not is_silent:
+        connection.set()
       self.ended_by_body.setdefault(body, []).append(instance.id)
     self._replace(instance)
 
@@ -258,6 +307,10 @@
     *,
     is_reset: bool,
   ) -> AsyncGenerator[bytes]:
+    if random.Random(f'{self._salt} {id}').random() < ENDLESS_SHARE:
+      self.truncated_requests.add(id)
+      async for part in self._stream_without_end(id):
+        yield part
     for chunk in chunks:
       await asyncio.sleep(self._rng.uniform(*EVENT_INTERVAL_SECONDS))
       if connection.is_set():
@@ -267,6 +320,16 @@
     if is_reset:
       raise exchange.ResponseLost('reset')
 
+  async def _stream_without_end(self, id: str) -> AsyncGenerator[bytes]:
+    size = 0
+    yield b'data: '
+    while size <= MAX_ENDLESS_BYTES:
+      await asyncio.sleep(EVENT_INTERVAL_SECONDS[0])
+      size += len(ENDLESS_PART)
+      yield ENDLESS_PART
+    self.violations.append(f'bytes: {size} of an event without end in {id}')
+    raise exchange.ResponseLost('reset')
+
   async def _stream_nothing(self) -> AsyncGenerator[bytes]:
     yield b''
 
--- a/bench/faults/schedule.py
+++ b/bench/faults/schedule.py
@@ -143,7 +143,11 @@
   caller_pool.is_stopping = True
   await caller_task
   return Result(
-    violations=(*caller_pool.violations, *served.violations),
+    violations=(
+      *caller_pool.violations,
+      *served.violations,
+      *served.instances.violations,
+    ),
     count_by_status=caller_pool.count_by_status,
   )
 
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -9,6 +9,8 @@
 from faults import clock
 from faults import crashes
 from faults import fleet
+from faults import network
+from faults import outside
 from faults import schedule
 from faults import tenancy
 import pytest
@@ -17,6 +19,7 @@
 from woadrun.process import rate_owner
 from woadrun.process import reservations
 from woadrun.request import attempts
+from woadrun.request import events
 from woadrun.request import exchange
 from woadrun.request import rates
 from woadrun.request import serving
@@ -82,16 +85,27 @@
   assert next(violations, '').startswith('budget:')
 
 
-def make_fatal_caller(*, began, ended_at, kinds=()):
+def make_fatal_caller(
+  *, began, ended_at, kinds=(), end=outside.RESET, given_up_at=()
+):
   served = fleet.Fleet(dice=random.Random(1), daemons=1, domains=2)
   caller = crashes.FatalCaller(
-    served=served, name='f', path=fleet.LOOK, kinds=frozenset(kinds)
+    served=served,
+    name='f',
+    path=fleet.LOOK,
+    kinds=frozenset(kinds),
+    end=end,
   )
   for number, at in enumerate(began):
     request = types.SimpleNamespace(id=f'f-{number}')
     served.instances.fatal_runs.append((at, request.id))
     caller._tries.append(
-      crashes._Try(request=request, at=at, daemon_started_at=0.0)
+      crashes._Try(
+        request=request,
+        at=at,
+        daemon_started_at=0.0,
+        ended_at=given_up_at[number] if given_up_at else 0.0,
+      )
     )
   ids = [f'i{number}' for number in range(len(ended_at))]
   served.instances.ended_at_by_id.update(zip(ids, ended_at, strict=True))
@@ -122,6 +136,60 @@
   assert bool(caller._find_violations()) is is_violated
 
 
+@pytest.mark.parametrize(
+  ('began', 'given_up_at', 'is_violated'),
+  [
+    ([10.0, 11.0, 12.0], [10.5, 11.5, 12.5], False),
+    ([10.0, 11.0, 12.0, 13.0], [10.5, 11.5, 12.5, 13.5], True),
+    # Sent before any caller had given up.
+    ([10.0, 10.1, 10.2, 10.3], [10.5, 10.6, 10.7, 10.8], False),
+    ([10.0, 10.1, 10.2, 10.6], [10.5, 10.6, 10.7, 11.1], True),
+  ],
+)
+def test_more_instances_that_end_in_silence_are_found(
+  began, given_up_at, is_violated
+):
+  caller = make_fatal_caller(
+    began=began,
+    ended_at=[at + 0.01 for at in began],
+    end=outside.SILENT,
+    given_up_at=given_up_at,
+  )
+  assert bool(caller._find_violations()) is is_violated
+
+
+@pytest.mark.parametrize('end', outside.ENDS)
+def test_instances_that_end_unseen_are_at_most_three_in_a_schedule(
+  end, monkeypatch
+):
+  monkeypatch.setattr(outside, 'ENDS', (end,))
+  item = make_schedule(make_fault('crash', seconds=4.0), seed=7)
+  assert schedule.run(item).violations == ()
+
+
+# Guards against a daemon that holds an event without end in memory.
+def test_an_event_without_end_is_broken_off(monkeypatch):
+  monkeypatch.setattr(outside, 'ENDLESS_SHARE', 0.2)
+  assert schedule.run(make_schedule(seed=7)).violations == ()
+  monkeypatch.setattr(events, 'MAX_EVENT_BYTES', 2**30)
+  found = schedule.run(make_schedule(seed=7)).violations
+  assert any(line.startswith('bytes:') for line in found)
+
+
+def test_an_instance_that_ends_under_two_copies_counts_once():
+  caller = make_fatal_caller(
+    began=[10.0, 10.01, 11.0, 12.0], ended_at=[10.1, 11.1, 12.1]
+  )
+  caller._served.instances.ended_by_body[caller._body].append('i0')
+  assert caller._find_violations() == []
+
+
+def test_a_site_starts_by_the_virtual_clock():
+  with clock.run_by(clock.Clock()):
+    site = network.Site(daemon=None, domain='d')
+    assert site.started_at == clock.INITIAL_MONOTONIC_SECONDS
+
+
 def test_a_request_that_ran_and_was_refused_is_found():
   caller = make_fatal_caller(began=[10.0], ended_at=[10.1])
   caller._tries[0].code = 'request_quarantined'
