--- a/bench/faults/crashes.py
+++ b/bench/faults/crashes.py
@@ -145,8 +145,13 @@
       for item in self._tries
       if item.code in NOT_RUN_CODES and item.request.id in ran
     ]
-    # Copies of a request may run at one instance.
-    ended_ids = set(instances.ended_by_body.get(self._body, ()))
+    # Copies of a request may run at one instance, and beside another request
+    # that ended it.
+    ended_ids = {
+      id
+      for id in instances.ended_by_body.get(self._body, ())
+      if instances.ender_by_id.get(id, self._body) == self._body
+    }
     ended_at = sorted(instances.ended_at_by_id[id] for id in ended_ids)
     if not ended_at:
       return found
--- a/bench/fleet_soak/callers.py
+++ b/bench/fleet_soak/callers.py
@@ -22,6 +22,8 @@
 FATAL_TRIES = 14
 FATAL_PAUSE_SECONDS = (0.02, 0.5)
 FATAL_OVERLAP_SHARE = 0.1
+# Range of the time after which the caller of such a request gives up.
+FATAL_TRY_SECONDS = (0.3, 2.0)
 # Share of requests in HTTP/1.0, whose responses have no chunks.
 OLD_HTTP_SHARE = 0.1
 
@@ -135,14 +137,21 @@
     while not self.is_stopped:
       number += 1
       prefix = self._rng.choice((outside.CHAT, outside.ACT, outside.LOOK))
-      path = f'{prefix}{outside.FATAL}-{number}'
+      end = outside.ENDS[number % len(outside.ENDS)]
+      path = f'{prefix}{outside.FATAL}-{end}-{number}'
       program = self._make_id()
       beside = []
       for _ in range(FATAL_TRIES):
         if self.is_stopped:
           break
         sent = asyncio.ensure_future(
-          self._send(path=path, program=program, input=b'fatal', parent='')
+          self._send(
+            path=path,
+            program=program,
+            input=b'fatal',
+            parent='',
+            seconds=self._rng.uniform(*FATAL_TRY_SECONDS),
+          )
         )
         beside.append(sent)
         if self._rng.random() >= FATAL_OVERLAP_SHARE:
@@ -179,6 +188,7 @@
     program: str,
     input: bytes,
     parent: str,
+    seconds: float = REQUEST_TIMEOUT_SECONDS + 0.5,
   ) -> Attempt:
     daemon = self._rng.choice(self._ready or self.fleet)
     attempt = Attempt(
@@ -194,7 +204,7 @@
     is_look = path.startswith(outside.LOOK)
     response = http_client.Response()
     try:
-      async with asyncio.timeout(REQUEST_TIMEOUT_SECONDS + 0.5):
+      async with asyncio.timeout(seconds):
         await self._client.send(
           (daemon.host, daemons.FRONT_PORT),
           response,
--- a/bench/fleet_soak/proxy.py
+++ b/bench/fleet_soak/proxy.py
@@ -40,6 +40,12 @@
       task.cancel()
     self.reset()
 
+  def go_silent(self) -> None:
+    """Closes the listener, and forwards nothing on the open connections."""
+    if self._server is not None:
+      self._server.close()
+    self.drops_requests = self.drops_responses = True
+
   def reset(self) -> None:
     """Resets all open connections."""
     for writer in list(self._writers):
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -184,6 +184,15 @@
   assert caller._find_violations() == []
 
 
+def test_an_instance_that_another_request_ended_does_not_count():
+  caller = make_fatal_caller(
+    began=[10.0, 11.0, 12.0, 13.0], ended_at=[10.1, 11.1, 12.1, 13.1]
+  )
+  assert caller._find_violations()
+  caller._served.instances.ender_by_id['i0'] = b'another'
+  assert not caller._find_violations()
+
+
 def test_a_site_starts_by_the_virtual_clock():
   with clock.run_by(clock.Clock()):
     site = network.Site(daemon=None, domain='d')
