--- a/src/woadrun/process/load/crash_records.py
+++ b/src/woadrun/process/load/crash_records.py
@@ -37,7 +37,7 @@
 # Time for which an attempt counts as running, or as possibly ended, without
 # news: its daemon may have ended itself.
 RUNNING_TTL_SECONDS = 6.0
-LOST_TTL_SECONDS = 60.0
+LOST_TTL_SECONDS = 30.0
 # Time for which an instance that lives on may still run a request that its
 # caller gave up.
 GIVEN_UP_TTL_SECONDS = 1.5
@@ -45,7 +45,7 @@
 CLAIM_TTL_SECONDS = 0.3
 # Time within which the list of instances shows that an instance has ended whose
 # connections tell nothing.
-ABANDONED_TTL_SECONDS = 60.0
+ABANDONED_TTL_SECONDS = 30.0
 # Maximum number of instances that are known to have ended.
 MAX_ENDED_INSTANCES = 1024
 # Reports are at most this much older than their age says.
@@ -526,6 +526,13 @@
         self._take_disconnected(fingerprint, incarnation_id)
         self._set(fingerprint, incarnation_id, State.SURVIVED)
 
+  def has_disconnected(self, incarnation_id: str) -> bool:
+    """Returns whether this daemon lost a connection to an instance.
+
+    Only as long as its outcome is not known.
+    """
+    return incarnation_id in self._disconnected_by_instance
+
   def is_lost(self, incarnation_id: str) -> bool:
     """Returns whether an instance may have ended with a request."""
     return any(
--- a/src/woadrun/request/crash_guard.py
+++ b/src/woadrun/request/crash_guard.py
@@ -47,6 +47,8 @@
 SETTLE_SECONDS = 0.01
 # Interval between two comparisons with the list of instances.
 CHECK_INTERVAL_SECONDS = 0.25
+# Interval at which records that no longer count are dropped.
+EXPIRY_INTERVAL_SECONDS = 2.0
 # An instance that ends as planned may end this much sooner after its departure
 # was noticed here than after it departed.
 DEPARTURE_DELAY_SECONDS = 0.25
@@ -303,13 +305,16 @@
   async def _find_liveness(
     self, instance: instances.Instance
   ) -> exchange.Liveness:
+    # A health check may wait at a busy instance.  That its address answers is
+    # all that matters where callers gave up.
+    is_given_up = not self.records.has_disconnected(instance.incarnation_id)
+    path = '' if is_given_up else self._get_health_path(instance)
     for _ in range(MAX_PROBES):
-      liveness = await self._upstreams.probe(
-        instance, health_path=self._get_health_path(instance)
-      )
+      liveness = await self._upstreams.probe(instance, health_path=path)
       if self._is_domain_silent(instance.domain):
         return exchange.Liveness.UNKNOWN
-      if liveness is exchange.Liveness.ALIVE:
+      is_reachable = liveness is exchange.Liveness.REACHABLE
+      if liveness is exchange.Liveness.ALIVE or is_given_up and is_reachable:
         return liveness
       await asyncio.sleep(SETTLE_SECONDS)
       # A full instance may refuse connections as well.  One that has ended
@@ -355,10 +360,17 @@
     while not self.should_stop:
       await ticks.sleep(CHECK_INTERVAL_SECONDS)
       self.compare_with_list()
+
+  @mode.Service.task
+  async def _expire_periodically(self) -> None:
+    while not self.should_stop:
+      await ticks.sleep(EXPIRY_INTERVAL_SECONDS)
       self.records.drop_expired()
 
   def compare_with_list(self) -> None:
     """Probes the instances that may have ended and are no longer listed."""
+    if not self._instance_by_id:
+      return
     listed = self._catalogue.directory.get_incarnation_ids()
     open_ids = self.records.find_open()
     for id, instance in list(self._instance_by_id.items()):
