--- a/src/woadrun/process/load/crash_records.py
+++ b/src/woadrun/process/load/crash_records.py
@@ -254,12 +254,9 @@
     )
 
   def _count_ended(self, fingerprint: str, record: _Record, now: float) -> int:
-    ended = [
-      id
-      for id in record.find(State.ENDED)
-      if not self._is_explained(fingerprint, record, id)
-    ]
-    if not ended:
+    ended = record.find(State.ENDED)
+    # One end that is due to no other request makes all of them suspicious.
+    if all(self._is_explained(fingerprint, record, id) for id in ended):
       return 0
     last_at = max(record.attempt_by_instance[id].at for id in ended)
     return crash_limit.count_ended(len(ended), seconds=now - last_at)
--- a/tests/test_crash_records.py
+++ b/tests/test_crash_records.py
@@ -397,3 +397,15 @@
   others.apply_reports(told)
   assert others.find_open_attempts('f') == ['b']
   assert others.find_open_attempts('g') == ['c']
+
+
+def test_an_end_that_no_other_request_explains_makes_all_of_them_count(clock):
+  records, _ = make()
+  end(records, 'fatal', 'x', 'y')
+  records.lose('fatal', 'a')
+  records.lose('other', 'a')
+  records.resolve('a', is_ended=True)
+  assert records.judge('other') is Verdict.RUN
+  assert not records.is_suspect('other')
+  end(records, 'other', 'b', 'c')
+  assert records.judge('other') is Verdict.REFUSE
