--- a/src/woadrun/process/catalogue.py
+++ b/src/woadrun/process/catalogue.py
@@ -158,11 +158,6 @@
     """Whether a list of the instances was received."""
     return self._instance_feed.version is not None
 
-  @property
-  def is_instance_list_lost(self) -> bool:
-    """Whether changes of the list of instances do not arrive."""
-    return self._instance_feed.is_lost
-
   @property
   def version(self) -> int:
     """The version of the current routing table, -1 if there is none."""
--- a/tests/test_responses_without_end.py
+++ b/tests/test_responses_without_end.py
@@ -73,21 +73,27 @@
   return endless.Shape(first=first, piece=piece)
 
 
-async def send(session, server):
-  """Sends a request; returns the reply and its body."""
-  client = upstream.HttpUpstreams(
+def make_client(session):
+  return upstream.HttpUpstreams(
     session=session, addresses=tcp_connections.Addresses()
   )
+
+
+def make_sending(server):
   request = nodes.make_request('r', path='/act/', seconds=DEADLINE_SECONDS)
   request.headers.append(('Request-Id', 'r'))
-  sending = exchange.RequestAttempt(
+  return exchange.RequestAttempt(
     request=request,
     instance=make_instance(server),
     body=b'',
     seconds=DEADLINE_SECONDS,
     silence_seconds=DEADLINE_SECONDS,
   )
-  async with client.send(sending) as reply:
+
+
+async def send(session, server):
+  """Sends a request; returns the reply and its body."""
+  async with make_client(session).send(make_sending(server)) as reply:
     if not reply.has_run:
       return reply, b''
     return reply, b''.join([chunk async for chunk in reply.chunks])
@@ -138,18 +144,7 @@
     SHAPES['responses to other requests'].piece,
   )
   async with connect(shape) as (session, server):
-    client = upstream.HttpUpstreams(
-      session=session, addresses=tcp_connections.Addresses()
-    )
-    request = nodes.make_request('r', path='/act/', seconds=DEADLINE_SECONDS)
-    request.headers.append(('Request-Id', 'r'))
-    sending = exchange.RequestAttempt(
-      request=request,
-      instance=make_instance(server),
-      body=b'',
-      seconds=DEADLINE_SECONDS,
-    )
-    async with client.send(sending) as reply:
+    async with make_client(session).send(make_sending(server)) as reply:
       # A slow caller.
       await nodes.wait_until(lambda: not session.connector._acquired)
       assert b''.join([chunk async for chunk in reply.chunks]) == b'first'
@@ -160,10 +155,9 @@
 @pytest.mark.parametrize('name', SHAPES)
 async def test_a_probe_ends(name):
   async with connect(SHAPES[name]) as (session, server):
-    client = upstream.HttpUpstreams(
-      session=session, addresses=tcp_connections.Addresses()
+    liveness = await make_client(session).probe(
+      make_instance(server), health_path='/h'
     )
-    liveness = await client.probe(make_instance(server), health_path='/h')
     assert liveness is not exchange.Liveness.UNKNOWN
     assert server.sent < MAX_SENT_BYTES
 
