Tell others of a complete response though the request is not suspect here

A complete response was reported only while its request was suspect, by the daemon that received it; the others kept the open attempts that they had been told of, which count once their instance ends. It is reported whenever others may have a record, and so is the end of an announced attempt.

Evidence: both new tests of test_crash_records.py fail without the change.

--- a/src/woadrun/process/load/crash_records.py
+++ b/src/woadrun/process/load/crash_records.py
@@ -91,7 +91,7 @@
 
   Attempts before the last success are not kept.  `claimed_at_by_daemon` has the
   times at which daemons announced an attempt.  `is_refused` is set once enough
-  instances ended.
+  instances ended, `is_shared` once another daemon has a record too.
   """
 
   attempt_by_instance: dict[str, _Attempt] = dataclasses.field(
@@ -102,6 +102,7 @@
     default_factory=dict
   )
   is_refused: bool = False
+  is_shared: bool = False
 
   def find(self, state: State, *, since: float = -math.inf) -> list[str]:
     """Returns the instances whose attempt entered a state since a time."""
@@ -345,7 +346,7 @@
       return
     self._announced.discard((fingerprint, incarnation_id))
     if self._get_state(fingerprint, incarnation_id) is State.RUNNING:
-      self._set_if_suspect(fingerprint, incarnation_id, State.ABANDONED)
+      self._set_if_shared(fingerprint, incarnation_id, State.ABANDONED)
 
   def _get_state(self, fingerprint: str, incarnation_id: str) -> State | None:
     """Returns the state of an attempt, or None if it has no record."""
@@ -363,7 +364,7 @@
   def complete(self, fingerprint: str, incarnation_id: str) -> None:
     """Records that a complete response arrived."""
     if fingerprint in self._record_by_fingerprint:
-      self._set_if_suspect(fingerprint, incarnation_id, State.COMPLETE)
+      self._set_if_shared(fingerprint, incarnation_id, State.COMPLETE)
 
   def reject(self, fingerprint: str, incarnation_id: str) -> None:
     """Records that an instance does not run a request after all."""
@@ -590,6 +591,17 @@
     is_reported = self.is_suspect(fingerprint)
     self._set(fingerprint, incarnation_id, state, is_reported=is_reported)
 
+  def _set_if_shared(
+    self, fingerprint: str, incarnation_id: str, state: State
+  ) -> None:
+    """Sets the state of an attempt, which is reported if others have a record.
+
+    They may know of open attempts, or of ends, that no longer matter here.
+    """
+    record = self._get_record(fingerprint)
+    is_reported = record.is_shared
+    self._set(fingerprint, incarnation_id, state, is_reported=is_reported)
+
   def _set(
     self,
     fingerprint: str,
@@ -602,6 +614,7 @@
     record = self._get_record(fingerprint)
     self._apply(record, fingerprint, incarnation_id, state, now, is_own=True)
     if is_reported:
+      record.is_shared = True
       self._on_change(
         attempt_reports.AttemptReport(fingerprint, incarnation_id, state, 0.0)
       )
@@ -717,6 +730,7 @@
     if known is not None and not _is_news(known, report, at):
       return False
     record = self._get_record(report.fingerprint)
+    record.is_shared = True
     self._apply(
       record, report.fingerprint, report.incarnation_id, report.state, at
     )
--- a/tests/test_crash_records.py
+++ b/tests/test_crash_records.py
@@ -409,3 +409,32 @@
   assert not records.is_suspect('other')
   end(records, 'other', 'b', 'c')
   assert records.judge('other') is Verdict.REFUSE
+
+
+# Guards against a request that is refused for instances which end a while after
+# they completed it: others were not told, as it was not suspect any more.
+def test_a_complete_response_is_told_to_others_though_it_is_not_suspect(clock):
+  records, sent = make()
+  others, _ = make('n2')
+  for id in 'abc':
+    records.orphan('f', id)
+    records.resolve(id, is_ended=False)
+  clock.now += 1
+  assert not records.is_suspect('f')
+  records.complete('f', 'd')
+  others.apply_reports(sent)
+  for id in 'abc':
+    others.resolve(id, is_ended=True)
+  assert others.judge('f') is Verdict.RUN
+
+
+def test_the_end_of_an_announced_attempt_is_told(clock):
+  records, sent = make()
+  others, _ = make('n2')
+  end(records, 'f', 'a')
+  with records.run('f', 'x'):
+    records.refute('a')
+    assert not records.is_suspect('f')
+  others.apply_reports(sent)
+  clock.now += 1
+  assert sent[-1] == report('f', 'x', State.ABANDONED)
