A silent instance that refuses connections may have ended

Where callers gave up such an instance stays in doubt until its entry goes, or bytes of it arrive; bytes settle all attempts that were given up there.

--- a/src/woadrun/process/load/crash_records.py
+++ b/src/woadrun/process/load/crash_records.py
@@ -73,6 +73,8 @@
   State.SURVIVED,
   State.COMPLETE,
 )
+# States of attempts that bytes of their instance settle.
+DOUBTED_STATES = (State.LOST, State.ABANDONED)
 # States of attempts whose instance may end or may have ended.
 OPEN_STATES = frozenset((State.RUNNING, State.ABANDONED, State.LOST))
 
@@ -141,6 +143,8 @@
     self._announced: set[tuple[str, str]] = set()
     # The requests whose connection this daemon lost, without an outcome yet.
     self._disconnected_by_instance: dict[str, set[str]] = {}
+    # The requests with an attempt that bytes of its instance can settle.
+    self._doubted_by_instance: dict[str, set[str]] = {}
     # The refused requests, by each instance that ended under them.
     self._refused_by_instance: dict[str, set[str]] = {}
 
@@ -514,15 +518,24 @@
     return True
 
   def _record_survival(self, incarnation_id: str) -> None:
-    """Records that an instance has outlived the connections that it lost."""
+    """Records that an instance has outlived attempts that were lost there."""
     limit = time.monotonic() - DELIVERY_SECONDS
-    for fingerprint in list(self._disconnected_by_instance[incarnation_id]):
+    for fingerprint in list(self._doubted_by_instance[incarnation_id]):
       attempt = self._get_attempt(fingerprint, incarnation_id)
-      if attempt is None or attempt.state not in (State.LOST, State.ABANDONED):
-        self._take_disconnected(fingerprint, incarnation_id)
-      elif attempt.at < limit:
-        self._take_disconnected(fingerprint, incarnation_id)
-        self._set(fingerprint, incarnation_id, State.SURVIVED)
+      if attempt is not None and attempt.at >= limit:
+        continue
+      is_over = self._take_disconnected(fingerprint, incarnation_id)
+      self._take_doubted(fingerprint, incarnation_id)
+      if attempt is not None and attempt.state in DOUBTED_STATES:
+        state = State.SURVIVED if is_over else State.ABANDONED
+        if state is not attempt.state:
+          self._set(fingerprint, incarnation_id, state)
+
+  def _take_doubted(self, fingerprint: str, incarnation_id: str) -> None:
+    found = self._doubted_by_instance.get(incarnation_id, set())
+    found.discard(fingerprint)
+    if not found:
+      self._doubted_by_instance.pop(incarnation_id, None)
 
   def has_disconnected(self, incarnation_id: str) -> bool:
     """Returns whether this daemon lost a connection to an instance.
@@ -553,7 +566,7 @@
     One that arrives a while after the end of the instance refutes it, and one
     that arrives after a lost connection shows that only that was lost.
     """
-    if incarnation_id in self._disconnected_by_instance:
+    if incarnation_id in self._doubted_by_instance:
       self._record_survival(incarnation_id)
     ended_at = self._ended_at_by_instance.get(incarnation_id)
     if ended_at is None:
@@ -686,6 +699,10 @@
         )
       return
     was_known = incarnation_id in record.find(State.ENDED)
+    if state is State.LOST:
+      self._doubted_by_instance.setdefault(incarnation_id, set()).add(
+        fingerprint
+      )
     attempts.pop(incarnation_id, None)
     attempts[incarnation_id] = _Attempt(state=state, at=at)
     if len(attempts) > MAX_ATTEMPTS:
@@ -808,10 +825,15 @@
       is_recent = now - newest < ABANDONED_TTL_SECONDS
       if not is_recent and not _counts(record, now):
         self._drop(fingerprint)
-    for id, requests in list(self._disconnected_by_instance.items()):
-      for fingerprint in list(requests):
-        if self._get_attempt(fingerprint, id) is None:
-          self._take_disconnected(fingerprint, id)
+    for index in (self._disconnected_by_instance, self._doubted_by_instance):
+      for id, requests in list(index.items()):
+        requests.intersection_update(
+          fingerprint
+          for fingerprint in requests.copy()
+          if self._get_state(fingerprint, id) in DOUBTED_STATES
+        )
+        if not requests:
+          del index[id]
 
 
 def _counts(record: _Record, now: float) -> bool:
--- a/src/woadrun/request/crash_guard.py
+++ b/src/woadrun/request/crash_guard.py
@@ -323,7 +323,12 @@
       if liveness is exchange.Liveness.ENDED and not is_running:
         return liveness
       if liveness is exchange.Liveness.ENDED:
-        liveness = exchange.Liveness.REACHABLE
+        # Where callers gave up, what still runs may be as silent.
+        liveness = (
+          exchange.Liveness.UNKNOWN
+          if is_given_up
+          else exchange.Liveness.REACHABLE
+        )
       await asyncio.sleep(PROBE_INTERVAL_SECONDS)
     return liveness
 
--- a/tests/test_crash_records.py
+++ b/tests/test_crash_records.py
@@ -1,5 +1,9 @@
 """Tests for the records of requests under which instances ended."""
 
+import contextlib
+
+import crashing_engines
+import nodes
 import pytest
 
 from woadrun.connection import attempt_reports
@@ -438,3 +442,38 @@
   others.apply_reports(sent)
   clock.now += 1
   assert sent[-1] == report('f', 'x', State.ABANDONED)
+
+
+def test_bytes_of_an_instance_settle_what_was_given_up_there(clock):
+  records, _ = make()
+  for id in 'abc':
+    records.orphan('f', id)
+  assert records.judge('f') is Verdict.WAIT
+  clock.now += crash_records.DELIVERY_SECONDS / 2
+  records.record_bytes('a')
+  assert records.judge('f') is Verdict.WAIT
+  clock.now += crash_records.DELIVERY_SECONDS
+  records.record_bytes('a')
+  clock.now += crash_records.GIVEN_UP_TTL_SECONDS + 0.1
+  assert records.judge('f') is Verdict.RUN
+  # It may still end under the request.
+  records.resolve('a', is_ended=True)
+  assert records.find_ended('f') == ['a']
+
+
+# Guards against an ended instance that is taken for a full one, since requests
+# whose connections are silent still run there.
+async def test_a_silent_instance_that_refuses_connections_may_have_ended():
+  async with crashing_engines.make_fleet('n1') as fleet:
+    guard = fleet.by_name['n1'].crash_guard
+    fleet.engines.refuses_probes = True
+    directory = fleet.by_name['n1'].catalogue.directory
+    found = list(directory.find('tools').all)
+    with contextlib.ExitStack() as stack:
+      for instance in found:
+        id = instance.incarnation_id
+        stack.enter_context(guard.records.run('beside', id))
+        guard.records.orphan('f', id)
+      guard._probe_open_attempts('f')
+      await nodes.wait_until(lambda: not guard._probe_by_id)
+    assert guard.records.is_suspect('f')
