--- a/tests/test_fleet_soak.py
+++ b/tests/test_fleet_soak.py
@@ -55,7 +55,15 @@
   )
 
 
-def check(attempts, runs, *, drained_at=None, truncated=(), **options):
+def check(
+  attempts,
+  runs,
+  *,
+  drained_at=None,
+  truncated=(),
+  endless_bytes_by_request=None,
+  **options,
+):
   item = types.SimpleNamespace(
     id='i',
     service='models',
@@ -65,6 +73,7 @@
     },
     drained_at=drained_at,
     ended_at=None,
+    endless_bytes_by_request=endless_bytes_by_request or {},
   )
   environment = types.SimpleNamespace(
     instances=[item],
@@ -137,12 +146,12 @@
   assert word in found[0]
 
 
-def make_crash_checker(count):
+def make_crash_checker(count, *, end=outside.RESET, given_up_seconds=0.3):
   """Returns a checker of tries a second apart, of which each ends an instance.
 
   The first try was sent at 101 s.
   """
-  path = f'{outside.LOOK}{outside.FATAL}-1'
+  path = f'{outside.LOOK}{outside.FATAL}-{end}-1'
   numbers = range(1, count + 1)
   environment = types.SimpleNamespace(
     instances=[
@@ -152,7 +161,10 @@
       for n in numbers
     ]
   )
-  attempts = [make_attempt(f'{n}', began=100.0 + n) for n in numbers]
+  attempts = [
+    make_attempt(f'{n}', began=100.0 + n, ended=100.0 + n + given_up_seconds)
+    for n in numbers
+  ]
   guarantees = checker.Checker(
     environment=environment,
     caller_pool=types.SimpleNamespace(attempts=attempts),
@@ -181,6 +193,25 @@
   assert found[0].startswith('4 ran at i4')
 
 
+def test_a_fourth_instance_that_ends_in_silence_is_reported():
+  end = outside.SILENT
+  assert list(make_crash_checker(3, end=end)._check_crashes()) == []
+  found = list(make_crash_checker(4, end=end)._check_crashes())
+  assert len(found) == 1
+  # Before its callers gave up, nobody could know of the third.
+  late = make_crash_checker(4, end=end, given_up_seconds=1.2)
+  assert list(late._check_crashes()) == []
+
+
+def test_a_response_without_end_that_is_read_on_is_reported():
+  limit = outside.MAX_ENDLESS_BYTES
+  turn, run = make_attempt('a', **GOOD), make_run('a')
+  assert check([turn], [run], endless_bytes_by_request={'a': limit}) == []
+  found = check([turn], [run], endless_bytes_by_request={'a': limit + 1})
+  assert len(found) == 1
+  assert 'without end' in found[0]
+
+
 def test_a_refused_request_that_ends_no_instance_is_reported():
   refused = make_attempt('a', status=502, error='request_quarantined')
   assert check([refused], []) == ['a was refused, but ends no instance']
