Log what a response states about its request, and the status a caller got

Cause: a log said "answers 429" or "not run, status 421", but neither whether the response was signed, had the request's id, or what stated that the request has not run; the line of a request's end had no status and did not say whether it may have run.

Change: `decisions/run_status.Statement` holds what a response states; `wire.read_statement` decodes it, the line of each attempt prints it, and the line of a request's end has the instance's status or whether the request has run.

--- a/src/woadrun/platform/upstream.py
+++ b/src/woadrun/platform/upstream.py
@@ -77,6 +77,9 @@
         headers=wire.decode_reply_headers(response.headers),
         has_run=wire.has_run(response.status, response.headers),
         is_genuine=wire.is_genuine(sending.request.id, response.headers),
+        statement=wire.read_statement(
+          sending, response.status, response.headers
+        ),
         chunks=reader.read(),
         ends_with_connection=response_ends.ends_with_connection(response),
         abort=response.close,
--- a/src/woadrun/platform/wire.py
+++ b/src/woadrun/platform/wire.py
@@ -16,6 +16,7 @@
 
 from woadrun import errors
 from woadrun.connection import turn_messages
+from woadrun.decisions import run_status
 from woadrun.request import exchange
 from woadrun.version import instances
 from woadrun.version import teams
@@ -225,6 +226,22 @@
   return _get_forwarded(headers.items(), headers.getall('Connection', []))
 
 
+def read_statement(
+  sending: exchange.RequestAttempt,
+  status: int,
+  headers: multidict.CIMultiDictProxy[str],
+) -> run_status.Statement:
+  """Returns what an instance's response states about its request."""
+  expected = sending.instance.id
+  return run_status.Statement(
+    status=status,
+    has_request_id=headers.getall(REQUEST_ID, []) == [sending.request.id],
+    is_signed=SIGNATURE in headers,
+    states_not_run=NOT_RUN in headers,
+    is_of_other_instance=headers.get(INSTANCE, expected) != expected,
+  )
+
+
 def has_run(status: int, headers: multidict.CIMultiDictProxy[str]) -> bool:
   """Returns whether the instance may have run the request.
 
--- a/src/woadrun/request/attempts.py
+++ b/src/woadrun/request/attempts.py
@@ -755,10 +755,9 @@
 
 
 def _describe_reply(reply: exchange.Reply) -> str:
+  statement = f' ({reply.statement})' if reply.statement is not None else ''
   if not reply.has_run:
-    return f'not run, status {reply.status}'
-  return (
-    f'answers {reply.status}'
-    if reply.is_genuine
-    else 'reply without the id of the request or the signature of the instance'
-  )
+    return f'not run, status {reply.status}{statement}'
+  if not reply.is_genuine:
+    return f'may have run, reply not genuine, status {reply.status}{statement}'
+  return f'answers {reply.status}{statement}'
--- a/src/woadrun/request/exchange.py
+++ b/src/woadrun/request/exchange.py
@@ -12,6 +12,7 @@
 from typing import Protocol
 
 from woadrun.connection import turn_messages
+from woadrun.decisions import run_status
 from woadrun.request import events
 from woadrun.version import instances
 
@@ -126,7 +127,8 @@
 
   `has_run` is false if the instance states that it did not run the request.
   `is_genuine` is true if the response has the id of this request and the
-  instance's signature.  `ends_with_connection` is true if only the end of the
+  instance's signature; `statement` is what these are read from, None if not
+  known.  `ends_with_connection` is true if only the end of the
   connection ends the body.  `event_reader` reads the body if it is a stream of
   events.  `abort` aborts the response: `chunks` then raises `ResponseLost`.
   `is_reusable` returns, after the request has ended, whether its connection can
@@ -138,6 +140,7 @@
   has_run: bool
   is_genuine: bool
   chunks: AsyncGenerator[bytes]
+  statement: run_status.Statement | None = None
   ends_with_connection: bool = False
   event_reader: events.EventReader | None = None
   abort: Callable[[], None] = lambda: None
--- a/src/woadrun/request/serving.py
+++ b/src/woadrun/request/serving.py
@@ -95,9 +95,10 @@
       async with response as answer:
         yield answer
         outcome = f'{answer.status // 100}xx'
+        reason = f' (status {answer.status} of the instance)'
     except errors.WoadrunError as error:
       outcome = error.code.value
-      reason = f' ({error.message})'
+      reason = f' (request {error.ran.value}: {error.message})'
       raise
     except exchange.ResponseLost as error:
       reason = f' ({error})'
