An instance's status goes to the caller only if it promises nothing untrue

Cause: a reply that has the request's id and the instance's signature went to the caller whatever its status. An instance that ran a request and answers 503 of its own, without the header that states that it did not run it, thereby made the daemon promise the opposite. The guard of the daemon's own errors did not see it, and let 402 and 404 pass, which promise the same of a turn.

Change: decisions/run_status.may_return decides for both, instances' replies and the daemon's errors. A reply that may not go to the caller is a failed attempt that may have run: an idempotent request is sent to another instance, any other one ends with 502, without a signature. Of a turn, 402, 404 and 410 count as well. The instance counts as failing.

Weighed: to pass the status on for idempotent requests, whose callers may repeat them anyway (another instance serves them sooner, and a promise would still be untrue); to change the status and keep the signature (callers compare them); to send a Retry-After with the 502 (its time is the instance's, and 502 has none).

Measured: 35 of the new tests of tests/test_run_status.py fail on the code before, all pass now; the tests of attempts, turns, teams and truncated responses pass.

--- a/src/woadrun/decisions/run_status.py
+++ b/src/woadrun/decisions/run_status.py
@@ -1,9 +1,22 @@
-"""Whether a request has run, as far as the response of an instance tells."""
+"""Whether a request may have run, and which statuses its caller may get for it.
+
+Some statuses guarantee to a caller that its request has not run and never will.
+`may_return` is the only place that decides whether such a status goes to a
+caller, be it that of an instance's response or of an error of this daemon.
+"""
 
 from __future__ import annotations
 
 import dataclasses
 
+from woadrun import errors
+
+# Statuses that guarantee that a request has not run.
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+# Statuses that state the same of a turn: its budget is spent, or the turn that
+# it continues from does not exist.
+TURN_NOT_RUN_STATUSES = NOT_RUN_STATUSES | {402, 404, 410}
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Statement:
@@ -29,3 +42,12 @@
       'of another instance' if self.is_of_other_instance else '',
     )
     return ', '.join(filter(None, words))
+
+
+def may_return(status: int, *, ran: errors.RunStatus, is_turn: bool) -> bool:
+  """Returns whether a caller may get a status for a request.
+
+  A status that guarantees that the request has not run needs certainty.
+  """
+  promises = TURN_NOT_RUN_STATUSES if is_turn else NOT_RUN_STATUSES
+  return ran is errors.RunStatus.NOT_RUN or status not in promises
--- a/src/woadrun/platform/wire.py
+++ b/src/woadrun/platform/wire.py
@@ -71,9 +71,6 @@
 _ACCESS_HEADERS = frozenset((AUTHORIZATION.lower(), TEAM.lower()))
 # The scheme of the `Authorization` header, in lower case.
 _KEY_SCHEME = 'token'
-# Statuses by which a response to a caller guarantees that the request has not
-# run.
-_NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 # The deadline sent to an instance is earlier than the daemon's own by this
 # margin, so that the instance's response on whether the request has run still
 # arrives in time.
@@ -271,14 +268,13 @@
 ) -> tuple[int, list[tuple[str, str]]]:
   """Returns the status and headers of the response for an error."""
   status = error.status
-  # After an error with a request that may have run, the response must not
-  # guarantee the opposite.
-  if status in _NOT_RUN_STATUSES and error.ran is not errors.RunStatus.NOT_RUN:
+  # The code tells nothing of the request's kind: any may be a turn's.
+  if not run_status.may_return(status, ran=error.ran, is_turn=True):
     status = 502
   headers = [('Woadrun-Error', error.code.value)]
   if request_id:
     headers.append((REQUEST_ID, request_id))
-  if error.retry_after is not None and status in _NOT_RUN_STATUSES:
+  if error.retry_after is not None and status in run_status.NOT_RUN_STATUSES:
     # The platform allows fractions of a second in this header.
     headers.append(('Retry-After', f'{error.retry_after:.2f}'))
   return status, headers
--- a/src/woadrun/request/attempts.py
+++ b/src/woadrun/request/attempts.py
@@ -7,6 +7,10 @@
 than average.  Its response is read ahead (`request/response_buffer.py`): if it
 breaks off before the caller has received any of it, the request is retried.
 
+An instance may have run a request and answer with a status that guarantees the
+opposite.  Such a reply is a failed attempt and does not go to the caller
+(`decisions/run_status.py`).
+
 A turn is a model request of a program; other requests have none.  A reply is
 genuine if it has the id of the request and the signature of the instance.  Load
 and health are recorded per incarnation, the time from the start of an instance
@@ -28,6 +32,7 @@
 from woadrun import errors
 from woadrun.decisions import attempt_limit
 from woadrun.decisions import hedging
+from woadrun.decisions import run_status
 from woadrun.decisions import service_times
 from woadrun.decisions import urgency
 from woadrun.process import catalogue
@@ -208,7 +213,7 @@
           break
         stack.push_async_exit(attempt.stack)
         reply = attempt.reply
-        if _is_valid(reply):
+        if _may_return(request, reply):
           yield reply, attempt.sending.instance
           return
         await stack.aclose()
@@ -216,6 +221,7 @@
           state.not_run += 1
           continue
         state.may_have_run = True
+        state.last_error = exchange.ResponseLost(_describe_reply(reply))
         if route.kind is not routes.Kind.IDEMPOTENT:
           break
     raise self._make_error(state)
@@ -389,7 +395,7 @@
     """
     attempt = await self._send_once(sending)
     reply, result = attempt.reply, attempt.result
-    if sending.is_stream or not _is_valid(reply):
+    if sending.is_stream or not _may_return(sending.request, reply):
       return attempt
     buffer = response_buffer.ResponseBuffer(
       chunks=reply.chunks, held=self._held
@@ -455,7 +461,10 @@
     id = sending.instance.incarnation_id
     if not reply.has_run:
       self._loads.health.record_failure(id, health.REJECTION_WEIGHT)
-    elif not reply.is_genuine or reply.status >= MIN_FAILURE_STATUS:
+    elif (
+      not _may_return(sending.request, reply)
+      or reply.status >= MIN_FAILURE_STATUS
+    ):
       self._loads.health.record_failure(id)
     else:
       result.is_failure = False
@@ -688,9 +697,8 @@
 ) -> _Attempt:
   """Returns the first usable attempt, and cancels or closes the others.
 
-  An attempt is usable if it has a genuine reply, which did not break off while
-  it was read ahead, and the instance did not reply that the request was not
-  run.  If no attempt is usable, returns the attempt of
+  An attempt is usable if its reply may go to the caller and did not break off
+  while it was read ahead.  If no attempt is usable, returns the attempt of
   the first task, or raises the error of that task.
   """
   pending = set(tasks)
@@ -698,7 +706,7 @@
     done, pending = await asyncio.wait(
       pending, return_when=asyncio.FIRST_COMPLETED
     )
-    usable = [task for task in done if _is_usable(task)]
+    usable = [task for task in done if _is_usable(state.request, task)]
     if usable:
       await _cancel_attempts([task for task in tasks if task is not usable[0]])
       return usable[0].result()
@@ -707,14 +715,23 @@
   return tasks[0].result()
 
 
-def _is_usable(task: asyncio.Task[_Attempt]) -> bool:
+def _is_usable(request: exchange.Request, task: asyncio.Task[_Attempt]) -> bool:
   if task.cancelled() or task.exception() is not None:
     return False
-  return _is_valid(task.result().reply)
-
-
-def _is_valid(reply: exchange.Reply) -> bool:
-  return reply.has_run and reply.is_genuine
+  return _may_return(request, task.result().reply)
+
+
+def _may_return(request: exchange.Request, reply: exchange.Reply) -> bool:
+  """Returns whether a reply may go to the caller of a request."""
+  return (
+    reply.has_run
+    and reply.is_genuine
+    and run_status.may_return(
+      reply.status,
+      ran=errors.RunStatus.RAN,
+      is_turn=request.turn is not None,
+    )
+  )
 
 
 def _may_have_run(task: asyncio.Task[_Attempt]) -> bool:
--- /dev/null
+++ b/tests/test_run_status.py
@@ -0,0 +1,118 @@
+"""Statuses that guarantee that a request has not run, after it may have run."""
+
+import itertools
+
+import nodes
+import pytest
+
+from woadrun import errors
+from woadrun.decisions import run_status
+from woadrun.platform import wire
+from woadrun.request import exchange
+
+TURN_PATHS = ['/chat/', '/draft/']
+PLAIN_PATHS = ['/act/', '/look/']
+NOT_RUN = [408, 421, 429, 503]
+# Of a turn, these guarantee it as well.
+TURN_NOT_RUN = [402, 404, 410]
+
+
+def make_request(path):
+  turn = exchange.TurnInfo(program='p', max_output=10, budget=1000)
+  turn = turn if path in TURN_PATHS else None
+  return nodes.make_request('r', path=path, turn=turn)
+
+
+async def ask(path, *faults):
+  """Returns the error that a caller gets and how often its request was sent."""
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1')
+    fleet.engines.faults.extend(faults)
+    with pytest.raises(errors.WoadrunError) as caught:
+      await fleet.ask('n1', make_request(path))
+    return caught.value, len(fleet.engines.sent)
+
+
+# Guards against a caller that is told that its request has not run, by the
+# status of the instance that ran it.
+@pytest.mark.parametrize(
+  ('path', 'status'),
+  [
+    *itertools.product(['/act/', *TURN_PATHS], NOT_RUN),
+    *itertools.product(TURN_PATHS, TURN_NOT_RUN),
+  ],
+)
+async def test_status_of_an_instance_that_ran_a_request_promises_nothing(
+  path, status
+):
+  error, sent = await ask(path, nodes.make_reply(status=status))
+  assert sent == 1
+  assert error.ran is errors.RunStatus.UNKNOWN
+  assert wire.encode_error(error, 'r') == (
+    502,
+    [('Woadrun-Error', 'outcome_unknown'), ('Request-Id', 'r')],
+  )
+
+
+# Guards against such a status for a request that another instance could serve.
+@pytest.mark.parametrize('status', NOT_RUN)
+async def test_idempotent_request_is_sent_again_after_such_a_status(status):
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1')
+    fleet.engines.faults.append(nodes.make_reply(status=status))
+    assert (await fleet.ask('n1', make_request('/look/')))[0] == 200
+    first, second = (item.instance.id for item in fleet.engines.sent)
+    assert first != second
+
+
+async def test_idempotent_request_gets_no_such_status_from_its_last_attempt():
+  replies = [nodes.make_reply(status=503) for _ in range(2)]
+  error, sent = await ask('/look/', *replies)
+  assert (sent, error.status) == (2, 502)
+
+
+# Guards against a request that is refused as not run after one of its two
+# attempts may have run.
+async def test_refusal_after_an_attempt_that_may_have_run_promises_nothing():
+  ran = nodes.make_reply(status=503)
+  refused = nodes.make_reply(status=503, has_run=False)
+  for replies in ([ran, refused], [refused, ran]):
+    error, _ = await ask('/look/', *replies)
+    assert error.status == 502
+
+
+@pytest.mark.parametrize('status', [200, 400, 404, 410, 500, 504])
+@pytest.mark.parametrize('path', PLAIN_PATHS)
+async def test_other_statuses_of_an_instance_reach_the_caller(path, status):
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1')
+    fleet.engines.faults.append(nodes.make_reply(status=status))
+    answer, _ = await fleet.ask('n1', make_request(path))
+    assert answer == status
+
+
+async def test_instance_with_such_a_status_counts_as_failing():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1')
+    health = fleet.by_name['n1'].loads.health
+    fleet.engines.faults.append(nodes.make_reply(status=429))
+    failed = []
+    record_failure = health.record_failure
+    health.record_failure = lambda id, *options: (
+      failed.append(id),
+      record_failure(id, *options),
+    )
+    with pytest.raises(errors.WoadrunError):
+      await fleet.ask('n1', make_request('/act/'))
+    assert failed == [fleet.engines.sent[0].instance.incarnation_id]
+
+
+@pytest.mark.parametrize('code', list(errors.Code))
+@pytest.mark.parametrize(
+  'ran', [errors.RunStatus.RAN, errors.RunStatus.UNKNOWN]
+)
+def test_no_error_of_the_daemon_promises_what_it_does_not_know(code, ran):
+  error = errors.WoadrunError(code, 'x', ran=ran, retry_after=1.0)
+  status, headers = wire.encode_error(error, 'r')
+  assert status not in run_status.TURN_NOT_RUN_STATUSES
+  assert 'Retry-After' not in dict(headers)
