An end after a response without a length does not count against its request

Once the request had been beside one end, each instance that had served it without a length or chunks counted against it when it ended later, for any reason.

Cause: `record_complete` ignores a response without a length, since its end proves nothing. The announced attempt had no outcome then, was told to all daemons as abandoned, and stayed open as long as its record. No probe closed it: one of a given up attempt tells only that the address is open.

Change: the end of such a response is what it may be, a lost connection. If this daemon announced the attempt, its instance is probed; its own answer settles the attempt, and a refused connection is an end. It still does not clear the request. An attempt beside an earlier open one at the same instance was not announced and settles nothing.

Weighed: to take such a response for complete (an instance that ends closes its connections in order as well); to settle the attempt without a probe (the same); to probe after each response without a length, also of requests without a record (a probe and two reports each, not measured). Left by that: instances that end with an orderly close of such a response, each time, do not count while the request has no record.

Measured: both cases of test_ends_after_responses_without_a_length_do_not_count fail on the code before ('request_quarantined'), and pass now; the two of test_orderly_ends_of_instances_count_for_a_suspect_request pass on both, so that the bound stays.

--- a/src/woadrun/process/load/crash_records.py
+++ b/src/woadrun/process/load/crash_records.py
@@ -344,6 +344,11 @@
       self._announced.add((fingerprint, incarnation_id))
       self._set_if_suspect(fingerprint, incarnation_id, State.RUNNING)
 
+  def is_announced(self, fingerprint: str, incarnation_id: str) -> bool:
+    """Returns whether this daemon announced an attempt that is running."""
+    is_running = self._get_state(fingerprint, incarnation_id) is State.RUNNING
+    return is_running and (fingerprint, incarnation_id) in self._announced
+
   def _end_announced(self, fingerprint: str, incarnation_id: str) -> None:
     """Sets an attempt that was announced and has no outcome to abandoned."""
     if (fingerprint, incarnation_id) not in self._announced:
@@ -372,8 +377,7 @@
 
   def reject(self, fingerprint: str, incarnation_id: str) -> None:
     """Records that an instance does not run a request after all."""
-    is_running = self._get_state(fingerprint, incarnation_id) is State.RUNNING
-    if is_running and (fingerprint, incarnation_id) in self._announced:
+    if self.is_announced(fingerprint, incarnation_id):
       self._set(fingerprint, incarnation_id, State.NOT_RUN)
 
   def has_open_attempt(self, incarnation_id: str) -> bool:
--- a/src/woadrun/request/crash_guard.py
+++ b/src/woadrun/request/crash_guard.py
@@ -180,10 +180,15 @@
   ) -> None:
     """Records that the response of an instance ended without an error."""
     self._unfinished.discard(id(sending))
-    if reply.has_run and reply.is_genuine and not reply.ends_with_connection:
-      self.records.complete(
-        sending.fingerprint, sending.instance.incarnation_id
-      )
+    if not (reply.has_run and reply.is_genuine):
+      return
+    fingerprint = sending.fingerprint
+    incarnation_id = sending.instance.incarnation_id
+    if not reply.ends_with_connection:
+      self.records.complete(fingerprint, incarnation_id)
+    elif self.records.is_announced(fingerprint, incarnation_id):
+      # The connection of an instance that ends may close in order as well.
+      self._record_loss(sending)
 
   def record_error(
     self, sending: exchange.RequestAttempt, error: BaseException
@@ -202,16 +207,22 @@
       if not is_overdue and self._has_left_as_planned(instance):
         _log_attempt(sending, 'lost, not counted: it ended as planned')
         return
-      self._instance_by_id[incarnation_id] = instance
       if is_overdue:
         self._record_orphan(sending)
-        return
-      self.records.lose(sending.fingerprint, incarnation_id)
-      if not self.records.has_ended(incarnation_id):
-        self._start_probe(instance)
+      else:
+        self._record_loss(sending)
+
+  def _record_loss(self, sending: exchange.RequestAttempt) -> None:
+    """Records that the connection of an attempt ended; probes its instance."""
+    instance = sending.instance
+    self._instance_by_id[instance.incarnation_id] = instance
+    self.records.lose(sending.fingerprint, instance.incarnation_id)
+    if not self.records.has_ended(instance.incarnation_id):
+      self._start_probe(instance)
 
   def _record_orphan(self, sending: exchange.RequestAttempt) -> None:
     id = sending.instance.incarnation_id
+    self._instance_by_id[id] = sending.instance
     if self._is_domain_silent(sending.instance.domain):
       self.records.abandon(sending.fingerprint, id)
     else:
--- a/tests/crashing_engines.py
+++ b/tests/crashing_engines.py
@@ -23,6 +23,8 @@
   request resets its connection and the instance lives on.  With `is_silent`, an
   instance that ends resets nothing: its connections stay silent.  With
   `refuses_probes` all instances refuse probes.
+  With `ends_with_connection` responses have no length, and the lost rest of one
+  looks like its end.
   With `leaves` an instance first changes its entry, and ends `leave_seconds`
   later: the entry is `removed` or tells that it is `draining`.
   `ended_by_body` lists the instances that ended under each body, marked or not.
@@ -36,6 +38,7 @@
     leaves='',
     leave_seconds=0.3,
     is_silent=False,
+    ends_with_connection=False,
   ):
     super().__init__()
     self.leaves = leaves
@@ -44,6 +47,7 @@
     self.loses_connections = loses_connections
     self.has_head = False
     self.is_silent = is_silent
+    self.ends_with_connection = ends_with_connection
     self.refuses_probes = False
     self.seconds = 0.02
     self.ended = []
@@ -74,6 +78,7 @@
         has_run=True,
         is_genuine=True,
         chunks=self._stream_or_end(sending, lost),
+        ends_with_connection=self.ends_with_connection,
       )
     finally:
       running.pop(lost, None)
@@ -81,7 +86,12 @@
   async def _stream_or_end(self, sending, lost):
     yield b'id: 0\ndata: first\n\n'
     if self.has_head:
-      await self._run(sending, lost)
+      try:
+        await self._run(sending, lost)
+      except exchange.ResponseLost:
+        if self.ends_with_connection:
+          return
+        raise
     yield b'id: 1\ndata: second\n\n'
 
   async def _run(self, sending, lost):
--- a/tests/test_crash_records.py
+++ b/tests/test_crash_records.py
@@ -432,6 +432,17 @@
   assert others.judge('f') is Verdict.RUN
 
 
+# Guards against a second attempt that settles an earlier one, which may still
+# run at the same instance.
+def test_an_attempt_beside_an_open_one_is_not_announced(clock):
+  records, _ = make()
+  records.orphan('f', 'a')
+  with records.run('f', 'a'), records.run('f', 'b'):
+    assert not records.is_announced('f', 'a')
+    assert records.is_announced('f', 'b')
+  assert not records.is_announced('f', 'b')
+
+
 def test_the_end_of_an_announced_attempt_is_told(clock):
   records, sent = make()
   others, _ = make('n2')
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -8,6 +8,7 @@
 import pytest
 
 from woadrun import errors
+from woadrun.process.load import crash_records
 from woadrun.request import exchange
 from woadrun.request import fingerprints
 
@@ -133,6 +134,63 @@
     assert await send(fleet, 'n1', last) == 200
 
 
+async def lose_once(fleet, name, request):
+  """Sends a request whose instance ends while it runs it."""
+  task = asyncio.ensure_future(send(fleet, name, request))
+  await nodes.wait_until(lambda: fleet.engines.sent)
+  fleet.engines.end(fleet.engines.sent[-1].instance)
+  assert await task == 'outcome_unknown'
+
+
+async def wait_for_outcome(fleet, sending):
+  """Waits until all daemons know the outcome of an attempt."""
+  found = [node.crash_guard.records for node in fleet.by_name.values()]
+  key = sending.fingerprint, sending.instance.incarnation_id
+  await nodes.wait_until(
+    lambda: all(
+      records._get_state(*key) in crash_records.HARMLESS_STATES
+      for records in found
+    )
+  )
+
+
+# Guards against an attempt that stays open after its response without a length
+# has ended, so that a later end of its instance counts against the request.
+@pytest.mark.parametrize('path', ['/chat/', '/act/'])
+async def test_ends_after_responses_without_a_length_do_not_count(path):
+  async with crashing_engines.make_fleet(
+    'n1', 'n2', ends_with_connection=True
+  ) as fleet:
+    innocent = make_request('i', path=path, content=b'innocent')
+    await lose_once(fleet, 'n1', innocent)
+    fingerprint = fleet.engines.sent[-1].fingerprint
+    other = fleet.by_name['n2'].crash_guard.records
+    await nodes.wait_until(lambda: other.is_suspect(fingerprint))
+    for number in range(2 * MAX_ENDED):
+      name = ('n1', 'n2')[number % 2]
+      await wait_for_instance(fleet, name, path)
+      again = dataclasses.replace(innocent, id=f'i{number}')
+      assert await send(fleet, name, again) == 200
+      sending = fleet.engines.sent[-1]
+      await wait_for_outcome(fleet, sending)
+      fleet.engines.end(sending.instance)
+
+
+# Guards against an instance whose end looks like that of a complete response.
+@pytest.mark.parametrize('names', [('n1',), ('n1', 'n2', 's1')])
+async def test_orderly_ends_of_instances_count_for_a_suspect_request(names):
+  async with crashing_engines.make_fleet(
+    *names, ends_with_connection=True
+  ) as fleet:
+    fatal = make_request('first', path='/act/', content=crashing_engines.MARK)
+    await lose_once(fleet, 'n1', fatal)
+    await asyncio.sleep(PAUSE_SECONDS)
+    fleet.engines.has_head = True
+    found = await send_tries(fleet, path='/act/')
+    assert len(fleet.engines.ended) <= MAX_ENDED
+    assert found[-1] == 'request_quarantined'
+
+
 async def test_a_request_that_ends_its_instances_is_refused_for_its_team_only():
   async with crashing_engines.make_fleet('n1') as fleet:
     config = {
