A repeated report on an attempt tells its present state

Cause: that a suspect request is at an instance is told to all daemons, and again after 0.1 and 0.3 s, also if the instance has refused it by then. That it does not run there was told once. A daemon that starts in between gets the repetition alone, takes the request for running, finds the instance ended (before the request came) and tells all that it ended under it.

Change: a repetition tells the present state of its attempt. That an instance refused a request is sent again as well, in case a datagram is lost.

Weighed: to leave out a repetition whose state is over (a daemon that missed both reports would not know of an open attempt).

Measured: both cases of test_a_repeated_report_tells_the_present_state fail on the code before, and pass now, as do the tests of crash records, crashing requests, crash reports, unseen ends, responses without end and the soak.

--- a/src/woadrun/process/crash_reports.py
+++ b/src/woadrun/process/crash_reports.py
@@ -35,6 +35,7 @@
 LASTING_STATES = frozenset(
   (
     attempt_reports.State.RUNNING,
+    attempt_reports.State.NOT_RUN,
     attempt_reports.State.ENDED,
     attempt_reports.State.COMPLETE,
   )
@@ -110,10 +111,13 @@
     hops: int,
   ) -> None:
     older = [
-      msgspec.structs.replace(report, age=report.age + seconds)
+      self._records.update_report(
+        msgspec.structs.replace(report, age=report.age + seconds)
+      )
       for report in reports
     ]
-    self._send(older, self._members.find_news_receivers(), hops=hops)
+    present = [report for report in older if report is not None]
+    self._send(present, self._members.find_news_receivers(), hops=hops)
 
   def _send(
     self,
--- a/src/woadrun/process/load/crash_records.py
+++ b/src/woadrun/process/load/crash_records.py
@@ -769,6 +769,24 @@
           self._set(report.fingerprint, id, State.RUNNING)
     return True
 
+  def update_report(
+    self, report: attempt_reports.AttemptReport
+  ) -> attempt_reports.AttemptReport | None:
+    """Returns a report with the present state of its attempt, if it has one.
+
+    A daemon that gets only the repeated report would keep an old state.
+    """
+    if report.state is State.COMPLETE:
+      # Attempts before it are not kept.
+      return report
+    attempt = self._get_attempt(report.fingerprint, report.incarnation_id)
+    if attempt is None or attempt.state is report.state:
+      return report if attempt else None
+    age = round(time.monotonic() - attempt.at, 3)
+    return attempt_reports.AttemptReport(
+      report.fingerprint, report.incarnation_id, attempt.state, age
+    )
+
   def find_reports(self, *, limit: int) -> list[attempt_reports.AttemptReport]:
     """Returns reports of ended instances, the least recently returned first.
 
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -83,6 +83,32 @@
   ]
 
 
+# Guards against a daemon that starts between a report and the next one, and
+# gets the old state alone, by its repetition.
+@pytest.mark.parametrize('state', [State.NOT_RUN, State.SURVIVED])
+async def test_a_repeated_report_tells_the_present_state(state):
+  members, others = Members(), Members()
+  records, _ = make(members)
+  told, _ = make(others)
+  records.lose('f', 'ended')
+  records.resolve('ended', is_ended=True)
+  with records.run('f', 'a'):
+    await asyncio.sleep(0.01)
+    if state is State.NOT_RUN:
+      records.reject('f', 'a')
+    else:
+      records.lose('f', 'a')
+      records.resolve('a', is_ended=False)
+  await asyncio.sleep(0.01)
+  members.sent.clear()
+  await asyncio.sleep(max(crash_reports.REPEAT_DELAYS_SECONDS) + 0.1)
+  repeated = [item for _, message in members.sent for item in message.reports]
+  assert {item.state for item in repeated} == {state, State.ENDED}
+  told.apply_reports(repeated)
+  told.resolve('a', is_ended=True)
+  assert told.find_ended('f') == ['ended']
+
+
 async def test_many_reports_are_split_into_datagrams():
   members = Members()
   _, reports = make(members)
