A response refuses a request only if it is the request's own and says so

Callers saw: requests that may run once ran twice, and others were refused with 503 after they had run.

Cause: any response with Not-Executed, and any 421, counted as a statement that its request has not run: also a success, a 421 of the very instance that the request was meant for (a service's own status, after it ran), and a response without the request's id, which may be a second copy of the refusal of another request. The request was then sent to a second instance.

Change: decisions/run_status.is_refusal decides. A response refuses its request if it has the request's id, no success status, and Not-Executed or, with 421, the id of another instance. Otherwise the request may have run. Not-Executed no longer reaches callers: beside a success it would deny it.

Weighed: to believe no signed refusal (instances may sign all they send); to believe each 421 (a service's own status then runs a request twice).

--- a/src/woadrun/decisions/run_status.py
+++ b/src/woadrun/decisions/run_status.py
@@ -3,6 +3,8 @@
 Some statuses guarantee to a caller that its request has not run and never will.
 `may_return` is the only place that decides whether such a status goes to a
 caller, be it that of an instance's response or of an error of this daemon.
+`is_refusal` decides whether an instance's response guarantees the same to this
+daemon: any doubt means that the request may have run.
 """
 
 from __future__ import annotations
@@ -16,6 +18,9 @@
 # Statuses that state the same of a turn: its budget is spent, or the turn that
 # it continues from does not exist.
 TURN_NOT_RUN_STATUSES = NOT_RUN_STATUSES | {402, 404, 410}
+# Status of an instance that got a request meant for another one.
+MISDIRECTED = 421
+MIN_REFUSAL_STATUS = 400
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -44,6 +49,21 @@
     return ', '.join(filter(None, words))
 
 
+def is_refusal(statement: Statement) -> bool:
+  """Returns whether a response guarantees that its request has not run.
+
+  A response that contradicts itself, or that does not show that it belongs to
+  the request, guarantees nothing.
+  """
+  if not statement.has_request_id or statement.status < MIN_REFUSAL_STATUS:
+    return False
+  # The status alone may be that of the service, after it ran the request.
+  is_misdirected = statement.status == MISDIRECTED
+  return statement.states_not_run or (
+    is_misdirected and statement.is_of_other_instance
+  )
+
+
 def may_return(status: int, *, ran: errors.RunStatus, is_turn: bool) -> bool:
   """Returns whether a caller may get a status for a request.
 
--- a/src/woadrun/platform/upstream.py
+++ b/src/woadrun/platform/upstream.py
@@ -16,6 +16,7 @@
 from woadrun.connection import response_ends
 from woadrun.connection import response_ids
 from woadrun.connection import tcp_connections
+from woadrun.decisions import run_status
 from woadrun.platform import read_ahead
 from woadrun.platform import wire
 from woadrun.request import exchange
@@ -70,22 +71,21 @@
   ) -> AsyncIterator[exchange.Reply]:
     """Returns a context manager with the reply; its exit ends the request."""
     response = await self._request(sending)
+    statement = wire.read_statement(sending, response.status, response.headers)
     reader = read_ahead.AnswerReader(response=response, held=self._held)
     try:
       yield exchange.Reply(
         status=response.status,
         headers=wire.decode_reply_headers(response.headers),
-        has_run=wire.has_run(response.status, response.headers),
-        is_genuine=wire.is_genuine(sending.request.id, response.headers),
-        statement=wire.read_statement(
-          sending, response.status, response.headers
-        ),
+        has_run=not run_status.is_refusal(statement),
+        is_genuine=statement.has_request_id and statement.is_signed,
+        statement=statement,
         chunks=reader.read(),
         ends_with_connection=response_ends.ends_with_connection(response),
         abort=response.close,
         is_reusable=lambda: _is_reusable(response),
       )
-      if not wire.has_run(response.status, response.headers):
+      if run_status.is_refusal(statement):
         await _drain(response)
     finally:
       reader.close()
--- a/src/woadrun/platform/wire.py
+++ b/src/woadrun/platform/wire.py
@@ -69,6 +69,8 @@
 # Callers' headers that are not forwarded if the configuration defines teams: an
 # instance must not see a key, and only a daemon may name a team.
 _ACCESS_HEADERS = frozenset((AUTHORIZATION.lower(), TEAM.lower()))
+# Values, in lower case, of a header that states something by being there.
+_FALSE = frozenset(('', '0', 'false', 'no'))
 # The scheme of the `Authorization` header, in lower case.
 _KEY_SCHEME = 'token'
 # The deadline sent to an instance is earlier than the daemon's own by this
@@ -219,8 +221,12 @@
 def decode_reply_headers(
   headers: multidict.CIMultiDictProxy[str],
 ) -> list[tuple[str, str]]:
-  """Returns the headers of an instance's response to forward to a caller."""
-  return _get_forwarded(headers.items(), headers.getall('Connection', []))
+  """Returns the headers of an instance's response to forward to a caller.
+
+  The statement that a request has not run is for this daemon alone.
+  """
+  forwarded = _get_forwarded(headers.items(), headers.getall('Connection', []))
+  return [item for item in forwarded if item[0].lower() != NOT_RUN.lower()]
 
 
 def read_statement(
@@ -234,28 +240,15 @@
     status=status,
     has_request_id=headers.getall(REQUEST_ID, []) == [sending.request.id],
     is_signed=SIGNATURE in headers,
-    states_not_run=NOT_RUN in headers,
-    is_of_other_instance=headers.get(INSTANCE, expected) != expected,
+    states_not_run=_is_set(headers, NOT_RUN),
+    is_of_other_instance=expected not in headers.getall(INSTANCE, [expected]),
   )
 
 
-def has_run(status: int, headers: multidict.CIMultiDictProxy[str]) -> bool:
-  """Returns whether the instance may have run the request.
-
-  It has not run if the response says so in its header or has status 421, which
-  an instance returns for a request that expects another instance.
-  """
-  return NOT_RUN not in headers and status != 421
-
-
-def is_genuine(
-  request_id: str, headers: multidict.CIMultiDictProxy[str]
-) -> bool:
-  """Returns whether a response has the request's id and a signature.
-
-  The value of the signature is not verified.
-  """
-  return headers.get(REQUEST_ID) == request_id and SIGNATURE in headers
+def _is_set(headers: multidict.CIMultiDictProxy[str], name: str) -> bool:
+  """Returns whether a header is there and none of its values denies it."""
+  values = [value.strip().lower() for value in headers.getall(name, [])]
+  return bool(values) and not any(value in _FALSE for value in values)
 
 
 def closes_connection(headers: multidict.CIMultiDictProxy[str]) -> bool:
--- a/src/woadrun/request/exchange.py
+++ b/src/woadrun/request/exchange.py
@@ -125,7 +125,7 @@
 class Reply:
   """An instance's response, of which the head has arrived.
 
-  `has_run` is false if the instance states that it did not run the request.
+  `has_run` is false if it is certain that the instance did not run the request.
   `is_genuine` is true if the response has the id of this request and the
   instance's signature; `statement` is what these are read from, None if not
   known.  `ends_with_connection` is true if only the end of the
--- a/tests/test_run_status.py
+++ b/tests/test_run_status.py
@@ -1,12 +1,18 @@
 """Statuses that guarantee that a request has not run, after it may have run."""
 
+import asyncio
+import contextlib
+import dataclasses
 import itertools
 
+import aiohttp
 import nodes
 import pytest
 
 from woadrun import errors
+from woadrun.connection import tcp_connections
 from woadrun.decisions import run_status
+from woadrun.platform import upstream
 from woadrun.platform import wire
 from woadrun.request import exchange
 
@@ -116,3 +122,115 @@
   status, headers = wire.encode_error(error, 'r')
   assert status not in run_status.TURN_NOT_RUN_STATUSES
   assert 'Retry-After' not in dict(headers)
+
+
+# --- Statements of instances --------------------------------------------------
+
+
+@contextlib.asynccontextmanager
+async def answer_with(*lines):
+  """Yields a fleet whose instances run requests and send a response.
+
+  `lines` are the status line and headers; `ID` stands for the request's id and
+  `INSTANCE` for that of the instance it is meant for.  The fleet's `runs` lists
+  the requests, by instance.
+  """
+  async with nodes.Nodes() as fleet:
+    fleet.runs = []
+
+    async def serve(reader, writer):
+      with contextlib.suppress(EOFError, OSError):
+        while True:
+          head = (await reader.readuntil(b'\r\n\r\n')).decode()
+          field = dict(
+            line.split(': ', 1) for line in head.split('\r\n')[1:] if line
+          )
+          await reader.readexactly(int(field.get('Content-Length', 0)))
+          fleet.runs.append(field['Expect-Instance'])
+          text = '\r\n'.join([*lines, 'Content-Length: 0', '', ''])
+          text = text.replace('INSTANCE', field['Expect-Instance'])
+          writer.write(text.replace('ID', field['Request-Id']).encode())
+
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    port = server.sockets[0].getsockname()[1]
+    connector = tcp_connections.make_connector(limit=10, keepalive=5.0)
+    async with server, aiohttp.ClientSession(connector=connector) as session:
+      client = upstream.HttpUpstreams(
+        session=session, addresses=tcp_connections.Addresses()
+      )
+      fleet.engines.send = lambda sending: client.send(
+        dataclasses.replace(
+          sending,
+          instance=dataclasses.replace(
+            sending.instance, address=f'127.0.0.1:{port}'
+          ),
+        )
+      )
+      await fleet.start('n1')
+      yield fleet
+
+
+SIGNED = 'Server-Signature: s'
+OWN = 'Request-Id: ID'
+STATES_NOT_RUN = 'Not-Executed: 1'
+
+
+# Guards against a request that runs twice, or is refused after it ran, since a
+# response that may come from the instance that ran it counts as a refusal.
+@pytest.mark.parametrize(
+  'lines',
+  [
+    ['421 Misdirected', OWN, SIGNED],
+    ['421 Misdirected', OWN],
+    ['421 Misdirected', OWN, 'Instance-Id: INSTANCE'],
+    ['421 Misdirected', 'Instance-Id: other'],
+    ['503 Full', OWN],
+    ['503 Full', OWN, SIGNED],
+    ['503 Full', OWN, 'Not-Executed: 0'],
+    ['503 Full', STATES_NOT_RUN],
+    ['503 Full', 'Request-Id: ID', 'Request-Id: other', STATES_NOT_RUN],
+    ['429 Busy', OWN],
+    ['408 Late', OWN],
+    ['200 OK', OWN, STATES_NOT_RUN],
+    ['302 Found', OWN, STATES_NOT_RUN],
+  ],
+  ids=', '.join,
+)
+@pytest.mark.parametrize('path', ['/act/', '/chat/'])
+async def test_request_is_not_sent_again_after_a_doubtful_refusal(path, lines):
+  async with answer_with(f'HTTP/1.1 {lines[0]}', *lines[1:]) as fleet:
+    with pytest.raises(errors.WoadrunError) as caught:
+      await fleet.ask('n1', make_request(path))
+    assert len(fleet.runs) == 1
+    assert wire.encode_error(caught.value, 'r')[0] == 502
+
+
+@pytest.mark.parametrize(
+  'lines',
+  [
+    ['503 Full', OWN, STATES_NOT_RUN],
+    ['503 Full', OWN, SIGNED, STATES_NOT_RUN],
+    ['429 Busy', OWN, STATES_NOT_RUN],
+    ['400 No', OWN, STATES_NOT_RUN],
+    ['421 Misdirected', OWN, STATES_NOT_RUN],
+    ['421 Misdirected', OWN, 'Instance-Id: other'],
+    ['421 Misdirected', OWN, SIGNED, 'Instance-Id: other'],
+  ],
+  ids=', '.join,
+)
+async def test_request_is_sent_to_another_instance_after_a_refusal(lines):
+  async with answer_with(f'HTTP/1.1 {lines[0]}', *lines[1:]) as fleet:
+    with pytest.raises(errors.WoadrunError) as caught:
+      await fleet.ask('n1', make_request('/act/'))
+    assert sorted(fleet.runs) == ['t1', 't2']
+    assert wire.encode_error(caught.value, 'r')[0] == 503
+
+
+# Guards against a caller that gets a success with a header that denies it.
+async def test_statement_that_a_request_has_not_run_is_not_forwarded():
+  lines = ['HTTP/1.1 200 OK', OWN, SIGNED, STATES_NOT_RUN]
+  async with answer_with(*lines) as fleet:
+    service = fleet.by_name['n1'].serving
+    async with service.handle_request(make_request('/act/')) as answer:
+      assert answer.status == 200
+      assert 'Not-Executed' not in dict(answer.headers)
