A response without an id is not that to the next request on its connection

Cause: the connection's protocol took a response without an id for the one that is due. On a connection that was used before it may be a second copy of an earlier response; the copy of a refusal refused the next request.

Change: on such a connection a response without an id is dropped like one with another id, and the next one is read. On a new connection, which has no earlier response, it is read by its place as before and ends the connection.

Weighed: to end the connection at such a response (the caller loses its answer). Cost: a server whose own responses lack the id, against the protocol, keeps its callers until their attempt's deadline on a used connection.

Measured: three new tests fail on the code before; the tests of surplus, truncated and endless responses and of upstreams pass.

--- a/src/woadrun/connection/response_ids.py
+++ b/src/woadrun/connection/response_ids.py
@@ -4,7 +4,8 @@
 A faulty server may send a response twice: the second copy then comes in the
 place of the next response due, and all later ones are read one request late.
 Requests that are sent with the middleware of `match_responses` get the response
-that has their id: those with another id are read and dropped.
+that has their id: those with another id are read and dropped.  So are those
+without an id, except on a new connection, which has no earlier responses.
 
 What a server sends beside the expected response is read up to a bound: a faulty
 one may send it without end, faster than this process can parse it.
@@ -71,13 +72,15 @@
 class ResponseHandler(client_proto.ResponseHandler):
   """The protocol of a connection, which drops responses to other requests.
 
-  A response without an id is that to the request on its connection, which is
-  then closed: a second copy could not be told from the next response.
+  A response without an id is that to the first request on its connection, which
+  is then closed: a second copy could not be told from the next response.
   """
 
   _id_header = ''
   _ids: Collection[str] = ()
   _is_idle = False
+  # Whether a response may still come again on this connection.
+  _is_reused = False
   # Bytes received beside the expected body, and that body.
   _extra = 0
   _expected: streams.StreamReader | None = None
@@ -85,6 +88,7 @@
 
   def set_response_params(self, **options: Any) -> None:
     """Prepares for the response to the next request."""
+    self._is_reused |= self._is_idle
     self._is_idle = False
     self._id_header, self._ids = '', ()
     self._extra = self._extra_responses = 0
@@ -158,8 +162,13 @@
     while True:
       message, body = await super().read()
       id = message.headers.get(self._id_header, '') if self._id_header else ''
-      is_expected = not self._id_header or not id or id in self._ids
-      if is_expected and message.code >= 200:
+      is_informational = message.code < 200
+      is_expected = (
+        not self._id_header
+        or id in self._ids
+        or (not id and (is_informational or not self._is_reused))
+      )
+      if is_expected and not is_informational:
         if self._id_header and not id:
           self.force_close()
         self._expected = body
@@ -178,7 +187,7 @@
           '%s.',
           self._describe(),
           message.code,
-          id,
+          id or 'without an id',
           ' or '.join(self._ids) or 'one without an id',
         )
       while await body.readany():
--- a/tests/test_surplus_responses.py
+++ b/tests/test_surplus_responses.py
@@ -232,3 +232,31 @@
     for target in targets:
       await send('r', target=target)
   assert engine.targets == targets
+
+
+# Guards against a request that runs twice, is refused after it ran, or gets no
+# answer, because a copy without an id counts as the response to it.
+@pytest.mark.parametrize('status_line', [OK, FULL])
+async def test_copy_without_an_id_is_not_the_response_to_the_next_request(
+  status_line,
+):
+  engine = Engine()
+  copy = encode(status_line, id=None, body=b'a', headers=NOT_RUN)
+  engine.before = {'b': copy, 'c': copy * 3}
+  async with connect(engine) as send:
+    assert (await send('a'))[1] == 'a'
+    for id in ('b', 'c', 'd'):
+      reply, body = await send(id)
+      assert (reply.status, reply.is_genuine, body) == (200, True, id)
+  assert len(set(engine.get_ports())) == 1
+
+
+# Guards against a request that is given up as not run though a server that only
+# sent a response without an id may be running it.
+async def test_request_may_have_run_if_only_a_copy_without_an_id_came():
+  engine = Engine()
+  engine.in_place_of['b'] = encode(FULL, id=None, headers=NOT_RUN)
+  async with connect(engine) as send:
+    await send('a')
+    with pytest.raises(exchange.ResponseLost):
+      await send('b', seconds=0.3)
