Count the responses that are held back, and describe which status may go out

Cause: callers get 502 where an instance answers a request that ran with a status that denies it; nothing told operators which service does so.

--- a/src/woadrun/process/counters.py
+++ b/src/woadrun/process/counters.py
@@ -58,6 +58,12 @@
       ('service',),
       registry=self.registry,
     )
+    self._withheld = prometheus_client.Counter(
+      'woadrun_withheld_replies',
+      'Responses whose status denies that the request may have run.',
+      ('service', 'status'),
+      registry=self.registry,
+    )
     self._ended = prometheus_client.Counter(
       'woadrun_instances_ended',
       'Instances found to have ended while they ran requests of this daemon.',
@@ -81,6 +87,10 @@
     """Records that a response broke off before its caller received any."""
     self._truncated.labels(service).inc()
 
+  def record_withheld(self, service: str, status: int) -> None:
+    """Records a response whose status may not go to its caller."""
+    self._withheld.labels(service, str(status)).inc()
+
   def record_ended(self, service: str) -> None:
     """Records that an instance ended while it ran requests of this daemon."""
     self._ended.labels(service).inc()
--- a/src/woadrun/request/attempts.py
+++ b/src/woadrun/request/attempts.py
@@ -461,10 +461,11 @@
     id = sending.instance.incarnation_id
     if not reply.has_run:
       self._loads.health.record_failure(id, health.REJECTION_WEIGHT)
-    elif (
-      not _may_return(sending.request, reply)
-      or reply.status >= MIN_FAILURE_STATUS
-    ):
+    elif not _may_return(sending.request, reply):
+      if reply.is_genuine:
+        self._counters.record_withheld(sending.instance.service, reply.status)
+      self._loads.health.record_failure(id)
+    elif reply.status >= MIN_FAILURE_STATUS:
       self._loads.health.record_failure(id)
     else:
       result.is_failure = False
--- a/tests/test_run_status.py
+++ b/tests/test_run_status.py
@@ -111,6 +111,9 @@
     with pytest.raises(errors.WoadrunError):
       await fleet.ask('n1', make_request('/act/'))
     assert failed == [fleet.engines.sent[0].instance.incarnation_id]
+    metrics = fleet.by_name['n1'].counters.encode().decode()
+    labels = '{service="tools",status="429"}'
+    assert f'woadrun_withheld_replies_total{labels} 1.0' in metrics
 
 
 @pytest.mark.parametrize('code', list(errors.Code))
