A refusal's status guarantees "not run" only if the refusal states it

Callers saw: 429, 503, 421, 404 or 402 beside `"ran": "unknown"` or `"ran": "ran"` in the body: for example 503 `owner_unavailable` for an action whose owner was lost while it ran, and 503 `not_committed` or 429 `overloaded` for a model call that the next owner may still resume. A client or proxy that goes by the status takes such a request for one that has not run. An answer of an action kept the status of its service, 408, 421, 429 or 503 too.

Cause: the gateway sent the status of an error's code whatever its `ran`, and the status of an answer unchanged.

Change: `run_status.get_status` gives 502 where `run_status.may_return` forbids a status. The code, the body and Retry-After stay.

Weighed: to leave Retry-After out of the 502, as on the platform (here it states when a retry under the same id makes sense, `upstream_failed` always had it, and clients go by it).

--- a/src/woadrun/decisions/run_status.py
+++ b/src/woadrun/decisions/run_status.py
@@ -11,6 +11,8 @@
 
 from woadrun import errors
 
+# Status in place of one that a caller may not get.
+UNCERTAIN_STATUS = 502
 # Statuses that guarantee that a request has not run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 # Statuses that state the same of a turn: its budget is spent, or the turn that
@@ -51,3 +53,10 @@
   """
   promises = TURN_NOT_RUN_STATUSES if is_turn else NOT_RUN_STATUSES
   return ran is errors.RunStatus.NOT_RUN or status not in promises
+
+
+def get_status(status: int, *, ran: errors.RunStatus, is_turn: bool) -> int:
+  """Returns a status, or 502 if its caller may not get it."""
+  if may_return(status, ran=ran, is_turn=is_turn):
+    return status
+  return UNCERTAIN_STATUS
--- a/src/woadrun/request/gateway.py
+++ b/src/woadrun/request/gateway.py
@@ -18,6 +18,7 @@
 from woadrun import errors
 from woadrun import settings
 from woadrun.connection import response_ends
+from woadrun.decisions import run_status
 from woadrun.process import membership
 from woadrun.request import access
 from woadrun.request import calls
@@ -258,7 +259,13 @@
   ) -> web.StreamResponse:
     while True:
       opened = await self._forwarding.open_call(call, is_stream=is_stream)
-      response = web.StreamResponse(status=opened.status)
+      # The answer is that of a call that ran.
+      status = run_status.get_status(
+        opened.status,
+        ran=errors.RunStatus.RAN,
+        is_turn=call.call == program.MODEL,
+      )
+      response = web.StreamResponse(status=status)
       response.content_type = opened.content_type
       response.headers[REQUEST_HEADER] = call.request
       response.headers[PROGRAM_HEADER] = call.program
@@ -370,8 +377,10 @@
 
 def make_error_response(error: errors.WoadrunError) -> web.Response:
   """Returns the HTTP response for an error."""
+  # The error does not tell the kind of its request; a model call is a turn.
+  status = run_status.get_status(error.status, ran=error.ran, is_turn=True)
   response = web.Response(
-    body=error.get_body(), status=error.status, content_type=calls.JSON_TYPE
+    body=error.get_body(), status=status, content_type=calls.JSON_TYPE
   )
   response.headers['Woadrun-Error'] = error.code.value
   if error.retry_after is not None:
--- a/tools/reference.py
+++ b/tools/reference.py
@@ -82,6 +82,9 @@
     '',
     '## Errors',
     '',
+    'The status is 502 in place of 402, 404, 421, 429 or 503 if the request',
+    'may have run.',
+    '',
     '| code | status | when |',
     '|---|---|---|',
     *(
