A service's status that promises "not run" is no outcome of a call it received

Callers saw: the service's own 408, 421, 429 or 503 as the answer of an action that may run once, without `ran`, for actions that the service had run. The call was recorded as ended with that status, so a retry under the same id got it again; a caller that believed the status and sent the action under a new id ran it twice. A repeatable call got 408, 421 and 429 the same way (503 was retried).

Cause: every status of a service but 5xx of a repeatable call was taken for the outcome. Services have no way to state that they did not run a call, so that a promise in their status is unfounded once they have received it.

Change: `run_status.may_return` decides which status is an outcome. Else the outcome of an action is unknown: the service is asked for it, as after a lost response; if it knows none, the action ends with `outcome_unknown` (502, `ran` unknown), recorded as unknown and never sent again. Its message quotes status and body. A repeatable call is sent again within its retry budget and ends with `upstream_failed` (502).

Weighed: to pass the body on with 502 in place of the status (a balancer in front of the service may have answered, and the service itself knows the outcome); to believe a service's 429 (nothing tells one that ran from one that did not).

--- a/src/woadrun/request/upstreams.py
+++ b/src/woadrun/request/upstreams.py
@@ -28,6 +28,7 @@
 from woadrun.decisions import admission
 from woadrun.decisions import budget
 from woadrun.decisions import crash_limit
+from woadrun.decisions import run_status
 from woadrun.process import membership
 from woadrun.request import calls
 from woadrun.request import events
@@ -43,6 +44,8 @@
 # is left to the engine.
 DROP_ATTEMPTS = 5
 DROP_RETRY_DELAY_SECONDS = 1.0
+# Bytes of a response that are quoted in an error.
+MAX_QUOTED_BYTES = 200
 # The most time for the end of an event stream after its last event.
 END_TIMEOUT_SECONDS = 0.2
 # Errors by which an event stream breaks off: the engine is considered failed.
@@ -318,7 +321,8 @@
     for it; raises `outcome_unknown` if the service cannot tell.  Otherwise
     raises the error of the last attempt: `upstream_unavailable` if the service
     accepts no connection, `outcome_unknown` if it sends no complete response,
-    and `upstream_failed` if it answers a repeatable call with a 5xx status.
+    and `upstream_failed` if it answers a repeatable call with a 5xx status or
+    one that guarantees that the call has not run.
     A repeatable call raises `request_quarantined` once as many responses were
     lost as a request may end instances.
     """
@@ -337,7 +341,7 @@
           outcome = await self.query_outcome(accepted)
           if outcome is not None:
             return outcome
-          raise make_outcome_unknown(accepted) from error
+          raise make_outcome_unknown(accepted, error.message) from error
         raise
 
   async def _call_service(
@@ -346,7 +350,9 @@
     """Sends a service call once and returns its outcome.
 
     A response with a 5xx status is an outcome too, except for a repeatable
-    call, which raises `upstream_failed` so that it can be retried.
+    call, which raises `upstream_failed` so that it can be retried.  A status
+    that guarantees that the call has not run is no outcome, since the service
+    has received the call: it raises `outcome_unknown` for an action.
     """
     name, _, action = accepted.target.partition('/')
     timeout = min(row.tool_timeout, self._timeout_by_service[name])
@@ -356,8 +362,18 @@
       request=make_service_id(accepted),
       timeout=timeout,
     )
-    if reply.status >= 500 and accepted.repeatable:
+    is_outcome = run_status.may_return(
+      reply.status, ran=errors.RunStatus.UNKNOWN, is_turn=False
+    )
+    if accepted.repeatable and (reply.status >= 500 or not is_outcome):
       raise make_upstream_failed(name, f'status {reply.status}')
+    if not is_outcome:
+      text = reply.body[:MAX_QUOTED_BYTES].decode('utf-8', 'replace')
+      raise errors.WoadrunError(
+        errors.Code.OUTCOME_UNKNOWN,
+        f'The service answered with status {reply.status}: {text}',
+        ran=errors.RunStatus.UNKNOWN,
+      )
     return _make_service_outcome(accepted, reply)
 
   async def query_outcome(
@@ -436,11 +452,14 @@
   return f'{accepted.program}:{accepted.request}'
 
 
-def make_outcome_unknown(accepted: program.Accepted) -> errors.WoadrunError:
+def make_outcome_unknown(
+  accepted: program.Accepted, reason: str = ''
+) -> errors.WoadrunError:
   """Returns the error for an action that may or may not have run."""
+  message = f'It is unknown whether action {make_service_id(accepted)} ran.'
   return errors.WoadrunError(
     errors.Code.OUTCOME_UNKNOWN,
-    f'It is unknown whether action {make_service_id(accepted)} ran.',
+    f'{message} {reason}'.rstrip(),
     ran=errors.RunStatus.UNKNOWN,
   )
 
--- a/tests/test_product_run_status.py
+++ b/tests/test_product_run_status.py
@@ -7,12 +7,15 @@
 from aiohttp import web
 import pytest
 import test_call_attempts as attempts
+import test_truncated_product_responses as truncated
 
 from woadrun import errors
 from woadrun.process import daemon
 from woadrun.request import calls
 from woadrun.request import forwarding
 from woadrun.request import gateway
+from woadrun.request import runner as runners
+from woadrun.version import program
 
 PROMISING_CODES = [
   code
@@ -109,3 +112,69 @@
 @pytest.mark.parametrize('status', [200, 402, 404, 409, 500])
 async def test_answer_of_an_action_keeps_a_status_that_promises_nothing(status):
   assert await act((status, answer(b'{}'))) == (status, b'{}')
+
+
+# --- Services ----------------------------------------------------------------
+
+
+def make_reply(status, body=b'{"held": 1}'):
+  head = b'HTTP/1.1 %d Status\r\nContent-Type: application/json\r\n' % status
+  head += b'Connection: close\r\nContent-Length: %d\r\n\r\n' % len(body)
+  return head + body
+
+
+# Guards against an action that ran and that its caller, who was given the
+# service's 503, takes for one that did not run.
+@pytest.mark.parametrize('status', NOT_RUN_STATUSES)
+async def test_outcome_of_an_action_is_queried_after_a_promising_status(status):
+  outcome, paths = await truncated.run_service(
+    make_reply(status), make_reply(200, b'{"runs": 1}')
+  )
+  assert paths == ['actions', 'outcomes']
+  assert (outcome.outcome, outcome.status) == (program.OK, 200)
+  assert outcome.answer == '{"runs": 1}'
+
+
+# Guards against such an action being sent again, or recorded as not run.
+@pytest.mark.parametrize('status', NOT_RUN_STATUSES)
+async def test_outcome_of_an_action_is_unknown_after_a_promising_status(status):
+  error, paths = await truncated.run_service(
+    make_reply(status), truncated.NOT_FOUND
+  )
+  assert paths == ['actions', 'outcomes']
+  assert error.code is errors.Code.OUTCOME_UNKNOWN
+  assert error.ran is errors.RunStatus.UNKNOWN
+  assert error.retry_after is None
+  assert f'status {status}: {{"held": 1}}' in error.message
+  accepted = attempts.make_accepted('a', repeatable=False)
+  record = runners.make_failed(accepted, error, now=0.0)
+  assert (record.outcome, record.status) == (program.UNKNOWN, 502)
+
+
+# Guards against a repeatable call that ends with such a status, though the
+# service would answer it a moment later.
+@pytest.mark.parametrize('status', NOT_RUN_STATUSES)
+async def test_repeatable_call_is_sent_again_after_a_promising_status(status):
+  outcome, paths = await truncated.run_service(
+    make_reply(status), make_reply(200, b'{}'), repeatable=True
+  )
+  assert paths == ['actions', 'actions']
+  assert (outcome.outcome, outcome.status) == (program.OK, 200)
+
+
+# Guards against the same status at the end of the retries.
+@pytest.mark.parametrize('status', NOT_RUN_STATUSES)
+async def test_repeatable_call_fails_after_promising_statuses(status):
+  error, paths = await truncated.run_service(
+    make_reply(status), repeatable=True
+  )
+  assert paths == ['actions', 'actions']
+  assert error.code is errors.Code.UPSTREAM_FAILED
+  assert error.ran is errors.RunStatus.RAN
+
+
+@pytest.mark.parametrize('status', [402, 404, 409, 410, 500, 502])
+async def test_status_that_promises_nothing_is_the_outcome_of_an_action(status):
+  outcome, paths = await truncated.run_service(make_reply(status))
+  assert paths == ['actions']
+  assert (outcome.outcome, outcome.status) == (program.OK, status)
