The status of a platform error comes from the same function as the product's

Cause: two places replaced a status that a caller may not get by 502. Change: wire.encode_error uses run_status.get_status. Measured: no change of behaviour; test_run_status.py passes.

--- a/src/woadrun/platform/wire.py
+++ b/src/woadrun/platform/wire.py
@@ -260,10 +260,8 @@
   error: errors.WoadrunError, request_id: str
 ) -> tuple[int, list[tuple[str, str]]]:
   """Returns the status and headers of the response for an error."""
-  status = error.status
   # The code tells nothing of the request's kind: any may be a turn's.
-  if not run_status.may_return(status, ran=error.ran, is_turn=True):
-    status = 502
+  status = run_status.get_status(error.status, ran=error.ran, is_turn=True)
   headers = [('Woadrun-Error', error.code.value)]
   if request_id:
     headers.append((REQUEST_ID, request_id))
