A request that an instance answered does not count as one that may end it

Callers saw: nothing at once. A request whose instance ran it and answered with 408, 429 or 503 counted as given up, so that each further try of it was preceded by probes of that instance, was not hedged, and (by reading) would have been quarantined if three of these instances had ended later for other reasons.

Cause: a reply that may not go to the caller is closed at its head. The crash guard takes an attempt as finished only at the end of its reply, and one that is closed before as one that nobody waits for any more.

Change: such a reply is read to its end first, for 0.1 s at most, before the request is sent on or fails.

--- a/src/woadrun/request/attempts.py
+++ b/src/woadrun/request/attempts.py
@@ -60,6 +60,8 @@
 # The time of a turn is not learned if its caller, by reading slowly, took more
 # than this part of it.
 MAX_CALLER_PART = 0.1
+# Time to read the rest of a reply that does not go to the caller, which waits.
+DISCARD_SECONDS = 0.1
 
 
 class NotAttempted(errors.WoadrunError):
@@ -449,6 +451,16 @@
       reply.chunks = self._time_chunks(sending, reply, reply.chunks, timer)
     stack.callback(self._record_idle_connection, id, reply)
     self._log_outcome(sending, _describe_reply(reply))
+    if (
+      reply.has_run
+      and reply.is_genuine
+      and not _may_return(sending.request, reply)
+    ):
+      try:
+        await _discard(reply)
+      except BaseException:
+        await stack.aclose()
+        raise
     return _Attempt(sending=sending, stack=stack, reply=reply, result=result)
 
   def _record_reply(
@@ -734,6 +746,17 @@
   )
 
 
+async def _discard(reply: exchange.Reply) -> None:
+  """Reads a reply that does not go to the caller.
+
+  Without its end, its instance would count as one that may have ended.
+  """
+  with contextlib.suppress(TimeoutError, exchange.ResponseLost):
+    async with asyncio.timeout(DISCARD_SECONDS):
+      async for _ in reply.chunks:
+        pass
+
+
 def _may_have_run(task: asyncio.Task[_Attempt]) -> bool:
   if task.cancelled():
     # The request may have been sent already.
--- a/tests/test_run_status.py
+++ b/tests/test_run_status.py
@@ -97,6 +97,22 @@
     assert answer == status
 
 
+# Guards against a request that counts as one that ends its instances, and is
+# quarantined in the end, though each of them answered it.
+@pytest.mark.parametrize('path', ['/act/', '/look/', '/chat/'])
+async def test_instance_with_such_a_status_has_not_ended_under_its_request(
+  path,
+):
+  lines = ['HTTP/1.1 503 Full', OWN, SIGNED]
+  async with answer_with(*lines) as fleet:
+    guard = fleet.by_name['n1'].crash_guard
+    for _ in range(3):
+      with pytest.raises(errors.WoadrunError):
+        await fleet.ask('n1', make_request(path))
+      assert not guard.records.find_open()
+      assert len(guard.records) == 0
+
+
 async def test_instance_with_such_a_status_counts_as_failing():
   async with nodes.Nodes() as fleet:
     await fleet.start('n1')
