A response that names its request twice is that to its request

Callers saw: 502 for each response that has the request's id in two headers of the same value, as a server and a proxy before it may both set.

Cause: since a response may refuse its request only if it has the request's id and no other, the list of its ids is compared with that id alone, which an equal second one differs from.

Change: the set of its ids is compared.

Measured: the new test fails on the code before and passes now; the tests of run statuses, surplus responses and upstreams pass (178).

--- a/src/woadrun/platform/wire.py
+++ b/src/woadrun/platform/wire.py
@@ -238,7 +238,7 @@
   expected = sending.instance.id
   return run_status.Statement(
     status=status,
-    has_request_id=headers.getall(REQUEST_ID, []) == [sending.request.id],
+    has_request_id=set(headers.getall(REQUEST_ID, [])) == {sending.request.id},
     is_signed=SIGNATURE in headers,
     states_not_run=_is_set(headers, NOT_RUN),
     is_of_other_instance=expected not in headers.getall(INSTANCE, [expected]),
--- a/tests/test_run_status.py
+++ b/tests/test_run_status.py
@@ -242,6 +242,13 @@
     assert wire.encode_error(caught.value, 'r')[0] == 503
 
 
+# Guards against a caller that gets 502 for a response that names its request
+# twice, as it does once a server and a proxy before it both echo the id.
+async def test_response_with_the_same_id_twice_is_that_to_its_request():
+  async with answer_with('HTTP/1.1 200 OK', OWN, OWN, SIGNED) as fleet:
+    assert (await fleet.ask('n1', make_request('/act/')))[0] == 200
+
+
 # Guards against a caller that gets a success with a header that denies it.
 async def test_statement_that_a_request_has_not_run_is_not_forwarded():
   lines = ['HTTP/1.1 200 OK', OWN, SIGNED, STATES_NOT_RUN]
