An empty or joined header does not refuse a request

Callers saw: requests that may run once ran twice, if the instance that ran them answered 421 with an empty Instance-Id or with a list that has its own id, or any error status with Not-Executed as a list that denies it (1, 0) or as ?0.

Cause: each header was read as one value. Two headers of a name are the same as one with both values (RFC 9110, section 5.3), and proxies join them; an empty id counted as that of another instance.

Change: the values of these two headers are split at commas. Any of them that denies the statement, or is the expected instance's id, makes it doubtful, and an empty id names no instance.

--- a/src/woadrun/platform/wire.py
+++ b/src/woadrun/platform/wire.py
@@ -70,7 +70,7 @@
 # instance must not see a key, and only a daemon may name a team.
 _ACCESS_HEADERS = frozenset((AUTHORIZATION.lower(), TEAM.lower()))
 # Values, in lower case, of a header that states something by being there.
-_FALSE = frozenset(('', '0', 'false', 'no'))
+_FALSE = frozenset(('', '0', '?0', 'false', 'no'))
 # The scheme of the `Authorization` header, in lower case.
 _KEY_SCHEME = 'token'
 # The deadline sent to an instance is earlier than the daemon's own by this
@@ -235,20 +235,34 @@
   headers: multidict.CIMultiDictProxy[str],
 ) -> run_status.Statement:
   """Returns what an instance's response states about its request."""
-  expected = sending.instance.id
+  names = set(_get_values(headers, INSTANCE)) - {''}
   return run_status.Statement(
     status=status,
     has_request_id=set(headers.getall(REQUEST_ID, [])) == {sending.request.id},
     is_signed=SIGNATURE in headers,
     states_not_run=_is_set(headers, NOT_RUN),
-    is_of_other_instance=expected not in headers.getall(INSTANCE, [expected]),
+    is_of_other_instance=bool(names) and sending.instance.id not in names,
   )
 
 
 def _is_set(headers: multidict.CIMultiDictProxy[str], name: str) -> bool:
   """Returns whether a header is there and none of its values denies it."""
-  values = [value.strip().lower() for value in headers.getall(name, [])]
-  return bool(values) and not any(value in _FALSE for value in values)
+  values = {value.lower() for value in _get_values(headers, name)}
+  return bool(values) and values.isdisjoint(_FALSE)
+
+
+def _get_values(
+  headers: multidict.CIMultiDictProxy[str], name: str
+) -> list[str]:
+  """Returns a header's values.
+
+  Proxies may join several headers of one name to a list with commas.
+  """
+  return [
+    value.strip()
+    for text in headers.getall(name, [])
+    for value in text.split(',')
+  ]
 
 
 def closes_connection(headers: multidict.CIMultiDictProxy[str]) -> bool:
