A status that is not final does not go to the caller

Callers saw: the status line of an instance with 101, or with an invalid status below 100, as the end of their request. Their connection then counts as one of another protocol, or they go on waiting for the final response.

Cause: any response with the request's id and signature counted as genuine. The HTTP library reads on after other informational responses, but returns these.

Change: run_status.is_genuine needs a final status too. The request then counts as one that may have run.

Measured: the six new tests fail on the code before and pass now; the tests of run statuses, surplus and truncated responses, upstreams, ingress and attempts pass (338).

--- a/src/woadrun/decisions/run_status.py
+++ b/src/woadrun/decisions/run_status.py
@@ -21,6 +21,8 @@
 # Status of an instance that got a request meant for another one.
 MISDIRECTED = 421
 MIN_REFUSAL_STATUS = 400
+# Lower ones announce a final response, or change the protocol.
+MIN_FINAL_STATUS = 200
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -49,6 +51,15 @@
     return ', '.join(filter(None, words))
 
 
+def is_genuine(statement: Statement) -> bool:
+  """Returns whether a response is the final one of the request's instance."""
+  return (
+    statement.has_request_id
+    and statement.is_signed
+    and statement.status >= MIN_FINAL_STATUS
+  )
+
+
 def is_refusal(statement: Statement) -> bool:
   """Returns whether a response guarantees that its request has not run.
 
--- a/src/woadrun/platform/upstream.py
+++ b/src/woadrun/platform/upstream.py
@@ -78,7 +78,7 @@
         status=response.status,
         headers=wire.decode_reply_headers(response.headers),
         has_run=not run_status.is_refusal(statement),
-        is_genuine=statement.has_request_id and statement.is_signed,
+        is_genuine=run_status.is_genuine(statement),
         statement=statement,
         chunks=reader.read(),
         ends_with_connection=response_ends.ends_with_connection(response),
--- a/src/woadrun/request/attempts.py
+++ b/src/woadrun/request/attempts.py
@@ -12,9 +12,9 @@
 (`decisions/run_status.py`).
 
 A turn is a model request of a program; other requests have none.  A reply is
-genuine if it has the id of the request and the signature of the instance.  Load
-and health are recorded per incarnation, the time from the start of an instance
-to its end, which `Instance.incarnation_id` identifies.
+genuine if it has the id of the request, the signature of the instance and a
+final status.  Load and health are recorded per incarnation, the time from the
+start of an instance to its end, which `Instance.incarnation_id` identifies.
 """
 
 from __future__ import annotations
--- a/src/woadrun/request/exchange.py
+++ b/src/woadrun/request/exchange.py
@@ -126,11 +126,11 @@
   """An instance's response, of which the head has arrived.
 
   `has_run` is false if it is certain that the instance did not run the request.
-  `is_genuine` is true if the response has the id of this request and the
-  instance's signature; `statement` is what these are read from, None if not
-  known.  `ends_with_connection` is true if only the end of the
-  connection ends the body.  `event_reader` reads the body if it is a stream of
-  events.  `abort` aborts the response: `chunks` then raises `ResponseLost`.
+  `is_genuine` is true if the response has the id of this request, the
+  instance's signature and a final status; `statement` is what these are read
+  from, None if not known.  `ends_with_connection` is true if only the end of
+  the connection ends the body.  `event_reader` reads the body if it is a stream
+  of events.  `abort` aborts the response: `chunks` then raises `ResponseLost`.
   `is_reusable` returns, after the request has ended, whether its connection can
   be reused.
   """
--- a/tests/test_run_status.py
+++ b/tests/test_run_status.py
@@ -247,6 +247,18 @@
     assert wire.encode_error(caught.value, 'r')[0] == 503
 
 
+# Guards against a caller whose HTTP library waits for the final response, or
+# takes its connection for one of another protocol.
+@pytest.mark.parametrize('status', ['000', '099', '101'])
+@pytest.mark.parametrize('path', ['/act/', '/chat/'])
+async def test_status_that_is_not_final_does_not_go_to_the_caller(path, status):
+  async with answer_with(f'HTTP/1.1 {status} X', OWN, SIGNED) as fleet:
+    with pytest.raises(errors.WoadrunError) as caught:
+      await fleet.ask('n1', make_request(path))
+    assert len(fleet.runs) == 1
+    assert wire.encode_error(caught.value, 'r')[0] == 502
+
+
 # Guards against a caller that gets 502 for a response that names its request
 # twice, as it does once a server and a proxy before it both echo the id.
 async def test_response_with_the_same_id_twice_is_that_to_its_request():
