--- a/src/woadrun/request/attempts.py
+++ b/src/woadrun/request/attempts.py
@@ -12,9 +12,9 @@
 (`decisions/run_status.py`).
 
 A turn is a model request of a program; other requests have none.  A reply is
-genuine if it has the id of the request and the signature of the instance.  Load
-and health are recorded per incarnation, the time from the start of an instance
-to its end, which `Instance.incarnation_id` identifies.
+genuine if it has the id of the request, the signature of the instance and a
+final status.  Load and health are recorded per incarnation, the time from the
+start of an instance to its end, which `Instance.incarnation_id` identifies.
 """
 
 from __future__ import annotations
@@ -60,6 +60,8 @@
 # The time of a turn is not learned if its caller, by reading slowly, took more
 # than this part of it.
 MAX_CALLER_PART = 0.1
+# Time to read the rest of a reply that does not go to the caller, which waits.
+DISCARD_SECONDS = 0.1
 
 
 class NotAttempted(errors.WoadrunError):
@@ -449,6 +451,16 @@
       reply.chunks = self._time_chunks(sending, reply, reply.chunks, timer)
     stack.callback(self._record_idle_connection, id, reply)
     self._log_outcome(sending, _describe_reply(reply))
+    if (
+      reply.has_run
+      and reply.is_genuine
+      and not _may_return(sending.request, reply)
+    ):
+      try:
+        await _discard(reply)
+      except BaseException:
+        await stack.aclose()
+        raise
     return _Attempt(sending=sending, stack=stack, reply=reply, result=result)
 
   def _record_reply(
@@ -735,6 +747,17 @@
   )
 
 
+async def _discard(reply: exchange.Reply) -> None:
+  """Reads a reply that does not go to the caller.
+
+  Without its end, its instance would count as one that may have ended.
+  """
+  with contextlib.suppress(TimeoutError, exchange.ResponseLost):
+    async with asyncio.timeout(DISCARD_SECONDS):
+      async for _ in reply.chunks:
+        pass
+
+
 def _may_have_run(task: asyncio.Task[_Attempt]) -> bool:
   if task.cancelled():
     # The request may have been sent already.
--- a/tests/test_run_status.py
+++ b/tests/test_run_status.py
@@ -97,6 +97,22 @@
     assert answer == status
 
 
+# Guards against a request that counts as one that ends its instances, and is
+# quarantined in the end, though each of them answered it.
+@pytest.mark.parametrize('path', ['/act/', '/look/', '/chat/'])
+async def test_instance_with_such_a_status_has_not_ended_under_its_request(
+  path,
+):
+  lines = ['HTTP/1.1 503 Full', OWN, SIGNED]
+  async with answer_with(*lines) as fleet:
+    guard = fleet.by_name['n1'].crash_guard
+    for _ in range(3):
+      with pytest.raises(errors.WoadrunError):
+        await fleet.ask('n1', make_request(path))
+      assert not guard.records.find_open()
+      assert len(guard.records) == 0
+
+
 async def test_instance_with_such_a_status_counts_as_failing():
   async with nodes.Nodes() as fleet:
     await fleet.start('n1')
@@ -186,10 +202,15 @@
     ['421 Misdirected', OWN, SIGNED],
     ['421 Misdirected', OWN],
     ['421 Misdirected', OWN, 'Instance-Id: INSTANCE'],
+    ['421 Misdirected', OWN, 'Instance-Id:'],
+    ['421 Misdirected', OWN, 'Instance-Id: INSTANCE, other'],
     ['421 Misdirected', 'Instance-Id: other'],
     ['503 Full', OWN],
     ['503 Full', OWN, SIGNED],
     ['503 Full', OWN, 'Not-Executed: 0'],
+    ['503 Full', OWN, 'Not-Executed: 1, 0'],
+    ['503 Full', OWN, STATES_NOT_RUN, 'Not-Executed: 0'],
+    ['503 Full', OWN, 'Not-Executed: ?0'],
     ['503 Full', STATES_NOT_RUN],
     ['503 Full', 'Request-Id: ID', 'Request-Id: other', STATES_NOT_RUN],
     ['429 Busy', OWN],
@@ -229,6 +250,25 @@
     assert wire.encode_error(caught.value, 'r')[0] == 503
 
 
+# Guards against a caller whose HTTP library waits for the final response, or
+# takes its connection for one of another protocol.
+@pytest.mark.parametrize('status', ['000', '099', '101'])
+@pytest.mark.parametrize('path', ['/act/', '/chat/'])
+async def test_status_that_is_not_final_does_not_go_to_the_caller(path, status):
+  async with answer_with(f'HTTP/1.1 {status} X', OWN, SIGNED) as fleet:
+    with pytest.raises(errors.WoadrunError) as caught:
+      await fleet.ask('n1', make_request(path))
+    assert len(fleet.runs) == 1
+    assert wire.encode_error(caught.value, 'r')[0] == 502
+
+
+# Guards against a caller that gets 502 for a response that names its request
+# twice, as it does once a server and a proxy before it both echo the id.
+async def test_response_with_the_same_id_twice_is_that_to_its_request():
+  async with answer_with('HTTP/1.1 200 OK', OWN, OWN, SIGNED) as fleet:
+    assert (await fleet.ask('n1', make_request('/act/')))[0] == 200
+
+
 # Guards against a caller that gets a success with a header that denies it.
 async def test_statement_that_a_request_has_not_run_is_not_forwarded():
   lines = ['HTTP/1.1 200 OK', OWN, SIGNED, STATES_NOT_RUN]
