Soak: instances answer requests that ran as if these had not run

Cause: the soak's instances told the truth of each request: a response with a status that promises that a request has not run always came with the header that states it, and each response had an id.

Change: of the requests that an instance runs, 4 in 100 get an answer that contradicts the run (fleet_soak/contradictions.py): a status that promises the opposite, signed, unsigned, with a header that denies it, with a 421 of the very instance, or without an id; or a success that is unsigned or has Not-Executed. Half of the second copies have no id. An honest 421 names the instance that sends it, and a quarter of the refusals are such.

No check is relaxed: an answer that contradicts a run does not excuse one that a stop cuts.

--- a/bench/fleet_soak/__main__.py
+++ b/bench/fleet_soak/__main__.py
@@ -42,10 +42,12 @@
   count: int,
   folder: pathlib.Path,
   callers_count: int | None = None,
+  stops_early: bool = True,
 ) -> list[str]:
   """Returns the violations found in a run with a seed, of `count` daemons.
 
-  There are twice as many callers by default.
+  There are twice as many callers by default.  The run ends with the first
+  violation if it `stops_early`.
   """
   hosts = network.Network()
   environment = outside.Outside(domains=DOMAINS, seed=seed, hosts=hosts)
@@ -66,7 +68,9 @@
   guarantees = checker.Checker(environment=environment, caller_pool=caller_pool)
   try:
     await _start_all(fleet, environment)
-    found = await _run_faults(caller_pool, injector, guarantees, seconds)
+    found = await _run_faults(
+      caller_pool, injector, guarantees, seconds, stops_early=stops_early
+    )
     await _wait_ready(fleet)
     found += await _check_continuations(caller_pool, guarantees)
     found += guarantees.check() + injector.bad_exits
@@ -86,19 +90,23 @@
   }
   print(
     f'seed {seed}: {len(caller_pool.attempts)} tries {count_by_status}, '
-    f'{dict(injector.counts)}'
+    f'{dict(injector.counts)}, {guarantees.count_broken_promises()}'
   )
   return list(dict.fromkeys(found))
 
 
-async def _run_faults(caller_pool, injector, guarantees, seconds) -> list[str]:
+async def _run_faults(
+  caller_pool, injector, guarantees, seconds, *, stops_early
+) -> list[str]:
   caller_task = asyncio.ensure_future(caller_pool.run())
   fault_task = asyncio.ensure_future(injector.run())
   until = time.monotonic() + seconds
   found: list[str] = []
-  while time.monotonic() < until and not found and not caller_task.done():
+  while time.monotonic() < until and not caller_task.done():
+    if found and stops_early:
+      break
     await asyncio.sleep(0.5)
-    found = guarantees.check()
+    found = list(dict.fromkeys(found + guarantees.check()))
   fault_task.cancel()
   await injector.heal()
   caller_pool.is_stopped = True
@@ -121,7 +129,7 @@
     await asyncio.gather(
       *(
         caller_pool.continue_turn(session, turn)
-        for turn in guarantees.find_truncated_turns(CHECKED_TURNS)
+        for turn in guarantees.find_unkept_turns(CHECKED_TURNS)
       )
     )
   return [f'{turn.request} can no longer be continued' for turn in failing]
@@ -161,6 +169,7 @@
     count=options.daemons,
     folder=folder,
     callers_count=options.callers,
+    stops_early=not options.whole,
   )
 
 
@@ -172,6 +181,9 @@
   parser.add_argument('--seconds', type=float, default=30.0)
   parser.add_argument('--daemons', type=int, default=6)
   parser.add_argument('--callers', type=int, help='twice the daemons if unset')
+  parser.add_argument(
+    '--whole', action='store_true', help='go on after the first violation'
+  )
   parser.add_argument('--folder', type=pathlib.Path, help='where logs go')
   options = parser.parse_args()
   # Instances log each disconnected caller, which the faults make common.
--- a/bench/fleet_soak/callers.py
+++ b/bench/fleet_soak/callers.py
@@ -14,6 +14,8 @@
 from fleet_soak import outside
 
 NOT_RUN_STATUSES = (402, 408, 421, 429, 503)
+# For a turn that has run, these would state that it does not exist.
+TURN_NOT_RUN_STATUSES = (*NOT_RUN_STATUSES, 404, 410)
 REQUEST_TIMEOUT_SECONDS = 4.0
 MAX_ATTEMPTS = 6
 BUDGET, MAX_TOKENS = 60, 8
--- a/bench/fleet_soak/checker.py
+++ b/bench/fleet_soak/checker.py
@@ -49,6 +49,9 @@
     for run in self._environment.runs:
       self._runs_by_request[run.request].append(run)
     self._truncated = self._environment.truncated_requests
+    self._contradicted = self._environment.contradicted_requests
+    # No turn may continue from these.
+    self._unkept = self._truncated | self._contradicted
     checks = (
       self._check_once,
       self._check_refusals,
@@ -74,9 +77,12 @@
 
   def _check_refusals(self) -> Iterator[str]:
     for attempt in self._caller_pool.attempts:
-      is_once = not attempt.path.startswith(outside.LOOK)
+      is_turn = attempt.path.startswith(outside.CHAT)
+      promises = (
+        callers.TURN_NOT_RUN_STATUSES if is_turn else callers.NOT_RUN_STATUSES
+      )
       has_run = attempt.request in self._runs_by_request
-      if is_once and has_run and attempt.status in callers.NOT_RUN_STATUSES:
+      if has_run and attempt.status in promises:
         yield f'{attempt.request} was refused with {attempt.status}, but ran'
 
   def _check_full(self) -> Iterator[str]:
@@ -113,8 +119,13 @@
       if attempt is None:
         yield f'{request} ran, but nobody sent it'
         continue
-      if attempt.parent in self._truncated:
-        yield f'{request} ran after {attempt.parent}, which was truncated'
+      if attempt.parent in self._unkept:
+        reason = (
+          'was truncated'
+          if attempt.parent in self._truncated
+          else 'contradicted its answer'
+        )
+        yield f'{request} ran after {attempt.parent}, which {reason}'
         continue
       expected = self._get_history(attempt.parent) + attempt.input
       if attempt.path.startswith(outside.LOOK):
@@ -165,7 +176,7 @@
 
   def _check_parents(self) -> Iterator[str]:
     for attempt in self._caller_pool.attempts:
-      if attempt.parent in self._truncated:
+      if attempt.parent in self._unkept:
         continue
       if attempt.parent and attempt.status in (404, 410):
         yield (
@@ -303,12 +314,32 @@
     ]
     return complete[-count:]
 
-  def find_truncated_turns(self, count: int) -> list[callers.Attempt]:
-    """Returns the newest turns that an instance truncated."""
-    truncated = self._environment.truncated_requests
-    found = [
+  def find_unkept_turns(self, count: int) -> list[callers.Attempt]:
+    """Returns the newest turns of each kind that have no complete answer.
+
+    One kind was truncated, the other got an answer that contradicts its run.
+    """
+    kinds = (
+      self._environment.truncated_requests,
+      self._environment.contradicted_requests,
+    )
+    turns = [
       attempt
       for attempt in self._caller_pool.attempts
-      if attempt.request in truncated and attempt.path.startswith(outside.CHAT)
+      if attempt.path.startswith(outside.CHAT)
+    ]
+    return [
+      turn
+      for requests in kinds
+      for turn in [t for t in turns if t.request in requests][-count:]
     ]
-    return found[-count:]
+
+  def count_broken_promises(self) -> dict[str, int]:
+    """Returns how many requests ran twice, or were refused after they ran."""
+    return {
+      'ran twice': len(list(self._check_once())),
+      'refused after they ran': len(list(self._check_refusals())),
+      'answers that contradict a run': sum(
+        len(item.contradicted_requests) for item in self._environment.instances
+      ),
+    }
--- a/bench/fleet_soak/outside.py
+++ b/bench/fleet_soak/outside.py
@@ -13,6 +13,7 @@
 from aiohttp import web
 import msgspec
 
+from fleet_soak import contradictions
 from fleet_soak import endless
 from fleet_soak import network
 from fleet_soak import proxy
@@ -25,6 +26,7 @@
 CHAT, ACT, LOOK = '/chat/', '/act/', '/look/'
 # Turns with a single attempt.
 CHAT_ONCE = f'{CHAT}once/'
+PATHS = (CHAT, CHAT_ONCE, ACT, LOOK)
 SLOTS = 16
 # A request to a path with this in it ends the instance that runs it: with a
 # reset, in silence, or with a reset after its row was removed or tells that it
@@ -63,6 +65,8 @@
 
   `response_by_request` has the latest response to each request, `lost_requests`
   those that were running when the instance ended, which is at `ended_at`.
+  `contradicted_requests` are those that it ran and answered with what must not
+  reach a caller.
   `endless_bytes_by_request` counts what was sent of responses without end.
   """
 
@@ -87,6 +91,7 @@
     self.is_silent = False
     self.ended_at: float | None = None
     self.lost_requests: set[str] = set()
+    self.contradicted_requests: set[str] = set()
     self.endless_bytes_by_request: collections.Counter[str] = (
       collections.Counter()
     )
@@ -175,6 +180,7 @@
     echo = {'Request-Id': request}
     refusal = responses.Response(parts=(), is_stream=False)
     if headers.get('expect-instance') != self.id:
+      echo[contradictions.INSTANCE] = self.id
       return await self._write(writer, refusal, echo, status=421)
     path = request_line.split()[1]
     if path == HEALTH:
@@ -184,6 +190,9 @@
       )
       return b''
     if self._fault_rng.random() < responses.REFUSED_SHARE:
+      if self._fault_rng.random() < contradictions.MISDIRECTED_SHARE:
+        echo[contradictions.INSTANCE] = f'not-{self.id}'
+        return await self._write(writer, refusal, echo, status=421)
       echo['Not-Executed'] = '1'
       return await self._write(writer, refusal, echo, status=503)
     run = Run(
@@ -197,7 +206,11 @@
     self.runs.append(run)
     echo['Server-Signature'] = f'{self.service}.{self.id}.{request}'
     is_stream = run.path.startswith(CHAT)
-    response = self._draw_response(request, is_stream=is_stream)
+    contradiction = self._draw_contradiction(run, echo)
+    if contradiction is None or contradiction.is_success:
+      response = self._draw_response(request, is_stream=is_stream)
+    else:
+      response = responses.draw_failure(self._fault_rng, request)
     self._running.add(request)
     try:
       if FATAL in path:
@@ -205,6 +218,10 @@
         self.on_fatal_request(self, path)
         # The end of the instance cancels this task.
         await asyncio.Event().wait()
+      if contradiction is not None:
+        return await self._write(
+          writer, response, contradiction.headers, status=contradiction.status
+        )
       if self._fault_rng.random() < ENDLESS_SHARE:
         await self._write_without_end(writer, request, echo)
         return None
@@ -212,6 +229,23 @@
     finally:
       self._running.discard(request)
 
+  def _draw_contradiction(
+    self, run: Run, headers: dict[str, str]
+  ) -> contradictions.Contradiction | None:
+    """Returns what contradicts the run in its answer, None in most cases."""
+    if FATAL in run.path:
+      return None
+    contradiction = contradictions.draw(
+      self._fault_rng,
+      request=run.request,
+      instance=self.id,
+      signature=headers[contradictions.SIGNATURE],
+      is_turn=run.path.startswith(CHAT),
+    )
+    if contradiction is not None and not contradiction.is_answer:
+      self.contradicted_requests.add(run.request)
+    return contradiction
+
   async def _write_without_end(
     self, writer: asyncio.StreamWriter, request: str, headers: dict[str, str]
   ) -> None:
@@ -250,6 +284,12 @@
       return None
     if self._fault_rng.random() >= responses.SURPLUS_SHARE:
       return b''
+    if self._fault_rng.random() < contradictions.ANONYMOUS_SURPLUS_SHARE:
+      headers = {
+        name: value
+        for name, value in headers.items()
+        if name != contradictions.ID
+      }
     return responses.encode(response, headers=headers, status=status)
 
   def _draw_response(
@@ -327,6 +367,15 @@
       if response.is_truncated
     } | {request for item in self.instances for request in item.lost_requests}
 
+  @property
+  def contradicted_requests(self) -> set[str]:
+    """The requests that ran, with an answer that must not reach a caller."""
+    return {
+      request
+      for item in self.instances
+      for request in item.contradicted_requests
+    }
+
   async def configure(self, service: str) -> None:
     """Writes a configuration that routes actions to a service."""
     self.version += 3
--- a/bench/fleet_soak/responses.py
+++ b/bench/fleet_soak/responses.py
@@ -137,6 +137,15 @@
   )
 
 
+def draw_failure(rng: random.Random, request: str) -> Response:
+  """Returns a complete response that describes a failure."""
+  return Response(
+    parts=(f'failed {request}'.encode(),),
+    is_stream=False,
+    framing=rng.choice((Framing.LENGTH, Framing.CHUNKS)),
+  )
+
+
 def encode(
   response: Response, *, headers: dict[str, str], status: int = 200
 ) -> bytes:
--- a/tests/test_fleet_soak.py
+++ b/tests/test_fleet_soak.py
@@ -8,6 +8,7 @@
 from fleet_soak import __main__ as program
 from fleet_soak import callers
 from fleet_soak import checker
+from fleet_soak import contradictions
 from fleet_soak import http_client
 from fleet_soak import outside
 from fleet_soak import proxy
@@ -61,6 +62,7 @@
   *,
   drained_at=None,
   truncated=(),
+  contradicted=(),
   endless_bytes_by_request=None,
   **options,
 ):
@@ -79,6 +81,7 @@
     instances=[item],
     runs=runs,
     truncated_requests=set(truncated),
+    contradicted_requests=set(contradicted),
     configs=[(0.0, 1, 'tools'), (90.0, 2, 'other')],
   )
   caller_pool = types.SimpleNamespace(attempts=attempts)
@@ -146,6 +149,81 @@
   assert word in found[0]
 
 
+PROMISES = [402, 408, 421, 429, 503]
+
+
+# Guards against a checker that passes over a kind of request or a status.
+@pytest.mark.parametrize(
+  ('path', 'status'),
+  [
+    *((path, status) for path in outside.PATHS for status in PROMISES),
+    (outside.CHAT, 404),
+    (outside.CHAT, 410),
+    (outside.CHAT_ONCE, 404),
+    (outside.CHAT_ONCE, 410),
+  ],
+)
+def test_a_promise_for_a_request_that_ran_is_reported(path, status):
+  body = b'' if path == outside.LOOK else b'in'
+  run = make_run('a', path=path, body=body, service='other')
+  refused = make_attempt('a', path=path, status=status)
+  assert check([refused], [run]) == [f'a was refused with {status}, but ran']
+  later = make_run('a', path=path, body=body, service='other', at=102.0)
+  assert check([refused], [later], contradicted='a') == [
+    f'a was refused with {status}, but ran'
+  ]
+  assert check([refused], []) == []
+  unknown = make_attempt('a', path=path, status=502)
+  assert check([unknown], [run], contradicted='a') == []
+
+
+@pytest.mark.parametrize('path', [outside.ACT, outside.LOOK])
+@pytest.mark.parametrize('status', [400, 404, 410, 500, 502, 504])
+def test_a_status_that_promises_nothing_is_not_reported(path, status):
+  body = b'' if path == outside.LOOK else b'in'
+  run = make_run('a', path=path, body=body, service='other')
+  assert check([make_attempt('a', path=path, status=status)], [run]) == []
+
+
+def test_only_idempotent_requests_may_run_twice():
+  for path in outside.PATHS:
+    body = b'' if path == outside.LOOK else b'in'
+    runs = [make_run('a', path=path, body=body, service='other')] * 2
+    found = check([make_attempt('a', path=path, status=502)], runs)
+    assert found == ([] if path == outside.LOOK else ['a ran 2 times'])
+
+
+def test_a_success_without_signature_is_reported():
+  turn = make_attempt('a', **{**GOOD, 'signature': ''})
+  found = check([turn], [make_run('a')], contradicted='a')
+  assert found == ['a got an answer of ']
+
+
+def test_a_turn_that_continues_a_contradicted_one_is_reported():
+  attempts = [
+    make_attempt('a', status=502),
+    make_attempt('b', parent='a', status=502),
+  ]
+  found = check(attempts, [make_run('b')], contradicted='a')
+  assert found == ['b ran after a, which contradicted its answer']
+
+
+@pytest.mark.parametrize('status', [404, 410, 503])
+def test_a_refused_turn_after_a_contradicted_one_is_not_reported(status):
+  attempts = [
+    make_attempt('a', status=502),
+    make_attempt('b', parent='a', status=status),
+  ]
+  assert check(attempts, [make_run('a')], contradicted='a') == []
+
+
+# A contradicted answer is whole, unlike one that breaks off.
+def test_a_contradicted_answer_that_a_stop_cuts_is_reported():
+  cut = make_attempt('a', status=0)
+  found = check([cut], [make_run('a')], contradicted='a')
+  assert found == ['a was cut by the stop of calm']
+
+
 def make_crash_checker(count, *, end=outside.RESET, given_up_seconds=0.3):
   """Returns a checker of tries a second apart, of which each ends an instance.
 
@@ -365,6 +443,178 @@
     await send(response)
 
 
+# --- Answers that contradict a run --------------------------------------------
+
+
+def draw_contradictions(*, is_turn):
+  rng = random.Random(1)
+  drawn = [
+    contradictions.draw(
+      rng, request='r', instance='i', signature='s.r', is_turn=is_turn
+    )
+    for _ in range(20_000)
+  ]
+  return drawn, [item for item in drawn if item is not None]
+
+
+@pytest.mark.parametrize('is_turn', [False, True])
+def test_a_few_answers_contradict_a_run_in_each_way(is_turn):
+  drawn, found = draw_contradictions(is_turn=is_turn)
+  assert 0.03 < len(found) / len(drawn) < 0.05
+  assert {item.kind for item in found} == set(contradictions.Kind)
+  statuses = {408, 421, 429, 503} | ({402, 404, 410} if is_turn else set())
+  for kind in contradictions.Kind:
+    seen = {item.status for item in found if item.kind is kind}
+    if kind in contradictions.SUCCESSES:
+      assert seen == {200}
+    elif kind is contradictions.Kind.OWN_INSTANCE:
+      assert seen == {421}
+    else:
+      assert seen == statuses
+
+
+# Guards against an answer that truly states that a request has not run: then no
+# daemon could know better.
+@pytest.mark.parametrize('is_turn', [False, True])
+def test_no_contradiction_is_a_valid_refusal(is_turn):
+  _, found = draw_contradictions(is_turn=is_turn)
+  for item in found:
+    names = set(item.headers)
+    is_valid = item.headers.get('Not-Executed') == '1' and item.status >= 400
+    is_own = 'Request-Id' in names and 'Server-Signature' not in names
+    assert not (is_valid and is_own)
+    assert item.headers.get('Instance-Id', 'i') == 'i'
+    is_signed = 'Request-Id' in names and 'Server-Signature' in names
+    assert item.is_answer is (item.status == 200 and is_signed)
+
+
+@contextlib.asynccontextmanager
+async def serve_instance(**options):
+  instance = outside.Instance(
+    id=options.pop('id', 'i'),
+    service='models',
+    host='127.0.0.1',
+    rng=random.Random(1),
+    on_fatal_request=lambda *_: None,
+  )
+  await instance.start()
+  try:
+    yield instance
+  finally:
+    await instance.stop()
+
+
+async def ask_instance(instance, *, path, ids, expected='i'):
+  """Sends requests over kept connections; yields their ids and responses."""
+  host, _, port = instance.proxy.address.partition(':')
+  client = http_client.Client()
+  try:
+    for id in ids:
+      response = http_client.Response()
+      headers = {'Request-Id': id, 'Expect-Instance': expected}
+      with contextlib.suppress(OSError):
+        async with asyncio.timeout(5):
+          await client.send(
+            (host, int(port)),
+            response,
+            method='POST',
+            path=path,
+            headers=headers,
+            body=b'x',
+          )
+      yield id, response
+  finally:
+    client.close()
+
+
+async def pass_at_once():
+  await asyncio.sleep(0)
+
+
+@pytest.fixture
+def quick_instances(monkeypatch):
+  """Makes instances answer at once, completely and with few other faults."""
+  monkeypatch.setattr(outside.Instance, '_pause', lambda _: pass_at_once())
+  monkeypatch.setattr(
+    outside.Instance, '_pause_briefly', lambda _: pass_at_once()
+  )
+  monkeypatch.setattr(outside, 'ENDLESS_SHARE', 0.0)
+  monkeypatch.setattr(responses, 'TRUNCATED_SHARE', 0.0)
+  monkeypatch.setattr(responses, 'SURPLUS_SHARE', 0.0)
+
+
+@pytest.mark.usefixtures('quick_instances')
+@pytest.mark.parametrize('path', [outside.CHAT, outside.ACT, outside.LOOK])
+async def test_an_instance_contradicts_requests_that_it_ran(path, monkeypatch):
+  monkeypatch.setattr(contradictions, 'SHARE', 0.5)
+  ids = [f'r{number}' for number in range(200)]
+  seen = set()
+  async with serve_instance() as instance:
+    async for id, response in ask_instance(instance, path=f'{path}x', ids=ids):
+      has_run = any(run.request == id for run in instance.runs)
+      fields = response.header_by_name
+      is_own = fields.get('request-id') == id
+      is_signed = fields.get('server-signature', '').endswith(f'.{id}')
+      is_success = is_own and is_signed and response.status == 200
+      is_contradicted = id in instance.contradicted_requests
+      assert is_success is (has_run and not is_contradicted)
+      if is_success:
+        assert response.body == instance.response_by_request[id].body
+      if is_contradicted:
+        seen.add((response.status, is_own, is_signed, 'not-executed' in fields))
+      assert has_run or response.status in (421, 503)
+  assert len(seen) > 10
+  assert any(status == 200 for status, *_ in seen)
+
+
+@pytest.mark.usefixtures('quick_instances')
+async def test_an_instance_refuses_requests_that_it_does_not_run(monkeypatch):
+  monkeypatch.setattr(responses, 'REFUSED_SHARE', 1.0)
+  kinds = set()
+  ids = [f'r{number}' for number in range(40)]
+  async with serve_instance() as instance:
+    found = [
+      item async for item in ask_instance(instance, path='/chat/x', ids=ids)
+    ]
+    found.extend(
+      [
+        item
+        async for item in ask_instance(
+          instance, path='/chat/x', ids=ids, expected='other'
+        )
+      ]
+    )
+    assert instance.runs == []
+  for id, response in found:
+    fields = response.header_by_name
+    assert fields['request-id'] == id
+    assert 'server-signature' not in fields
+    if response.status == 421:
+      assert fields['instance-id']
+    else:
+      assert (response.status, fields['not-executed']) == (503, '1')
+    kinds.add((response.status, fields.get('instance-id')))
+  # Of another instance, of this one that was asked in place of another.
+  assert kinds == {(503, None), (421, 'not-i'), (421, 'i')}
+
+
+@pytest.mark.usefixtures('quick_instances')
+async def test_copies_come_in_the_place_of_the_next_response(monkeypatch):
+  monkeypatch.setattr(responses, 'SURPLUS_SHARE', 1.0)
+  monkeypatch.setattr(responses, 'REFUSED_SHARE', 0.3)
+  monkeypatch.setattr(contradictions, 'SHARE', 0.3)
+  ids = [f'r{number}' for number in range(100)]
+  seen = set()
+  async with serve_instance() as instance:
+    async for id, response in ask_instance(instance, path='/chat/x', ids=ids):
+      fields = response.header_by_name
+      own = fields.get('request-id', '')
+      seen.add((own == id, bool(own), 'not-executed' in fields))
+  # Copies with the id of another request and with none, also of refusals.
+  assert {(False, True, True), (False, False, True)} <= seen
+  assert {(False, True, False), (False, False, False)} <= seen
+
+
 async def test_a_short_run_has_no_violations(tmp_path):
   found = await program.soak(
     seed=SEED, seconds=SECONDS, count=DAEMONS, folder=tmp_path
