The log says that a turn ran whose end could not be recorded

Callers saw: nothing new (a broken stream). The line of the request's end said "request not run" of a turn that an instance had answered, if its end was recorded nowhere.

Cause: the line prints the error's word on whether the request ran. Errors of the turn's owner speak of their own message there, and say not run by default.

Change: after the response has begun, the line says that the request ran.

Measured: the new test fails on the code before and passes now; the tests of run statuses, timeline, explain and turns pass (203).

--- a/src/woadrun/request/serving.py
+++ b/src/woadrun/request/serving.py
@@ -82,6 +82,7 @@
     self.active += 1
     started_at = time.monotonic()
     kind, outcome, reason = 'unknown', 'broken_off', ''
+    is_answered = False
     try:
       await self._catalogue.wait_until_known()
       grant = await self._access.grant(request)
@@ -93,12 +94,15 @@
       else:
         response = self._handle_plain_request(request, grant, deadline)
       async with response as answer:
+        is_answered = True
         yield answer
         outcome = f'{answer.status // 100}xx'
         reason = f' (status {answer.status} of the instance)'
     except errors.WoadrunError as error:
       outcome = error.code.value
-      reason = f' (request {error.ran.value}: {error.message})'
+      # An error after the response has begun tells only of the turn's end.
+      ran = errors.RunStatus.RAN if is_answered else error.ran
+      reason = f' (request {ran.value}: {error.message})'
       raise
     except exchange.ResponseLost as error:
       reason = f' ({error})'
--- a/tests/test_run_status.py
+++ b/tests/test_run_status.py
@@ -15,6 +15,7 @@
 from woadrun.platform import upstream
 from woadrun.platform import wire
 from woadrun.request import exchange
+from woadrun.request import turn_client
 
 TURN_PATHS = ['/chat/', '/draft/']
 PLAIN_PATHS = ['/act/', '/look/']
@@ -266,6 +267,24 @@
     assert (await fleet.ask('n1', make_request('/act/')))[0] == 200
 
 
+# Guards against a log that denies that a turn ran whose end was not recorded.
+async def test_log_does_not_say_not_run_of_a_turn_that_was_answered(
+  caplog, monkeypatch
+):
+  async def fail(*_, **options):
+    raise errors.WoadrunError(errors.Code.OWNER_UNAVAILABLE, 'no owner')
+
+  caplog.set_level('INFO', 'woadrun.serving')
+  monkeypatch.setattr(turn_client.TurnClient, 'close', fail)
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1')
+    with pytest.raises(errors.WoadrunError):
+      await fleet.turn('n1', 'a')
+    ends = [m for m in caplog.messages if m.startswith('Request a:')]
+    assert len(ends) == 1
+    assert '(request ran: no owner)' in ends[0]
+
+
 # Guards against a caller that gets a success with a header that denies it.
 async def test_statement_that_a_request_has_not_run_is_not_forwarded():
   lines = ['HTTP/1.1 200 OK', OWN, SIGNED, STATES_NOT_RUN]
