A turn's own 402, 404 and 410 do not count against its instance

Callers saw: instances avoided by all daemons while one program sends turns that they answer with 404, say for a model that none of them has.

Cause: each reply that may not go to the caller counts as a failure of its instance since such replies are held back, also those with statuses that promise something of turns alone.

Change: of the statuses below 500 those count that promise the same of any request (408, 421, 429).

--- a/src/woadrun/request/attempts.py
+++ b/src/woadrun/request/attempts.py
@@ -473,10 +473,7 @@
     id = sending.instance.incarnation_id
     if not reply.has_run:
       self._loads.health.record_failure(id, health.REJECTION_WEIGHT)
-    elif (
-      not _may_return(sending.request, reply)
-      or reply.status >= MIN_FAILURE_STATUS
-    ):
+    elif not reply.is_genuine or _is_failure(reply.status):
       self._loads.health.record_failure(id)
     else:
       result.is_failure = False
@@ -757,6 +754,15 @@
         pass
 
 
+def _is_failure(status: int) -> bool:
+  """Returns whether a status counts as a failure of its instance.
+
+  402, 404 and 410 do not go to the caller of a turn either, but are due to the
+  turn: a program that repeats it must not divert others from its instances.
+  """
+  return status >= MIN_FAILURE_STATUS or status in run_status.NOT_RUN_STATUSES
+
+
 def _may_have_run(task: asyncio.Task[_Attempt]) -> bool:
   if task.cancelled():
     # The request may have been sent already.
--- a/tests/test_run_status.py
+++ b/tests/test_run_status.py
@@ -98,6 +98,21 @@
     assert answer == status
 
 
+# Guards against instances that are avoided by all callers since one program
+# sends turns that they answer with 404.
+@pytest.mark.parametrize('status', TURN_NOT_RUN)
+async def test_instance_that_rejects_a_turn_itself_does_not_count_as_failing(
+  status,
+):
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1')
+    for _ in range(4):
+      fleet.engines.faults.append(nodes.make_reply(status=status))
+      with pytest.raises(errors.WoadrunError):
+        await fleet.ask('n1', make_request('/chat/'))
+    assert not fleet.by_name['n1'].loads.health.get_own_failures()
+
+
 # Guards against a request that counts as one that ends its instances, and is
 # quarantined in the end, though each of them answered it.
 @pytest.mark.parametrize('path', ['/act/', '/look/', '/chat/'])
