Names and log of withheld replies; findings of the review

Cause: a reader of the fix stumbled over two functions of nearly one name, a condition that took three readings, and a log line "answers 503" of a reply that no caller got.

Measured: the tests of run statuses, attempts, surplus and endless responses and upstreams pass.

--- a/src/woadrun/connection/response_ids.py
+++ b/src/woadrun/connection/response_ids.py
@@ -79,7 +79,8 @@
   _id_header = ''
   _ids: Collection[str] = ()
   _is_idle = False
-  # Whether a response may still come again on this connection.
+  # Whether an earlier request used this connection: a second copy of its
+  # response may still come.
   _is_reused = False
   # Bytes received beside the expected body, and that body.
   _extra = 0
@@ -163,11 +164,9 @@
       message, body = await super().read()
       id = message.headers.get(self._id_header, '') if self._id_header else ''
       is_informational = message.code < 200
-      is_expected = (
-        not self._id_header
-        or id in self._ids
-        or (not id and (is_informational or not self._is_reused))
-      )
+      needs_id = self._is_reused and not is_informational
+      is_anonymous = not id and not needs_id
+      is_expected = not self._id_header or id in self._ids or is_anonymous
       if is_expected and not is_informational:
         if self._id_header and not id:
           self.force_close()
--- a/src/woadrun/platform/upstream.py
+++ b/src/woadrun/platform/upstream.py
@@ -72,12 +72,13 @@
     """Returns a context manager with the reply; its exit ends the request."""
     response = await self._request(sending)
     statement = wire.read_statement(sending, response.status, response.headers)
+    is_refusal = run_status.is_refusal(statement)
     reader = read_ahead.AnswerReader(response=response, held=self._held)
     try:
       yield exchange.Reply(
         status=response.status,
         headers=wire.decode_reply_headers(response.headers),
-        has_run=not run_status.is_refusal(statement),
+        has_run=not is_refusal,
         is_genuine=run_status.is_genuine(statement),
         statement=statement,
         chunks=reader.read(),
@@ -85,7 +86,7 @@
         abort=response.close,
         is_reusable=lambda: _is_reusable(response),
       )
-      if run_status.is_refusal(statement):
+      if is_refusal:
         await _drain(response)
     finally:
       reader.close()
--- a/src/woadrun/platform/wire.py
+++ b/src/woadrun/platform/wire.py
@@ -28,7 +28,7 @@
 EXPECTED_INSTANCE = 'Expect-Instance'
 PRIORITY = 'Request-Priority'
 # In instances' responses.  `Not-Executed` states that the request has not run.
-NOT_RUN = 'Not-Executed'
+NOT_EXECUTED = 'Not-Executed'
 SIGNATURE = 'Server-Signature'
 INSTANCE = 'Instance-Id'
 # In requests: the API key of a caller, and the name of its team for instances.
@@ -226,7 +226,7 @@
   The statement that a request has not run is for this daemon alone.
   """
   forwarded = _get_forwarded(headers.items(), headers.getall('Connection', []))
-  return [item for item in forwarded if item[0].lower() != NOT_RUN.lower()]
+  return [item for item in forwarded if item[0].lower() != NOT_EXECUTED.lower()]
 
 
 def read_statement(
@@ -240,7 +240,7 @@
     status=status,
     has_request_id=set(headers.getall(REQUEST_ID, [])) == {sending.request.id},
     is_signed=SIGNATURE in headers,
-    states_not_run=_is_set(headers, NOT_RUN),
+    states_not_run=_is_set(headers, NOT_EXECUTED),
     is_of_other_instance=bool(names) and sending.instance.id not in names,
   )
 
@@ -274,7 +274,8 @@
   error: errors.WoadrunError, request_id: str
 ) -> tuple[int, list[tuple[str, str]]]:
   """Returns the status and headers of the response for an error."""
-  # The code tells nothing of the request's kind: any may be a turn's.
+  # The code does not tell whether the request is a turn; turns have the most
+  # statuses that guarantee that they have not run.
   status = run_status.get_status(error.status, ran=error.ran, is_turn=True)
   headers = [('Woadrun-Error', error.code.value)]
   if request_id:
--- a/src/woadrun/request/attempts.py
+++ b/src/woadrun/request/attempts.py
@@ -215,7 +215,7 @@
           break
         stack.push_async_exit(attempt.stack)
         reply = attempt.reply
-        if _may_return(request, reply):
+        if _is_returnable(request, reply):
           yield reply, attempt.sending.instance
           return
         await stack.aclose()
@@ -397,7 +397,7 @@
     """
     attempt = await self._send_once(sending)
     reply, result = attempt.reply, attempt.result
-    if sending.is_stream or not _may_return(sending.request, reply):
+    if sending.is_stream or not _is_returnable(sending.request, reply):
       return attempt
     buffer = response_buffer.ResponseBuffer(
       chunks=reply.chunks, held=self._held
@@ -450,12 +450,16 @@
     if timer is not None and not result.is_failure and reply.status < 300:
       reply.chunks = self._time_chunks(sending, reply, reply.chunks, timer)
     stack.callback(self._record_idle_connection, id, reply)
-    self._log_outcome(sending, _describe_reply(reply))
-    if (
+    is_withheld = (
       reply.has_run
       and reply.is_genuine
-      and not _may_return(sending.request, reply)
-    ):
+      and not _is_returnable(sending.request, reply)
+    )
+    outcome = _describe_reply(reply)
+    if is_withheld:
+      outcome += ', withheld: the status denies that the request has run'
+    self._log_outcome(sending, outcome)
+    if is_withheld:
       self._counters.record_withheld(sending.instance.service, reply.status)
       try:
         await _discard(reply)
@@ -728,10 +732,10 @@
 def _is_usable(request: exchange.Request, task: asyncio.Task[_Attempt]) -> bool:
   if task.cancelled() or task.exception() is not None:
     return False
-  return _may_return(request, task.result().reply)
+  return _is_returnable(request, task.result().reply)
 
 
-def _may_return(request: exchange.Request, reply: exchange.Reply) -> bool:
+def _is_returnable(request: exchange.Request, reply: exchange.Reply) -> bool:
   """Returns whether a reply may go to the caller of a request."""
   return (
     reply.has_run
