The last attempt of a call does not state "not run" for the earlier ones

Callers saw: `"ran": "not run"` with 429 `overloaded`, 503 `upstream_unavailable` or 404 `unknown_model` for a model call that an engine had begun, after its stream broke off and no other engine took it, though the program was charged for the tokens. And 503 `upstream_unavailable` for a repeatable service call whose first response was lost and whose service then accepted no connection.

Cause: `run_model` and `run_service` raise the error of the last step, and an error states "not run" unless told otherwise: true of that step, not of the call.

Change: both remember whether an attempt may have run, a resumed stream included, and then raise the error with "unknown" (`errors.make_uncertain`), so that its status is 502. A call whose connections were all refused stays "not run".

--- a/src/woadrun/errors.py
+++ b/src/woadrun/errors.py
@@ -183,6 +183,23 @@
     )
 
 
+def make_uncertain(error: WoadrunError) -> WoadrunError:
+  """Returns the error of a request that an earlier attempt may have run.
+
+  It is a copy, since other requests may share the error, that states "unknown"
+  in place of "not run".
+  """
+  is_not_run = error.ran is RunStatus.NOT_RUN
+  return WoadrunError(
+    error.code,
+    error.message,
+    place=error.place,
+    ran=RunStatus.UNKNOWN if is_not_run else error.ran,
+    retry_after=error.retry_after,
+    details=error.details,
+  )
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Finding:
   """One error in a checked file: its location and its reason."""
--- a/src/woadrun/request/upstreams.py
+++ b/src/woadrun/request/upstreams.py
@@ -48,6 +48,11 @@
 MAX_QUOTED_BYTES = 200
 # The most time for the end of an event stream after its last event.
 END_TIMEOUT_SECONDS = 0.2
+# Errors by which a call reaches no engine.
+CONNECT_ERRORS = (
+  aiohttp.ClientConnectorError,
+  aiohttp.ConnectionTimeoutError,
+)
 # Errors by which an event stream breaks off: the engine is considered failed.
 STREAM_ERRORS = (
   aiohttp.ClientError,
@@ -147,9 +152,11 @@
     its first token.  Raises `request_quarantined` once as many engines broke
     off as a request may end.  Raises `upstream_failed` if an engine rejects the
     call with a 4xx status, if no other engine is left or if the retry budget is
-    used up.  Also raises the errors of `CallPlacer.choose_upstream` and
-    `CallPlacer.acquire_slot` for the next engine.
+    used up.  Also raises the errors of `CallPlacer.get_engines`,
+    `CallPlacer.choose_upstream` and `CallPlacer.acquire_slot` for the next
+    engine, which state "not run" only if the call reached no engine.
     """
+    may_have_run = place.is_resumed
     while True:
       relay = model_call.Relay(answer=running.stream_answer)
       try:
@@ -165,13 +172,20 @@
             ran=errors.RunStatus.RAN,
           ) from error
         reason = str(error)
+        may_have_run = True
       except (*STREAM_ERRORS, msgspec.MsgspecError) as error:
         reason = type(error).__name__
+        may_have_run |= not isinstance(error, CONNECT_ERRORS)
         place.lost += not place.is_resumed
       # An engine sends about one event per token.
       place.wasted_tokens += len(relay.event_data)
       running.stream_answer.restart()
-      await self._fail_over(place, accepted, found, row, retry_budget, reason)
+      try:
+        await self._fail_over(place, accepted, found, row, retry_budget, reason)
+      except errors.WoadrunError as error:
+        if may_have_run:
+          raise errors.make_uncertain(error) from error
+        raise
 
   async def _stream(
     self,
@@ -324,14 +338,17 @@
     and `upstream_failed` if it answers a repeatable call with a 5xx status or
     one that guarantees that the call has not run.
     A repeatable call raises `request_quarantined` once as many responses were
-    lost as a request may end instances.
+    lost as a request may end instances.  The error states "not run" only if no
+    attempt may have run.
     """
     lost = 0
+    may_have_run = False
     while True:
       try:
         return await self._call_service(accepted, row)
       except errors.WoadrunError as error:
         lost += error.ran is errors.RunStatus.UNKNOWN
+        may_have_run |= error.ran is not errors.RunStatus.NOT_RUN
         if accepted.repeatable and lost >= crash_limit.MAX_ENDED_INSTANCES:
           raise _make_quarantined(accepted, lost) from error
         if accepted.repeatable and retry_budget.take():
@@ -342,6 +359,8 @@
           if outcome is not None:
             return outcome
           raise make_outcome_unknown(accepted, error.message) from error
+        if may_have_run:
+          raise errors.make_uncertain(error) from error
         raise
 
   async def _call_service(
--- a/tests/test_product_run_status.py
+++ b/tests/test_product_run_status.py
@@ -12,9 +12,12 @@
 from woadrun import errors
 from woadrun.process import daemon
 from woadrun.request import calls
+from woadrun.request import execution
 from woadrun.request import forwarding
 from woadrun.request import gateway
+from woadrun.request import placing
 from woadrun.request import runner as runners
+from woadrun.request import upstreams
 from woadrun.version import program
 
 PROMISING_CODES = [
@@ -178,3 +181,154 @@
   outcome, paths = await truncated.run_service(make_reply(status))
   assert paths == ['actions']
   assert (outcome.outcome, outcome.status) == (program.OK, status)
+
+
+class Client:
+  """A client of a service whose calls raise errors, one after the other."""
+
+  def __init__(self, *raised):
+    self._raised = list(raised)
+
+  async def call(self, *_, **__):
+    raise self._raised.pop(0)
+
+
+def make_error(code, ran=errors.RunStatus.NOT_RUN):
+  return errors.WoadrunError(code, 'm', ran=ran, retry_after=1.0)
+
+
+LOST = make_error(errors.Code.OUTCOME_UNKNOWN, errors.RunStatus.UNKNOWN)
+REFUSED = make_error(errors.Code.UPSTREAM_UNAVAILABLE)
+
+
+# Guards against a repeatable call that ran, and whose service then stopped,
+# being refused as not run by its last attempt.
+@pytest.mark.parametrize(
+  ('raised', 'ran'),
+  [
+    ([LOST, REFUSED], errors.RunStatus.UNKNOWN),
+    ([REFUSED, LOST, REFUSED], errors.RunStatus.UNKNOWN),
+    ([REFUSED, REFUSED], errors.RunStatus.NOT_RUN),
+  ],
+)
+async def test_last_attempt_does_not_speak_for_earlier_ones(raised, ran):
+  service_calls = upstreams.UpstreamCalls(
+    config=types.SimpleNamespace(engines=[], services=[]),
+    session=None,
+    members=None,
+    places=None,
+    store=None,
+  )
+  service_calls._timeout_by_service['s'] = 1.0
+  service_calls._service_by_name['s'] = Client(*raised)
+  tries = iter([True] * (len(raised) - 1) + [False])
+  with pytest.raises(errors.WoadrunError) as caught:
+    await service_calls.run_service(
+      attempts.make_accepted('a', repeatable=True),
+      types.SimpleNamespace(tool_timeout=1.0),
+      types.SimpleNamespace(take=lambda: next(tries)),
+    )
+  assert caught.value.code is errors.Code.UPSTREAM_UNAVAILABLE
+  assert caught.value.ran is ran
+  assert caught.value.retry_after == REFUSED.retry_after
+  assert REFUSED.ran is errors.RunStatus.NOT_RUN
+
+
+# --- Engines -----------------------------------------------------------------
+
+BROKEN = truncated.UNFRAMED + truncated.make_event('part')
+
+
+class FullPlaces(truncated.Places):
+  """Refuses to move a call to another engine with an error of `failing`."""
+
+  def __init__(self, failing, code):
+    super().__init__()
+    self._failing = failing
+    self._code = code
+
+  def get_engines(self, *_):
+    self._fail('get_engines')
+    return ['first', 'second']
+
+  def choose_upstream(self, names, *_):
+    self._fail('choose_upstream')
+    return names[0]
+
+  async def acquire_slot(self, *_):
+    self._fail('acquire_slot')
+
+  def _fail(self, name):
+    if name == self._failing:
+      raise make_error(self._code)
+
+
+async def fail_over(places, url, session, *, is_resumed=False):
+  """Returns the error of a call that is not moved from its failed engine."""
+  model_calls = upstreams.UpstreamCalls(
+    config=types.SimpleNamespace(
+      engines=[
+        types.SimpleNamespace(name='first', url=url),
+        types.SimpleNamespace(name='second', url='http://127.0.0.1:1'),
+      ],
+      services=[],
+    ),
+    session=session,
+    members=None,
+    places=places,
+    store=None,
+  )
+  with pytest.raises(errors.WoadrunError) as caught:
+    await model_calls.run_model(
+      execution.make_execution(attempts.make_call()),
+      attempts.make_accepted('a'),
+      placing.UpstreamAssignment(name='first', is_resumed=is_resumed),
+      attempts.make_state().get_program(attempts.PROGRAM),
+      None,
+      types.SimpleNamespace(take=lambda: True),
+    )
+  return caught.value
+
+
+FAIL_OVER_ERRORS = [
+  ('get_engines', errors.Code.UNKNOWN_MODEL),
+  ('choose_upstream', errors.Code.UPSTREAM_UNAVAILABLE),
+  ('acquire_slot', errors.Code.OVERLOADED),
+]
+
+
+# Guards against a model call that an engine began, and that is charged for it,
+# being refused as not run because no other engine takes it.
+@pytest.mark.parametrize(('failing', 'code'), FAIL_OVER_ERRORS)
+@pytest.mark.parametrize('response', [BROKEN, make_reply(503)])
+async def test_model_call_that_was_sent_is_not_refused_as_not_run(
+  response, failing, code
+):
+  server = truncated.RawServer(response)
+  async with server.run() as session:
+    error = await fail_over(FullPlaces(failing, code), server.url, session)
+  assert (error.code, error.ran) == (code, errors.RunStatus.UNKNOWN)
+  assert gateway.make_error_response(error).status == 502
+
+
+# Guards against the same after the stream of an earlier owner is gone.
+@pytest.mark.parametrize(('failing', 'code'), FAIL_OVER_ERRORS)
+async def test_resumed_model_call_is_not_refused_as_not_run(failing, code):
+  async with truncated.RawServer(b'').run() as session:
+    error = await fail_over(
+      FullPlaces(failing, code), 'http://127.0.0.1:1', session, is_resumed=True
+    )
+  assert (error.code, error.ran) == (code, errors.RunStatus.UNKNOWN)
+
+
+# Guards against less certainty than there is: no engine was reached.
+@pytest.mark.parametrize(('failing', 'code'), FAIL_OVER_ERRORS)
+async def test_model_call_that_reached_no_engine_is_refused_as_not_run(
+  failing, code
+):
+  async with truncated.RawServer(b'').run() as session:
+    error = await fail_over(
+      FullPlaces(failing, code), 'http://127.0.0.1:1', session
+    )
+  assert (error.code, error.ran) == (code, errors.RunStatus.NOT_RUN)
+  assert gateway.make_error_response(error).status == error.status
