A later owner's refusal does not state "not run" for the owners tried before it

Callers saw: `"ran": "not run"` with 503 `owner_unavailable`, 429 `limit_reached` or any other refusal, for a call that an earlier owner had taken: its connection was lost, or its answer broke off after its head and before the first byte, and the gateway asked the next owner. An action whose outcome was committed could be refused so, if its owner ended while it sent the answer. The same for the start of a program, after another failure domain had not answered in time.

Cause: the forwarder kept in mind that a lost owner may have run the request only for the error that it raises itself at the deadline; not for another error of the next owner, nor beyond one answer that breaks off, nor beyond one failure domain.

Change: the forwarder, the gateway's loop over interrupted answers and that over failure domains give any later error as "unknown" (`errors.make_uncertain`), so that its status is 502. The code and Retry-After stay, and so does "not run" if no earlier owner was reached.

--- a/src/woadrun/request/forwarding.py
+++ b/src/woadrun/request/forwarding.py
@@ -163,6 +163,8 @@
           return await remote(address)
       except errors.WoadrunError as error:
         if not _is_retriable(error):
+          if ran is not errors.RunStatus.NOT_RUN:
+            raise errors.make_uncertain(error) from error
           raise
         if error.ran is not errors.RunStatus.NOT_RUN:
           ran = error.ran
--- a/src/woadrun/request/gateway.py
+++ b/src/woadrun/request/gateway.py
@@ -156,13 +156,15 @@
     slot = int.from_bytes(roster.get_digest(f'{body.team}/{key}'), 'big')
     slot %= self._config.daemon.slots
     last_error: errors.WoadrunError | None = None
+    may_have_run = False
     for domain in domains:
       try:
         return await self._start_in_domain(body, teams, key, domain, slot)
       except errors.WoadrunError as error:
+        last_error = errors.make_uncertain(error) if may_have_run else error
+        may_have_run |= error.ran is not errors.RunStatus.NOT_RUN
         if error.code is not errors.Code.OWNER_UNAVAILABLE:
-          raise
-        last_error = error
+          break
     raise last_error or AssertionError('no domains are configured')
 
   async def _start_in_domain(
@@ -257,30 +259,50 @@
   async def _relay(
     self, request: web.Request, call: calls.Call, *, is_stream: bool
   ) -> web.StreamResponse:
+    """Returns the response for a call, also if its first answers break off."""
+    may_have_run = False
     while True:
-      opened = await self._forwarding.open_call(call, is_stream=is_stream)
-      # The answer is that of a call that ran.
-      status = run_status.get_status(
-        opened.status,
-        ran=errors.RunStatus.RAN,
-        is_turn=call.call == program.MODEL,
-      )
-      response = web.StreamResponse(status=status)
-      response.content_type = opened.content_type
-      response.headers[REQUEST_HEADER] = call.request
-      response.headers[PROGRAM_HEADER] = call.program
       try:
-        return await write_chunks(request, response, opened.chunks)
-      except calls.StreamInterrupted:
-        if response.prepared:
-          response_ends.abort_body(request)
-          return response
-      except ConnectionResetError:
-        # The caller disconnected; the call continues so that a retry with
-        # the same id gets its answer.
+        response = await self._relay_once(request, call, is_stream=is_stream)
+      except errors.WoadrunError as error:
+        if may_have_run:
+          raise errors.make_uncertain(error) from error
+        raise
+      if response is not None:
         return response
-      finally:
-        opened.close()
+      may_have_run = True
+
+  async def _relay_once(
+    self, request: web.Request, call: calls.Call, *, is_stream: bool
+  ) -> web.StreamResponse | None:
+    """Returns the response for a call, or None if it can be requested again.
+
+    That is so if its answer broke off before any of it reached the caller.
+    """
+    opened = await self._forwarding.open_call(call, is_stream=is_stream)
+    # The answer is that of a call that ran.
+    status = run_status.get_status(
+      opened.status,
+      ran=errors.RunStatus.RAN,
+      is_turn=call.call == program.MODEL,
+    )
+    response = web.StreamResponse(status=status)
+    response.content_type = opened.content_type
+    response.headers[REQUEST_HEADER] = call.request
+    response.headers[PROGRAM_HEADER] = call.program
+    try:
+      return await write_chunks(request, response, opened.chunks)
+    except calls.StreamInterrupted:
+      if not response.prepared:
+        return None
+      response_ends.abort_body(request)
+      return response
+    except ConnectionResetError:
+      # The caller disconnected; the call continues so that a retry with
+      # the same id gets its answer.
+      return response
+    finally:
+      opened.close()
 
 
 async def write_chunks(
--- a/tests/test_product_run_status.py
+++ b/tests/test_product_run_status.py
@@ -28,6 +28,10 @@
 NOT_RUN_STATUSES = [408, 421, 429, 503]
 
 
+def make_error(code, ran=errors.RunStatus.NOT_RUN):
+  return errors.WoadrunError(code, 'm', ran=ran, retry_after=1.0)
+
+
 # --- Responses to callers ----------------------------------------------------
 
 
@@ -117,6 +121,100 @@
   assert await act((status, answer(b'{}'))) == (status, b'{}')
 
 
+async def break_off():
+  raise calls.StreamInterrupted
+  yield b''
+
+
+# Guards against a refusal as not run of a call whose answer had begun, and
+# broke off with the owner before any of it reached the caller.
+@pytest.mark.parametrize(
+  'code', [errors.Code.OWNER_UNAVAILABLE, errors.Code.LIMIT_REACHED]
+)
+async def test_call_whose_answer_broke_off_is_not_refused_as_not_run(code):
+  status, body = await act((200, break_off()), make_error(code))
+  error = errors.from_body(body)
+  assert (status, error.code) == (502, code)
+  assert error.ran is errors.RunStatus.UNKNOWN
+
+
+def make_forwarder(*results, hold):
+  """Returns a forwarder whose tries of the owner have these results."""
+  members = types.SimpleNamespace(
+    address='a',
+    domain='north',
+    directory=types.SimpleNamespace(get_owner=lambda *_: 'b'),
+    mark_domain_unreachable=lambda _: None,
+    is_platform_up=lambda: True,
+  )
+  config = types.SimpleNamespace(
+    daemon=types.SimpleNamespace(region_domains=['north', 'south'], slots=1),
+    timing=types.SimpleNamespace(hold=hold, silent_after=1.0),
+  )
+  found = forwarding.Forwarder(
+    config=config, members=members, messenger=None, local=None
+  )
+  left = list(results)
+
+  async def fail(*_, **__):
+    raise left.pop(0)
+
+  found._open_remote = found._post = fail
+  return found
+
+
+# Guards against the refusal of another owner being given for a call that the
+# first one may have run.
+@pytest.mark.parametrize(
+  ('first', 'ran'),
+  [
+    (errors.RunStatus.UNKNOWN, errors.RunStatus.UNKNOWN),
+    (errors.RunStatus.NOT_RUN, errors.RunStatus.NOT_RUN),
+  ],
+)
+async def test_refusal_of_the_next_owner_does_not_speak_for_the_first(
+  first, ran
+):
+  refusal = make_error(errors.Code.LIMIT_REACHED)
+  forwarder = make_forwarder(
+    make_error(errors.Code.OWNER_UNAVAILABLE, first), refusal, hold=60.0
+  )
+  with pytest.raises(errors.WoadrunError) as caught:
+    await forwarder.open_call(attempts.make_call(), is_stream=False)
+  assert (caught.value.code, caught.value.ran) == (refusal.code, ran)
+  assert refusal.ran is errors.RunStatus.NOT_RUN
+
+
+# Guards against a refusal as not run of a program that the daemons of another
+# failure domain may have started.
+@pytest.mark.parametrize(
+  ('first', 'ran'),
+  [
+    (errors.RunStatus.UNKNOWN, errors.RunStatus.UNKNOWN),
+    (errors.RunStatus.NOT_RUN, errors.RunStatus.NOT_RUN),
+  ],
+)
+@pytest.mark.parametrize(
+  'code', [errors.Code.OWNER_UNAVAILABLE, errors.Code.BUDGET_EXCEEDED]
+)
+async def test_refusal_of_a_domain_does_not_speak_for_the_others(
+  code, first, ran
+):
+  forwarder = make_forwarder(
+    make_error(errors.Code.OWNER_UNAVAILABLE, first), make_error(code), hold=-1
+  )
+  found = gateway.Gateway(
+    config=forwarder._config,
+    members=types.SimpleNamespace(has_recent_domain_heartbeat=lambda _: True),
+    authenticator=None,
+    forwarding=forwarder,
+  )
+  body = gateway.StartBody(team='t', budget=1)
+  with pytest.raises(errors.WoadrunError) as caught:
+    await found._start_in_any_domain(body, ['*'], 'key')
+  assert (caught.value.code, caught.value.ran) == (code, ran)
+
+
 # --- Services ----------------------------------------------------------------
 
 
@@ -193,10 +291,6 @@
     raise self._raised.pop(0)
 
 
-def make_error(code, ran=errors.RunStatus.NOT_RUN):
-  return errors.WoadrunError(code, 'm', ran=ran, retry_after=1.0)
-
-
 LOST = make_error(errors.Code.OUTCOME_UNKNOWN, errors.RunStatus.UNKNOWN)
 REFUSED = make_error(errors.Code.UPSTREAM_UNAVAILABLE)
 
