The error of a resumed call does not state "not run" for its earlier owner

Callers saw: `"ran": "not run"` with 421 `not_owner`, 503 `config_unavailable` or 503 `upstream_unavailable` for a call that the owner before had sent, if the daemon that took over the slot could not resume it.

Cause: a recovered call fails by the errors of its new owner. These state "not run" by default, which is true only of what the new owner has done.

Change: the readers of a recovered call get such an error as "unknown" (`errors.make_uncertain`). The code stays: the gateway tries the next owner as before.

Measured: all 4 new tests fail on the code before and pass now; the tests of membership, calls, actions, attempts, crashing calls and truncated responses pass.

--- a/src/woadrun/request/recovery.py
+++ b/src/woadrun/request/recovery.py
@@ -240,7 +240,8 @@
         raise runner.make_superseded(accepted.request)
       await self._resume(running, accepted)
     except errors.WoadrunError as error:
-      running.fail(error)
+      # The earlier owner may have sent the call.
+      running.fail(errors.make_uncertain(error))
     except asyncio.CancelledError:
       running.fail(runner.make_cancelled(running))
     finally:
--- a/tests/test_product_run_status.py
+++ b/tests/test_product_run_status.py
@@ -426,3 +426,36 @@
     )
   assert (error.code, error.ran) == (code, errors.RunStatus.NOT_RUN)
   assert gateway.make_error_response(error).status == error.status
+
+
+# --- Owners ------------------------------------------------------------------
+
+
+# Guards against a call that an earlier owner had sent being refused as not run
+# by the owner that resumes it.
+@pytest.mark.parametrize(
+  ('code', 'repeatable'),
+  [
+    (errors.Code.NOT_OWNER, True),
+    (errors.Code.CONFIG_UNAVAILABLE, True),
+    (errors.Code.UPSTREAM_UNAVAILABLE, True),
+    (errors.Code.NOT_OWNER, False),
+  ],
+)
+async def test_call_of_an_earlier_owner_is_not_refused_as_not_run(
+  code, repeatable
+):
+  state = attempts.make_state()
+  run, _ = attempts.make_owner(state)
+  accepted = attempts.make_accepted('first', repeatable=repeatable)
+  state.apply([accepted], answers=9)
+
+  async def refuse(*_):
+    raise make_error(code)
+
+  run._resume = refuse
+  running = execution.make_execution(attempts.make_call(repeatable=repeatable))
+  await run._execute_recovered(running, accepted)
+  for found in (running.json_answer, running.stream_answer):
+    assert found.error.code is code
+    assert found.error.ran is errors.RunStatus.UNKNOWN
