An owner's failed attempt gives way to the outcome that another owner recorded

Callers saw: `"ran": "not run"`, for example 503 `upstream_unavailable`, for a call that another owner had resumed and answered, if the owner before was frozen or cut off meanwhile and then failed to send the call itself.

Cause: `perform` compared only its own answer with what was recorded, not its own failure: it raised the error although the record of it had no effect.

Change: both raise `owner_unavailable` with "unknown", by which the gateway asks again and gets the recorded outcome.

Measured: both new tests fail on the code before and pass now; the tests of calls, actions, attempts, crashing calls and truncated responses pass.

--- a/src/woadrun/request/runner.py
+++ b/src/woadrun/request/runner.py
@@ -331,7 +331,8 @@
       failure = make_failed(
         accepted, error, now=self.clock(), used=place.wasted_tokens
       )
-      await self.record_outcome(failure)
+      if not await self.record_outcome(failure):
+        raise make_superseded(accepted.request) from error
       raise
     if not await self.record_outcome(finished):
       # Another owner recorded an outcome first; callers must get that outcome.
--- a/tests/test_product_run_status.py
+++ b/tests/test_product_run_status.py
@@ -1,16 +1,19 @@
 """Statuses of the product's own interface for requests that may have run."""
 
+import asyncio
 import contextlib
 import types
 
 import aiohttp
 from aiohttp import web
+import msgspec
 import pytest
 import test_call_attempts as attempts
 import test_truncated_product_responses as truncated
 
 from woadrun import errors
 from woadrun.process import daemon
+from woadrun.process import slots
 from woadrun.request import calls
 from woadrun.request import execution
 from woadrun.request import forwarding
@@ -19,6 +22,7 @@
 from woadrun.request import runner as runners
 from woadrun.request import upstreams
 from woadrun.version import program
+from woadrun.version import rows
 
 PROMISING_CODES = [
   code
@@ -459,3 +463,35 @@
   for found in (running.json_answer, running.stream_answer):
     assert found.error.code is code
     assert found.error.ran is errors.RunStatus.UNKNOWN
+
+
+# Guards against a frozen owner's refusal as not run of a call that another
+# owner has resumed and answered meanwhile.
+@pytest.mark.parametrize('repeatable', [True, False])
+async def test_refusal_does_not_contradict_the_outcome_of_another_owner(
+  repeatable,
+):
+  state = attempts.make_state()
+  run, owned_slot = attempts.make_owner(state)
+  accepted = attempts.make_accepted('first', repeatable=repeatable)
+  accepted = msgspec.structs.replace(accepted, call=program.SERVICE)
+  state.apply([accepted, attempts.make_ok('first', 'theirs')], answers=9)
+
+  async def refuse(*_):
+    raise REFUSED
+
+  run._runner._upstreams = types.SimpleNamespace(run_service=refuse)
+  running = execution.make_execution(attempts.make_call(repeatable=repeatable))
+  ending = asyncio.ensure_future(
+    run._runner.perform(
+      running, accepted, placing.UpstreamAssignment(name='s'), rows.Row(key='t')
+    )
+  )
+  while not owned_slot.tickets:
+    await asyncio.sleep(0)
+  owned_slot.settle(state.sequence, slots.Durability.STANDBY)
+  with pytest.raises(errors.WoadrunError) as caught:
+    await ending
+  # The gateway retries on this code and gets the recorded outcome.
+  assert caught.value.code is errors.Code.OWNER_UNAVAILABLE
+  assert caught.value.ran is errors.RunStatus.UNKNOWN
