A start or end of a program that is not committed is not refused as "not run"

Callers saw: 503 `not_committed` with `"ran": "not run"` for the start or the end of a program while neither standby nor platform acknowledged its record, although the owner keeps the record: a read of the program then found it open, or ended with its running calls cancelled.

Cause: `not_committed` states "not run" by default. That is true of an accepted call, whose owner records it as not run, but nobody takes back a start or an end.

Code and Retry-After stay; a retry under the same id gets the program.

Weighed: to take the record back (a standby that stored it would differ from the owner, and a retry finds the program as it is).

Measured: all 3 new tests fail on the code before and pass now; the tests of calls, actions, attempts, crashing calls and truncated responses pass.

--- a/src/woadrun/request/owner.py
+++ b/src/woadrun/request/owner.py
@@ -58,7 +58,10 @@
   # --- Programs -------------------------------------------------------------
 
   async def start_program(self, start: calls.StartProgram) -> program.Program:
-    """Returns a new program, or the one that an equal request started."""
+    """Returns a new program, or the one that an equal request started.
+
+    Errors after its record was applied state "unknown": the program is kept.
+    """
     _, slot = calls.split_program_id(start.program)
     owned_slot = await self._ownership.wait_until_writable(slot)
     digest = start.get_digest()
@@ -82,7 +85,10 @@
       parent=start.parent,
     )
     ticket = self._ownership.append(owned_slot, [record])
-    await self._ownership.wait_for_commit(ticket, is_strong=False)
+    try:
+      await self._ownership.wait_for_commit(ticket, is_strong=False)
+    except errors.WoadrunError as error:
+      raise errors.make_uncertain(error) from error
     return owned_slot.state.get_program(start.program)
 
   def _check_start(
@@ -162,12 +168,16 @@
     """Returns a program after ending it and its sub-agents.
 
     With the reason `ended` running calls are completed first; with any other
-    reason they are cancelled.
+    reason they are cancelled.  Errors state "unknown" once the end has begun:
+    calls or sub-agents may have ended.
     """
     _, slot = calls.split_program_id(command.program)
     owned_slot = await self._ownership.wait_until_writable(slot)
     found = self._get_program(owned_slot.state, command.program, command.teams)
-    await self._end(slot, command.program, reason)
+    try:
+      await self._end(slot, command.program, reason)
+    except errors.WoadrunError as error:
+      raise errors.make_uncertain(error) from error
     return found
 
   async def _end(self, slot: int, program_id: str, reason: str) -> None:
--- a/tests/test_product_run_status.py
+++ b/tests/test_product_run_status.py
@@ -18,6 +18,7 @@
 from woadrun.request import execution
 from woadrun.request import forwarding
 from woadrun.request import gateway
+from woadrun.request import owner
 from woadrun.request import placing
 from woadrun.request import runner as runners
 from woadrun.request import upstreams
@@ -495,3 +496,42 @@
   # The gateway retries on this code and gets the recorded outcome.
   assert caught.value.code is errors.Code.OWNER_UNAVAILABLE
   assert caught.value.ran is errors.RunStatus.UNKNOWN
+
+
+def make_program_owner(state):
+  """Returns the owner of slot 0, whose standby acknowledges no record."""
+  run, _ = attempts.make_owner(state)
+  return owner.ProgramOwner(
+    config=types.SimpleNamespace(limits=types.SimpleNamespace(programs=9)),
+    ownership=run._ownership,
+    configuration=attempts.FakeTable(),
+    runner=run._runner,
+    upstreams=None,
+  )
+
+
+# Guards against a refusal as not run of a program that is then found open.
+async def test_start_that_is_not_committed_is_not_refused_as_not_run():
+  state = attempts.make_state()
+  start = calls.StartProgram(
+    program='north.000.b', team='t', kind='k', budget=1, teams=['*']
+  )
+  with pytest.raises(errors.WoadrunError) as caught:
+    await make_program_owner(state).start_program(start)
+  assert start.program in state.program_by_id
+  assert caught.value.code is errors.Code.NOT_COMMITTED
+  assert caught.value.ran is errors.RunStatus.UNKNOWN
+
+
+# Guards against a refusal as not run of the end of a program that has ended.
+@pytest.mark.parametrize('reason', ['ended', 'cancelled'])
+async def test_end_that_is_not_committed_is_not_refused_as_not_run(reason):
+  state = attempts.make_state()
+  command = calls.ProgramCommand(
+    program=attempts.PROGRAM, verb='end', teams=['*']
+  )
+  with pytest.raises(errors.WoadrunError) as caught:
+    await make_program_owner(state).end_program(command, reason=reason)
+  assert state.get_program(attempts.PROGRAM).ended == reason
+  assert caught.value.code is errors.Code.NOT_COMMITTED
+  assert caught.value.ran is errors.RunStatus.UNKNOWN
