A redirect that leads nowhere does not tell that a service has not run a call

Callers saw: 503 `upstream_unavailable` with `"ran": "not run"` for an action whose service had run it and answered with a redirect, if the address in it accepted no connection. The action was recorded as not run, so that a retry under the same id ran it again.

Cause: the client follows redirects, and took any refused connection for that of the call itself.

Change: after a first response of a call a refused connection is a lost response: the outcome is unknown, and the service is asked for it.

Weighed: not to follow redirects (callers would get the redirect without its address; a change for services that move).

Measured: all 5 new tests fail on the code before (`upstream_unavailable`, "not run") and pass now; the tests of calls, actions, attempts, crashing calls and truncated responses pass.

--- a/src/woadrun/connection/service.py
+++ b/src/woadrun/connection/service.py
@@ -12,6 +12,11 @@
 CONNECT_TIMEOUT_SECONDS = 1.0
 OUTCOME_TIMEOUT_SECONDS = 2.0
 JSON_TYPE = 'application/json'
+# Errors by which a call reaches no service.
+CONNECT_ERRORS = (
+  aiohttp.ClientConnectorError,
+  aiohttp.ConnectionTimeoutError,
+)
 
 
 class Service:
@@ -28,6 +33,7 @@
 
     Raises an error whose `ran` is `not run` only when no connection was
     established, so no byte of the call can have reached the service.  A
+    redirect is followed, but the service may have run the call before it.  A
     response of which a part may be missing raises an error with `unknown`.
     """
     limit = aiohttp.ClientTimeout(
@@ -40,12 +46,13 @@
         data=body,
         headers=headers,
         timeout=limit,
+        middlewares=(_make_redirect_guard(),),
       ) as response:
         data = await bodies.read(response, limit=bodies.MAX_RESULT_BYTES)
         if _is_lost(response, data):
           raise aiohttp.ClientPayloadError('The end of the body is not known.')
         return http.Reply(status=response.status, body=data)
-    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+    except CONNECT_ERRORS:
       raise errors.WoadrunError(
         errors.Code.UPSTREAM_UNAVAILABLE,
         'The service does not accept connections.',
@@ -75,6 +82,31 @@
     return reply if reply.status == 200 else None
 
 
+def _make_redirect_guard() -> aiohttp.ClientMiddlewareType:
+  """Returns a middleware for the requests of one call.
+
+  After the first response an error no longer tells that nothing was sent: the
+  middleware raises `aiohttp.ClientPayloadError` if a redirect leads to an
+  address that accepts no connection.
+  """
+  has_response = False
+
+  async def send_guarded(
+    request: aiohttp.ClientRequest, send: aiohttp.ClientHandlerType
+  ) -> aiohttp.ClientResponse:
+    nonlocal has_response
+    try:
+      response = await send(request)
+    except CONNECT_ERRORS as error:
+      if has_response:
+        raise aiohttp.ClientPayloadError(str(error)) from error
+      raise
+    has_response = True
+    return response
+
+  return send_guarded
+
+
 def _is_lost(response: aiohttp.ClientResponse, body: bytes) -> bool:
   """Returns whether a part of a response may be missing that has its result.
 
--- a/tests/test_product_run_status.py
+++ b/tests/test_product_run_status.py
@@ -286,6 +286,22 @@
   assert (outcome.outcome, outcome.status) == (program.OK, status)
 
 
+# Guards against an action that ran and was answered with a redirect being
+# recorded as not run, because the other address accepts no connection.
+@pytest.mark.parametrize('status', [301, 302, 303, 307, 308])
+async def test_redirect_that_leads_nowhere_does_not_tell_that_an_action_ran_not(
+  status,
+):
+  redirect = b'HTTP/1.1 %d Elsewhere\r\nLocation: http://127.0.0.1:1/\r\n'
+  head = redirect % status + b'Connection: close\r\n'
+  error, paths = await truncated.run_service(
+    head + b'Content-Length: 0\r\n\r\n', truncated.NOT_FOUND
+  )
+  assert paths == ['actions', 'outcomes']
+  assert error.code is errors.Code.OUTCOME_UNKNOWN
+  assert error.ran is errors.RunStatus.UNKNOWN
+
+
 class Client:
   """A client of a service whose calls raise errors, one after the other."""
 
