Test an action that ran and was answered 503 with real daemons

The stand-in service has an action that runs and answers with 503. Two daemons as processes; the second request is a retry under the same id through the other one.

--- a/src/woadrun/standins/service.py
+++ b/src/woadrun/standins/service.py
@@ -1,8 +1,9 @@
 """A stand-in for a service, which counts its runs of each request.
 
 Requests are identified by their idempotency key.  Actions named `hang`
-answer after `HANG_DELAY_SECONDS`, longer than any client waits.  With `forgets`
-the service reports no outcome of an earlier request.
+answer after `HANG_DELAY_SECONDS`, longer than any client waits; those named
+`busy` run and answer with 503.  With `forgets` the service reports no outcome
+of an earlier request.
 """
 
 from __future__ import annotations
@@ -53,6 +54,8 @@
     response = base.make_json_response(data)
     if isinstance(response.body, bytes):
       self._response_by_id[request_id] = response.body
+    if request.match_info['action'] == 'busy':
+      return base.make_json_response({'held': True}, status=503)
     return response
 
   async def _get_outcome(self, request: web.Request) -> web.Response:
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import fleet as fleets
+import pytest
 
 from woadrun import errors
 from woadrun.standins import local
@@ -153,3 +154,38 @@
     assert await caller.say(program_id, 'next', model=local.MODEL)
   assert error.code == 'outcome_unknown'
   assert list(fleet.outside.services[0].runs_by_id.values()) == [1]
+
+
+# Guards against a caller that sends an action again because of its service's
+# 503, though it ran.
+@pytest.mark.parametrize('forgets', [False, True])
+async def test_action_that_ran_and_was_answered_503_is_not_refused_as_not_run(
+  tmp_path, forgets
+):
+  async with fleets.make_fleet(tmp_path, 'nn', forgets=forgets) as fleet:
+    caller = fleet.make_client()
+    program_id = (await caller.start('riders', 5000))['id']
+    path = f'/v1/programs/{program_id}/services/service-0/busy'
+    found = []
+    # The second one is a retry under the same id.
+    for node in fleet.nodes:
+      async with fleet.session.post(
+        f'http://{node.listen}{path}',
+        json={},
+        headers={
+          'Authorization': f'Bearer {local.CALLER_TOKEN}',
+          'Idempotency-Key': 'once',
+        },
+      ) as response:
+        found.append((response.status, await response.json()))
+    runs = list(fleet.outside.services[0].runs_by_id.values())
+  assert runs == [1]
+  assert found[0] == found[1]
+  status, body = found[0]
+  if forgets:
+    assert status == 502
+    assert body['error']['code'] == 'outcome_unknown'
+    assert body['error']['ran'] == 'unknown'
+    assert 'status 503' in body['error']['message']
+  else:
+    assert (status, body['runs']) == (200, 1)
