--- a/tests/test_product_run_status.py
+++ b/tests/test_product_run_status.py
@@ -1,21 +1,29 @@
 """Statuses of the product's own interface for requests that may have run."""
 
+import asyncio
 import contextlib
 import types
 
 import aiohttp
 from aiohttp import web
+import msgspec
 import pytest
 import test_call_attempts as attempts
 import test_truncated_product_responses as truncated
 
 from woadrun import errors
 from woadrun.process import daemon
+from woadrun.process import slots
 from woadrun.request import calls
+from woadrun.request import execution
 from woadrun.request import forwarding
 from woadrun.request import gateway
+from woadrun.request import owner
+from woadrun.request import placing
 from woadrun.request import runner as runners
+from woadrun.request import upstreams
 from woadrun.version import program
+from woadrun.version import rows
 
 PROMISING_CODES = [
   code
@@ -25,6 +33,10 @@
 NOT_RUN_STATUSES = [408, 421, 429, 503]
 
 
+def make_error(code, ran=errors.RunStatus.NOT_RUN):
+  return errors.WoadrunError(code, 'm', ran=ran, retry_after=1.0)
+
+
 # --- Responses to callers ----------------------------------------------------
 
 
@@ -114,6 +126,100 @@
   assert await act((status, answer(b'{}'))) == (status, b'{}')
 
 
+async def break_off():
+  raise calls.StreamInterrupted
+  yield b''
+
+
+# Guards against a refusal as not run of a call whose answer had begun, and
+# broke off with the owner before any of it reached the caller.
+@pytest.mark.parametrize(
+  'code', [errors.Code.OWNER_UNAVAILABLE, errors.Code.LIMIT_REACHED]
+)
+async def test_call_whose_answer_broke_off_is_not_refused_as_not_run(code):
+  status, body = await act((200, break_off()), make_error(code))
+  error = errors.from_body(body)
+  assert (status, error.code) == (502, code)
+  assert error.ran is errors.RunStatus.UNKNOWN
+
+
+def make_forwarder(*results, hold):
+  """Returns a forwarder whose tries of the owner have these results."""
+  members = types.SimpleNamespace(
+    address='a',
+    domain='north',
+    directory=types.SimpleNamespace(get_owner=lambda *_: 'b'),
+    mark_domain_unreachable=lambda _: None,
+    is_platform_up=lambda: True,
+  )
+  config = types.SimpleNamespace(
+    daemon=types.SimpleNamespace(region_domains=['north', 'south'], slots=1),
+    timing=types.SimpleNamespace(hold=hold, silent_after=1.0),
+  )
+  found = forwarding.Forwarder(
+    config=config, members=members, messenger=None, local=None
+  )
+  left = list(results)
+
+  async def fail(*_, **__):
+    raise left.pop(0)
+
+  found._open_remote = found._post = fail
+  return found
+
+
+# Guards against the refusal of another owner being given for a call that the
+# first one may have run.
+@pytest.mark.parametrize(
+  ('first', 'ran'),
+  [
+    (errors.RunStatus.UNKNOWN, errors.RunStatus.UNKNOWN),
+    (errors.RunStatus.NOT_RUN, errors.RunStatus.NOT_RUN),
+  ],
+)
+async def test_refusal_of_the_next_owner_does_not_speak_for_the_first(
+  first, ran
+):
+  refusal = make_error(errors.Code.LIMIT_REACHED)
+  forwarder = make_forwarder(
+    make_error(errors.Code.OWNER_UNAVAILABLE, first), refusal, hold=60.0
+  )
+  with pytest.raises(errors.WoadrunError) as caught:
+    await forwarder.open_call(attempts.make_call(), is_stream=False)
+  assert (caught.value.code, caught.value.ran) == (refusal.code, ran)
+  assert refusal.ran is errors.RunStatus.NOT_RUN
+
+
+# Guards against a refusal as not run of a program that the daemons of another
+# failure domain may have started.
+@pytest.mark.parametrize(
+  ('first', 'ran'),
+  [
+    (errors.RunStatus.UNKNOWN, errors.RunStatus.UNKNOWN),
+    (errors.RunStatus.NOT_RUN, errors.RunStatus.NOT_RUN),
+  ],
+)
+@pytest.mark.parametrize(
+  'code', [errors.Code.OWNER_UNAVAILABLE, errors.Code.BUDGET_EXCEEDED]
+)
+async def test_refusal_of_a_domain_does_not_speak_for_the_others(
+  code, first, ran
+):
+  forwarder = make_forwarder(
+    make_error(errors.Code.OWNER_UNAVAILABLE, first), make_error(code), hold=-1
+  )
+  found = gateway.Gateway(
+    config=forwarder._config,
+    members=types.SimpleNamespace(has_recent_domain_heartbeat=lambda _: True),
+    authenticator=None,
+    forwarding=forwarder,
+  )
+  body = gateway.StartBody(team='t', budget=1)
+  with pytest.raises(errors.WoadrunError) as caught:
+    await found._start_in_any_domain(body, ['*'], 'key')
+  assert (caught.value.code, caught.value.ran) == (code, ran)
+
+
 # --- Services ----------------------------------------------------------------
 
 
@@ -178,3 +284,270 @@
   outcome, paths = await truncated.run_service(make_reply(status))
   assert paths == ['actions']
   assert (outcome.outcome, outcome.status) == (program.OK, status)
+
+
+# Guards against an action that ran and was answered with a redirect being
+# recorded as not run, because the other address accepts no connection.
+@pytest.mark.parametrize('status', [301, 302, 303, 307, 308])
+async def test_redirect_that_leads_nowhere_does_not_tell_that_an_action_ran_not(
+  status,
+):
+  redirect = b'HTTP/1.1 %d Elsewhere\r\nLocation: http://127.0.0.1:1/\r\n'
+  head = redirect % status + b'Connection: close\r\n'
+  error, paths = await truncated.run_service(
+    head + b'Content-Length: 0\r\n\r\n', truncated.NOT_FOUND
+  )
+  assert paths == ['actions', 'outcomes']
+  assert error.code is errors.Code.OUTCOME_UNKNOWN
+  assert error.ran is errors.RunStatus.UNKNOWN
+
+
+class Client:
+  """A client of a service whose calls raise errors, one after the other."""
+
+  def __init__(self, *raised):
+    self._raised = list(raised)
+
+  async def call(self, *_, **__):
+    raise self._raised.pop(0)
+
+
+LOST = make_error(errors.Code.OUTCOME_UNKNOWN, errors.RunStatus.UNKNOWN)
+REFUSED = make_error(errors.Code.UPSTREAM_UNAVAILABLE)
+
+
+# Guards against a repeatable call that ran, and whose service then stopped,
+# being refused as not run by its last attempt.
+@pytest.mark.parametrize(
+  ('raised', 'ran'),
+  [
+    ([LOST, REFUSED], errors.RunStatus.UNKNOWN),
+    ([REFUSED, LOST, REFUSED], errors.RunStatus.UNKNOWN),
+    ([REFUSED, REFUSED], errors.RunStatus.NOT_RUN),
+  ],
+)
+async def test_last_attempt_does_not_speak_for_earlier_ones(raised, ran):
+  service_calls = upstreams.UpstreamCalls(
+    config=types.SimpleNamespace(engines=[], services=[]),
+    session=None,
+    members=None,
+    places=None,
+    store=None,
+  )
+  service_calls._timeout_by_service['s'] = 1.0
+  service_calls._service_by_name['s'] = Client(*raised)
+  tries = iter([True] * (len(raised) - 1) + [False])
+  with pytest.raises(errors.WoadrunError) as caught:
+    await service_calls.run_service(
+      attempts.make_accepted('a', repeatable=True),
+      types.SimpleNamespace(tool_timeout=1.0),
+      types.SimpleNamespace(take=lambda: next(tries)),
+    )
+  assert caught.value.code is errors.Code.UPSTREAM_UNAVAILABLE
+  assert caught.value.ran is ran
+  assert caught.value.retry_after == REFUSED.retry_after
+  assert REFUSED.ran is errors.RunStatus.NOT_RUN
+
+
+# --- Engines -----------------------------------------------------------------
+
+BROKEN = truncated.UNFRAMED + truncated.make_event('part')
+
+
+class FullPlaces(truncated.Places):
+  """Refuses to move a call to another engine with an error of `failing`."""
+
+  def __init__(self, failing, code):
+    super().__init__()
+    self._failing = failing
+    self._code = code
+
+  def get_engines(self, *_):
+    self._fail('get_engines')
+    return ['first', 'second']
+
+  def choose_upstream(self, names, *_):
+    self._fail('choose_upstream')
+    return names[0]
+
+  async def acquire_slot(self, *_):
+    self._fail('acquire_slot')
+
+  def _fail(self, name):
+    if name == self._failing:
+      raise make_error(self._code)
+
+
+async def fail_over(places, url, session, *, is_resumed=False):
+  """Returns the error of a call that is not moved from its failed engine."""
+  model_calls = upstreams.UpstreamCalls(
+    config=types.SimpleNamespace(
+      engines=[
+        types.SimpleNamespace(name='first', url=url),
+        types.SimpleNamespace(name='second', url='http://127.0.0.1:1'),
+      ],
+      services=[],
+    ),
+    session=session,
+    members=None,
+    places=places,
+    store=None,
+  )
+  with pytest.raises(errors.WoadrunError) as caught:
+    await model_calls.run_model(
+      execution.make_execution(attempts.make_call()),
+      attempts.make_accepted('a'),
+      placing.UpstreamAssignment(name='first', is_resumed=is_resumed),
+      attempts.make_state().get_program(attempts.PROGRAM),
+      None,
+      types.SimpleNamespace(take=lambda: True),
+    )
+  return caught.value
+
+
+FAIL_OVER_ERRORS = [
+  ('get_engines', errors.Code.UNKNOWN_MODEL),
+  ('choose_upstream', errors.Code.UPSTREAM_UNAVAILABLE),
+  ('acquire_slot', errors.Code.OVERLOADED),
+]
+
+
+# Guards against a model call that an engine began, and that is charged for it,
+# being refused as not run because no other engine takes it.
+@pytest.mark.parametrize(('failing', 'code'), FAIL_OVER_ERRORS)
+@pytest.mark.parametrize('response', [BROKEN, make_reply(503)])
+async def test_model_call_that_was_sent_is_not_refused_as_not_run(
+  response, failing, code
+):
+  server = truncated.RawServer(response)
+  async with server.run() as session:
+    error = await fail_over(FullPlaces(failing, code), server.url, session)
+  assert (error.code, error.ran) == (code, errors.RunStatus.UNKNOWN)
+  assert gateway.make_error_response(error).status == 502
+
+
+# Guards against the same after the stream of an earlier owner is gone.
+@pytest.mark.parametrize(('failing', 'code'), FAIL_OVER_ERRORS)
+async def test_resumed_model_call_is_not_refused_as_not_run(failing, code):
+  async with truncated.RawServer(b'').run() as session:
+    error = await fail_over(
+      FullPlaces(failing, code), 'http://127.0.0.1:1', session, is_resumed=True
+    )
+  assert (error.code, error.ran) == (code, errors.RunStatus.UNKNOWN)
+
+
+# Guards against less certainty than there is: no engine was reached.
+@pytest.mark.parametrize(('failing', 'code'), FAIL_OVER_ERRORS)
+async def test_model_call_that_reached_no_engine_is_refused_as_not_run(
+  failing, code
+):
+  async with truncated.RawServer(b'').run() as session:
+    error = await fail_over(
+      FullPlaces(failing, code), 'http://127.0.0.1:1', session
+    )
+  assert (error.code, error.ran) == (code, errors.RunStatus.NOT_RUN)
+  assert gateway.make_error_response(error).status == error.status
+
+
+# --- Owners ------------------------------------------------------------------
+
+
+# Guards against a call that an earlier owner had sent being refused as not run
+# by the owner that resumes it.
+@pytest.mark.parametrize(
+  ('code', 'repeatable'),
+  [
+    (errors.Code.NOT_OWNER, True),
+    (errors.Code.CONFIG_UNAVAILABLE, True),
+    (errors.Code.UPSTREAM_UNAVAILABLE, True),
+    (errors.Code.NOT_OWNER, False),
+  ],
+)
+async def test_call_of_an_earlier_owner_is_not_refused_as_not_run(
+  code, repeatable
+):
+  state = attempts.make_state()
+  run, _ = attempts.make_owner(state)
+  accepted = attempts.make_accepted('first', repeatable=repeatable)
+  state.apply([accepted], answers=9)
+
+  async def refuse(*_):
+    raise make_error(code)
+
+  run._resume = refuse
+  running = execution.make_execution(attempts.make_call(repeatable=repeatable))
+  await run._execute_recovered(running, accepted)
+  for found in (running.json_answer, running.stream_answer):
+    assert found.error.code is code
+    assert found.error.ran is errors.RunStatus.UNKNOWN
+
+
+# Guards against a frozen owner's refusal as not run of a call that another
+# owner has resumed and answered meanwhile.
+@pytest.mark.parametrize('repeatable', [True, False])
+async def test_refusal_does_not_contradict_the_outcome_of_another_owner(
+  repeatable,
+):
+  state = attempts.make_state()
+  run, owned_slot = attempts.make_owner(state)
+  accepted = attempts.make_accepted('first', repeatable=repeatable)
+  accepted = msgspec.structs.replace(accepted, call=program.SERVICE)
+  state.apply([accepted, attempts.make_ok('first', 'theirs')], answers=9)
+
+  async def refuse(*_):
+    raise REFUSED
+
+  run._runner._upstreams = types.SimpleNamespace(run_service=refuse)
+  running = execution.make_execution(attempts.make_call(repeatable=repeatable))
+  ending = asyncio.ensure_future(
+    run._runner.perform(
+      running, accepted, placing.UpstreamAssignment(name='s'), rows.Row(key='t')
+    )
+  )
+  while not owned_slot.tickets:
+    await asyncio.sleep(0)
+  owned_slot.settle(state.sequence, slots.Durability.STANDBY)
+  with pytest.raises(errors.WoadrunError) as caught:
+    await ending
+  # The gateway retries on this code and gets the recorded outcome.
+  assert caught.value.code is errors.Code.OWNER_UNAVAILABLE
+  assert caught.value.ran is errors.RunStatus.UNKNOWN
+
+
+def make_program_owner(state):
+  """Returns the owner of slot 0, whose standby acknowledges no record."""
+  run, _ = attempts.make_owner(state)
+  return owner.ProgramOwner(
+    config=types.SimpleNamespace(limits=types.SimpleNamespace(programs=9)),
+    ownership=run._ownership,
+    configuration=attempts.FakeTable(),
+    runner=run._runner,
+    upstreams=None,
+  )
+
+
+# Guards against a refusal as not run of a program that is then found open.
+async def test_start_that_is_not_committed_is_not_refused_as_not_run():
+  state = attempts.make_state()
+  start = calls.StartProgram(
+    program='north.000.b', team='t', kind='k', budget=1, teams=['*']
+  )
+  with pytest.raises(errors.WoadrunError) as caught:
+    await make_program_owner(state).start_program(start)
+  assert start.program in state.program_by_id
+  assert caught.value.code is errors.Code.NOT_COMMITTED
+  assert caught.value.ran is errors.RunStatus.UNKNOWN
+
+
+# Guards against a refusal as not run of the end of a program that has ended.
+@pytest.mark.parametrize('reason', ['ended', 'cancelled'])
+async def test_end_that_is_not_committed_is_not_refused_as_not_run(reason):
+  state = attempts.make_state()
+  command = calls.ProgramCommand(
+    program=attempts.PROGRAM, verb='end', teams=['*']
+  )
+  with pytest.raises(errors.WoadrunError) as caught:
+    await make_program_owner(state).end_program(command, reason=reason)
+  assert state.get_program(attempts.PROGRAM).ended == reason
+  assert caught.value.code is errors.Code.NOT_COMMITTED
+  assert caught.value.ran is errors.RunStatus.UNKNOWN
