A copy of a request that may run once does not run a second time

Callers saw: a request ran twice if a library or proxy on the way sent it again with the same id, which HTTP allows for methods like GET when a kept connection closes without a response. A copy could also be refused with a promise (for example 404 for a turn) while the first one was running.

Cause: the daemon did not compare the ids of requests.

Change: `RecentRequests` remembers the ids of requests of the kinds that may run once: while they run, and for 60 s after they end, at most 10,000 of them. A copy gets 502 `outcome_unknown`, which promises nothing. An id is forgotten if its request ended with an error that states that it has not run. Ids are told apart by API key. The first copy may still be waiting for its grant when a second one arrives; both are then checked once more before they are sent.

Not covered: copies that reach two daemons, or a daemon that was restarted.

--- a/src/woadrun/request/serving.py
+++ b/src/woadrun/request/serving.py
@@ -27,6 +27,7 @@
 from woadrun.request import events
 from woadrun.request import exchange
 from woadrun.request import rates
+from woadrun.request import recent_requests
 from woadrun.request import turn_client
 from woadrun.version import instances
 from woadrun.version import routes
@@ -67,6 +68,7 @@
     self._turn_client = turn_client
     self._domain = domain
     self._close_tasks: set[asyncio.Task[None]] = set()
+    self._recent = recent_requests.RecentRequests()
     self.active = 0
 
   @contextlib.asynccontextmanager
@@ -77,12 +79,16 @@
 
     The end of a turn may still be recorded in the background afterwards.
     Entering it raises the `WoadrunError` to report to the caller if there is no
-    response.  The error by which a response breaks off is to be raised in it.
+    response: `outcome_unknown` for a copy of a request that may run only once.
+    The error by which a response breaks off is to be raised in it.
     """
     self.active += 1
     started_at = time.monotonic()
     kind, outcome, reason = 'unknown', 'broken_off', ''
+    key = recent_requests.Key(request.key_digest, request.id)
     try:
+      # Any other error would promise that the request has not run.
+      self._recent.check(key)
       await self._catalogue.wait_until_known()
       grant = await self._access.grant(request)
       route = grant.route
@@ -92,8 +98,10 @@
         response = self._handle_turn(request, grant, request.turn, deadline)
       else:
         response = self._handle_plain_request(request, grant, deadline)
-      async with response as answer:
-        yield answer
+      with self._claim(key, route) as claim:
+        async with response as answer:
+          claim.has_run = True
+          yield answer
         outcome = f'{answer.status // 100}xx'
         reason = f' (status {answer.status} of the instance)'
     except errors.WoadrunError as error:
@@ -115,6 +123,13 @@
         extra={**request.fields, 'kind': kind},
       )
 
+  def _claim(
+    self, key: recent_requests.Key, route: routes.Route
+  ) -> contextlib.AbstractContextManager[recent_requests.Claim]:
+    if route.kind is routes.Kind.IDEMPOTENT:
+      return contextlib.nullcontext(recent_requests.Claim())
+    return self._recent.claim(key)
+
   # --- Plain requests -------------------------------------------------------
 
   @contextlib.asynccontextmanager
