Tests: no promise when the daemon refuses after a first attempt

An attempt's response is lost and the next one is forbidden by the configuration (503, 404) or the crash guard, or a partition cuts off the instance of a stream.

Cause: none found, all of these hold.

--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -260,3 +260,80 @@
     status = await site.ask('r', '/chat/x')
     assert found[0].whole == ['r']
     assert status not in PROMISES
+
+
+# --- Errors of the daemon between attempts ------------------------------------
+
+
+async def lose_first_response(path, prepare):
+  """Returns the status for a request whose first response is lost.
+
+  `prepare` is called with the daemon before the response is lost.
+  """
+  lost = asyncio.Event()
+
+  async def lose(instance, reader, writer):
+    await instance.read(reader)
+    lost.set()
+    await asyncio.sleep(0.1)
+
+  async with (
+    sites.run_instances(lose, lose) as (found, addresses),
+    sites.open_site(*addresses) as site,
+  ):
+    task = asyncio.ensure_future(site.ask('r', path))
+    await lost.wait()
+    prepare(site.fleet.by_name['n1'].serving._attempts)
+    status = await task
+    assert sum(len(instance.whole) for instance in found) == 1
+  return status
+
+
+def make_refusal(code):
+  def refuse(*_, **__):
+    raise errors.WoadrunError(code, 'Refused.', retry_after=1.0)
+
+  return refuse
+
+
+# Guards against a promise for a request that may have run, when its next
+# attempt is no longer allowed by the configuration or by the crash guard.
+@pytest.mark.parametrize('path', ['/look/x', *sites.KINDS])
+@pytest.mark.parametrize(
+  'code', [errors.Code.TABLE_TOO_OLD, errors.Code.UNKNOWN_SERVICE]
+)
+async def test_refusal_after_a_lost_response_promises_nothing(code, path):
+  def forbid(sender):
+    sender._authorization.check = make_refusal(code)
+
+  assert await lose_first_response(path, forbid) == 502
+
+
+@pytest.mark.parametrize('path', ['/look/x', *sites.KINDS])
+async def test_crash_guard_after_a_lost_response_promises_nothing(path):
+  def forbid(sender):
+    sender._guard.admit = make_refusal(errors.Code.UPSTREAM_UNAVAILABLE)
+
+  assert await lose_first_response(path, forbid) == 502
+
+
+# Guards against a promise for a stream that is given up because a partition
+# cuts off its instance: the instance runs it all the same.
+@pytest.mark.parametrize('path', ['/draft/x', '/chat/x'])
+async def test_stream_given_up_in_a_partition_promises_nothing(path):
+  async def run_late(instance, reader, writer):
+    await instance.read_head(reader)
+    await asyncio.sleep(1.0)
+    instance.whole.append('late')
+
+  async with (
+    sites.run_instances(run_late) as (found, addresses),
+    sites.open_site(*addresses) as site,
+  ):
+    sender = site.fleet.by_name['n1'].serving._attempts
+    task = asyncio.ensure_future(site.ask('r', path))
+    await nodes.wait_until(lambda: found[0].begun)
+    sender._partition_watch._is_cut_off = lambda domain: True
+    assert await task == 502
+    assert found[0].whole == []
+    await nodes.wait_until(lambda: found[0].whole)
