A copy of a turn at another daemon does not run a second time

Callers saw: a turn ran at two instances if a library or proxy sent it again with the same id and the balancer passed the copy to another daemon.

Cause: the owner of a program answers a message about the same turn as before, because daemons send their messages again; it did not tell these from the messages of another daemon.

Change: `OpenTurn` has the arrival of the request at its daemon. `CloseTurn` tells whether the turn certainly has not run; its copy may then run. Messages of daemons that do not send the field are admitted as before.

Not covered: the record is not replicated, so that another owner, also after a restart or a planned stop, admits a copy; requests that need no owner, at two daemons.

--- a/src/woadrun/connection/turn_messages.py
+++ b/src/woadrun/connection/turn_messages.py
@@ -82,7 +82,8 @@
   `keeps_history` the turn has no parent although it need not be the first of
   its program.  Without `begins` the receiver does not create a program that is
   not known.  `admission` is set if a program may only begin when its service
-  has room for it.
+  has room for it.  `arrival` identifies one arrival of the request at a daemon,
+  so that two copies of a request differ in it; it is empty if not known.
   """
 
   program: str
@@ -96,6 +97,7 @@
   begins: bool = True
   parts: tuple[PromptPart, ...] = ()
   admission: AdmissionRequest | None = None
+  arrival: str = ''
 
 
 class OpenedTurn(msgspec.Struct, frozen=True, kw_only=True):
@@ -125,7 +127,8 @@
   `turn` is set if the turn is complete and part of a history; `is_saved` tells
   whether the row store has it.  `is_away` is set when both the program's home
   domain and the store are unreachable.  `instance` ran the turn and has `parts`
-  cached, the parts of its prompt and of its output.
+  cached, the parts of its prompt and of its output.  `has_run` is false if the
+  turn certainly has not run.
   """
 
   program: str
@@ -136,6 +139,7 @@
   turn: Turn | None = None
   is_saved: bool = True
   is_away: bool = False
+  has_run: bool = True
 
 
 class Closed(msgspec.Struct, frozen=True):
--- a/src/woadrun/process/programs.py
+++ b/src/woadrun/process/programs.py
@@ -24,6 +24,7 @@
 from woadrun import errors
 from woadrun.connection import peers
 from woadrun.connection import turn_messages
+from woadrun.process import arrivals
 from woadrun.process import copy_receiver
 from woadrun.process import datagrams
 from woadrun.process import fleet
@@ -83,6 +84,7 @@
     self.cache = turn_store.TurnCache()
     self.entry_by_program: dict[str, program_rows.Entry] = {}
     self.unsaved = unsaved_turns.UnsavedTurns()
+    self._arrivals = arrivals.Arrivals()
     self._rows = program_rows.ProgramRows(
       store=store, turns=turns, cache=self.cache, domain=members.me.domain
     )
@@ -137,9 +139,23 @@
 
     Raises `budget_exceeded` if the turn does not fit the budget, `not_owner` if
     this daemon cannot decide, `unknown_program` if the turn to continue from is
-    not found, `service_full` if the program may not begin yet, and the other
-    errors of `Reservations.reserve`.
+    not found, `service_full` if the program may not begin yet,
+    `outcome_unknown` if another daemon handles, or did lately, a copy of the
+    turn, and the other errors of `Reservations.reserve`.
     """
+    is_first_arrival = self._arrivals.note(ask)
+    is_admitted = False
+    try:
+      opened = await self._open_turn(ask, is_new=is_new)
+      is_admitted = not opened.home
+      return opened
+    finally:
+      if is_first_arrival and not is_admitted:
+        self._arrivals.forget(ask.request)
+
+  async def _open_turn(
+    self, ask: turn_messages.OpenTurn, *, is_new: bool
+  ) -> turn_messages.OpenedTurn:
     if ask.admission is None:
       return await self._open_admitted(ask, is_new=is_new)
     if self._is_first(ask, ask.admission):
@@ -246,6 +262,8 @@
     is complete and its program is not known here, unless `done.is_away` is set.
     """
     self._gate.record_closed(done.program, done.request)
+    if not done.has_run:
+      self._arrivals.forget(done.request)
     entry = self.entry_by_program.get(done.program)
     self.keep_turn(done)
     if entry is None:
--- a/src/woadrun/request/serving.py
+++ b/src/woadrun/request/serving.py
@@ -207,8 +207,14 @@
           chunks=self._relay_reply(running, reply),
           ends_with_connection=reply.ends_with_connection,
         )
-    except attempts.NotAttempted:
-      self._limits.give_back(unit)
+    except errors.WoadrunError as error:
+      # After its reply has begun, an error is not about the attempt.
+      running.has_run = (
+        running.instance is not None
+        or error.ran is not errors.RunStatus.NOT_RUN
+      )
+      if isinstance(error, attempts.NotAttempted):
+        self._limits.give_back(unit)
       raise
     finally:
       if not running.is_closed:
@@ -279,6 +285,7 @@
       instance=running.instance.incarnation_id if running.instance else '',
       parts=_add_output_tokens(turn.parts, tokens),
       turn=_make_turn(running, tokens) if is_complete else None,
+      has_run=running.has_run,
     )
 
   def _count_tokens(self, running: _RunningTurn) -> int:
@@ -329,7 +336,8 @@
 
   `id` and the ids in `turn` are scoped by team.  `opened` is the owner's
   answer, with the history.  `instance` is the instance that replied, None until
-  then.  `is_closed` tells that the end of the turn is recorded.
+  then.  `is_closed` tells that the end of the turn is recorded.  `has_run` is
+  false once it is certain that the turn has not run.
   """
 
   request: exchange.Request
@@ -342,6 +350,7 @@
   )
   instance: instances.Instance | None = None
   is_closed: bool = False
+  has_run: bool = True
 
 
 def _make_turn(running: _RunningTurn, tokens: int) -> turn_messages.Turn:
--- a/src/woadrun/request/turn_client.py
+++ b/src/woadrun/request/turn_client.py
@@ -13,6 +13,7 @@
 import asyncio
 from collections.abc import Callable
 import logging
+import secrets
 import time
 from typing import TypeVar
 
@@ -99,8 +100,8 @@
     daemon.
 
     Raises `owner_unavailable` if no reachable member can admit the turn, and
-    other errors of the owner, such as `budget_exceeded` and `service_full`,
-    unchanged.
+    other errors of the owner, such as `budget_exceeded`, `service_full` and (if
+    another daemon handles a copy of the turn) `outcome_unknown`, unchanged.
     """
     parent = turn.parent if keeps_history else ''
     # The history, if this daemon ran the parent recently: the owner then need
@@ -116,6 +117,7 @@
       keeps_history=keeps_history,
       parts=turn.parts,
       admission=admission,
+      arrival=secrets.token_hex(8),
     )
     opened = await self._open(message)
     if known is None:
