--- a/src/woadrun/decisions/run_status.py
+++ b/src/woadrun/decisions/run_status.py
@@ -13,6 +13,8 @@
 
 from woadrun import errors
 
+# Status in place of one that a caller may not get.
+UNCERTAIN_STATUS = 502
 # Statuses that guarantee that a request has not run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 # Statuses that state the same of a turn: its budget is spent, or the turn that
@@ -21,6 +23,8 @@
 # Status of an instance that got a request meant for another one.
 MISDIRECTED = 421
 MIN_REFUSAL_STATUS = 400
+# Lower ones announce a final response, or change the protocol.
+MIN_FINAL_STATUS = 200
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -49,6 +53,15 @@
     return ', '.join(filter(None, words))
 
 
+def is_genuine(statement: Statement) -> bool:
+  """Returns whether a response is the final one of the request's instance."""
+  return (
+    statement.has_request_id
+    and statement.is_signed
+    and statement.status >= MIN_FINAL_STATUS
+  )
+
+
 def is_refusal(statement: Statement) -> bool:
   """Returns whether a response guarantees that its request has not run.
 
@@ -71,3 +84,10 @@
   """
   promises = TURN_NOT_RUN_STATUSES if is_turn else NOT_RUN_STATUSES
   return ran is errors.RunStatus.NOT_RUN or status not in promises
+
+
+def get_status(status: int, *, ran: errors.RunStatus, is_turn: bool) -> int:
+  """Returns a status, or 502 if its caller may not get it."""
+  if may_return(status, ran=ran, is_turn=is_turn):
+    return status
+  return UNCERTAIN_STATUS
