Records of copies: keyword-only keys, and the oldest entry is found at once

Cause: the first key of a dictionary is found by skipping all deleted ones.

Change: both records are ordered dictionaries. `Key` takes keywords only and has no dictionary of its own.

--- a/src/woadrun/process/arrivals.py
+++ b/src/woadrun/process/arrivals.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import collections
 import time
 
 from woadrun import errors
@@ -24,8 +25,11 @@
   """Remembers which arrival of each turn this owner admits."""
 
   def __init__(self) -> None:
-    # The arrival and its time by request, oldest first.
-    self._arrival_by_request: dict[str, tuple[str, float]] = {}
+    # The arrival and its time by request, oldest first.  A plain dictionary
+    # finds its first key slowly once many before it have been deleted.
+    self._arrival_by_request: collections.OrderedDict[
+      str, tuple[str, float]
+    ] = collections.OrderedDict()
 
   def note(self, ask: turn_messages.OpenTurn) -> bool:
     """Records the arrival of a turn; returns whether it was not known.
--- a/src/woadrun/request/recent_requests.py
+++ b/src/woadrun/request/recent_requests.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import collections
 from collections.abc import Iterator
 import contextlib
 import dataclasses
@@ -22,7 +23,7 @@
 MAX_ENDED = 10_000
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Key:
   """Identifies a request: callers with different API keys may use the same id.
 
@@ -45,8 +46,11 @@
 
   def __init__(self) -> None:
     self._running: set[Key] = set()
-    # By the time of their end, oldest first.
-    self._ended_at_by_key: dict[Key, float] = {}
+    # Oldest first.  A plain dictionary finds its first key slowly once many
+    # before it have been deleted.
+    self._ended_at_by_key: collections.OrderedDict[Key, float] = (
+      collections.OrderedDict()
+    )
 
   def check(self, key: Key) -> None:
     """Raises `outcome_unknown` for a copy of a request that may have run."""
--- a/src/woadrun/request/serving.py
+++ b/src/woadrun/request/serving.py
@@ -85,7 +85,7 @@
     self.active += 1
     started_at = time.monotonic()
     kind, outcome, reason = 'unknown', 'broken_off', ''
-    key = recent_requests.Key(request.key_digest, request.id)
+    key = recent_requests.Key(key_digest=request.key_digest, id=request.id)
     try:
       # Any other error would promise that the request has not run.
       self._recent.check(key)
--- a/tests/test_recent_requests.py
+++ b/tests/test_recent_requests.py
@@ -11,7 +11,7 @@
 from woadrun.decisions import run_status
 from woadrun.request import recent_requests
 
-KEY = recent_requests.Key('', 'r')
+KEY = recent_requests.Key(key_digest='', id='r')
 
 
 async def answer_slowly(instance, reader, writer):
@@ -149,9 +149,9 @@
 # Guards against a caller that blocks the requests of another one by their ids.
 def test_requests_of_callers_with_other_keys_are_told_apart():
   recent = recent_requests.RecentRequests()
-  end(recent, recent_requests.Key('a', 'r'))
-  assert is_known(recent, recent_requests.Key('a', 'r'))
-  assert not is_known(recent, recent_requests.Key('b', 'r'))
+  end(recent, recent_requests.Key(key_digest='a', id='r'))
+  assert is_known(recent, recent_requests.Key(key_digest='a', id='r'))
+  assert not is_known(recent, recent_requests.Key(key_digest='b', id='r'))
 
 
 # Guards against memory that grows without a bound.
@@ -160,7 +160,9 @@
   monkeypatch.setattr(recent_requests.time, 'monotonic', lambda: now)
   monkeypatch.setattr(recent_requests, 'MAX_ENDED', 3)
   recent = recent_requests.RecentRequests()
-  keys = [recent_requests.Key('', str(number)) for number in range(5)]
+  keys = [
+    recent_requests.Key(key_digest='', id=str(number)) for number in range(5)
+  ]
   for key in keys:
     end(recent, key)
   assert [is_known(recent, key) for key in keys] == [False] * 2 + [True] * 3
