--- a/src/woadrun/request/serving.py
+++ b/src/woadrun/request/serving.py
@@ -27,6 +27,7 @@
 from woadrun.request import events
 from woadrun.request import exchange
 from woadrun.request import rates
+from woadrun.request import recent_requests
 from woadrun.request import turn_client
 from woadrun.version import instances
 from woadrun.version import routes
@@ -67,6 +68,7 @@
     self._turn_client = turn_client
     self._domain = domain
     self._close_tasks: set[asyncio.Task[None]] = set()
+    self._recent = recent_requests.RecentRequests()
     self.active = 0
 
   @contextlib.asynccontextmanager
@@ -77,13 +79,17 @@
 
     The end of a turn may still be recorded in the background afterwards.
     Entering it raises the `WoadrunError` to report to the caller if there is no
-    response.  The error by which a response breaks off is to be raised in it.
+    response: `outcome_unknown` for a copy of a request that may run only once.
+    The error by which a response breaks off is to be raised in it.
     """
     self.active += 1
     started_at = time.monotonic()
     kind, outcome, reason = 'unknown', 'broken_off', ''
     is_answered = False
+    key = recent_requests.Key(key_digest=request.key_digest, id=request.id)
     try:
+      # Any other error would promise that the request has not run.
+      self._recent.check(key)
       await self._catalogue.wait_until_known()
       grant = await self._access.grant(request)
       route = grant.route
@@ -93,9 +99,10 @@
         response = self._handle_turn(request, grant, request.turn, deadline)
       else:
         response = self._handle_plain_request(request, grant, deadline)
-      async with response as answer:
-        is_answered = True
-        yield answer
+      with self._claim(key, route) as claim:
+        async with response as answer:
+          claim.has_run = is_answered = True
+          yield answer
         outcome = f'{answer.status // 100}xx'
         reason = f' (status {answer.status} of the instance)'
     except errors.WoadrunError as error:
@@ -119,6 +126,13 @@
         extra={**request.fields, 'kind': kind},
       )
 
+  def _claim(
+    self, key: recent_requests.Key, route: routes.Route
+  ) -> contextlib.AbstractContextManager[recent_requests.Claim]:
+    if route.kind is routes.Kind.IDEMPOTENT:
+      return contextlib.nullcontext(recent_requests.Claim())
+    return self._recent.claim(key)
+
   # --- Plain requests -------------------------------------------------------
 
   @contextlib.asynccontextmanager
@@ -196,8 +210,14 @@
           chunks=self._relay_reply(running, reply),
           ends_with_connection=reply.ends_with_connection,
         )
-    except attempts.NotAttempted:
-      self._limits.give_back(unit)
+    except errors.WoadrunError as error:
+      # After its reply has begun, an error is not about the attempt.
+      running.has_run = (
+        running.instance is not None
+        or error.ran is not errors.RunStatus.NOT_RUN
+      )
+      if isinstance(error, attempts.NotAttempted):
+        self._limits.give_back(unit)
       raise
     finally:
       if not running.is_closed:
@@ -268,6 +288,7 @@
       instance=running.instance.incarnation_id if running.instance else '',
       parts=_add_output_tokens(turn.parts, tokens),
       turn=_make_turn(running, tokens) if is_complete else None,
+      has_run=running.has_run,
     )
 
   def _count_tokens(self, running: _RunningTurn) -> int:
@@ -318,7 +339,8 @@
 
   `id` and the ids in `turn` are scoped by team.  `opened` is the owner's
   answer, with the history.  `instance` is the instance that replied, None until
-  then.  `is_closed` tells that the end of the turn is recorded.
+  then.  `is_closed` tells that the end of the turn is recorded.  `has_run` is
+  false once it is certain that the turn has not run.
   """
 
   request: exchange.Request
@@ -331,6 +353,7 @@
   )
   instance: instances.Instance | None = None
   is_closed: bool = False
+  has_run: bool = True
 
 
 def _make_turn(running: _RunningTurn, tokens: int) -> turn_messages.Turn:
