--- a/src/woadrun/platform/wire.py
+++ b/src/woadrun/platform/wire.py
@@ -28,7 +28,7 @@
 EXPECTED_INSTANCE = 'Expect-Instance'
 PRIORITY = 'Request-Priority'
 # In instances' responses.  `Not-Executed` states that the request has not run.
-NOT_RUN = 'Not-Executed'
+NOT_EXECUTED = 'Not-Executed'
 SIGNATURE = 'Server-Signature'
 INSTANCE = 'Instance-Id'
 # In requests: the API key of a caller, and the name of its team for instances.
@@ -69,6 +69,8 @@
 # Callers' headers that are not forwarded if the configuration defines teams: an
 # instance must not see a key, and only a daemon may name a team.
 _ACCESS_HEADERS = frozenset((AUTHORIZATION.lower(), TEAM.lower()))
+# Values, in lower case, of a header that states something by being there.
+_FALSE = frozenset(('', '0', '?0', 'false', 'no'))
 # The scheme of the `Authorization` header, in lower case.
 _KEY_SCHEME = 'token'
 # The deadline sent to an instance is earlier than the daemon's own by this
@@ -219,8 +221,12 @@
 def decode_reply_headers(
   headers: multidict.CIMultiDictProxy[str],
 ) -> list[tuple[str, str]]:
-  """Returns the headers of an instance's response to forward to a caller."""
-  return _get_forwarded(headers.items(), headers.getall('Connection', []))
+  """Returns the headers of an instance's response to forward to a caller.
+
+  The statement that a request has not run is for this daemon alone.
+  """
+  forwarded = _get_forwarded(headers.items(), headers.getall('Connection', []))
+  return [item for item in forwarded if item[0].lower() != NOT_EXECUTED.lower()]
 
 
 def read_statement(
@@ -229,33 +235,34 @@
   headers: multidict.CIMultiDictProxy[str],
 ) -> run_status.Statement:
   """Returns what an instance's response states about its request."""
-  expected = sending.instance.id
+  names = set(_get_values(headers, INSTANCE)) - {''}
   return run_status.Statement(
     status=status,
-    has_request_id=headers.getall(REQUEST_ID, []) == [sending.request.id],
+    has_request_id=set(headers.getall(REQUEST_ID, [])) == {sending.request.id},
     is_signed=SIGNATURE in headers,
-    states_not_run=NOT_RUN in headers,
-    is_of_other_instance=headers.get(INSTANCE, expected) != expected,
+    states_not_run=_is_set(headers, NOT_EXECUTED),
+    is_of_other_instance=bool(names) and sending.instance.id not in names,
   )
 
 
-def has_run(status: int, headers: multidict.CIMultiDictProxy[str]) -> bool:
-  """Returns whether the instance may have run the request.
+def _is_set(headers: multidict.CIMultiDictProxy[str], name: str) -> bool:
+  """Returns whether a header is there and none of its values denies it."""
+  values = {value.lower() for value in _get_values(headers, name)}
+  return bool(values) and values.isdisjoint(_FALSE)
 
-  It has not run if the response says so in its header or has status 421, which
-  an instance returns for a request that expects another instance.
-  """
-  return NOT_RUN not in headers and status != 421
 
+def _get_values(
+  headers: multidict.CIMultiDictProxy[str], name: str
+) -> list[str]:
+  """Returns a header's values.
 
-def is_genuine(
-  request_id: str, headers: multidict.CIMultiDictProxy[str]
-) -> bool:
-  """Returns whether a response has the request's id and a signature.
-
-  The value of the signature is not verified.
+  Proxies may join several headers of one name to a list with commas.
   """
-  return headers.get(REQUEST_ID) == request_id and SIGNATURE in headers
+  return [
+    value.strip()
+    for text in headers.getall(name, [])
+    for value in text.split(',')
+  ]
 
 
 def closes_connection(headers: multidict.CIMultiDictProxy[str]) -> bool:
@@ -267,10 +274,9 @@
   error: errors.WoadrunError, request_id: str
 ) -> tuple[int, list[tuple[str, str]]]:
   """Returns the status and headers of the response for an error."""
-  status = error.status
-  # The code tells nothing of the request's kind: any may be a turn's.
-  if not run_status.may_return(status, ran=error.ran, is_turn=True):
-    status = 502
+  # The code does not tell whether the request is a turn; turns have the most
+  # statuses that guarantee that they have not run.
+  status = run_status.get_status(error.status, ran=error.ran, is_turn=True)
   headers = [('Woadrun-Error', error.code.value)]
   if request_id:
     headers.append((REQUEST_ID, request_id))
--- a/src/woadrun/request/attempts.py
+++ b/src/woadrun/request/attempts.py
@@ -12,9 +12,9 @@
 (`decisions/run_status.py`).
 
 A turn is a model request of a program; other requests have none.  A reply is
-genuine if it has the id of the request and the signature of the instance.  Load
-and health are recorded per incarnation, the time from the start of an instance
-to its end, which `Instance.incarnation_id` identifies.
+genuine if it has the id of the request, the signature of the instance and a
+final status.  Load and health are recorded per incarnation, the time from the
+start of an instance to its end, which `Instance.incarnation_id` identifies.
 """
 
 from __future__ import annotations
@@ -60,6 +60,8 @@
 # The time of a turn is not learned if its caller, by reading slowly, took more
 # than this part of it.
 MAX_CALLER_PART = 0.1
+# Time to read the rest of a reply that does not go to the caller, which waits.
+DISCARD_SECONDS = 0.1
 
 
 class NotAttempted(errors.WoadrunError):
@@ -213,7 +215,7 @@
           break
         stack.push_async_exit(attempt.stack)
         reply = attempt.reply
-        if _may_return(request, reply):
+        if _is_returnable(request, reply):
           yield reply, attempt.sending.instance
           return
         await stack.aclose()
@@ -395,7 +397,7 @@
     """
     attempt = await self._send_once(sending)
     reply, result = attempt.reply, attempt.result
-    if sending.is_stream or not _may_return(sending.request, reply):
+    if sending.is_stream or not _is_returnable(sending.request, reply):
       return attempt
     buffer = response_buffer.ResponseBuffer(
       chunks=reply.chunks, held=self._held
@@ -448,7 +450,22 @@
     if timer is not None and not result.is_failure and reply.status < 300:
       reply.chunks = self._time_chunks(sending, reply, reply.chunks, timer)
     stack.callback(self._record_idle_connection, id, reply)
-    self._log_outcome(sending, _describe_reply(reply))
+    is_withheld = (
+      reply.has_run
+      and reply.is_genuine
+      and not _is_returnable(sending.request, reply)
+    )
+    outcome = _describe_reply(reply)
+    if is_withheld:
+      outcome += ', withheld: the status denies that the request has run'
+    self._log_outcome(sending, outcome)
+    if is_withheld:
+      self._counters.record_withheld(sending.instance.service, reply.status)
+      try:
+        await _discard(reply)
+      except BaseException:
+        await stack.aclose()
+        raise
     return _Attempt(sending=sending, stack=stack, reply=reply, result=result)
 
   def _record_reply(
@@ -461,10 +478,7 @@
     id = sending.instance.incarnation_id
     if not reply.has_run:
       self._loads.health.record_failure(id, health.REJECTION_WEIGHT)
-    elif (
-      not _may_return(sending.request, reply)
-      or reply.status >= MIN_FAILURE_STATUS
-    ):
+    elif not reply.is_genuine or _is_failure(reply.status):
       self._loads.health.record_failure(id)
     else:
       result.is_failure = False
@@ -718,10 +732,10 @@
 def _is_usable(request: exchange.Request, task: asyncio.Task[_Attempt]) -> bool:
   if task.cancelled() or task.exception() is not None:
     return False
-  return _may_return(request, task.result().reply)
+  return _is_returnable(request, task.result().reply)
 
 
-def _may_return(request: exchange.Request, reply: exchange.Reply) -> bool:
+def _is_returnable(request: exchange.Request, reply: exchange.Reply) -> bool:
   """Returns whether a reply may go to the caller of a request."""
   return (
     reply.has_run
@@ -734,6 +748,26 @@
   )
 
 
+async def _discard(reply: exchange.Reply) -> None:
+  """Reads a reply that does not go to the caller.
+
+  Without its end, its instance would count as one that may have ended.
+  """
+  with contextlib.suppress(TimeoutError, exchange.ResponseLost):
+    async with asyncio.timeout(DISCARD_SECONDS):
+      async for _ in reply.chunks:
+        pass
+
+
+def _is_failure(status: int) -> bool:
+  """Returns whether a status counts as a failure of its instance.
+
+  402, 404 and 410 do not go to the caller of a turn either, but are due to the
+  turn: a program that repeats it must not divert others from its instances.
+  """
+  return status >= MIN_FAILURE_STATUS or status in run_status.NOT_RUN_STATUSES
+
+
 def _may_have_run(task: asyncio.Task[_Attempt]) -> bool:
   if task.cancelled():
     # The request may have been sent already.
--- a/src/woadrun/request/upstreams.py
+++ b/src/woadrun/request/upstreams.py
@@ -28,6 +28,7 @@
 from woadrun.decisions import admission
 from woadrun.decisions import budget
 from woadrun.decisions import crash_limit
+from woadrun.decisions import run_status
 from woadrun.process import membership
 from woadrun.request import calls
 from woadrun.request import events
@@ -43,8 +44,15 @@
 # is left to the engine.
 DROP_ATTEMPTS = 5
 DROP_RETRY_DELAY_SECONDS = 1.0
+# Bytes of a response that are quoted in an error.
+MAX_QUOTED_BYTES = 200
 # The most time for the end of an event stream after its last event.
 END_TIMEOUT_SECONDS = 0.2
+# Errors by which a call reaches no engine.
+CONNECT_ERRORS = (
+  aiohttp.ClientConnectorError,
+  aiohttp.ConnectionTimeoutError,
+)
 # Errors by which an event stream breaks off: the engine is considered failed.
 STREAM_ERRORS = (
   aiohttp.ClientError,
@@ -144,9 +152,11 @@
     its first token.  Raises `request_quarantined` once as many engines broke
     off as a request may end.  Raises `upstream_failed` if an engine rejects the
     call with a 4xx status, if no other engine is left or if the retry budget is
-    used up.  Also raises the errors of `CallPlacer.choose_upstream` and
-    `CallPlacer.acquire_slot` for the next engine.
+    used up.  Also raises the errors of `CallPlacer.get_engines`,
+    `CallPlacer.choose_upstream` and `CallPlacer.acquire_slot` for the next
+    engine, which state "not run" only if the call reached no engine.
     """
+    may_have_run = place.is_resumed
     while True:
       relay = model_call.Relay(answer=running.stream_answer)
       try:
@@ -162,13 +172,20 @@
             ran=errors.RunStatus.RAN,
           ) from error
         reason = str(error)
+        may_have_run = True
       except (*STREAM_ERRORS, msgspec.MsgspecError) as error:
         reason = type(error).__name__
+        may_have_run |= not isinstance(error, CONNECT_ERRORS)
         place.lost += not place.is_resumed
       # An engine sends about one event per token.
       place.wasted_tokens += len(relay.event_data)
       running.stream_answer.restart()
-      await self._fail_over(place, accepted, found, row, retry_budget, reason)
+      try:
+        await self._fail_over(place, accepted, found, row, retry_budget, reason)
+      except errors.WoadrunError as error:
+        if may_have_run:
+          raise errors.make_uncertain(error) from error
+        raise
 
   async def _stream(
     self,
@@ -318,16 +335,20 @@
     for it; raises `outcome_unknown` if the service cannot tell.  Otherwise
     raises the error of the last attempt: `upstream_unavailable` if the service
     accepts no connection, `outcome_unknown` if it sends no complete response,
-    and `upstream_failed` if it answers a repeatable call with a 5xx status.
+    and `upstream_failed` if it answers a repeatable call with a 5xx status or
+    one that guarantees that the call has not run.
     A repeatable call raises `request_quarantined` once as many responses were
-    lost as a request may end instances.
+    lost as a request may end instances.  The error states "not run" only if no
+    attempt may have run.
     """
     lost = 0
+    may_have_run = False
     while True:
       try:
         return await self._call_service(accepted, row)
       except errors.WoadrunError as error:
         lost += error.ran is errors.RunStatus.UNKNOWN
+        may_have_run |= error.ran is not errors.RunStatus.NOT_RUN
         if accepted.repeatable and lost >= crash_limit.MAX_ENDED_INSTANCES:
           raise _make_quarantined(accepted, lost) from error
         if accepted.repeatable and retry_budget.take():
@@ -337,7 +358,9 @@
           outcome = await self.query_outcome(accepted)
           if outcome is not None:
             return outcome
-          raise make_outcome_unknown(accepted) from error
+          raise make_outcome_unknown(accepted, error.message) from error
+        if may_have_run:
+          raise errors.make_uncertain(error) from error
         raise
 
   async def _call_service(
@@ -346,7 +369,9 @@
     """Sends a service call once and returns its outcome.
 
     A response with a 5xx status is an outcome too, except for a repeatable
-    call, which raises `upstream_failed` so that it can be retried.
+    call, which raises `upstream_failed` so that it can be retried.  A status
+    that guarantees that the call has not run is no outcome, since the service
+    has received the call: it raises `outcome_unknown` for an action.
     """
     name, _, action = accepted.target.partition('/')
     timeout = min(row.tool_timeout, self._timeout_by_service[name])
@@ -356,8 +381,18 @@
       request=make_service_id(accepted),
       timeout=timeout,
     )
-    if reply.status >= 500 and accepted.repeatable:
+    is_outcome = run_status.may_return(
+      reply.status, ran=errors.RunStatus.UNKNOWN, is_turn=False
+    )
+    if accepted.repeatable and (reply.status >= 500 or not is_outcome):
       raise make_upstream_failed(name, f'status {reply.status}')
+    if not is_outcome:
+      text = reply.body[:MAX_QUOTED_BYTES].decode('utf-8', 'replace')
+      raise errors.WoadrunError(
+        errors.Code.OUTCOME_UNKNOWN,
+        f'The service answered with status {reply.status}: {text}',
+        ran=errors.RunStatus.UNKNOWN,
+      )
     return _make_service_outcome(accepted, reply)
 
   async def query_outcome(
@@ -436,11 +471,14 @@
   return f'{accepted.program}:{accepted.request}'
 
 
-def make_outcome_unknown(accepted: program.Accepted) -> errors.WoadrunError:
+def make_outcome_unknown(
+  accepted: program.Accepted, reason: str = ''
+) -> errors.WoadrunError:
   """Returns the error for an action that may or may not have run."""
+  message = f'It is unknown whether action {make_service_id(accepted)} ran.'
   return errors.WoadrunError(
     errors.Code.OUTCOME_UNKNOWN,
-    f'It is unknown whether action {make_service_id(accepted)} ran.',
+    f'{message} {reason}'.rstrip(),
     ran=errors.RunStatus.UNKNOWN,
   )
 
