--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -263,10 +263,10 @@
   async with crashing_engines.make_fleet('n1') as fleet:
     fleet.engines.is_silent = True
     records = fleet.by_name['n1'].crash_guard.records
-    for _ in range(MAX_ENDED):
+    for number in range(MAX_ENDED):
       with pytest.raises(TimeoutError):
         async with asyncio.timeout(1.5):
-          await send_once(fleet, 'n1', 'r')
+          await send_once(fleet, 'n1', f'r{number}')
       await nodes.wait_until(lambda: not records.find_open())
     assert await send_once(fleet, 'n1', 'last') == 'request_quarantined'
     assert len(fleet.engines.ended) == MAX_ENDED
