--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -436,7 +436,7 @@
 )
 def test_statuses_that_promise_the_opposite_are_found(path, monkeypatch):
   kinds = ('limit',) if path == fleet.ACT else ()
-  monkeypatch.setattr(attempts, '_may_return', make_blind(path))
+  monkeypatch.setattr(attempts, '_is_returnable', make_blind(path))
   assert find_violation(kinds, seeds=10) == 'refused'
   monkeypatch.undo()
   assert find_violation(kinds, seeds=2) == ''
@@ -444,7 +444,7 @@
 
 def make_blind(path):
   """Returns a check of replies that passes over statuses of one route."""
-  check_reply = attempts._may_return
+  check_reply = attempts._is_returnable
 
   def may_return(request, reply):
     if request.target.startswith(path):
@@ -456,7 +456,9 @@
 
 def test_replies_that_are_not_genuine_are_found(monkeypatch):
   monkeypatch.setattr(outside, 'FOREIGN_SHARE', 1.0)
-  monkeypatch.setattr(attempts, '_may_return', lambda _, reply: reply.has_run)
+  monkeypatch.setattr(
+    attempts, '_is_returnable', lambda _, reply: reply.has_run
+  )
   assert find_violation((), seeds=10) in ('refused', 'truncated')
 
 
