Log which attempts were counted when a request with a record is sent

Each admission of a request with a record, and each wait in vain, now has a line with its attempts, their states and ages.

--- a/src/woadrun/process/load/crash_records.py
+++ b/src/woadrun/process/load/crash_records.py
@@ -168,6 +168,15 @@
       running=len(running) + len(given_up) + claims,
     )
 
+  def describe(self, fingerprint: str) -> str:
+    """Returns the states of a request's attempts and their ages, for logs."""
+    record = self._record_by_fingerprint.get(fingerprint, _Record())
+    now = time.monotonic()
+    return ', '.join(
+      f'{id} {attempt.state.name} {now - attempt.at:.2f} s'
+      for id, attempt in record.attempt_by_instance.items()
+    )
+
   def _count_claims(self, record: _Record, fingerprint: str, now: float) -> int:
     """Returns the claims of daemons that go before this one.
 
--- a/src/woadrun/request/crash_guard.py
+++ b/src/woadrun/request/crash_guard.py
@@ -111,8 +111,21 @@
       await asyncio.sleep(PROBE_POLL_SECONDS)
     while not await self._may_run(fingerprint, service):
       if time.monotonic() >= until:
+        self._log_verdict(fingerprint, 'waited in vain')
         raise make_undecided(fingerprint)
       await asyncio.sleep(POLL_INTERVAL_SECONDS)
+    self._log_verdict(fingerprint, 'may be sent')
+
+  def _log_verdict(self, fingerprint: str, verdict: str) -> None:
+    """Logs why a request with a record was sent on, or was not."""
+    attempts = self.records.describe(fingerprint)
+    if attempts:
+      log.info(
+        'Request fingerprint %s %s: attempts %s.',
+        fingerprints.shorten(fingerprint),
+        verdict,
+        attempts,
+      )
 
   async def _may_run(self, fingerprint: str, service: str) -> bool:
     """Returns whether a request may be sent to an instance now."""
