--- a/tests/crashing_engines.py
+++ b/tests/crashing_engines.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import itertools
+import time
 
 import msgspec
 import nodes
@@ -27,6 +28,12 @@
   looks like its end.
   With `leaves` an instance first changes its entry, and ends `leave_seconds`
   later: the entry is `removed` or tells that it is `draining`.
+  With `restarts_in_place` another process starts at the address of one that
+  ended, so that probes without a health path open a connection.  With
+  `end_seconds` a marked request loses its connection, and its instance lives on
+  for as long before it ends.  `is_mute` instances that end go on to accept
+  connections without an answer.  `run_times` has the start of each marked run,
+  `end_times` those of the ends that marked requests caused.
   `ended_by_body` lists the instances that ended under each body, marked or not.
   """
 
@@ -39,8 +46,16 @@
     leave_seconds=0.3,
     is_silent=False,
     ends_with_connection=False,
+    restarts_in_place=False,
+    end_seconds=None,
+    is_mute=False,
   ):
     super().__init__()
+    self.restarts_in_place = restarts_in_place
+    self.end_seconds = end_seconds
+    self.is_mute = is_mute
+    self.run_times = []
+    self.end_times = []
     self.leaves = leaves
     self.leave_seconds = leave_seconds
     self.entry_seconds = entry_seconds
@@ -63,6 +78,8 @@
     if id in self.ended:
       raise exchange.RequestNotSent('connection refused')
     self.sent.append(sending)
+    if MARK in sending.body:
+      self.run_times.append(time.monotonic())
     running = self._running_by_id.setdefault(id, {})
     lost = asyncio.get_running_loop().create_future()
     running[lost] = sending.body
@@ -103,10 +120,13 @@
       return
     if self.loses_connections:
       raise exchange.ResponseLost('connection reset by peer')
+    if self.end_seconds is not None:
+      self._start(self._end_later(sending.instance))
+      raise exchange.ResponseLost('connection reset by peer')
     if self.leaves:
       await self._leave(sending.instance)
       await asyncio.wait({lost}, timeout=self.leave_seconds)
-    self.end(sending.instance)
+    self._end_under_request(sending.instance)
     if self.is_silent:
       await asyncio.Event().wait()
     raise exchange.ResponseLost('server disconnected')
@@ -114,6 +134,9 @@
   async def probe(self, instance, *, health_path):
     await asyncio.sleep(0.001)
     is_ended = instance.id in self.ended or self.refuses_probes
+    if is_ended and (self.is_mute or self.restarts_in_place):
+      is_known = self.restarts_in_place and health_path
+      return exchange.Liveness.ENDED if is_known else _get_reachable()
     if is_ended and self.is_silent:
       return exchange.Liveness.UNKNOWN
     return exchange.Liveness.ENDED if is_ended else exchange.Liveness.ALIVE
@@ -127,10 +150,29 @@
       self.ended_by_body.setdefault(body, []).append(instance.id)
       if not lost.done():
         lost.set_result(None)
-    task = asyncio.ensure_future(self._replace(instance))
+    self._start(self._replace(instance))
+
+  def _start(self, work):
+    task = asyncio.ensure_future(work)
     self._tasks.add(task)
     task.add_done_callback(self._tasks.discard)
 
+  def _end_under_request(self, instance):
+    if instance.id not in self.ended:
+      self.end_times.append(time.monotonic())
+    self.end(instance)
+
+  async def _end_later(self, instance):
+    await asyncio.sleep(self.end_seconds)
+    self._end_under_request(instance)
+
+  def count_sent_after(self, ended):
+    """Returns the marked runs that began after that many instances ended."""
+    if len(self.end_times) < ended:
+      return 0
+    limit = self.end_times[ended - 1]
+    return sum(at > limit for at in self.run_times)
+
   async def add(self, service, *, domain='north'):
     """Starts another instance of a service."""
     entry = nodes.make_entry(service=service, zone=domain)
@@ -156,10 +198,16 @@
     await self.shared.change(removes=[rows.Key('servers', '', instance.id)])
 
 
+def _get_reachable():
+  # Earlier versions, which are measured with these instances, do not have it.
+  liveness = exchange.Liveness
+  return getattr(liveness, 'REACHABLE', liveness.UNKNOWN)
+
+
 @contextlib.asynccontextmanager
-async def make_fleet(*names, **options):
+async def make_fleet(*names, config=nodes.CONFIG, **options):
   """Returns a context with started daemons before such instances."""
-  async with nodes.Nodes() as fleet:
+  async with nodes.Nodes(config=config) as fleet:
     fleet.engines = CrashingEngines(**options)
     fleet.engines.shared = fleet.shared
     await fleet.start(*names)
