--- a/bench/faults/outside.py
+++ b/bench/faults/outside.py
@@ -37,10 +37,10 @@
 # time in this range.
 FATAL_MARK = b'fatal'
 FATAL_SECONDS = (0.005, 0.1)
-# What follows the mark tells how the instance ends: with a reset, in silence, or
-# with a reset after its entry was removed or says that it drains.  Others are
-# replaced by another process at the same address, accept connections without an
-# answer, or lose the connection at once and live on for a while.
+# What follows the mark tells how the instance ends: with a reset, in silence,
+# or with a reset after its entry was removed or says that it drains.  Others
+# are replaced by another process at the same address, accept connections and
+# answer nothing, or lose the connection at once and live on for a while.
 RESET, SILENT = b'-reset', b'-silent'
 REMOVED, DRAINING = b'-removed', b'-drain'
 IN_PLACE, MUTE, LATE = b'-place', b'-mute', b'-late'
--- a/bench/fleet_soak/outside.py
+++ b/bench/fleet_soak/outside.py
@@ -422,7 +422,7 @@
     self.configs.append((time.monotonic(), self.version, service))
 
   async def add(self, service: str, *, at: Instance | None = None) -> None:
-    """Starts an instance, maybe at another one's address, and writes its row."""
+    """Starts an instance, maybe at the address of another; writes its row."""
     number = len(self.instances)
     instance = Instance(
       id=f'i-{number}',
--- a/src/woadrun/process/load/crash_records.py
+++ b/src/woadrun/process/load/crash_records.py
@@ -205,16 +205,24 @@
   def _find_places(
     self, fingerprint: str, record: _Record, *, without: str = ''
   ) -> list[crash_limit.Place]:
-    """Returns the places that count, without ends that others explain."""
-    is_explained = bool(
-      record.find(State.ENDED)
-    ) and not self._find_counted_ends(fingerprint, record)
+    """Returns the places that count, without ends that others explain.
+
+    While nothing is known of another instance that ran the request, an end that
+    another request explains may as well be due to this one.
+    """
+    explained = set(record.find(State.ENDED)) - set(
+      self._find_counted_ends(fingerprint, record)
+    )
+    is_in_doubt = bool(record.find(*DOUBTED_STATES))
     return [
-      crash_limit.Place(state=attempt.state, domains=attempt.domains)
+      crash_limit.Place(
+        state=State.LOST if id in explained else attempt.state,
+        domains=attempt.domains,
+      )
       for id, attempt in record.attempt_by_instance.items()
       if crash_limit.is_held(attempt.state)
       and id != without
-      and not (is_explained and attempt.state is State.ENDED)
+      and (is_in_doubt or id not in explained)
     ]
 
   def describe(self, fingerprint: str) -> str:
@@ -544,8 +552,8 @@
   ) -> None:
     """Records that the connection of an attempt was lost.
 
-    An instance that lives on gives its place back if the response `is_over`:
-    it closed the connection at its end.
+    If the response `is_over`, the connection may have been closed at its end:
+    then it is complete, if the instance lives on.
     """
     if is_over:
       self._over.add((fingerprint, incarnation_id))
@@ -693,7 +701,8 @@
     """Records that an instance has lived on after an attempt."""
     is_over = (fingerprint, incarnation_id) in self._over
     self._over.discard((fingerprint, incarnation_id))
-    state = State.SETTLED if is_over else State.SURVIVED
+    # One that lives on after it has ended the response has completed it.
+    state = State.COMPLETE if is_over else State.SURVIVED
     self._set(fingerprint, incarnation_id, state)
 
   def _take_doubted(self, fingerprint: str, incarnation_id: str) -> None:
--- a/tests/test_crash_records.py
+++ b/tests/test_crash_records.py
@@ -554,3 +554,20 @@
       guard._probe_open_attempts('f')
       await nodes.wait_until(lambda: not guard._probe_by_id)
     assert guard.records.is_suspect('f')
+
+
+# Guards against an end that is put down to another request while instances that
+# this one may have ended tell nothing.
+def test_an_end_is_not_put_down_to_another_request_in_doubt(clock):
+  records, _ = make()
+  end(records, 'fatal', 'x', 'y')
+  for fingerprint in ('fatal', 'f'):
+    records.lose(fingerprint, 'a')
+  for id in 'bc':
+    records.orphan('f', id)
+  records.resolve('a', is_ended=True)
+  assert records.judge('fatal') is Verdict.REFUSE
+  assert records.judge('f') is Verdict.WAIT
+  for id in 'bc':
+    records.resolve(id, is_ended=False)
+  assert records.judge('f') is Verdict.RUN
