--- a/src/woadrun/decisions/crash_limit.py
+++ b/src/woadrun/decisions/crash_limit.py
@@ -31,9 +31,8 @@
   address.  LOST: the connection was lost or given up, and nothing is known of
   the instance since.  ENDED: the instance has ended.  SURVIVED: the instance
   has shown since that it lives, and may still run the request.  COMPLETE: the
-  response was received completely, which settles all attempts before.
-  SETTLED: the instance
-  ended as it had announced, or lived on after it had ended the response.
+  response was received completely, which settles all attempts before.  SETTLED:
+  the instance ended as it had announced.
   """
 
   CLAIMED = -1
