--- a/bench/fleet_soak/__main__.py
+++ b/bench/fleet_soak/__main__.py
@@ -90,7 +90,8 @@
   }
   print(
     f'seed {seed}: {len(caller_pool.attempts)} tries {count_by_status}, '
-    f'{dict(injector.counts)}, {guarantees.count_broken_promises()}'
+    f'{dict(injector.counts)}, {guarantees.count_broken_promises()}, '
+    f'{guarantees.count_innocent()}'
   )
   return list(dict.fromkeys(found))
 
--- a/bench/fleet_soak/checker.py
+++ b/bench/fleet_soak/checker.py
@@ -337,6 +337,26 @@
       for turn in [t for t in turns if t.request in requests][-count:]
     ]
 
+  def count_innocent(self) -> dict[str, int]:
+    """Returns tries of requests that end no instance, and their refusals."""
+    innocent = [
+      attempt
+      for attempt in self._caller_pool.attempts
+      if outside.FATAL not in attempt.path
+    ]
+    errors_found = collections.Counter(attempt.error for attempt in innocent)
+    return {
+      'innocent tries': len(innocent),
+      'served': sum(attempt.status == 200 for attempt in innocent),
+      **{
+        code.value: errors_found[code.value]
+        for code in (
+          errors.Code.REQUEST_QUARANTINED,
+          errors.Code.UPSTREAM_UNAVAILABLE,
+        )
+      },
+    }
+
   def count_broken_promises(self) -> dict[str, int]:
     """Returns how many requests ran twice, or were refused after they ran."""
     return {
