An end counts also if its instance had announced it

An instance that drained, or had left the list, for as long as a planned end takes was excused: its lost connections gave their places back, and the first one of a request was not recorded at all. A request that makes its instances drain, and ends them 2.3 s later, ended all of them. Such an end holds its place now: an announcement is no sign that the request has not caused it. The setting drain_ms is not read any more, and the state for planned ends goes.

The test that a planned end counts under no request stated the fault; in its place test_instances_that_drain_for_as_long_as_planned_and_end demands that at most three end (8 cases, 3 each).

--- a/src/woadrun/decisions/crash_limit.py
+++ b/src/woadrun/decisions/crash_limit.py
@@ -31,8 +31,7 @@
   address.  LOST: the connection was lost or given up, and nothing is known of
   the instance since.  ENDED: the instance has ended.  SURVIVED: the instance
   has shown since that it lives, and may still run the request.  COMPLETE: the
-  response was received completely, which settles all attempts before.  SETTLED:
-  the instance ended as it had announced.
+  response was received completely, which settles all attempts before.
   """
 
   CLAIMED = -1
@@ -43,7 +42,6 @@
   ENDED = 4
   SURVIVED = 5
   COMPLETE = 6
-  SETTLED = 7
 
 
 # States in which an instance holds a place.
--- a/src/woadrun/platform/settings.py
+++ b/src/woadrun/platform/settings.py
@@ -39,14 +39,11 @@
 class _Bounds(msgspec.Struct, kw_only=True):
   """`grace_s` is the time from SIGTERM to SIGKILL.
 
-  An instance that ends as planned goes on for `drain_ms` after its notice.
-
   With `revoke_everywhere`, no daemon runs a request with a key that was revoked
   more than `revoke_ms` ago.
   """
 
   grace_s: Annotated[float, msgspec.Meta(gt=0)] = 8.0
-  drain_ms: Annotated[float, msgspec.Meta(gt=0)] = 2_000.0
   revoke_everywhere: bool = False
   revoke_ms: Annotated[float, msgspec.Meta(gt=0)] = 5_000.0
 
@@ -96,7 +93,6 @@
     store_address=file.platform.address,
     row_bytes=file.platform.row_bytes,
     grace=file.bounds.grace_s,
-    drain=file.bounds.drain_ms / 1000,
     revocation=_get_revocation(file.bounds),
     memory_mb=file.limits.memory_mb if file.limits else None,
   )
--- a/src/woadrun/process/load/crash_records.py
+++ b/src/woadrun/process/load/crash_records.py
@@ -60,7 +60,6 @@
     State.ABANDONED,
     State.SURVIVED,
     State.COMPLETE,
-    State.SETTLED,
   )
 )
 # The order of states: of two reports on an attempt the later state is newer.
@@ -71,7 +70,6 @@
   State.ABANDONED,
   State.ENDED,
   State.SURVIVED,
-  State.SETTLED,
   State.COMPLETE,
 )
 # States of attempts that bytes of their instance show to have survived.
@@ -668,13 +666,6 @@
       self._record_refusals(found)
     return found
 
-  def excuse(self, incarnation_id: str) -> None:
-    """Records that an instance ended as planned, under no request."""
-    for fingerprint, record in self._find_records(incarnation_id):
-      if self._is_open(record, incarnation_id):
-        self._take_disconnected(fingerprint, incarnation_id)
-        self._set(fingerprint, incarnation_id, State.SETTLED)
-
   def _take_disconnected(self, fingerprint: str, incarnation_id: str) -> bool:
     """Returns whether a lost connection had no outcome; it has one now."""
     found = self._disconnected_by_instance.get(incarnation_id, set())
--- a/src/woadrun/process/node.py
+++ b/src/woadrun/process/node.py
@@ -82,8 +82,6 @@
 # balancer checks readiness every second and removes a daemon after two failed
 # checks.
 DRAIN_DELAY_SECONDS = 2.5
-# Time for which instances drain unless the settings tell another one.
-DEFAULT_DRAIN_SECONDS = 2.0
 # Margin between the end of a planned stop and the moment at which the platform
 # kills the process.
 KILL_MARGIN_SECONDS = 0.3
@@ -123,7 +121,6 @@
   store_address: str
   row_bytes: int
   grace: float
-  drain: float = DEFAULT_DRAIN_SECONDS
   revocation: float | None = None
   memory_mb: float | None = None
 
@@ -261,7 +258,6 @@
       catalogue=self.catalogue,
       counters=self.counters,
       is_domain_silent=self.fleet.is_domain_silent,
-      drain=config.drain,
       reports=self.crash_reports,
     )
     access = authorization.Authorization(catalogue=self.catalogue)
--- a/src/woadrun/request/crash_guard.py
+++ b/src/woadrun/request/crash_guard.py
@@ -50,9 +50,6 @@
 CHECK_INTERVAL_SECONDS = 0.25
 # Interval at which records that no longer count are dropped.
 EXPIRY_INTERVAL_SECONDS = 2.0
-# An instance that ends as planned may end this much sooner after its departure
-# was noticed here than after it departed.
-DEPARTURE_DELAY_SECONDS = 0.25
 
 
 class Reports(Protocol):
@@ -106,8 +103,7 @@
 
   `is_domain_silent` returns whether a failure domain is cut off from this
   daemon, which cannot tell then whether an instance there has ended.
-  `reports` tells the other daemons.  `drain` is the time in seconds for which
-  an instance that ends as planned goes on after it departed.
+  `reports` tells the other daemons.
   """
 
   def __init__(
@@ -118,7 +114,6 @@
     catalogue: catalogue.Catalogue,
     counters: counters.Counters,
     is_domain_silent: Callable[[str], bool],
-    drain: float,
     reports: Reports | None = None,
   ) -> None:
     super().__init__()
@@ -127,7 +122,6 @@
     self._catalogue = catalogue
     self._counters = counters
     self._is_domain_silent = is_domain_silent
-    self._drain = drain
     self._reports = reports or _NoReports(records=records)
     # The attempts without an outcome yet, by `id()`.
     self._unfinished: set[int] = set()
@@ -294,7 +288,9 @@
     incarnation_id = sending.instance.incarnation_id
     if not reply.ends_with_connection:
       self.records.complete(fingerprint, incarnation_id)
-    elif self.records.is_announced(fingerprint, incarnation_id):
+    elif self.records.is_announced(
+      fingerprint, incarnation_id
+    ) or self.records.has_places_taken(fingerprint):
       # The connection of an instance that ends may close in order as well.
       self._record_loss(sending, is_over=True)
 
@@ -312,9 +308,6 @@
     elif isinstance(error, exchange.ResponseLost):
       self._unfinished.discard(id(sending))
       is_overdue = isinstance(error, exchange.ResponseOverdue)
-      if not is_overdue and self._has_left_as_planned(instance):
-        _log_attempt(sending, 'lost, not counted: it ended as planned')
-        return
       if is_overdue:
         self._record_orphan(sending)
       else:
@@ -338,16 +331,6 @@
     self.records.orphan(sending.fingerprint, id)
     _log_attempt(sending, 'given up, which may have ended it')
 
-  def _has_left_as_planned(self, instance: instances.Instance) -> bool:
-    """Returns whether an instance departed so long ago that it may end."""
-    departure = self._catalogue.directory.departures.find(
-      instance.incarnation_id
-    )
-    if departure is None:
-      return False
-    seconds = time.monotonic() - departure.at
-    return seconds >= self._drain - DEPARTURE_DELAY_SECONDS
-
   # --- Instances ------------------------------------------------------------
 
   def _probe_open_attempts(self, fingerprint: str) -> set[str]:
@@ -392,11 +375,6 @@
     is_ended = self._judge_end(instance, liveness)
     if is_ended is None:
       return
-    is_silent = liveness is exchange.Liveness.UNKNOWN
-    # A planned end closes connections; a VM that goes silent does not.
-    if is_ended and not is_silent and self._has_left_as_planned(instance):
-      self.records.excuse(id)
-      return
     self._resolve(
       instance, is_ended=is_ended, before=math.inf if is_ended else began
     )
--- a/tests/test_crash_records.py
+++ b/tests/test_crash_records.py
@@ -76,7 +76,7 @@
     ((State.SURVIVED,) * 3, Verdict.HOLDERS),
     ((State.ABANDONED, State.LOST, State.LOST), Verdict.HOLDERS),
     ((State.ENDED, State.ENDED, State.SURVIVED), Verdict.HOLDERS),
-    ((State.NOT_RUN, State.SETTLED), Verdict.RUN),
+    ((State.NOT_RUN, State.NOT_RUN), Verdict.RUN),
   ],
 )
 def test_a_request_without_a_free_place_runs_where_it_holds_one(
@@ -354,8 +354,10 @@
   records, _ = make()
   records.lose('lost', 'x')
   end(records, 'f', 'a', 'b', 'c')
-  records.lose('planned', 'y')
-  records.excuse('y')
+  with records.run('f', 'x'):
+    pass
+  records.lose('complete', 'y')
+  records.complete('complete', 'y')
   clock.now += crash_records.SETTLED_TTL_SECONDS + 1
   records.drop_expired()
   assert len(records) == 2
@@ -407,15 +409,6 @@
   assert records.judge('f') is Verdict.WAIT
 
 
-def test_an_instance_that_ended_as_planned_counts_under_no_request(clock):
-  records, _ = make()
-  for id in 'abc':
-    records.orphan('f', id)
-    records.excuse(id)
-  assert records.judge('f') is Verdict.RUN
-  assert records.find_open() == set()
-
-
 def test_a_given_up_attempt_is_known_to_live_on_however_soon_that_is(clock):
   records, sent = make()
   others, _ = make('n2')
--- a/tests/test_ends_without_a_sign.py
+++ b/tests/test_ends_without_a_sign.py
@@ -181,6 +181,20 @@
   await run_cases(run, PATHS, (0.3, 1.2, 2.5), CONFIG_BY_NAME)
 
 
+# Guards against an end that counts as planned, which the request has caused.
+async def test_instances_that_drain_for_as_long_as_planned_and_end():
+  async def run(path, leaves, leave_seconds):
+    async with crashing_engines.make_fleet(
+      *SMALL, leaves=leaves, leave_seconds=leave_seconds
+    ) as fleet:
+      for service in ('models', 'tools') * 3:
+        await fleet.engines.add(service)
+      await send_tries(fleet, path=path, tries=6)
+      return measure(fleet)
+
+  await run_cases(run, PATHS, ('removed', 'draining'), (1.0, 2.3))
+
+
 # Guards against reports that go through hubs which are gone.
 @pytest.mark.parametrize('options', OPTIONS_BY_NAME)
 async def test_a_domain_whose_hubs_are_gone_unnoticed(options, monkeypatch):
