--- a/src/woadrun/process/load/crash_records.py
+++ b/src/woadrun/process/load/crash_records.py
@@ -240,6 +240,11 @@
       self._find_places(fingerprint, record)
     )
 
+  def get_age(self, fingerprint: str, incarnation_id: str) -> float:
+    """Returns the seconds since an attempt entered its state."""
+    attempt = self._get_attempt(fingerprint, incarnation_id)
+    return time.monotonic() - attempt.at if attempt else 0.0
+
   def has_running_attempt(self, fingerprint: str) -> bool:
     """Returns whether an attempt, or a claim, may give its place back soon."""
     record = self._record_by_fingerprint.get(fingerprint)
--- a/src/woadrun/request/crash_guard.py
+++ b/src/woadrun/request/crash_guard.py
@@ -39,6 +39,8 @@
 PROBE_POLL_SECONDS = 0.005
 # Time for which a request waits for a probe of its earlier attempts.
 PROBE_WAIT_SECONDS = 0.05
+# Time after which an instance must be in the list of a daemon that works.
+UNLISTED_TIMEOUT_SECONDS = 5.0
 # Retry delay for callers of a request whose other attempts have no outcome yet.
 RETRY_AFTER_SECONDS = 1.0
 # Probes of an instance whose connection opens and breaks off without an answer.
@@ -342,8 +344,10 @@
     for id in self.records.find_open_attempts(fingerprint):
       instance = self._find_instance(id)
       if instance is None:
-        # No sign of it can come any more.
-        self.records.resolve(id, is_ended=True)
+        # It is not in the list yet, or no sign of it can come any more.
+        age = self.records.get_age(fingerprint, id)
+        if age >= UNLISTED_TIMEOUT_SECONDS:
+          self.records.resolve(id, is_ended=True)
         continue
       if self._is_domain_silent(instance.domain):
         continue
