Suspect requests avoid first what runs beside another one, then what may end

The change before avoided both alike, so that where all instances were in doubt none was avoided: test_a_suspect_request_is_not_sent_beside_another_one failed.

--- a/src/woadrun/process/load/crash_records.py
+++ b/src/woadrun/process/load/crash_records.py
@@ -35,6 +35,9 @@
 MAX_ATTEMPTS = 16
 # Number of the oldest records among which one is dropped to make room.
 MAX_EVICTION_CANDIDATES = 32
+# Time for which an attempt of another daemon counts as running where that only
+# ranks instances.
+RUNNING_TTL_SECONDS = 6.0
 # Time after which a record is dropped if no instance holds a place.
 SETTLED_TTL_SECONDS = 30.0
 # Maximum number of instances that are known to have ended.
@@ -363,17 +366,29 @@
   def find_avoided(self, fingerprint: str) -> set[str]:
     """Returns the instances that a suspect request should not be sent to.
 
-    They are running other suspect requests, or may still run them: if one of
-    them ended, it would not be known which request it was.  Returns none for
-    other requests.
+    They are running other suspect requests: if one of them ended, it would not
+    be known which request it was.  Returns none for other requests.
     """
+    since = time.monotonic() - RUNNING_TTL_SECONDS
+    return self._find_beside(fingerprint, State.RUNNING, since=since)
+
+  def find_doubtful(self, fingerprint: str) -> set[str]:
+    """Returns the instances that may still end under other suspect requests.
+
+    A suspect request is sent to others, if there are any.
+    """
+    return self._find_beside(fingerprint, *OPEN_STATES)
+
+  def _find_beside(
+    self, fingerprint: str, *states: State, since: float = -math.inf
+  ) -> set[str]:
     if not self.is_suspect(fingerprint):
       return set()
     return {
       id
       for other in self._requests_with_ends
       if other != fingerprint
-      for id in self._record_by_fingerprint[other].find(*OPEN_STATES)
+      for id in self._record_by_fingerprint[other].find(*states, since=since)
       if not is_claim(id)
     }
 
--- a/src/woadrun/request/attempts.py
+++ b/src/woadrun/request/attempts.py
@@ -254,7 +254,10 @@
         return None
       holders = state.admission.holders
       avoided = self._guard.records.find_avoided(state.fingerprint)
-      sending = self._prepare_next(state, avoided=avoided, holders=holders)
+      doubtful = self._guard.records.find_doubtful(state.fingerprint)
+      sending = self._prepare_next(
+        state, avoided=avoided | doubtful, holders=holders
+      ) or self._prepare_next(state, avoided=avoided, holders=holders)
       if sending is not None or not avoided:
         return sending
       if not self._guard.records.has_last_attempt(state.fingerprint):
