--- a/tests/test_crash_records.py
+++ b/tests/test_crash_records.py
@@ -203,6 +203,7 @@
     clock.now += 100_000.0
 
 
+# Guards against two claims of one moment that each take the last place.
 def test_of_two_daemons_that_claim_the_last_place_one_gets_it(clock):
   keeper, _ = make('keeper')
   daemons = [make(name)[0] for name in ('n1', 'n2')]
@@ -217,6 +218,7 @@
   assert grants == [True, False]
 
 
+# Guards against a place that is counted twice, or not at all for a moment.
 def test_an_instance_takes_over_the_place_of_a_claim(clock):
   records, sent = make()
   end(records, 'f', 'a', 'b')
@@ -233,6 +235,7 @@
     assert len(sent) == len(set(sent))
 
 
+# Guards against a request that is refused for a claim nobody uses.
 def test_a_claim_that_no_instance_takes_over_gives_its_place_back(clock):
   records, _ = make()
   others, _ = make('n2')
@@ -281,7 +284,11 @@
   records.give_up('a')
   assert records.find_open() == {'a'}
   records.resolve('a', is_ended=True)
-  assert sent[-1] == report('f', 'a', State.ENDED)
+  assert sent == [
+    report('f', 'a', State.LOST),
+    report('f', 'a', State.ABANDONED),
+    report('f', 'a', State.ENDED),
+  ]
 
 
 def test_another_attempt_at_an_ended_instance_does_not_hide_its_end(clock):
@@ -364,6 +371,7 @@
     pass
   records.lose('complete', 'y')
   records.complete('complete', 'y')
+  assert len(records) == 3
   clock.now += crash_records.SETTLED_TTL_SECONDS + 1
   records.drop_expired()
   assert len(records) == 2
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -210,7 +210,8 @@
   records.resolve('a', is_ended=True)
   members.started_at_by_name['n2'] = 1.0
   await reports.start()
-  await asyncio.sleep(0.01)
+  # Until it is told as a member that is new.
+  await asyncio.sleep(0.1)
   for number in range(len(members.sent)):
     members.acknowledge(number)
   await asyncio.sleep(0.6)
@@ -219,9 +220,11 @@
   assert members.sent == []
   members.started_at_by_name['n2'] = 2.0
   await asyncio.sleep(0.1)
-  address, told = members.sent[0]
-  assert address == 'at-n2'
-  assert len(told.reports) == 2 * crash_reports.MAX_REFRESHED
+  # One datagram, which is sent again as it is not acknowledged.
+  assert {address for address, _ in members.sent} == {'at-n2'}
+  assert len({told.id for _, told in members.sent}) == 1
+  for _, told in members.sent:
+    assert len(told.reports) == 2 * crash_reports.MAX_REFRESHED
   await reports.stop()
 
 
@@ -311,6 +314,7 @@
   await reports.stop()
 
 
+# Guards against a caller that sends again before the others know.
 async def test_a_failed_attempt_waits_until_the_others_know_of_it():
   members = Members()
   records, reports = make(members)
@@ -322,6 +326,7 @@
   await asyncio.wait_for(waiting, 0.1)
 
 
+# Guards against a caller that is held for members that are gone.
 async def test_a_failed_attempt_does_not_wait_for_silent_members():
   members = Members()
   members.is_alive = lambda name: False
@@ -349,6 +354,7 @@
   assert [item.incarnation_id for item in ack.reports] == ['a']
 
 
+# Guards against a domain that hears nothing as its hubs are gone unnoticed.
 async def test_hubs_that_do_not_answer_are_bypassed():
   members = Members()
   far = [
