Places of a request lie in the store, so that they outlast all daemons

Callers saw requests that end their instances sent on after three had ended, once all daemons had been killed together, or through a daemon that was cut off from the others but not from the store.

Cause: what must hold for as long as callers send a request was kept only as long as daemons live and hear each other. An empty answer, and a second without one, counted as knowledge.

Change: each place that a daemon reports has a row (`process/crash_rows.py`) until a sign of its instance gives it back. A daemon that starts reads all rows before it is ready; one that does not hear all members reads the changes before it sends (`decisions/crash_limit.py`, `assess`); a member that has just started informs nobody. Rows are removed under their version, so that a removal that is done late removes no place taken since. Ends are no longer sent anew each second, and new members are no longer told of them: both learn by the rows, and in an outage by asking.

--- a/src/woadrun/connection/attempt_reports.py
+++ b/src/woadrun/connection/attempt_reports.py
@@ -29,7 +29,9 @@
 
   `domain` is the failure domain of its sender.  The receiver acknowledges the
   datagram with its `id` to `reply_to`, IP:PORT, unless that is empty.  With
-  `is_for_domain` it passes the reports on to the members of its domain.
+  `is_for_domain` it passes the reports on to the members of its domain.  A
+  sender that does not know the records of before its start is not
+  `is_informed`.
   """
 
   reports: tuple[AttemptReport, ...]
@@ -38,6 +40,7 @@
   reply_to: str = ''
   id: int = 0
   is_for_domain: bool = False
+  is_informed: bool = True
 
 
 class ReportsReceived(msgspec.Struct, frozen=True, array_like=True):
--- a/src/woadrun/decisions/crash_limit.py
+++ b/src/woadrun/decisions/crash_limit.py
@@ -8,6 +8,10 @@
 
 A place that one side of a partition takes is not known to the others, so that
 each side has a share of the places that were free before.
+
+Places are kept in the row store, which outlasts all daemons.  A daemon decides
+only on what it knows to be complete: as long as it hears all others they tell
+it, otherwise it reads the store.
 """
 
 from __future__ import annotations
@@ -20,6 +24,8 @@
 
 # Instances that may end under one request.
 MAX_ENDED_INSTANCES = 3
+# Time after which a member that was not heard may not have been able to tell.
+MAX_UNHEARD_SECONDS = 0.6
 
 
 class State(enum.IntEnum):
@@ -65,6 +71,32 @@
   REFUSE = 'refuse'
 
 
+class Knowledge(enum.Enum):
+  """What a daemon knows of the places that others have recorded.
+
+  COMPLETE: all, but for what is under way.  STALE: maybe not all, it has to
+  read the store if it can.  NONE: nothing, since it has just started.
+  """
+
+  COMPLETE = 'complete'
+  STALE = 'stale'
+  NONE = 'none'
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Sight:
+  """From where a daemon knows the places of requests.
+
+  `is_loaded` tells whether it has read those from before its start.
+  `unheard_seconds` is the time since it heard the member that it heard least
+  recently, `unread_seconds` the time since it has read the store.
+  """
+
+  is_loaded: bool
+  unheard_seconds: float
+  unread_seconds: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Place:
   """A place that an instance holds.
@@ -88,6 +120,15 @@
   reached: Collection[str] = ()
 
 
+def assess(sight: Sight) -> Knowledge:
+  """Returns what a daemon knows of the places that others have recorded."""
+  if not sight.is_loaded:
+    return Knowledge.NONE
+  is_told = sight.unheard_seconds <= MAX_UNHEARD_SECONDS
+  has_read = sight.unread_seconds <= MAX_UNHEARD_SECONDS
+  return Knowledge.COMPLETE if is_told or has_read else Knowledge.STALE
+
+
 def is_held(state: State) -> bool:
   """Returns whether an instance holds a place after an attempt."""
   return state in HOLDING_STATES
--- a/src/woadrun/process/feed.py
+++ b/src/woadrun/process/feed.py
@@ -81,7 +81,8 @@
   should follow the store itself.  `on_change` is called after changes received
   from the store, `on_read` after each of its responses with the time at which
   the call began.  The store delays its response for at most `wait` seconds
-  while nothing changes.
+  while nothing changes; after a change it is asked again in `batch_delay`
+  seconds.
   """
 
   def __init__(
@@ -93,8 +94,10 @@
     on_row: Callable[[rows.Row], None],
     on_read: Callable[[float], None] = lambda began: None,
     wait: float = LONG_POLL_TIMEOUT_SECONDS,
+    batch_delay: float = BATCH_DELAY_SECONDS,
   ) -> None:
     super().__init__()
+    self._batch_delay = batch_delay
     self._on_read = on_read
     self._wait = wait
     self._store = store
@@ -181,7 +184,7 @@
     # grace period that begins at that time.
     wait = RECONNECT_POLL_TIMEOUT_SECONDS if self.is_lost else self._wait
     if await self._read_changes(wait=wait):
-      await asyncio.sleep(BATCH_DELAY_SECONDS)
+      await asyncio.sleep(self._batch_delay)
 
   async def _read_changes(self, *, wait: float) -> bool:
     """Reads the changes after the known version, and applies them.
--- a/src/woadrun/process/fleet.py
+++ b/src/woadrun/process/fleet.py
@@ -346,6 +346,30 @@
     now = time.monotonic()
     return {name: now - since for name, since in self._silent_since.items()}
 
+  def get_unheard_seconds(self) -> float:
+    """Returns for how long the member that was heard last was not heard.
+
+    That is 0 without other members.  In a large fleet, which members are silent
+    is told by hubs, so that it is the time since one of the own domain's was
+    heard, or infinite while a domain is silent.
+    """
+    now = time.monotonic()
+    others = [name for name in self.member_by_name if name != self.me.name]
+    if self.is_full_mesh:
+      heard = self.last_heartbeat_by_name
+      return max(
+        (
+          now - (heard[n].at if n in heard else self._added_at.get(n, now))
+          for n in others
+        ),
+        default=0.0,
+      )
+    if self.find_silent_domains():
+      return math.inf
+    if len(self._members.get_all_of(self.me.domain)) <= 1:
+      return 0.0
+    return now - self._heard_at_by_domain.get(self.me.domain, -math.inf)
+
   def record_failure(self, name: str) -> None:
     """Records a failed message to a member.
 
--- a/src/woadrun/process/load/crash_records.py
+++ b/src/woadrun/process/load/crash_records.py
@@ -44,10 +44,10 @@
 MAX_ENDED_INSTANCES = 1024
 # Reports are at most this much older than their age says.
 REPORT_DELAY_SECONDS = 0.2
+# Rows of the store are read at most this much later than they are written.
+ROW_DELAY_SECONDS = 2.0
 # Time for which bytes that were received before may still be delivered.
 DELIVERY_SECONDS = 0.05
-# Age up to which the end of an instance is reported from time to time.
-MAX_REFRESHED_AGE_SECONDS = 180.0
 # Maximum number of requests of which a daemon that has started is told.
 MAX_TOLD_RECORDS = 1024
 
@@ -142,11 +142,15 @@
     self._domain = domain
     self._on_change = on_change
     self._on_ended = on_ended
+    # Are called with each request whose record is dropped, or whose attempts
+    # another daemon has cleared by a complete response.
+    self.on_dropped: Callable[[str], None] = lambda fingerprint: None
+    self.on_cleared: Callable[[str], None] = lambda fingerprint: None
     self._record_by_fingerprint: dict[str, _Record] = {}
     self._ended_at_by_instance: dict[str, float] = {}
     # The requests with an attempt, by its instance.
     self._requests_by_instance: dict[str, set[str]] = {}
-    # The requests under which an instance ended, the next one to tell first.
+    # The requests under which an instance ended, in the order of their ends.
     self._requests_with_ends: dict[str, None] = {}
     # This daemon's open claims, by request.
     self._claims_by_request: dict[str, list[str]] = {}
@@ -260,6 +264,11 @@
     record = self._record_by_fingerprint.get(fingerprint)
     return record.find_holders() if record else []
 
+  def is_held(self, fingerprint: str, incarnation_id: str) -> bool:
+    """Returns whether an instance holds a place of a request."""
+    state = self._get_state(fingerprint, incarnation_id)
+    return state is not None and crash_limit.is_held(state)
+
   # --- Claims of places -----------------------------------------------------
 
   def make_claim(self, fingerprint: str) -> str:
@@ -851,6 +860,7 @@
       self._drop_index(fingerprint, id)
     if record.is_refused:
       self._forget_refusal(fingerprint)
+    self.on_dropped(fingerprint)
 
   def _drop_index(self, fingerprint: str, incarnation_id: str) -> None:
     self._over.discard((fingerprint, incarnation_id))
@@ -923,6 +933,8 @@
         self._drop_index(fingerprint, id)
     if not record.find(State.ENDED):
       self._requests_with_ends.pop(fingerprint, None)
+    if not is_own:
+      self.on_cleared(fingerprint)
     if ended and is_own:
       log.info(
         'Request fingerprint %s is cleared of %d ended instances: %s '
@@ -1011,6 +1023,39 @@
       self._announce_running(report.fingerprint)
     return True
 
+  def hold(self, fingerprint: str, incarnation_id: str, state: State) -> None:
+    """Adds a place that the store has; what is known in detail is kept.
+
+    A row may be read a while after a response that has cleared its request.
+    """
+    record = self._record_by_fingerprint.get(fingerprint)
+    if record and time.monotonic() < record.complete_at + ROW_DELAY_SECONDS:
+      return
+    if state is State.LOST and self.is_held(fingerprint, incarnation_id):
+      return
+    self.apply_reports(
+      [attempt_reports.AttemptReport(fingerprint, incarnation_id, state, 0.0)]
+    )
+
+  def give_back(self, fingerprint: str, incarnation_id: str) -> None:
+    """Gives a place back that the store no longer has, unless it is in use."""
+    record = self._record_by_fingerprint.get(fingerprint)
+    attempt = self._get_attempt(fingerprint, incarnation_id)
+    is_running = incarnation_id in self._running.get(fingerprint, ())
+    if record is None or attempt is None or is_running:
+      return
+    self._apply(
+      record,
+      fingerprint,
+      incarnation_id,
+      State.NOT_RUN,
+      time.monotonic(),
+      domains=frozenset((self._domain,)),
+    )
+    if len(record.find(State.ENDED)) < crash_limit.MAX_ENDED_INSTANCES:
+      record.is_refused = False
+      self._forget_refusal(fingerprint)
+
   def _announce_running(self, fingerprint: str) -> None:
     """Tells the others of attempts that were no matter until now.
 
@@ -1041,33 +1086,6 @@
       report.fingerprint, report.incarnation_id, attempt.state, age
     )
 
-  def find_reports(self, *, limit: int) -> list[attempt_reports.AttemptReport]:
-    """Returns reports of ended instances, the least recently returned first.
-
-    A daemon that has just started learns of them by these.
-    """
-    now = time.monotonic()
-    found: list[attempt_reports.AttemptReport] = []
-    for fingerprint in list(self._requests_with_ends):
-      record = self._record_by_fingerprint[fingerprint]
-      ended = record.find(State.ENDED, since=now - MAX_REFRESHED_AGE_SECONDS)
-      if not ended:
-        continue
-      if found and len(found) + len(ended) > limit:
-        break
-      found.extend(
-        attempt_reports.AttemptReport(
-          fingerprint,
-          id,
-          State.ENDED,
-          round(now - record.attempt_by_instance[id].at, 3),
-        )
-        for id in ended
-      )
-      del self._requests_with_ends[fingerprint]
-      self._requests_with_ends[fingerprint] = None
-    return found
-
   def list_reports(self) -> list[attempt_reports.AttemptReport]:
     """Returns what a daemon that has just started should know.
 
--- a/src/woadrun/process/node.py
+++ b/src/woadrun/process/node.py
@@ -39,6 +39,7 @@
 from woadrun.process import catalogue
 from woadrun.process import counters
 from woadrun.process import crash_reports
+from woadrun.process import crash_rows
 from woadrun.process import datagram_calls
 from woadrun.process import feed_sync
 from woadrun.process import fleet
@@ -216,8 +217,19 @@
       handler_by_path=self._handler_by_path,
     )
     self.store.use_fleet(self.fleet)
+    crashes = crash_records.CrashRecords(
+      name=config.name,
+      domain=config.domain,
+      on_change=lambda report: self.crash_reports.send(report),
+      on_ended=self.loads.record_ended,
+    )
+    self.crash_rows = crash_rows.CrashRows(store=self.store, records=crashes)
     self.feeds = feed_sync.FeedSync(
-      feeds=[*self.catalogue.feeds, self.registration.feed],
+      feeds=[
+        *self.catalogue.feeds,
+        self.registration.feed,
+        self.crash_rows.feed,
+      ],
       members=self.fleet,
       messenger=self.calls,
       has_store=lambda: self.store.is_direct,
@@ -240,17 +252,11 @@
       messenger=self.calls,
       gate=self.gate,
     )
-    crashes = crash_records.CrashRecords(
-      name=config.name,
-      domain=config.domain,
-      on_change=lambda report: self.crash_reports.send(report),
-      on_ended=self.loads.record_ended,
-    )
     self.crash_reports = crash_reports.CrashReports(
       members=self.fleet,
       records=crashes,
       messenger=self.calls,
-      has_member_list=lambda: self.registration.feed.version is not None,
+      crash_rows=self.crash_rows,
     )
     self.crash_guard = crash_guard.CrashGuard(
       records=crashes,
@@ -320,6 +326,7 @@
       self.feeds,
       self.programs,
       self.rate_owner,
+      self.crash_rows,
       self.crash_reports,
       self.crash_guard,
       self.sweeper,
@@ -342,9 +349,16 @@
   def is_ready(self) -> bool:
     """Returns whether the load balancer may send new requests.
 
-    That is the case once routes and instances are known, until a planned stop.
+    That is the case once routes, instances and the places of requests are
+    known, until a planned stop.  A daemon of which a service has crashed serves
+    on as far as it can, but is not ready.
     """
-    return self.catalogue.is_known and not self.is_leaving
+    return (
+      self.catalogue.is_known
+      and self.crash_reports.is_informed
+      and not self.is_leaving
+      and not self.crashed
+    )
 
   def _get_outage(self) -> float:
     return max(
--- a/src/woadrun/request/crash_guard.py
+++ b/src/woadrun/request/crash_guard.py
@@ -55,13 +55,10 @@
 
 
 class Reports(Protocol):
-  """What the guard needs of `process/crash_reports.py`.
+  """What the guard needs of `process/crash_reports.py`."""
 
-  `is_informed` tells whether this daemon knows what the others recorded before
-  it started.
-  """
-
-  is_informed: bool
+  async def catch_up(self, until: float) -> bool:
+    """Returns whether this daemon knows what others recorded, once it does."""
 
   async def claim(self, fingerprint: str) -> str | None:
     """Returns a claim of a place for a request, None if there is none left."""
@@ -73,11 +70,13 @@
 class _NoReports:
   """The reports of a daemon that is alone."""
 
-  is_informed = True
-
   def __init__(self, *, records: crash_records.CrashRecords) -> None:
     self._records = records
 
+  async def catch_up(self, until: float) -> bool:
+    """Returns that there are no others."""
+    return True
+
   async def claim(self, fingerprint: str) -> str | None:
     """Returns a claim of a place for a request, None if there is none left."""
     if not self._records.has_free_place(fingerprint):
@@ -149,8 +148,8 @@
     that is not known in time.  The caller has to `release` the admission.
     """
     until = min(deadline, time.monotonic() + MAX_WAIT_SECONDS)
-    while not self._reports.is_informed and time.monotonic() < until:
-      await asyncio.sleep(PROBE_POLL_SECONDS)
+    if not await self._reports.catch_up(until):
+      raise make_undecided(fingerprint)
     while (
       admission := await self._find_admission(fingerprint, service)
     ) is None:
