Checks of the three places hold them also when all daemons are lost

The schedules, the soak and the model allowed what the design named as its bounds: twice three instances after all daemons were killed, one more for each daemon that had just started. They allow three now, and one more only where no daemon could know: a daemon that is cut off and has not noticed yet, and a first attempt whose daemon is killed.

- bench/faults: kind `isolate` (daemons cut off from the others but not from the store); kill-all and starts excuse nothing.
- fleet_soak: fault `kill_all`; a start excuses only while a fault keeps the daemon from the store.
- tests/test_places_machine.py: a second model with the store (all daemons lost, domains cut from the others, from the store, from both, the store out, writes done late, starts that read or ask).

--- a/bench/faults/crashes.py
+++ b/bench/faults/crashes.py
@@ -1,11 +1,13 @@
 """Callers whose request ends each instance that runs it, sent again and again.
 
-A request must end at most `MAX_ENDED` instances, in whichever way it ends them.
-A run may end one more if its daemon cannot have known of those before: it began
-before any end could be noticed, or reports are lost or late, or its daemon had
-just started.  An end in silence is noticed once its caller gives up, and a late
-one as the connection is lost.  The sides of a partition share what is left of
-`MAX_ENDED`: a side may end one more only if it knew of none.
+A request must end at most `MAX_ENDED` instances, in whichever way it ends them,
+also if all daemons are killed.  A run may end one more only if its daemon
+cannot have known of those before: it began before any end could be noticed, or
+reports are lost or late, or its daemon was cut off a moment ago; or if nobody
+can know of it, since it was the first one and its daemon was killed.  An end in
+silence is noticed once its caller gives up, and a late one as the connection is
+lost.  The sides of a partition share what is left of `MAX_ENDED`: a side may
+end one more only if it knew of none.
 """
 
 from __future__ import annotations
@@ -34,8 +36,8 @@
 # Time that a report takes, without and with delayed or lost datagrams.
 REPORT_SECONDS = 0.02
 DISTURBED_REPORT_SECONDS = 1.0
-# Time after its start within which a daemon has heard of earlier reports.
-LEARNING_SECONDS = 1.0
+# Time after which a daemon that is cut off notices that it hears nobody.
+NOTICE_SECONDS = 0.7
 NOT_RUN_CODES = ('request_quarantined', 'upstream_unavailable')
 DISTURBING_KINDS = frozenset(('delay', 'lose-datagrams'))
 PARTITIONING_KINDS = frozenset(('cut', 'cut-one-way'))
@@ -45,11 +47,15 @@
 
 @dataclasses.dataclass(kw_only=True)
 class _Try:
-  """One try, sent at `at` to a daemon that started at `daemon_started_at`."""
+  """One try, sent at `at` to a daemon that is cut off since `isolated_at`.
+
+  Its daemon `was_killed` while it ran.
+  """
 
   request: exchange.Request
   at: float
-  daemon_started_at: float
+  isolated_at: float | None = None
+  was_killed: bool = False
   ended_at: float = 0.0
   code: str = ''
 
@@ -116,6 +122,10 @@
         raise
       sent.code = 'no answer'
     finally:
+      sent.was_killed = site.is_dead
+      sent.isolated_at = self._served.network.isolated_at.get(
+        site.daemon.config.name
+      )
       sent.ended_at = time.monotonic()
 
   def _make_try(self, site: network.Site) -> _Try:
@@ -137,7 +147,7 @@
       program=self._name,
       turn=turn if is_turn else None,
     )
-    return _Try(request=request, at=now, daemon_started_at=site.started_at)
+    return _Try(request=request, at=now)
 
   # --- Checks ---------------------------------------------------------------
 
@@ -167,11 +177,12 @@
       self._is_uninformed(at, try_by_id[id], ended_at)
       for at, id in runs[MAX_ENDED:]
     )
-    allowed = MAX_ENDED + uninformed
+    untold = sum(
+      try_by_id[id].was_killed and at <= ended_at[0] for at, id in runs
+    )
+    allowed = MAX_ENDED + uninformed + untold
     if self._kinds & PARTITIONING_KINDS:
       allowed = max(allowed, len(self._served.domains))
-    if 'kill-all' in self._kinds:
-      allowed *= 2
     if len(ended_ids) > allowed:
       found.append(
         f'crashes: {len(ended_ids)} instances ended under {self._name}, '
@@ -187,7 +198,9 @@
     seconds = DISTURBED_REPORT_SECONDS if is_disturbed else REPORT_SECONDS
     return (
       at < ended_at[0] + seconds
-      or ended_at[0] < sent.daemon_started_at > at - LEARNING_SECONDS
+      or (
+        sent.isolated_at is not None and at < sent.isolated_at + NOTICE_SECONDS
+      )
       or (is_disturbed and any(0 < at - end < seconds for end in ended_at))
     )
 
--- a/bench/faults/network.py
+++ b/bench/faults/network.py
@@ -84,7 +84,8 @@
   one-way latency in seconds.  Messages sent by the daemons in
   `requests_lost_from`, and replies to messages of the daemons in
   `replies_lost_to`, never arrive; the daemons' datagrams do.  Nothing reaches
-  the daemons in `mute_names`, or leaves them.
+  the daemons in `mute_names`, or leaves them.  Those in `isolated_at`, with the
+  time since when, are cut off from all other daemons, but not from callers.
   """
 
   def __init__(self, *, rng: random.Random) -> None:
@@ -95,6 +96,7 @@
     self.delay = 0.0
     self.requests_lost_from: set[str] = set()
     self.mute_names: set[str] = set()
+    self.isolated_at: dict[str, float] = {}
     self.replies_lost_to: set[str] = set()
 
   def attach(self, site: Site) -> None:
@@ -122,6 +124,12 @@
     found = (c for c in self.cuts if c.drops(source.domain, target.domain))
     return next(found, None)
 
+  def _is_silenced(self, source: Site, target: Site) -> bool:
+    """Returns whether one end is mute, or apart from the other one."""
+    names = {source.daemon.config.name, target.daemon.config.name}
+    is_apart = source is not target and bool(names & self.isolated_at.keys())
+    return is_apart or bool(names & self.mute_names)
+
   def _draw_latency(self) -> float:
     return self._rng.uniform(*LATENCY_SECONDS) + self.delay * self._rng.random()
 
@@ -130,7 +138,7 @@
     target = self.site_by_address.get(address)
     if target is None or source.is_dead or self._find_cut(source, target):
       return
-    if {source.daemon.config.name, target.daemon.config.name} & self.mute_names:
+    if self._is_silenced(source, target):
       return
     if self._rng.random() < self.loss:
       return
@@ -140,7 +148,8 @@
     )
 
   def _deliver_datagram(self, source: Site, target: Site, data: bytes) -> None:
-    if not target.is_dead and not self._find_cut(source, target):
+    is_cut = self._find_cut(source, target) or self._is_silenced(source, target)
+    if not target.is_dead and not is_cut:
       target.daemon.fleet.datagrams._receive(data)
 
   async def _post(
@@ -182,8 +191,7 @@
     if target is None or target.is_dead:
       await asyncio.sleep(RESET_DELAY_SECONDS)
       raise _make_no_answer('a dead process')
-    names = {source.daemon.config.name, target.daemon.config.name}
-    await _hang_if(bool(names & self.mute_names))
+    await _hang_if(self._is_silenced(source, target))
     cut = self._find_cut(source, target)
     if cut is not None and cut.is_reset:
       await asyncio.sleep(RESET_DELAY_SECONDS)
--- a/bench/faults/schedule.py
+++ b/bench/faults/schedule.py
@@ -35,6 +35,8 @@
 DATAGRAM_LOSS_SHARE = 0.05
 # Hubs of a domain.
 MUTE_DAEMONS = 2
+# Daemons that one fault cuts off from all others.
+MAX_ISOLATED = 3
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -303,6 +305,18 @@
   served.network.mute_names -= names
 
 
+async def _isolate(served: fleet.Fleet, fault: Fault) -> None:
+  """Cuts some daemons off from all others, but not from the store."""
+  isolated_at = served.network.isolated_at
+  first = fault.target % len(served.names)
+  names = served.names[first : first + 1 + fault.variant % MAX_ISOLATED]
+  now = asyncio.get_running_loop().time()
+  isolated_at.update({n: now for n in names if n not in isolated_at})
+  await asyncio.sleep(fault.seconds)
+  for name in names:
+    isolated_at.pop(name, None)
+
+
 async def _kill(served: fleet.Fleet, fault: Fault) -> None:
   """Kills a daemon and restarts it under the same name."""
   name = _find_daemon(served, fault)
@@ -383,6 +397,7 @@
   'cut-one-way': _cut_one_way,
   'delay': _delay_messages,
   'forget': _truncate_store_history,
+  'isolate': _isolate,
   'kill': _kill,
   'kill-all': _kill_all,
   'kill-domain': _kill_domain,
--- a/bench/fleet_soak/daemons.py
+++ b/bench/fleet_soak/daemons.py
@@ -24,8 +24,8 @@
   """A daemon; the fault that stops it also restarts it.
 
   `fault_times` are the times of the daemon's unplanned faults, `stop_times` the
-  times of its graceful stops, `absence_times` those at which its process was
-  started, suspended or resumed.
+  times of its graceful stops, `start_times` those at which its process was
+  started, `absence_times` those at which it was suspended or resumed.
   """
 
   def __init__(
@@ -38,6 +38,7 @@
     self.link: proxy.Proxy | None = None
     self.fault_times: list[float] = []
     self.stop_times: list[float] = []
+    self.start_times: list[float] = []
     self.absence_times: list[float] = []
     self.is_frozen = False
     self._settings = folder / f'{self.name}.json'
@@ -45,7 +46,7 @@
 
   async def start(self, store: tuple[str, int]) -> None:
     """Starts the process, and on the first start its proxy to the store."""
-    self.absence_times.append(time.monotonic())
+    self.start_times.append(time.monotonic())
     if self.link is None:
       self.link = proxy.Proxy(target=store)
       await self.link.start(self.host)
@@ -82,8 +83,17 @@
     return not any(since <= at <= until for at in self.fault_times)
 
   def is_present(self, since: float, until: float) -> bool:
-    """Returns whether the process ran without a break between two times."""
-    return not any(since <= at <= until for at in self.absence_times)
+    """Returns whether the process knew what happened between two times.
+
+    One that was suspended may not, nor one that has started while a fault kept
+    it from the store.
+    """
+    was_suspended = any(since <= at <= until for at in self.absence_times)
+    started_apart = any(
+      since <= at <= until and not self.is_fault_free(at, until)
+      for at in self.start_times
+    )
+    return not was_suspended and not started_apart
 
   async def kill(self) -> None:
     """Kills the process and waits for its exit."""
--- a/bench/fleet_soak/faults.py
+++ b/bench/fleet_soak/faults.py
@@ -6,7 +6,9 @@
 import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
+import math
 import random
+import time
 
 from fleet_soak import daemons
 from fleet_soak import outside
@@ -17,6 +19,9 @@
 # longer than that, so that faults overlap.
 MIN_INTERVAL_SECONDS, MAX_INTERVAL_SECONDS = 0.3, 2.5
 MAX_FAULT_SECONDS = 5.0
+# Time without faults after which daemons have written what they keep.
+SYNC_SECONDS = 2.0
+POLL_SECONDS = 0.1
 
 
 class Faults:
@@ -48,6 +53,7 @@
     """Starts faults at random intervals until cancelled."""
     kinds: list[Callable[[], Awaitable[None]]] = [
       self._kill,
+      self._kill_all,
       self._freeze,
       self._freeze_hubs,
       self._stop,
@@ -97,6 +103,21 @@
       # that each turn has two copies again.
       await asyncio.sleep(2.0)
 
+  async def _kill_all(self) -> None:
+    """Kills all daemons at once, after they could write to the store."""
+    async with self._down_limit, self._store_fault:
+      while not all(
+        daemon.is_fault_free(time.monotonic() - SYNC_SECONDS, math.inf)
+        for daemon in self._fleet
+      ):
+        await asyncio.sleep(POLL_SECONDS)
+      for daemon in self._fleet:
+        daemon.process.kill()
+      await asyncio.gather(*(daemon.kill() for daemon in self._fleet))
+      for daemon in self._fleet:
+        await daemon.start(self._environment.store_address)
+      await asyncio.sleep(2.0)
+
   async def _freeze(self) -> None:
     daemon = self._rng.choice(self._fleet)
     async with self._down_limit:
--- a/tests/test_places_machine.py
+++ b/tests/test_places_machine.py
@@ -2,14 +2,17 @@
 
 Each failure domain is one place of knowledge.  Reports, answers, cuts, restarts
 and ends come in any order; a request whose callers send it to any domain ends
-each instance that runs it, sooner or later.
+each instance that runs it, sooner or later.  A second model adds the row store,
+which outlasts all daemons, and may be out, slow or out of reach.
 """
 
 import dataclasses
+import math
 
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
+import pytest
 
 from woadrun.decisions import crash_limit
 
@@ -71,7 +74,9 @@
 
   @stateful.rule(index=INDICES, state=SIGNS)
   def send(self, index, state):
-    domain = self.domains[index % len(self.domains)]
+    self._send(self.domains[index % len(self.domains)], state)
+
+  def _send(self, domain, state):
     places = self.places_by_domain[domain]
     reached = {domain}
     if crash_limit.is_suspect(places.values()):
@@ -152,6 +157,171 @@
 )
 
 
+class StoredPlaces(Places):
+  """Domains that keep the places in the store as well.
+
+  `store` has the places by id.  Those in `unwritten` of a domain are on their
+  way there.  A domain in `without_store` does not reach the store, one that is
+  not in `loaded` has started and knows nothing yet.  A cut in `unnoticed` is so
+  recent that no daemon has missed a heartbeat.
+  """
+
+  @stateful.initialize(count=strategies.integers(1, len(DOMAINS)))
+  def start(self, count):
+    super().start(count)
+    self.store = {}
+    self.unwritten = {domain: {} for domain in self.domains}
+    self.without_store = set()
+    self.loaded = set(self.domains)
+    self.unnoticed = False
+
+  def has_store(self, domain):
+    return domain not in self.without_store
+
+  def read(self, domain):
+    """The domain reads all rows, or all changes, which is the same."""
+    known = self.places_by_domain[domain]
+    for id, state in self.store.items():
+      if id not in known:
+        known[id] = crash_limit.Place(state=state, domains=frozenset({domain}))
+    self.loaded.add(domain)
+
+  def learn(self, domain):
+    """Returns whether the domain may send, once it knows what it can."""
+    hears_all = self.find_reached(domain) == set(self.domains)
+    sight = crash_limit.Sight(
+      is_loaded=domain in self.loaded,
+      unheard_seconds=0.0 if hears_all or self.unnoticed else math.inf,
+      unread_seconds=math.inf,
+    )
+    known = crash_limit.assess(sight)
+    if known is crash_limit.Knowledge.STALE and self.has_store(domain):
+      self.read(domain)
+    return known is not crash_limit.Knowledge.NONE
+
+  @stateful.rule(index=INDICES, state=SIGNS, is_slow=strategies.booleans())
+  def send(self, index, state, is_slow):
+    domain = self.domains[index % len(self.domains)]
+    if not self.learn(domain):
+      return
+    before = self.taken
+    if not crash_limit.is_suspect(self.places_by_domain[domain].values()):
+      self.check_unaware(domain)
+    self._send(domain, state)
+    if self.taken == before:
+      return
+    self.unwritten[domain][self.taken] = state
+    # The caller is told, and sends again, once the others know, or the time for
+    # that is over.
+    if not is_slow:
+      self.flush(index)
+      for other in self.find_reached(domain) - {domain}:
+        self.exchange(domain, other)
+
+  def check_unaware(self, domain):
+    """Nothing that could be reached knew of a place."""
+    if self.unnoticed:
+      return
+    if self.has_store(domain) and domain in self.loaded:
+      reached = self.find_reached(domain)
+      is_apart = reached != set(self.domains)
+      assert not (is_apart and self.store)
+
+  @stateful.rule(index=INDICES)
+  def flush(self, index):
+    """What was not written is, also of writes that are done late."""
+    domain = self.domains[index % len(self.domains)]
+    if self.has_store(domain):
+      self.store |= self.unwritten[domain]
+      self.unwritten[domain] = {}
+
+  @stateful.rule(index=INDICES)
+  def load(self, index):
+    """A domain that has started reads all rows, or asks a domain that knows."""
+    domain = self.domains[index % len(self.domains)]
+    if self.has_store(domain):
+      self.read(domain)
+      return
+    informed = (self.find_reached(domain) & self.loaded) - {domain}
+    for other in informed:
+      self.tell(other, domain)
+      self.loaded.add(domain)
+
+  @stateful.rule(index=INDICES)
+  def restart(self, index):
+    """All daemons of a domain are killed, and start again."""
+    self.kill([self.domains[index % len(self.domains)]])
+
+  @stateful.rule()
+  def kill_all(self):
+    """All daemons of all domains are killed at once, and start again."""
+    self.kill(self.domains)
+
+  def kill(self, domains):
+    for domain in domains:
+      self.places_by_domain[domain] = {}
+      self.loaded.discard(domain)
+    left = {id for places in self.places_by_domain.values() for id in places}
+    for domain in domains:
+      # Nobody has what was not written, unless another domain knows it.
+      self.forgot += len(self.unwritten[domain].keys() - left)
+      for id, state in self.unwritten[domain].items():
+        if id in left:
+          keeper = next(
+            d for d in self.domains if id in self.places_by_domain[d]
+          )
+          self.unwritten[keeper][id] = state
+      self.unwritten[domain] = {}
+
+  @stateful.rule(index=INDICES)
+  def cut_off(self, index):
+    """A domain is cut off from the others, and maybe not from the store."""
+    super().cut_off(index)
+    self.unnoticed = True
+
+  @stateful.rule()
+  def notice(self):
+    self.unnoticed = False
+
+  @stateful.rule(index=INDICES)
+  def lose_store(self, index):
+    self.without_store.add(self.domains[index % len(self.domains)])
+
+  @stateful.rule()
+  def end_outage(self):
+    self.without_store.clear()
+    for index in range(len(self.domains)):
+      self.flush(index)
+
+  @stateful.rule()
+  def begin_outage(self):
+    self.without_store |= set(self.domains)
+
+
+TestStoredPlaces = StoredPlaces.TestCase
+TestStoredPlaces.settings = hypothesis.settings(
+  max_examples=400, stateful_step_count=40, deadline=None
+)
+
+
+# Guards against a daemon that sends while it knows nothing, or not all that the
+# store has.
+@pytest.mark.parametrize(
+  ('is_loaded', 'unheard', 'unread', 'known'),
+  [
+    (False, 0.0, 0.0, crash_limit.Knowledge.NONE),
+    (True, 0.0, math.inf, crash_limit.Knowledge.COMPLETE),
+    (True, math.inf, 0.0, crash_limit.Knowledge.COMPLETE),
+    (True, math.inf, math.inf, crash_limit.Knowledge.STALE),
+  ],
+)
+def test_knowledge(is_loaded, unheard, unread, known):
+  sight = crash_limit.Sight(
+    is_loaded=is_loaded, unheard_seconds=unheard, unread_seconds=unread
+  )
+  assert crash_limit.assess(sight) is known
+
+
 @hypothesis.given(
   left=strategies.integers(0, 3),
   count=strategies.integers(1, 6),
