One decoder for bytes of other writers; one bad row or datagram ends no daemon

Reported by operators of systems like ours, and shown here: an entry of another writer that is nested 20,000 deep crashed each daemon that reads the list, and kept others from starting.

Cause: each of 40 places listed the exceptions that it expected of a decoder, and no place was the last one before the service.

Change: `woadrun/decoding.py` decodes foreign bytes with one error, and counts and logs what is rejected, in bounded lines. Addresses, slots, times and texts of entries, member rows and heartbeats need plausible values. A feed goes on after a row that its reader cannot apply, a datagram socket after a datagram, a page of rows without one that cannot be decoded.

Replaced tests: malformed reports are now rejected by an error that the socket logs and counts, instead of a line of their own; `MsgspecError` of entries is `MalformedData`.

--- a/src/woadrun/cli/explain.py
+++ b/src/woadrun/cli/explain.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from woadrun import decoding
+
 # Lines of `STATE_LOGGERS` are included from this long before the first line
 # that names the request.
 STATE_LEAD_SECONDS = 3.0
@@ -99,8 +101,8 @@
       if not brace:
         continue
       try:
-        line = msgspec.json.decode(brace + rest, type=_Line)
-      except msgspec.MsgspecError:
+        line = decoding.decode_json(brace + rest, type=_Line)
+      except decoding.MalformedData:
         continue
       words = before.split()
       yield Event(
--- a/src/woadrun/connection/client.py
+++ b/src/woadrun/connection/client.py
@@ -16,6 +16,7 @@
 import aiohttp
 import msgspec
 
+from woadrun import decoding
 from woadrun import errors
 from woadrun.connection import bodies
 from woadrun.connection import response_ends
@@ -113,7 +114,7 @@
     data = await self.request_bytes(
       method, path, body, request=request, headers=headers
     )
-    return msgspec.json.decode(data)
+    return decoding.decode_json(data)
 
   async def request_bytes(
     self,
@@ -173,12 +174,12 @@
   """Returns the text of a chat completion, streamed or not."""
   if data.startswith(b'data: '):
     events = [
-      msgspec.json.decode(line[6:])
+      decoding.decode_json(line[6:])
       for line in data.split(b'\n')
       if line.startswith(b'data: {')
     ]
     choices = [choice for event in events for choice in event['choices']]
     return ''.join(c['delta'].get('content') or '' for c in choices)
-  answer = msgspec.json.decode(data)
+  answer = decoding.decode_json(data)
   content: str = answer['choices'][0]['message']['content']
   return content
--- a/src/woadrun/connection/engine.py
+++ b/src/woadrun/connection/engine.py
@@ -15,6 +15,7 @@
 import aiohttp
 import msgspec
 
+from woadrun import decoding
 from woadrun import errors
 from woadrun.connection import bodies
 from woadrun.connection import http
@@ -177,7 +178,6 @@
 
 # --- Decoding a response ----------------------------------------------------
 
-_EVENT_DECODER = msgspec.json.Decoder(Event)
 # The data of the event that ends each stream, and its line.
 DONE_DATA = b'[DONE]'
 DONE = b'data: ' + DONE_DATA
@@ -196,13 +196,13 @@
   """Returns the message, finish reason and usage in a stream's events.
 
   `events` are the data of the events before the terminating one.  Raises
-  `msgspec.MsgspecError` if one of them is malformed.
+  `decoding.MalformedData` if one of them is malformed.
   """
   parts: list[str] = []
   finish_reason = ''
   usage: Usage | None = None
   for data in events:
-    event = _EVENT_DECODER.decode(data)
+    event = decoding.decode_json(data, type=Event)
     usage = event.usage or usage
     for choice in event.choices:
       parts.append(choice.delta.content or '')
--- a/src/woadrun/connection/http.py
+++ b/src/woadrun/connection/http.py
@@ -12,9 +12,9 @@
 
 import aiohttp
 from aiohttp import hdrs
-import msgspec
 import yarl
 
+from woadrun import decoding
 from woadrun import errors
 from woadrun.connection import bodies
 from woadrun.connection import response_ends
@@ -117,8 +117,8 @@
   Raises `platform_unavailable` if the body is empty or malformed.
   """
   try:
-    return msgspec.json.decode(body, type=type)
-  except msgspec.MsgspecError as error:
+    return decoding.decode_json(body, type=type)
+  except decoding.MalformedData as error:
     message = f'A response of the platform is malformed: {error}'
     raise _unavailable(message, errors.RunStatus.UNKNOWN) from error
 
--- a/src/woadrun/connection/packing.py
+++ b/src/woadrun/connection/packing.py
@@ -9,11 +9,14 @@
 import dataclasses
 import zlib
 
+from woadrun import decoding
 from woadrun.connection import rows
 
 # Smaller values are not compressed.
 COMPRESSION_THRESHOLD_BYTES = 4096
 COMPRESSION_LEVEL = 1
+# Largest value that is decompressed, far above the rows of any store.
+MAX_VALUE_BYTES = 64 * 1024 * 1024
 
 
 def pack(row: rows.Row) -> rows.Row:
@@ -25,8 +28,14 @@
 
 
 def unpack(row: rows.Row) -> rows.Row:
-  """Returns a row with its value decompressed."""
+  """Returns a row with its value decompressed.
+
+  Raises `decoding.MalformedData` if it is not compressed, or too large.
+  """
   if not row.is_packed:
     return row
-  value = zlib.decompress(row.value)
+  inflater = zlib.decompressobj()
+  value = decoding.run(lambda: inflater.decompress(row.value, MAX_VALUE_BYTES))
+  if not inflater.eof:
+    raise decoding.MalformedData('a compressed value is too large or cut')
   return dataclasses.replace(row, value=value, is_packed=False)
--- a/src/woadrun/connection/peers.py
+++ b/src/woadrun/connection/peers.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import functools
 from types import ModuleType
 from typing import Any
 from typing import Protocol
@@ -14,6 +15,7 @@
 import aiohttp
 import msgspec
 
+from woadrun import decoding
 from woadrun import errors
 from woadrun.connection import bodies
 from woadrun.connection import response_ends
@@ -133,5 +135,15 @@
     """Returns the answer; raises the peer's error if `status` is not 200."""
     if status != 200:
       raise errors.from_body(data)
-    answer: T = self._codec.decode(data, type=type)
-    return answer
+    try:
+      answer: T = decoding.run(
+        functools.partial(self._codec.decode, data, type=type)
+      )
+      return answer
+    except decoding.MalformedData as error:
+      raise errors.WoadrunError(
+        errors.Code.OWNER_UNAVAILABLE,
+        f'The answer of a daemon is malformed: {error}',
+        ran=errors.RunStatus.UNKNOWN,
+        retry_after=1.0,
+      ) from error
--- a/src/woadrun/connection/response_ends.py
+++ b/src/woadrun/connection/response_ends.py
@@ -20,9 +20,9 @@
 from aiohttp import client_reqrep
 from aiohttp import hdrs
 from aiohttp import web
-import msgspec
 import multidict
 
+from woadrun import decoding
 from woadrun.connection import response_ids
 
 log = logging.getLogger('woadrun.connections')
@@ -138,8 +138,8 @@
   if not body.lstrip().startswith((b'{', b'[', b'"')):
     return False
   try:
-    msgspec.json.decode(body)
-  except msgspec.DecodeError:
+    decoding.decode_json(body)
+  except decoding.MalformedData:
     return False
   return True
 
--- a/src/woadrun/errors.py
+++ b/src/woadrun/errors.py
@@ -12,6 +12,8 @@
 
 import msgspec
 
+from woadrun import decoding
+
 
 class RunStatus(enum.StrEnum):
   """Whether a failed request may have had an effect."""
@@ -167,7 +169,7 @@
   Returns an `internal` error that quotes the response if it is not valid.
   """
   try:
-    body = msgspec.json.decode(data, type=ErrorAnswer).error
+    body = decoding.decode_json(data, type=ErrorAnswer).error
     return WoadrunError(
       Code(body.code),
       body.message,
@@ -176,7 +178,7 @@
       retry_after=body.retry_after,
       details=body.details,
     )
-  except (msgspec.MsgspecError, ValueError):
+  except ValueError:
     text = data[:200].decode('utf-8', 'replace')
     return WoadrunError(
       Code.INTERNAL, f'invalid error response: {text}', ran=RunStatus.UNKNOWN
--- a/src/woadrun/platform/discovery.py
+++ b/src/woadrun/platform/discovery.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-import ipaddress
 from typing import Annotated
 from typing import Literal
 
 import msgspec
 
+from woadrun import decoding
+from woadrun.connection import endpoints
 from woadrun.connection import rows
 from woadrun.version import instances
 
@@ -20,7 +21,17 @@
 
 
 _IS_DRAINING_BY_STATE = {'ready': False, 'draining': True}
-_Text = Annotated[str, msgspec.Meta(min_length=1)]
+# The largest values of an entry that are plausible: an instance with more slots
+# would get all requests of its service.
+MAX_SLOTS = 100_000
+MAX_STARTED_MS = 2**53
+_MAX_CHARACTERS = 200
+_Text = Annotated[
+  str,
+  msgspec.Meta(
+    min_length=1, max_length=_MAX_CHARACTERS, pattern=r'\A[^\x00-\x1f\x7f]*\Z'
+  ),
+]
 
 
 class _Entry(msgspec.Struct, kw_only=True):
@@ -32,19 +43,19 @@
   service: _Text
   address: _Text
   zone: _Text
-  slots: Annotated[int, msgspec.Meta(ge=1)]
+  slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
   state: Literal['ready', 'draining']
-  born: Annotated[int, msgspec.Meta(ge=0)] = 0
+  born: Annotated[int, msgspec.Meta(ge=0, le=MAX_STARTED_MS)] = 0
 
 
 def decode(row: rows.Row) -> instances.Instance:
   """Returns the instance that a registry row describes.
 
-  Raises `msgspec.MsgspecError` if the row is malformed: other writers can put
-  arbitrary values into the table.
+  Raises `decoding.MalformedData` if the row is malformed, or describes no
+  instance that can be: other writers can put arbitrary values into the table.
   """
-  entry = msgspec.json.decode(row.value, type=_Entry)
-  _check_address(entry.address)
+  entry = decoding.decode_json(row.value, type=_Entry)
+  decoding.run(lambda: endpoints.check(entry.address))
   return instances.Instance(
     id=row.key.name,
     service=entry.service,
@@ -54,14 +65,3 @@
     is_draining=_IS_DRAINING_BY_STATE[entry.state],
     started_ms=entry.born,
   )
-
-
-def _check_address(address: str) -> None:
-  host, _, port = address.rpartition(':')
-  try:
-    ipaddress.IPv4Address(host)
-    is_port = port.isdecimal() and 0 < int(port) < 65536
-  except ValueError:
-    is_port = False
-  if not is_port:
-    raise msgspec.ValidationError(f'{address!r} is not of the form IP:PORT')
--- a/src/woadrun/platform/operator.py
+++ b/src/woadrun/platform/operator.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from woadrun import decoding
 from woadrun.version import routes
 from woadrun.version import teams
 
@@ -86,9 +87,13 @@
 def decode(value: bytes) -> routes.RoutingTable:
   """Returns the routing table in the value of the configuration row.
 
-  Raises `msgspec.MsgspecError` if the value is malformed.
+  Raises `decoding.MalformedData` if the value is malformed.
   """
-  config = msgspec.json.decode(value, type=_Config)
+  config = decoding.decode_json(value, type=_Config)
+  return decoding.run(lambda: _make_table(config))
+
+
+def _make_table(config: _Config) -> routes.RoutingTable:
   limits = config.limits
   return routes.RoutingTable(
     version=config.version,
@@ -111,14 +116,14 @@
   cannot be decoded.
   """
   try:
-    fields = msgspec.json.decode(value, type=dict[str, msgspec.Raw])
+    fields = decoding.decode_json(value, type=dict[str, msgspec.Raw])
     if 'tenants' not in fields:
       return value
-    tenants = msgspec.json.decode(fields['tenants'], type=list[dict[str, Any]])
-    hashed = msgspec.json.encode(
-      [_hash_tenant_keys(tenant) for tenant in tenants]
+    tenants = decoding.decode_json(fields['tenants'], type=list[dict[str, Any]])
+    hashed = decoding.run(
+      lambda: msgspec.json.encode([_hash_tenant_keys(t) for t in tenants])
     )
-  except (msgspec.MsgspecError, AttributeError):
+  except decoding.MalformedData:
     # A malformed value may contain a key anywhere, so all of it is dropped.
     return b''
   return msgspec.json.encode({**fields, 'tenants': msgspec.Raw(hashed)})
--- a/src/woadrun/platform/settings.py
+++ b/src/woadrun/platform/settings.py
@@ -15,6 +15,7 @@
 
 import msgspec
 
+from woadrun import decoding
 from woadrun import errors
 from woadrun.process import node
 
@@ -104,10 +105,10 @@
 
 def _decode(path: pathlib.Path) -> _File:
   try:
-    data = msgspec.json.decode(path.read_bytes(), type=dict[str, Any])
+    data = decoding.decode_json(path.read_bytes(), type=dict[str, Any])
   except OSError as error:
     raise _fail(path, '(file)', error.strerror or str(error)) from None
-  except msgspec.MsgspecError as error:
+  except decoding.MalformedData as error:
     raise _fail(path, '(syntax)', str(error)) from None
   findings = list(_check(data, path))
   if findings:
--- a/src/woadrun/platform/store.py
+++ b/src/woadrun/platform/store.py
@@ -9,8 +9,11 @@
 
 import asyncio
 import base64
+from collections.abc import Iterable
+from collections.abc import Iterator
 from collections.abc import Sequence
 import logging
+import re
 import time
 from typing import Any
 import urllib.parse
@@ -19,6 +22,7 @@
 import msgspec
 import yarl
 
+from woadrun import decoding
 from woadrun import errors
 from woadrun.connection import http
 from woadrun.connection import rows
@@ -37,6 +41,14 @@
 
 
 log = logging.getLogger('woadrun.store')
+_rejections = decoding.Rejections(kind='row', log=log)
+
+# Brackets, and texts, in which brackets have no meaning.
+_TOKENS = re.compile(rb'"(?:[^"\\]|\\.)*"|[\[\]{}]', re.DOTALL)
+# Depth of the rows of a reply, within the reply and the list.
+_ROW_DEPTH = 3
+# Bytes of a malformed row that are shown.
+_SHOWN_BYTES = 120
 
 
 class _RowKey(msgspec.Struct, kw_only=True):
@@ -74,7 +86,7 @@
   the reply unreadable.  `deleted` marks the tombstone of a deleted row.
   """
 
-  value: Any = ''
+  value: msgspec.Raw = msgspec.Raw(b'""')
   ver: int = 0
   deleted: bool = False
 
@@ -250,20 +262,14 @@
 
 def _decode_value(row: _Row) -> bytes:
   try:
-    value = base64.b64decode(row.value)
-    # API keys must not leave this package: in the operator's table, they are
-    # replaced by digests.
-    return (
-      operator.hash_api_keys(value) if row.table == operator.TABLE else value
-    )
-  except (TypeError, ValueError) as error:
-    log.error(
-      'Row %s of table %s: the value cannot be decoded: %s',
-      row.tls_key,
-      row.table,
-      error,
-    )
+    text = decoding.decode_json(row.value, type=str)
+    value = decoding.run(lambda: base64.b64decode(text))
+  except decoding.MalformedData as error:
+    _rejections.record(f'{row.tls_key} of table {row.table}', error)
     return b''
+  # API keys must not leave this package: in the operator's table, they are
+  # replaced by digests.
+  return operator.hash_api_keys(value) if row.table == operator.TABLE else value
 
 
 def _get_page(answer: _RowsReply) -> rows.Page:
@@ -295,8 +301,8 @@
       retry_after=http.RETRY_AFTER_SECONDS,
     )
   try:
-    return msgspec.json.decode(reply.body, type=_RowsReply)
-  except msgspec.MsgspecError as error:
+    return _decode_reply(reply.body)
+  except decoding.MalformedData as error:
     # The status says that the store processed the request, unlike above, so a
     # transaction may have been applied.
     raise errors.WoadrunError(
@@ -305,3 +311,51 @@
       ran=errors.RunStatus.UNKNOWN,
       retry_after=http.RETRY_AFTER_SECONDS,
     ) from error
+
+
+def _decode_reply(body: bytes) -> _RowsReply:
+  """Returns a reply, without rows that cannot be decoded.
+
+  Raises `decoding.MalformedData` if the reply as a whole is malformed.
+  """
+  try:
+    return decoding.decode_json(body, type=_RowsReply)
+  except decoding.MalformedData:
+    spans = list(_find_rows(body))
+    if not spans:
+      raise
+  rest = body[: spans[0][0]] + body[spans[-1][1] :]
+  reply: _RowsReply = decoding.decode_json(rest, type=_RowsReply)
+  found = [body[start:end] for start, end in spans]
+  return msgspec.structs.replace(reply, rows=list(_decode_rows(found)))
+
+
+def _decode_rows(found: Iterable[bytes]) -> Iterator[_Row]:
+  for data in found:
+    try:
+      yield decoding.decode_json(data, type=_Row)
+    except decoding.MalformedData as error:
+      _rejections.record(data[:_SHOWN_BYTES].decode('utf-8', 'replace'), error)
+
+
+def _find_rows(body: bytes) -> Iterator[tuple[int, int]]:
+  """Yields where each element of `rows` begins and ends in a reply.
+
+  Without recursion: a value that is nested too deep ends other decoders.
+  """
+  depth = 0
+  is_in_rows = False
+  start = 0
+  for token in _TOKENS.finditer(body):
+    text = token[0]
+    if text in b'{[':
+      depth += 1
+      if depth == _ROW_DEPTH and is_in_rows:
+        start = token.start()
+    elif text in b'}]':
+      if depth == _ROW_DEPTH and is_in_rows:
+        yield start, token.end()
+      depth -= 1
+      is_in_rows &= depth >= _ROW_DEPTH - 1
+    elif depth == 1:
+      is_in_rows = text == b'"rows"'
--- a/src/woadrun/process/catalogue.py
+++ b/src/woadrun/process/catalogue.py
@@ -19,8 +19,8 @@
 import time
 
 import mode
-import msgspec
 
+from woadrun import decoding
 from woadrun import errors
 from woadrun.connection import rows
 from woadrun.process import feed
@@ -58,11 +58,11 @@
 class Catalogue(mode.Service):
   """The current routing table and the live instances.
 
-  `decode_table` and `decode_instance` raise `msgspec.MsgspecError` for a row
+  `decode_table` and `decode_instance` raise `decoding.MalformedData` for a row
   that they cannot decode.  `grace` is the time in seconds within which an
   instance whose entry expired while the store was unavailable may register
-  again; it counts as live until then.  `undecodable_rows` counts the instance
-  rows that could not be decoded.  `revocation` is the time in seconds for which
+  again; it counts as live until then.  `rejections` counts the instance rows
+  that could not be decoded.  `revocation` is the time in seconds for which
   a key may be used after it is revoked, None if that is not bounded.  `clock`
   estimates the store's clock.  `age` is the age of the routing table.
   """
@@ -88,7 +88,7 @@
     self._grace = grace
     self.table: routes.RoutingTable | None = None
     self.directory = instances.Directory(grace=grace)
-    self.undecodable_rows = 0
+    self.rejections = decoding.Rejections(kind='instance row', log=log)
     self._started_at = math.inf
     self._known_event = asyncio.Event()
     wait = feed.LONG_POLL_TIMEOUT_SECONDS
@@ -172,7 +172,7 @@
     """
     try:
       table = self._decode_table(value)
-    except msgspec.MsgspecError as error:
+    except decoding.MalformedData as error:
       log.error('Cannot decode routing table: %s', error)
       # The table that cannot be decoded may revoke keys of the current one.
       self._has_undecodable_table = True
@@ -298,9 +298,8 @@
   def _decode(self, row: rows.Row) -> instances.Instance | None:
     try:
       return self._decode_instance(row)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-      self.undecodable_rows += 1
-      log.error('Cannot decode instance row %s: %s', row.key.name, error)
+    except decoding.MalformedData as error:
+      self.rejections.record(row.key.name, error)
       return None
 
   @mode.Service.task
--- a/src/woadrun/process/configuration.py
+++ b/src/woadrun/process/configuration.py
@@ -136,7 +136,7 @@
         EDITS_TABLE, make_key(self.version), limit=PAGE_SIZE_ROWS
       )
       self.apply(
-        [msgspec.json.decode(item.value, type=rows.Edit) for item in listed]
+        [http.decode(item.value.encode(), type=rows.Edit) for item in listed]
       )
       if len(listed) < PAGE_SIZE_ROWS:
         break
--- a/src/woadrun/process/crash_reports.py
+++ b/src/woadrun/process/crash_reports.py
@@ -24,9 +24,9 @@
 import mode
 import msgspec
 
+from woadrun import decoding
 from woadrun import errors
 from woadrun.connection import attempt_reports
-from woadrun.connection import decoding
 from woadrun.connection import peers
 from woadrun.decisions import crash_limit
 from woadrun.process import crash_rows
@@ -229,11 +229,7 @@
       )
 
   def _receive_ack(self, data: bytes) -> None:
-    try:
-      ack = decoding.decode_json(data, type=attempt_reports.ReportsReceived)
-    except decoding.MalformedData as error:
-      log.warning('Ignored a malformed acknowledgement: %s', error)
-      return
+    ack = decoding.decode_json(data, type=attempt_reports.ReportsReceived)
     delivery = self._delivery_by_id.get(ack.id)
     if delivery is None:
       return
@@ -247,11 +243,7 @@
       del self._delivery_by_id[delivery.id]
 
   def _receive(self, data: bytes) -> None:
-    try:
-      message = decoding.decode_json(data, type=attempt_reports.AttemptReports)
-    except decoding.MalformedData as error:
-      log.warning('Ignored malformed reports of attempts: %s', error)
-      return
+    message = decoding.decode_json(data, type=attempt_reports.AttemptReports)
     news = self._records.apply_reports(message.reports, domain=message.domain)
     is_relaying = self._members.is_relaying or message.is_for_domain
     if news and is_relaying and message.hops < MAX_HOPS:
--- a/src/woadrun/process/crash_rows.py
+++ b/src/woadrun/process/crash_rows.py
@@ -22,9 +22,9 @@
 import mode
 import msgspec
 
+from woadrun import decoding
 from woadrun import errors
 from woadrun.connection import attempt_reports
-from woadrun.connection import decoding
 from woadrun.connection import rows
 from woadrun.decisions import crash_limit
 from woadrun.process import feed
@@ -67,7 +67,7 @@
 class CrashRows(mode.Service):
   """Writes the places of this daemon to the store, and applies all others.
 
-  `feed` follows the table.  `rejected_rows` counts rows of other writers that
+  `feed` follows the table.  `rejections` counts rows of other writers that
   could not be read.
   """
 
@@ -88,7 +88,7 @@
     self._writer: asyncio.Task[None] | None = None
     self._reader: asyncio.Task[None] | None = None
     self._read_at = -math.inf
-    self.rejected_rows = 0
+    self.rejections = decoding.Rejections(kind='place row', log=log)
     self.feed = feed.Feed(
       store=store,
       table=TABLE,
@@ -294,10 +294,7 @@
     try:
       place = decoding.decode_json(row.value, type=PlaceRow)
     except decoding.MalformedData as error:
-      self.rejected_rows += 1
-      log.error(
-        'Ignored row %s of %s: %s', decoding.shorten(name), TABLE, error
-      )
+      self.rejections.record(name, error)
       return
     was_ended = name in self._row_by_name and self._row_by_name[name].is_ended
     self._note(name, place, row.version)
--- a/src/woadrun/process/daemon.py
+++ b/src/woadrun/process/daemon.py
@@ -12,8 +12,8 @@
 import aiohttp
 from aiohttp import web
 import mode
-import msgspec
 
+from woadrun import decoding
 from woadrun import errors
 from woadrun import settings
 from woadrun.connection import endpoints
@@ -445,7 +445,7 @@
     return await handler(request)
   except errors.WoadrunError as error:
     return gateway.make_error_response(error)
-  except msgspec.MsgspecError as error:
+  except decoding.MalformedData as error:
     return gateway.make_error_response(
       errors.WoadrunError(errors.Code.BAD_REQUEST, str(error))
     )
--- a/src/woadrun/process/datagram_calls.py
+++ b/src/woadrun/process/datagram_calls.py
@@ -18,6 +18,7 @@
 
 import msgspec
 
+from woadrun import decoding
 from woadrun import errors
 from woadrun.connection import peers
 from woadrun.process import datagrams
@@ -171,11 +172,7 @@
     return pending.response.result() if pending.response.done() else None
 
   def _receive_response(self, data: bytes) -> None:
-    try:
-      response = msgspec.msgpack.decode(data, type=Response)
-    except msgspec.MsgspecError as error:
-      log.warning('Ignored a malformed response datagram: %s', error)
-      return
+    response = decoding.decode_msgpack(data, type=Response)
     pending = self._pending_by_id.get(response.id)
     if pending is None or pending.response.done():
       return
@@ -187,11 +184,7 @@
   # --- Requests of peers ----------------------------------------------------
 
   def _receive_call(self, data: bytes) -> None:
-    try:
-      call = msgspec.msgpack.decode(data, type=Call)
-    except msgspec.MsgspecError as error:
-      log.warning('Ignored a malformed request datagram: %s', error)
-      return
+    call = decoding.decode_msgpack(data, type=Call)
     if call.path not in self._handler_by_path:
       self._send_response(
         call, errors.STATUS_BY_CODE[errors.Code.UNKNOWN_SERVICE]
--- a/src/woadrun/process/datagrams.py
+++ b/src/woadrun/process/datagrams.py
@@ -4,9 +4,14 @@
 
 import asyncio
 from collections.abc import Callable
+import functools
+import logging
 
+from woadrun import decoding
 from woadrun.connection import endpoints
 
+log = logging.getLogger('woadrun.peers')
+
 HEARTBEAT = b'b'
 # A copy of a program, for its standby or for another domain.
 PROGRAM_COPY = b'c'
@@ -20,6 +25,8 @@
 # Size limit, in bytes.  Larger messages are sent over another transport: a
 # datagram is split into packets and is lost if any of them is lost.
 MAX_DATAGRAM_BYTES = 8192
+# Number of addresses that are kept parsed.
+MAX_ADDRESSES = 8192
 # Size limit where a lost datagram is sent again, in bytes: most histories of a
 # turn fit.
 MAX_CALL_BYTES = 32_768
@@ -28,13 +35,16 @@
 class Datagrams:
   """The UDP socket by which one daemon sends and receives datagrams.
 
-  `address` is IP:PORT.  A datagram may be lost without an error.
+  `address` is IP:PORT.  A datagram may be lost without an error.  Handlers may
+  raise `decoding.MalformedData`; `rejections` counts the datagrams that are
+  rejected.
   """
 
   def __init__(self, *, address: str) -> None:
     self._address = address
     self._handler_by_kind: dict[bytes, Callable[[bytes], None]] = {}
     self._transport: asyncio.DatagramTransport | None = None
+    self.rejections = decoding.Rejections(kind='datagram', log=log)
 
   def handle(self, kind: bytes, handler: Callable[[bytes], None]) -> None:
     """Registers the handler of a kind, which gets the data after this byte."""
@@ -60,14 +70,38 @@
       self._transport = None
 
   def send(self, address: str, kind: bytes, data: bytes) -> None:
-    """Sends one datagram to IP:PORT, or nothing if the socket is closed."""
-    if self._transport is not None:
-      self._transport.sendto(kind + data, endpoints.split(address))
+    """Sends one datagram to IP:PORT, or nothing if the socket is closed.
+
+    Nor is anything sent to an address of no process, which other daemons and
+    rows may name: a port out of range would close the socket.
+    """
+    if self._transport is None:
+      return
+    try:
+      target = _parse(address)
+    except ValueError as error:
+      self.rejections.record('address', error)
+      return
+    self._transport.sendto(kind + data, target)
 
   def _receive(self, data: bytes) -> None:
     handler = self._handler_by_kind.get(data[:1])
-    if handler is not None:
+    if handler is None:
+      return
+    try:
       handler(data[1:])
+    except decoding.MalformedData as error:
+      self.rejections.record(f'of kind {data[:1]!r}', error)
+    except Exception as error:
+      # Whatever one datagram leads to, the next one is handled.
+      log.exception('Cannot handle a datagram of kind %r.', data[:1])
+      self.rejections.record(f'of kind {data[:1]!r}', error)
+
+
+@functools.lru_cache(maxsize=MAX_ADDRESSES)
+def _parse(address: str) -> tuple[str, int]:
+  endpoints.check(address)
+  return endpoints.split(address)
 
 
 class _Receiver(asyncio.DatagramProtocol):
--- a/src/woadrun/process/feed.py
+++ b/src/woadrun/process/feed.py
@@ -14,12 +14,15 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Iterator
 import dataclasses
 import logging
 import time
 
 import mode
 
+from woadrun import decoding
 from woadrun import errors
 from woadrun.connection import packing
 from woadrun.connection import rows
@@ -112,6 +115,7 @@
     self.regained_at = float('-inf')
     self._attempt_started_at = float('-inf')
     self._had_contact = False
+    self.rejections = decoding.Rejections(kind=f'row of {table}', log=log)
     # Whether the next contact ends an outage, rather than being the first one.
     self._lost_contact = False
     self._row_by_name: dict[str, rows.Row] = {}
@@ -291,7 +295,12 @@
       return False
     is_new = self._merge_list(found, version)
     self.version = version
-    self._on_list(tuple(packing.unpack(row) for row in found))
+    listed = tuple(self._unpack(found))
+    try:
+      self._on_list(listed)
+    except Exception as error:
+      log.exception('Cannot apply the list of %s.', self.table)
+      self.rejections.record('(list)', error)
     return is_new
 
   def _merge_list(self, found: tuple[rows.Row, ...], version: int) -> bool:
@@ -325,10 +334,24 @@
     newer = [row for row in found if row.version > known]
     for row in newer:
       self._store_row(row)
-      self._on_row(packing.unpack(row))
+    for row in self._unpack(newer):
+      try:
+        self._on_row(row)
+      except Exception as error:
+        # The rows after it are as good as without it.
+        log.exception('Cannot apply a row of %s.', self.table)
+        self.rejections.record(row.key.name, error)
     self.version = max(known, version)
     return bool(newer)
 
+  def _unpack(self, found: Iterable[rows.Row]) -> Iterator[rows.Row]:
+    """Yields the rows with uncompressed values, without malformed ones."""
+    for row in found:
+      try:
+        yield packing.unpack(row)
+      except decoding.MalformedData as error:
+        self.rejections.record(row.key.name, error)
+
   def _store_row(self, row: rows.Row) -> None:
     name = row.key.name
     self.newest_change = max(self.newest_change, row.version)
--- a/src/woadrun/process/fleet.py
+++ b/src/woadrun/process/fleet.py
@@ -30,6 +30,7 @@
 import mode
 import msgspec
 
+from woadrun import decoding
 from woadrun.process import datagrams
 from woadrun.process import fleet_heartbeats
 from woadrun.process import hubs
@@ -699,13 +700,7 @@
     return found
 
   def _receive(self, data: bytes) -> None:
-    try:
-      heartbeat = msgspec.json.decode(
-        data, type=fleet_heartbeats.FleetHeartbeat
-      )
-    except msgspec.MsgspecError as error:
-      log.warning('Ignored a malformed heartbeat: %s', error)
-      return
+    heartbeat = decoding.decode_json(data, type=fleet_heartbeats.FleetHeartbeat)
     if heartbeat.name == self.me.name:
       return
     self.add(
--- a/src/woadrun/process/line_expiries.py
+++ b/src/woadrun/process/line_expiries.py
@@ -41,7 +41,12 @@
 
 
 def is_expired(value: bytes, *, now: float) -> bool:
-  """Returns whether an expiry, with which a value starts, has passed."""
+  """Returns whether an expiry, with which a value starts, has passed.
+
+  A value without one is of another writer, and never expires.
+  """
+  if len(value) < EXPIRY.size:
+    return False
   (until,) = EXPIRY.unpack_from(value)
   return bool(until < now)
 
--- a/src/woadrun/process/node.py
+++ b/src/woadrun/process/node.py
@@ -132,9 +132,10 @@
 
   `table_key` is the key of the row with the routing table, `instance_table` the
   table of the instances.  `decode_table` and `decode_instance` raise
-  `msgspec.MsgspecError` for a row that they cannot decode.  `grace` is the time
-  in seconds within which an instance whose entry expired while the store was
-  unavailable may register again.  `held` counts the bytes held of responses.
+  `decoding.MalformedData` for a row that they cannot decode.  `grace` is the
+  time in seconds within which an instance whose entry expired while the store
+  was unavailable may register again.  `held` counts the bytes held of
+  responses.
   """
 
   addresses: tcp_connections.Addresses
@@ -388,7 +389,10 @@
       'members_known': len(self.fleet.member_by_name),
       'instances_known': len(self.catalogue.directory.by_id),
       'instances_avoided': len(self.loads.health.avoided),
-      'instance_rows_unreadable': self.catalogue.undecodable_rows,
+      'instance_rows_unreadable': self.catalogue.rejections.count,
+      'member_rows_unreadable': self.registration.rejections.count,
+      'crash_rows_unreadable': self.crash_rows.rejections.count,
+      'datagrams_rejected': self.fleet.datagrams.rejections.count,
       'rates_kept': len(self.rate_owner),
       'table_version': self.catalogue.version,
       'table_age_seconds': self.catalogue.age.get_age_seconds(),
--- a/src/woadrun/process/peer_messages.py
+++ b/src/woadrun/process/peer_messages.py
@@ -5,12 +5,12 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
+import functools
 import logging
 from types import ModuleType
 from typing import Any
 
-import msgspec
-
+from woadrun import decoding
 from woadrun import errors
 
 log = logging.getLogger('woadrun.peers')
@@ -38,10 +38,12 @@
 
   async def handle(body: bytes) -> Reply:
     try:
-      found = await answer(codec.decode(body, type=type))
+      found = await answer(
+        decoding.run(functools.partial(codec.decode, body, type=type))
+      )
     except errors.WoadrunError as error:
       return Reply(status=error.status, body=error.get_body())
-    except msgspec.MsgspecError as error:
+    except decoding.MalformedData as error:
       return _make_error(errors.Code.BAD_REQUEST, str(error))
     except Exception as error:
       log.exception('Handler of a peer message failed.')
--- a/src/woadrun/process/peer_routes.py
+++ b/src/woadrun/process/peer_routes.py
@@ -7,8 +7,8 @@
 from typing import Any
 
 from aiohttp import web
-import msgspec
 
+from woadrun import decoding
 from woadrun.connection import messages
 from woadrun.connection import response_ends
 from woadrun.process import cache_reconciler
@@ -93,11 +93,9 @@
     return [*routes, web.post('/peer/call', self._call)]
 
   def _make_handler(self, type: Any, answer: MessageHandler) -> gateway.Handler:
-    decoder = msgspec.json.Decoder(type)
-
     async def handle(request: web.Request) -> web.Response:
       self._guard.check_peer(request)
-      result = answer(decoder.decode(await request.read()))
+      result = answer(decoding.decode_json(await request.read(), type=type))
       if isinstance(result, Awaitable):
         result = await result
       return gateway.make_json_response(result)
@@ -140,7 +138,7 @@
 
   async def _call(self, request: web.Request) -> web.StreamResponse:
     self._guard.check_peer(request)
-    call = msgspec.json.decode(await request.read(), type=calls.Call)
+    call = decoding.decode_json(await request.read(), type=calls.Call)
     is_stream = request.headers.get(forwarding.STREAM_HEADER) == '1'
     answer = await self._local.call(call, is_stream=is_stream)
     await answer.wait_for_head()
--- a/src/woadrun/process/program_copies.py
+++ b/src/woadrun/process/program_copies.py
@@ -20,6 +20,7 @@
 
 import msgspec
 
+from woadrun import decoding
 from woadrun import errors
 from woadrun.connection import peers
 from woadrun.connection import turn_messages
@@ -384,8 +385,8 @@
 def decode_datagram(data: bytes) -> turn_messages.LedgerCopy | None:
   """Returns the copy in a datagram, or None if it cannot be decoded."""
   try:
-    return msgspec.msgpack.decode(data, type=turn_messages.LedgerCopy)
-  except msgspec.MsgspecError as error:
+    return decoding.decode_msgpack(data, type=turn_messages.LedgerCopy)
+  except decoding.MalformedData as error:
     log.warning('Ignored a copy that cannot be decoded: %s', error)
     return None
 
--- a/src/woadrun/process/program_rows.py
+++ b/src/woadrun/process/program_rows.py
@@ -19,6 +19,7 @@
 
 import msgspec
 
+from woadrun import decoding
 from woadrun import errors
 from woadrun.connection import rows
 from woadrun.connection import turn_messages
@@ -282,8 +283,8 @@
 
 def _decode(value: bytes) -> ledger.LedgerRow:
   try:
-    return msgspec.json.decode(value, type=ledger.LedgerRow)
-  except msgspec.MsgspecError as error:
+    return decoding.decode_json(value, type=ledger.LedgerRow)
+  except decoding.MalformedData as error:
     # The row was written in another format.  The spending of the program is
     # unknown, so it must not count as a new one.
     log.error('Cannot decode the row of a program: %s', error)
--- a/src/woadrun/process/registration.py
+++ b/src/woadrun/process/registration.py
@@ -12,7 +12,9 @@
 import mode
 import msgspec
 
+from woadrun import decoding
 from woadrun import errors
+from woadrun.connection import endpoints
 from woadrun.connection import rows
 from woadrun.process import feed
 from woadrun.process import fleet
@@ -29,15 +31,20 @@
 class MemberRow(msgspec.Struct, kw_only=True):
   """The registration of a member, as stored."""
 
-  address: Annotated[
-    str, msgspec.Meta(pattern=r'^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$')
-  ]
-  domain: Annotated[str, msgspec.Meta(min_length=1)]
+  address: Annotated[str, msgspec.Meta(max_length=endpoints.MAX_CHARACTERS)]
+  domain: Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
   incarnation: str
 
+  def __post_init__(self) -> None:
+    """Raises `ValueError` unless a process can listen at the address."""
+    endpoints.check(self.address)
+
 
 class Registration(mode.Service):
-  """Keeps this daemon registered, and follows the rows of all members."""
+  """Keeps this daemon registered, and follows the rows of all members.
+
+  `rejections` counts the rows that are malformed.
+  """
 
   def __init__(
     self,
@@ -52,6 +59,7 @@
     self._incarnation = incarnation
     self._store = store
     self._version_by_name: dict[str, int] = {}
+    self.rejections = decoding.Rejections(kind='member row', log=log)
     self._is_row_outdated = asyncio.Event()
     self.feed = feed.Feed(
       store=store,
@@ -133,9 +141,9 @@
       return
     self._version_by_name[name] = row.version
     try:
-      found = msgspec.json.decode(row.value, type=MemberRow)
-    except msgspec.MsgspecError as error:
-      log.error('Cannot decode the row of member %s: %s', name, error)
+      found = decoding.decode_json(row.value, type=MemberRow)
+    except decoding.MalformedData as error:
+      self.rejections.record(name, error)
       return
     if name == self._me.name:
       if found.address != self._me.address:
--- a/src/woadrun/process/sweeper.py
+++ b/src/woadrun/process/sweeper.py
@@ -13,8 +13,8 @@
 import time
 
 import mode
-import msgspec
 
+from woadrun import decoding
 from woadrun import errors
 from woadrun.connection import rows
 from woadrun.process import feed
@@ -160,6 +160,8 @@
 def _group_pieces(found: tuple[rows.Row, ...]) -> Iterator[_StoredTurn]:
   rows_by_name: dict[str, list[rows.Row]] = {}
   for row in found:
+    if not turn_store.is_piece(row.key.name):
+      continue
     name = turn_store.get_first_name(row.key.name)
     rows_by_name.setdefault(name, []).append(row)
   for name, pieces in rows_by_name.items():
@@ -179,6 +181,14 @@
   found: tuple[rows.Row, ...], now: float
 ) -> Iterator[rows.Key]:
   for row in found:
-    kept = msgspec.json.decode(row.value, type=ledger.LedgerRow)
+    try:
+      kept = decoding.decode_json(row.value, type=ledger.LedgerRow)
+    except decoding.MalformedData as error:
+      log.error(
+        'Program row %s is left, since it cannot be decoded: %s',
+        decoding.shorten(row.key.name),
+        error,
+      )
+      continue
     if kept.written_at + PROGRAM_RETENTION_SECONDS < now:
       yield row.key
--- a/src/woadrun/process/turn_store.py
+++ b/src/woadrun/process/turn_store.py
@@ -18,6 +18,7 @@
 
 import msgspec
 
+from woadrun import decoding
 from woadrun.connection import rows
 from woadrun.connection import turn_messages
 from woadrun.process import feed
@@ -28,6 +29,8 @@
 TABLE = 'turns'
 # Parts of a table, which spread the writes; their names have two digits.
 PART_COUNT = 256
+# Digits of the number of a piece.
+MAX_PIECE_DIGITS = 9
 # Maximum parallel reads for one history.
 MAX_PARALLEL_READS = 8
 # The first piece of a turn starts with the turn's expiry, so that the sweeper
@@ -73,8 +76,10 @@
   For a turn that cannot be decoded it returns the `name` of its row.
   """
   try:
-    found = msgspec.msgpack.decode(data[_EXPIRY_HEADER.size :], type=_FirstTurn)
-  except msgspec.MsgspecError as error:
+    found = decoding.decode_msgpack(
+      data[_EXPIRY_HEADER.size :], type=_FirstTurn
+    )
+  except decoding.MalformedData as error:
     log.error('Stored turn %s cannot be decoded: %s', name, error)
     return name
   return found.line[0] if found.line else found.request
@@ -128,17 +133,21 @@
     )
     # It may hold those of other turns as well: 'a-b' lies between 'a' and 'a0'.
     found = sorted(
-      (row for row in page.rows if get_first_name(row.key.name) == name),
+      (
+        row
+        for row in page.rows
+        if get_first_name(row.key.name) == name and is_piece(row.key.name)
+      ),
       key=lambda row: get_piece_number(row.key.name),
     )
     if not found or found[0].key.name != name:
       return None
     data = b''.join(row.value for row in found)
     try:
-      return msgspec.msgpack.decode(
+      return decoding.decode_msgpack(
         data[_EXPIRY_HEADER.size :], type=turn_messages.Turn
       )
-    except msgspec.MsgspecError as error:
+    except decoding.MalformedData as error:
       # Its other rows may just have been removed.
       log.error('Stored turn %s cannot be decoded: %s', request, error)
       return None
@@ -257,6 +266,13 @@
   return name.partition('/')[0]
 
 
+def is_piece(name: str) -> bool:
+  """Returns whether a row belongs to a turn, by its name."""
+  _, separator, number = name.partition('/')
+  is_number = number.isascii() and number.isdecimal()
+  return not separator or (is_number and len(number) <= MAX_PIECE_DIGITS)
+
+
 def get_piece_number(name: str) -> int:
   """Returns the place of a row among the pieces of its turn, from 0."""
   _, _, number = name.partition('/')
--- a/src/woadrun/request/gateway.py
+++ b/src/woadrun/request/gateway.py
@@ -15,6 +15,7 @@
 from aiohttp import web
 import msgspec
 
+from woadrun import decoding
 from woadrun import errors
 from woadrun import settings
 from woadrun.connection import response_ends
@@ -351,16 +352,16 @@
   the invalid field for JSON that does not match the type.
   """
   try:
-    return msgspec.json.decode(data, type=type)
-  except msgspec.ValidationError as error:
+    return decoding.decode_json(data, type=type)
+  except decoding.MalformedData as error:
+    if error.is_syntax:
+      raise errors.WoadrunError(
+        errors.Code.BAD_JSON, str(error), place='body'
+      ) from None
     reason, _, path = str(error).partition(' - at ')
     raise errors.WoadrunError(
       errors.Code.BAD_REQUEST, reason, place=path.strip('`')
     ) from None
-  except msgspec.DecodeError as error:
-    raise errors.WoadrunError(
-      errors.Code.BAD_JSON, str(error), place='body'
-    ) from None
 
 
 def _get_program_header(request: web.Request) -> str:
--- a/src/woadrun/request/model_call.py
+++ b/src/woadrun/request/model_call.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from woadrun import decoding
 from woadrun import errors
 from woadrun.connection import engine
 from woadrun.decisions import budget
@@ -40,7 +41,7 @@
 
   Raises `bad_request` if the body is not valid.
   """
-  body = msgspec.json.decode(call.body)
+  body = decoding.decode_json(call.body)
   if not isinstance(body, dict):
     raise _make_bad_request('The body must be a JSON object.', '')
   messages = body.get('messages')
@@ -206,7 +207,7 @@
 
 def make_events(completion: bytes) -> bytes:
   """Returns a stored completion as an event stream."""
-  data = msgspec.json.decode(completion)
+  data = decoding.decode_json(completion)
   choice = data['choices'][0]
   head = {**data, 'object': 'chat.completion.chunk'}
   del head['usage']
--- a/src/woadrun/request/upstreams.py
+++ b/src/woadrun/request/upstreams.py
@@ -19,6 +19,7 @@
 import mode
 import msgspec
 
+from woadrun import decoding
 from woadrun import errors
 from woadrun import settings
 from woadrun.connection import engine
@@ -173,7 +174,7 @@
           ) from error
         reason = str(error)
         may_have_run = True
-      except (*STREAM_ERRORS, msgspec.MsgspecError) as error:
+      except (*STREAM_ERRORS, decoding.MalformedData) as error:
         reason = type(error).__name__
         may_have_run |= not isinstance(error, CONNECT_ERRORS)
         place.lost += not place.is_resumed
@@ -205,7 +206,7 @@
       stream = client.resume(accepted.stream)
     else:
       body = model_call.make_engine_body(
-        msgspec.json.decode(accepted.body),
+        decoding.decode_json(accepted.body),
         found.history,
         accepted.messages,
         # Tokens of abandoned attempts are charged to the same reserve.
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -6,6 +6,7 @@
 import msgspec
 import pytest
 
+from woadrun import decoding
 from woadrun import errors
 from woadrun.connection import attempt_reports
 from woadrun.connection import peers
@@ -195,14 +196,15 @@
   assert len(records) == 1
 
 
-async def test_malformed_reports_are_ignored(caplog):
+# The socket counts and logs what it rejects (test_foreign_bytes.py).
+async def test_malformed_reports_are_rejected():
   members = Members()
   records, _ = make(members)
   receive = members.handler_by_kind[datagrams.ATTEMPT_REPORTS]
   for data in (b'', b'{', b'[[["f","i",99,0.0]],0]', b'[[["f"]],0]'):
-    receive(data)
+    with pytest.raises(decoding.MalformedData):
+      receive(data)
   assert len(records) == 0
-  assert len(caplog.messages) == 4
 
 
 class Peer:
--- a/tests/test_crash_rows.py
+++ b/tests/test_crash_rows.py
@@ -278,7 +278,7 @@
       await write()
     other.records.lose('f', 'b')
     await nodes.wait_until(lambda: daemon.records.find_holders('f') == ['b'])
-    assert daemon.rows.rejected_rows == 1
+    assert daemon.rows.rejections.count == 1
     assert not daemon.rows.crashed
   assert all(len(message) < 400 for message in caplog.messages)
 
--- a/tests/test_instances.py
+++ b/tests/test_instances.py
@@ -9,6 +9,7 @@
 import nodes
 import pytest
 
+from woadrun import decoding
 from woadrun.connection import rows
 from woadrun.platform import discovery
 from woadrun.platform import store
@@ -60,7 +61,7 @@
   ],
 )
 def test_entry_with_an_invalid_field_is_rejected(changes):
-  with pytest.raises(msgspec.MsgspecError):
+  with pytest.raises(decoding.MalformedData):
     make_instance(**changes)
 
 
@@ -69,13 +70,13 @@
 )
 def test_entry_without_a_required_field_is_rejected(name):
   entry = {key: value for key, value in GOOD.items() if key != name}
-  with pytest.raises(msgspec.MsgspecError):
+  with pytest.raises(decoding.MalformedData):
     discovery.decode(make_row(json.dumps(entry).encode()))
 
 
 @hypothesis.given(value=strategies.binary(max_size=60))
 def test_arbitrary_bytes_are_rejected(value):
-  with pytest.raises(msgspec.MsgspecError):
+  with pytest.raises(decoding.MalformedData):
     discovery.decode(make_row(value))
 
 
@@ -169,7 +170,7 @@
     directory = daemon.catalogue.directory
     await nodes.wait_until(lambda: 'e3' in directory.by_id)
     assert {i.id for i in directory.find('models').all} == {'e2', 'e3'}
-    assert daemon.catalogue.undecodable_rows == 2
+    assert daemon.catalogue.rejections.count == 2
     await fleet.turn('n1', 'a')
 
 
