--- a/src/woadrun/process/crash_rows.py
+++ b/src/woadrun/process/crash_rows.py
@@ -30,6 +30,7 @@
 from woadrun.process import feed
 from woadrun.process import store_access
 from woadrun.process.load import crash_records
+from woadrun.process.load import request_attempts
 from woadrun.request import fingerprints
 
 log = logging.getLogger('woadrun.crashes')
@@ -134,7 +135,7 @@
   def record(self, report: attempt_reports.AttemptReport) -> None:
     """Takes over a report of this daemon, which is written in a moment."""
     id = report.incarnation_id
-    if crash_records.is_claim(id):
+    if request_attempts.is_claim(id):
       return
     name = _make_name(report.fingerprint, id)
     if report.state is State.COMPLETE:
--- a/src/woadrun/process/fleet_heartbeats.py
+++ b/src/woadrun/process/fleet_heartbeats.py
@@ -6,7 +6,6 @@
 
 import msgspec
 
-from woadrun.connection import endpoints
 from woadrun.decisions import service_times
 
 
@@ -131,10 +130,6 @@
   is_served: bool = False
   started_at: float = 0.0
 
-  def __post_init__(self) -> None:
-    """Raises `ValueError` unless a process can listen at the address."""
-    endpoints.check(self.address)
-
 
 @dataclasses.dataclass(kw_only=True)
 class LastHeartbeat:
--- a/src/woadrun/process/load/crash_records.py
+++ b/src/woadrun/process/load/crash_records.py
@@ -25,6 +25,7 @@
 
 from woadrun.connection import attempt_reports
 from woadrun.decisions import crash_limit
+from woadrun.process.load import request_attempts
 from woadrun.request import fingerprints
 
 log = logging.getLogger('woadrun.crashes')
@@ -42,8 +43,6 @@
 SETTLED_TTL_SECONDS = 30.0
 # Maximum number of instances that are known to have ended.
 MAX_ENDED_INSTANCES = 1024
-# Reports are at most this much older than their age says.
-REPORT_DELAY_SECONDS = 0.2
 # Rows of the store are read at most this much later than they are written.
 ROW_DELAY_SECONDS = 2.0
 # Time for which bytes that were received before may still be delivered.
@@ -53,72 +52,6 @@
 
 State = attempt_reports.State
 
-# States that are no reason to keep a record.
-HARMLESS_STATES = frozenset(
-  (
-    State.NOT_RUN,
-    State.ABANDONED,
-    State.SURVIVED,
-    State.COMPLETE,
-  )
-)
-# The order of states: of two reports on an attempt the later state is newer.
-STATE_ORDER = (
-  State.RUNNING,
-  State.NOT_RUN,
-  State.LOST,
-  State.ABANDONED,
-  State.ENDED,
-  State.SURVIVED,
-  State.COMPLETE,
-)
-# States of attempts that bytes of their instance show to have survived.
-DOUBTED_STATES = (State.LOST, State.ABANDONED)
-# States of attempts whose instance may end or may have ended.
-OPEN_STATES = crash_limit.HOLDING_STATES - {State.ENDED}
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class _Attempt:
-  """The state of an attempt since the time `at`.
-
-  `domains` are the failure domains that are known to know of the attempt.
-  """
-
-  state: State
-  at: float
-  domains: frozenset[str] = frozenset()
-
-
-@dataclasses.dataclass(kw_only=True)
-class _Record:
-  """The attempts of a request by instance; `complete_at` is the last success.
-
-  Attempts before the last success, which was at `complete_id`, are not kept.
-  `is_refused` is set once enough instances ended, `is_shared` once another
-  daemon has a record too.
-  """
-
-  attempt_by_instance: dict[str, _Attempt] = dataclasses.field(
-    default_factory=dict
-  )
-  complete_at: float = -math.inf
-  complete_id: str = ''
-  is_refused: bool = False
-  is_shared: bool = False
-
-  def find(self, *states: State, since: float = -math.inf) -> list[str]:
-    """Returns the instances whose attempt entered a state since a time."""
-    return [
-      id
-      for id, attempt in self.attempt_by_instance.items()
-      if attempt.state in states and attempt.at >= since
-    ]
-
-  def find_holders(self) -> list[str]:
-    """Returns the instances that hold a place."""
-    return self.find(*crash_limit.HOLDING_STATES)
-
 
 class CrashRecords:
   """The attempts that ended their instances, or may have.
@@ -146,7 +79,7 @@
     # another daemon has cleared by a complete response.
     self.on_dropped: Callable[[str], None] = lambda fingerprint: None
     self.on_cleared: Callable[[str], None] = lambda fingerprint: None
-    self._record_by_fingerprint: dict[str, _Record] = {}
+    self._record_by_fingerprint: dict[str, request_attempts.Record] = {}
     self._ended_at_by_instance: dict[str, float] = {}
     # The requests with an attempt, by its instance.
     self._requests_by_instance: dict[str, set[str]] = {}
@@ -205,7 +138,11 @@
     return crash_limit.has_free_place(places, sides or crash_limit.Sides())
 
   def _find_places(
-    self, fingerprint: str, record: _Record, *, without: str = ''
+    self,
+    fingerprint: str,
+    record: request_attempts.Record,
+    *,
+    without: str = '',
   ) -> list[crash_limit.Place]:
     """Returns the places that count, without ends that others explain.
 
@@ -215,7 +152,7 @@
     explained = set(record.find(State.ENDED)) - set(
       self._find_counted_ends(fingerprint, record)
     )
-    is_in_doubt = bool(record.find(*DOUBTED_STATES))
+    is_in_doubt = bool(record.find(*request_attempts.DOUBTED_STATES))
     return [
       crash_limit.Place(
         state=State.LOST if id in explained else attempt.state,
@@ -229,7 +166,9 @@
 
   def describe(self, fingerprint: str) -> str:
     """Returns the states of a request's attempts and their ages, for logs."""
-    record = self._record_by_fingerprint.get(fingerprint, _Record())
+    record = self._record_by_fingerprint.get(
+      fingerprint, request_attempts.Record()
+    )
     now = time.monotonic()
     return ', '.join(
       f'{id} {attempt.state.name} {now - attempt.at:.2f} s'
@@ -338,7 +277,7 @@
     return tuple(self._report_all(fingerprint, record)) if record else ()
 
   def _report_all(
-    self, fingerprint: str, record: _Record
+    self, fingerprint: str, record: request_attempts.Record
   ) -> Iterator[attempt_reports.AttemptReport]:
     now = time.monotonic()
     if record.complete_id:
@@ -386,7 +325,7 @@
 
     A suspect request is sent to others, if there are any.
     """
-    return self._find_beside(fingerprint, *OPEN_STATES)
+    return self._find_beside(fingerprint, *request_attempts.OPEN_STATES)
 
   def _find_beside(
     self, fingerprint: str, *states: State, since: float = -math.inf
@@ -398,7 +337,7 @@
       for other in self._requests_with_ends
       if other != fingerprint
       for id in self._record_by_fingerprint[other].find(*states, since=since)
-      if not is_claim(id)
+      if not request_attempts.is_claim(id)
     }
 
   def has_last_attempt(self, fingerprint: str) -> bool:
@@ -423,10 +362,14 @@
       for fingerprint in self._requests_with_ends
     )
 
-  def _count_ended(self, fingerprint: str, record: _Record) -> int:
+  def _count_ended(
+    self, fingerprint: str, record: request_attempts.Record
+  ) -> int:
     return len(self._find_counted_ends(fingerprint, record))
 
-  def _find_counted_ends(self, fingerprint: str, record: _Record) -> list[str]:
+  def _find_counted_ends(
+    self, fingerprint: str, record: request_attempts.Record
+  ) -> list[str]:
     """Returns the instances whose end counts against a request."""
     ended = record.find(State.ENDED)
     # One end that is due to no other request makes all of them suspicious.
@@ -434,7 +377,9 @@
       return []
     return ended
 
-  def _is_explained(self, fingerprint: str, record: _Record, id: str) -> bool:
+  def _is_explained(
+    self, fingerprint: str, record: request_attempts.Record, id: str
+  ) -> bool:
     """Returns whether the end of an instance is put down to another request.
 
     That is one that is refused, and under which an instance ended that did not
@@ -533,7 +478,7 @@
 
   def _get_attempt(
     self, fingerprint: str, incarnation_id: str
-  ) -> _Attempt | None:
+  ) -> request_attempts.Attempt | None:
     record = self._record_by_fingerprint.get(fingerprint)
     if record is None:
       return None
@@ -559,16 +504,20 @@
       for _, record in self._find_records(incarnation_id)
     )
 
-  def _find_records(self, incarnation_id: str) -> list[tuple[str, _Record]]:
+  def _find_records(
+    self, incarnation_id: str
+  ) -> list[tuple[str, request_attempts.Record]]:
     """Returns the requests with an attempt at an instance, with records."""
     return [
       (fingerprint, self._record_by_fingerprint[fingerprint])
       for fingerprint in self._requests_by_instance.get(incarnation_id, ())
     ]
 
-  def _is_open(self, record: _Record, incarnation_id: str) -> bool:
+  def _is_open(
+    self, record: request_attempts.Record, incarnation_id: str
+  ) -> bool:
     attempt = record.attempt_by_instance.get(incarnation_id)
-    return attempt is not None and attempt.state in OPEN_STATES
+    return attempt is not None and attempt.state in request_attempts.OPEN_STATES
 
   def lose(
     self, fingerprint: str, incarnation_id: str, *, is_over: bool = False
@@ -635,13 +584,15 @@
     return [
       id
       for id, attempt in record.attempt_by_instance.items()
-      if attempt.state in OPEN_STATES
-      and not is_claim(id)
+      if attempt.state in request_attempts.OPEN_STATES
+      and not request_attempts.is_claim(id)
       and id not in running
       and not self._is_probed(fingerprint, id, attempt)
     ]
 
-  def _is_probed(self, fingerprint: str, id: str, attempt: _Attempt) -> bool:
+  def _is_probed(
+    self, fingerprint: str, id: str, attempt: request_attempts.Attempt
+  ) -> bool:
     """Returns whether a lost connection was probed without a result."""
     requests = self._disconnected_by_instance.get(id, ())
     return attempt.state is State.ABANDONED and fingerprint in requests
@@ -652,14 +603,14 @@
       id
       for id in list(self._requests_by_instance)
       for _, record in self._find_records(id)
-      if record.attempt_by_instance[id].state in DOUBTED_STATES
+      if record.attempt_by_instance[id].state in request_attempts.DOUBTED_STATES
     }
 
   def is_open(self, incarnation_id: str) -> bool:
     """Returns whether a sign of an instance is still awaited."""
     return any(
       record.attempt_by_instance[incarnation_id].state
-      in (*DOUBTED_STATES, State.SURVIVED)
+      in (*request_attempts.DOUBTED_STATES, State.SURVIVED)
       for _, record in self._find_records(incarnation_id)
     )
 
@@ -677,7 +628,7 @@
       if self._is_open(record, incarnation_id)
       and (attempt := record.attempt_by_instance[incarnation_id]).at <= before
       # What another daemon runs there goes on as long as the instance does.
-      and (is_ended or attempt.state in DOUBTED_STATES)
+      and (is_ended or attempt.state in request_attempts.DOUBTED_STATES)
     ]
     if is_ended:
       self._record_end(incarnation_id, time.monotonic())
@@ -710,7 +661,9 @@
         continue
       self._take_disconnected(fingerprint, incarnation_id)
       self._take_doubted(fingerprint, incarnation_id)
-      if attempt is not None and attempt.state in DOUBTED_STATES:
+      if (
+        attempt is not None and attempt.state in request_attempts.DOUBTED_STATES
+      ):
         self._set_alive(fingerprint, incarnation_id)
 
   def _set_alive(self, fingerprint: str, incarnation_id: str) -> None:
@@ -760,7 +713,7 @@
     ended_at = self._ended_at_by_instance.get(incarnation_id)
     if ended_at is None:
       return
-    if time.monotonic() > ended_at + REPORT_DELAY_SECONDS:
+    if time.monotonic() > ended_at + request_attempts.REPORT_DELAY_SECONDS:
       self.refute(incarnation_id)
 
   def count_running(self, incarnation_id: str) -> int:
@@ -826,11 +779,11 @@
         attempt_reports.AttemptReport(fingerprint, incarnation_id, state, 0.0)
       )
 
-  def _get_record(self, fingerprint: str) -> _Record:
+  def _get_record(self, fingerprint: str) -> request_attempts.Record:
     """Returns the record of a request, as the newest one, maybe a new one."""
     record = self._record_by_fingerprint.pop(fingerprint, None)
     if record is None:
-      record = _Record()
+      record = request_attempts.Record()
       if len(self._record_by_fingerprint) >= MAX_RECORDS:
         self._evict()
     self._record_by_fingerprint[fingerprint] = record
@@ -871,7 +824,7 @@
 
   def _apply(
     self,
-    record: _Record,
+    record: request_attempts.Record,
     fingerprint: str,
     incarnation_id: str,
     state: State,
@@ -892,7 +845,9 @@
     if known is not None and crash_limit.is_held(known.state):
       # Whoever knows of the place need not be told of its state.
       domains |= known.domains
-    attempts[incarnation_id] = _Attempt(state=state, at=at, domains=domains)
+    attempts[incarnation_id] = request_attempts.Attempt(
+      state=state, at=at, domains=domains
+    )
     self._requests_by_instance.setdefault(incarnation_id, set()).add(
       fingerprint
     )
@@ -913,7 +868,7 @@
 
   def _clear(
     self,
-    record: _Record,
+    record: request_attempts.Record,
     fingerprint: str,
     incarnation_id: str,
     at: float,
@@ -946,7 +901,7 @@
 
   def _log_end(
     self,
-    record: _Record,
+    record: request_attempts.Record,
     fingerprint: str,
     incarnation_id: str,
     *,
@@ -999,9 +954,9 @@
     if report.state is State.CLAIMED:
       return False
     known = self._record_by_fingerprint.get(report.fingerprint)
-    if known is None and report.state in HARMLESS_STATES:
+    if known is None and report.state in request_attempts.HARMLESS_STATES:
       return False
-    if known is not None and not _is_news(known, report, at):
+    if known is not None and not request_attempts.is_news(known, report, at):
       return False
     record = self._get_record(report.fingerprint)
     record.is_shared = True
@@ -1099,7 +1054,8 @@
       )
       for fingerprint, record in newest
       for id, attempt in record.attempt_by_instance.items()
-      if attempt.state is State.ENDED or attempt.state in OPEN_STATES
+      if attempt.state is State.ENDED
+      or attempt.state in request_attempts.OPEN_STATES
     ]
     return sorted(found, key=lambda report: report.state is not State.ENDED)
 
@@ -1117,44 +1073,7 @@
         requests.intersection_update(
           fingerprint
           for fingerprint in requests.copy()
-          if self._get_state(fingerprint, id) in DOUBTED_STATES
+          if self._get_state(fingerprint, id) in request_attempts.DOUBTED_STATES
         )
         if not requests:
           del index[id]
-
-
-def is_claim(incarnation_id: str) -> bool:
-  """Returns whether an id is that of a claim, not of an instance."""
-  return incarnation_id.startswith('claim ')
-
-
-def _is_news(
-  record: _Record, report: attempt_reports.AttemptReport, at: float
-) -> bool:
-  """Returns whether a report is newer than what a record has.
-
-  Times of reports differ by their delay, so that a report about the same
-  attempt is newer by its state.
-  """
-  if at <= record.complete_at + REPORT_DELAY_SECONDS:
-    return False
-  if report.state is State.COMPLETE:
-    return True
-  known = record.attempt_by_instance.get(report.incarnation_id)
-  if known is None:
-    return True
-  if known.state is report.state:
-    # Delays add up on the way, so that a repeated report can look newer.
-    return False
-  if known.state is State.ENDED:
-    # A daemon that does not know of the end may try the instance again.
-    return report.state is State.SURVIVED
-  if report.state is State.NOT_RUN:
-    return known.state is State.RUNNING
-  if is_claim(report.incarnation_id):
-    # A claim that was given back is not made again.
-    return False
-  if known.state is State.NOT_RUN and report.state is State.RUNNING:
-    return at > known.at
-  is_later = STATE_ORDER.index(report.state) > STATE_ORDER.index(known.state)
-  return is_later or at > known.at + REPORT_DELAY_SECONDS
--- a/src/woadrun/request/crash_guard.py
+++ b/src/woadrun/request/crash_guard.py
@@ -67,26 +67,6 @@
     """Returns once the others know what was reported, or after a while."""
 
 
-class _NoReports:
-  """The reports of a daemon that is alone."""
-
-  def __init__(self, *, records: crash_records.CrashRecords) -> None:
-    self._records = records
-
-  async def catch_up(self, until: float) -> bool:
-    """Returns that there are no others."""
-    return True
-
-  async def claim(self, fingerprint: str) -> str | None:
-    """Returns a claim of a place for a request, None if there is none left."""
-    if not self._records.has_free_place(fingerprint):
-      return None
-    return self._records.make_claim(fingerprint)
-
-  async def wait_for_delivery(self) -> None:
-    """Returns at once."""
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Admission:
   """At which instances a request may run, and the claim of a place for that.
@@ -115,7 +95,7 @@
     catalogue: catalogue.Catalogue,
     counters: counters.Counters,
     is_domain_silent: Callable[[str], bool],
-    reports: Reports | None = None,
+    reports: Reports,
   ) -> None:
     super().__init__()
     self.records = records
@@ -123,7 +103,7 @@
     self._catalogue = catalogue
     self._counters = counters
     self._is_domain_silent = is_domain_silent
-    self._reports = reports or _NoReports(records=records)
+    self._reports = reports
     # The attempts without an outcome yet, by `id()`.
     self._unfinished: set[int] = set()
     # The instances whose end is not known, with the probe of each.
--- a/tests/test_datagram_calls.py
+++ b/tests/test_datagram_calls.py
@@ -7,6 +7,7 @@
 import msgspec
 import pytest
 
+from woadrun import decoding
 from woadrun import errors
 from woadrun.connection import peers
 from woadrun.connection import turn_messages
@@ -171,9 +172,12 @@
     assert 'Handler of a peer message failed' in caplog.text
 
 
+# The socket logs and counts malformed ones, and goes on.
 async def test_malformed_and_unexpected_datagrams_are_ignored():
   async with pair() as (asker, answerer):
-    answerer.calls._receive_call(b'\xff')
-    asker.calls._receive_response(b'\xff')
+    with pytest.raises(decoding.MalformedData):
+      answerer.calls._receive_call(b'\xff')
+    with pytest.raises(decoding.MalformedData):
+      asker.calls._receive_response(b'\xff')
     asker.calls._receive_response(CODEC.encode([1, 200, b'']))
     assert (await asker.ask(answerer)).stored == ('a',)
