--- a/src/woadrun/process/crash_reports.py
+++ b/src/woadrun/process/crash_reports.py
@@ -419,6 +419,12 @@
       if self._rows.is_loaded:
         has_store = not self._rows.feed.is_lost
         self.is_informed = has_store or await self._ask_members()
+      if self.is_informed:
+        log.info(
+          'Knows the places from before its start by %s: %d requests.',
+          'the store' if has_store else 'a member',
+          len(self._records),
+        )
       await asyncio.sleep(LEARNING_INTERVAL_SECONDS)
 
   async def _ask_members(self) -> bool:
--- a/tests/test_crash_rows.py
+++ b/tests/test_crash_rows.py
@@ -292,3 +292,21 @@
   assert [len(key.name) < rows.MAX_NAME_BYTES for key in store.row_by_key] == [
     True
   ]
+
+
+# Guards against a request that no operator can release.
+async def test_a_request_whose_rows_are_removed_may_be_sent_again():
+  store = Store()
+  async with Daemon(store) as one, Daemon(store, 'n2') as two:
+    for id in 'abc':
+      one.records.lose('f', id)
+      one.records.resolve(id, is_ended=True)
+    await one.wait_written()
+    await nodes.wait_until(lambda: two.records.count_quarantined())
+    await store.change(removes=list(store.row_by_key))
+    for daemon in (one, two):
+      await nodes.wait_until(
+        lambda records=daemon.records: not records.find_holders('f'),
+        seconds=2.0,
+      )
+      assert not daemon.records.count_quarantined()
