--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -88,7 +88,14 @@
 
 
 def make_fatal_caller(
-  *, began, ended_at, kinds=(), end=outside.RESET, given_up_at=()
+  *,
+  began,
+  ended_at,
+  kinds=(),
+  end=outside.RESET,
+  given_up_at=(),
+  isolated_at=None,
+  killed=(),
 ):
   served = fleet.Fleet(dice=random.Random(1), daemons=1, domains=2)
   caller = crashes.FatalCaller(
@@ -105,7 +112,8 @@
       crashes._Try(
         request=request,
         at=at,
-        daemon_started_at=0.0,
+        isolated_at=isolated_at,
+        was_killed=number in killed,
         ended_at=given_up_at[number] if given_up_at else 0.0,
       )
     )
@@ -138,6 +146,39 @@
   assert bool(caller._find_violations()) is is_violated
 
 
+# Guards against checks that excuse what the store would have told.
+@pytest.mark.parametrize(
+  ('options', 'is_violated'),
+  [
+    ({'kinds': ('kill-all', 'kill')}, True),
+    # Cut off for longer, and for less, than it takes to notice.
+    ({'isolated_at': 9.0, 'kinds': ('isolate',)}, True),
+    ({'isolated_at': 12.9, 'kinds': ('isolate',)}, False),
+    # The first attempt, and a later one, of a daemon that is killed.
+    ({'killed': (0,)}, False),
+    ({'killed': (1,)}, True),
+  ],
+)
+def test_only_what_no_daemon_could_know_is_excused(options, is_violated):
+  caller = make_fatal_caller(
+    began=[10.0, 11.0, 12.0, 13.0],
+    ended_at=[10.1, 11.1, 12.1, 13.1],
+    **options,
+  )
+  assert bool(caller._find_violations()) is is_violated
+
+
+# Guards against places that are lost with all daemons, or unknown to one that
+# is cut off from the others but not from the store.
+@pytest.mark.parametrize(
+  ('kind', 'seed'),
+  [('kill-all', 9), ('isolate', 5), ('isolate', 9), ('isolate', 20)],
+)
+def test_a_request_ends_three_instances_in_a_schedule(kind, seed):
+  drawn = schedule.draw(seed, daemons=6, domains=3, kinds=('crash', kind))
+  assert schedule.run(drawn).violations == ()
+
+
 @pytest.mark.parametrize(
   ('began', 'given_up_at', 'is_violated'),
   [
