--- a/src/woadrun/process/crash_reports.py
+++ b/src/woadrun/process/crash_reports.py
@@ -14,6 +14,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Sequence
 import dataclasses
 import itertools
@@ -81,6 +82,7 @@
 class CrashReports(mode.Service):
   """Sends this daemon's reports, passes on those of others and applies them.
 
+  `has_member_list` returns whether the members of the fleet are known.
   `crash_rows` keeps the places in the store.  `is_informed` is set once this
   daemon knows the places that were taken before its start.
   """
@@ -92,9 +94,11 @@
     records: crash_records.CrashRecords,
     messenger: peers.Messenger,
     crash_rows: crash_rows.CrashRows,
+    has_member_list: Callable[[], bool] = lambda: True,
   ) -> None:
     super().__init__()
     self._messenger = messenger
+    self._has_member_list = has_member_list
     self._rows = crash_rows
     self.is_informed = False
     self._members = members
@@ -417,7 +421,7 @@
     wrote them.  While the store is unavailable, a member has to answer.
     """
     while not self.is_informed and not self.should_stop:
-      if self._rows.is_loaded:
+      if self._rows.is_loaded and self._has_member_list():
         has_answer = await self._ask_members()
         self.is_informed = has_answer or not self._rows.feed.is_lost
       if self.is_informed:
--- a/src/woadrun/process/node.py
+++ b/src/woadrun/process/node.py
@@ -258,6 +258,7 @@
       records=crashes,
       messenger=self.calls,
       crash_rows=self.crash_rows,
+      has_member_list=lambda: self.registration.feed.version is not None,
     )
     self.crash_guard = crash_guard.CrashGuard(
       records=crashes,
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -257,6 +257,23 @@
   await reports.stop()
 
 
+# Guards against a daemon that asks nobody, since its rows came first.
+async def test_a_daemon_waits_for_the_list_of_members_to_ask_them():
+  peer = Peer()
+  _, reports = make(Members(), messenger=peer)
+  has_list = False
+  reports._has_member_list = lambda: has_list
+  await reports.start()
+  await asyncio.sleep(0.1)
+  assert not reports.is_informed
+  assert not peer.asked
+  has_list = True
+  await asyncio.sleep(0.1)
+  assert reports.is_informed
+  assert peer.asked
+  await reports.stop()
+
+
 # Guards against an answer of a member that has forgotten everything itself.
 async def test_a_member_that_has_just_started_informs_nobody():
   peer = Peer(is_informed=False)
