--- a/src/woadrun/connection/endpoints.py
+++ b/src/woadrun/connection/endpoints.py
@@ -33,3 +33,9 @@
   is_reserved = ip.version == 4 and ip.is_reserved
   if ip.is_unspecified or ip.is_multicast or is_reserved:
     raise ValueError(f'{address!r} is not the address of a process')
+
+
+def check_ipv4(address: str) -> None:
+  """Raises `ValueError` unless a process can listen at IPv4:PORT."""
+  check(address)
+  ipaddress.IPv4Address(address.rpartition(':')[0])
--- a/src/woadrun/platform/discovery.py
+++ b/src/woadrun/platform/discovery.py
@@ -55,7 +55,7 @@
   instance that can be: other writers can put arbitrary values into the table.
   """
   entry = decoding.decode_json(row.value, type=_Entry)
-  decoding.run(lambda: endpoints.check(entry.address))
+  decoding.run(lambda: endpoints.check_ipv4(entry.address))
   return instances.Instance(
     id=row.key.name,
     service=entry.service,
--- a/src/woadrun/process/registration.py
+++ b/src/woadrun/process/registration.py
@@ -37,7 +37,7 @@
 
   def __post_init__(self) -> None:
     """Raises `ValueError` unless a process can listen at the address."""
-    endpoints.check(self.address)
+    endpoints.check_ipv4(self.address)
 
 
 class Registration(mode.Service):
--- a/tests/test_foreign_bytes.py
+++ b/tests/test_foreign_bytes.py
@@ -109,15 +109,26 @@
   assert len(str(caught.value)) < 400
 
 
+def decode_member(address):
+  value = msgspec.json.encode({**MEMBER, 'address': address})
+  return decoding.decode_json(value, type=registration.MemberRow)
+
+
+# The platform has IPv4 addresses only.
+@pytest.mark.parametrize('address', ['[::1]:80', '::1:80'])
+def test_rows_name_no_ipv6_address(address):
+  with pytest.raises(decoding.MalformedData):
+    decode_member(address)
+  with pytest.raises(decoding.MalformedData):
+    decode_entry(msgspec.json.encode({**ENTRY, 'address': address}))
+
+
 @pytest.mark.parametrize('address', ODD_ADDRESSES)
 def test_an_address_of_no_process_is_rejected(address):
   with pytest.raises(ValueError):
     endpoints.check(address)
   with pytest.raises(decoding.MalformedData):
-    decoding.decode_json(
-      msgspec.json.encode({**MEMBER, 'address': address}),
-      type=registration.MemberRow,
-    )
+    decode_member(address)
 
 
 @pytest.mark.parametrize(
