Members that are new or have started again are told of all records

Ends told anew each second stay away: acknowledged reports, the records sent to members that missed some, and the rows take their place.

--- a/src/woadrun/process/crash_reports.py
+++ b/src/woadrun/process/crash_reports.py
@@ -463,14 +463,23 @@
 
   @mode.Service.task
   async def _inform_returned_members(self) -> None:
-    """Sends all records to members that have missed some, once they live."""
+    """Sends all records to members that have missed some, once they live.
+
+    One that is new, or has started again, may have asked before a report.
+    """
+    known: set[tuple[str, float]] = set()
     while not self.should_stop:
       await ticks.sleep(INFORM_INTERVAL_SECONDS)
+      processes = {
+        (member.name, self._members.get_started_at(member.name))
+        for member in self._members.find_news_receivers()
+      }
+      self._uninformed_names.update(name for name, _ in processes - known)
+      known = processes
       found = [
         self._members.member_by_name[name]
         for name in sorted(self._uninformed_names)
         if name in self._members.member_by_name and self._members.is_alive(name)
       ]
-      if found:
-        self._uninformed_names.difference_update(m.name for m in found)
-        self._deliver(self._records.list_reports(), found, hops=MAX_HOPS)
+      self._uninformed_names.difference_update(m.name for m in found)
+      self._deliver(self._records.list_reports(), found, hops=MAX_HOPS)
--- a/src/woadrun/process/fleet.py
+++ b/src/woadrun/process/fleet.py
@@ -641,6 +641,11 @@
     own = self._members.get_all_of(self.me.domain).values()
     return [m for m in own if m != self.me], self._find_remote_hubs()
 
+  def get_started_at(self, name: str) -> float:
+    """Returns when a member's process started, by its clock; 0 if unknown."""
+    heard = self.last_heartbeat_by_name.get(name)
+    return heard.heartbeat.started_at if heard else 0.0
+
   def _find_expected(self) -> list[fleet_heartbeats.Member]:
     """Returns the own domain's members that must have sent a heartbeat by now.
 
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -16,6 +16,8 @@
 from woadrun.process.load import crash_records
 
 State = attempt_reports.State
+# Records that one datagram tells.
+RECORDS = 12
 
 
 class Members:
@@ -30,6 +32,7 @@
     self.is_isolated = False
     self.datagrams = self
     self.names = ['n2']
+    self.started_at_by_name = {}
     self.sent = []
     self.acknowledged = []
     self.handler_by_kind = {}
@@ -80,6 +83,9 @@
     )
     self.handler_by_kind[datagrams.REPORTS_RECEIVED](msgspec.json.encode(ack))
 
+  def get_started_at(self, name):
+    return self.started_at_by_name.get(name, 0.0)
+
   def receive(self, *reports, hops=0):
     message = attempt_reports.AttemptReports(reports, hops)
     self.handler_by_kind[datagrams.ATTEMPT_REPORTS](
@@ -207,6 +213,55 @@
   assert len(records) == 0
 
 
+async def test_a_new_member_is_told_of_ended_instances(monkeypatch):
+  monkeypatch.setattr(crash_reports, 'INFORM_INTERVAL_SECONDS', 0.02)
+  members = Members()
+  records, reports = make(members)
+  records.lose('f', 'a')
+  records.resolve('a', is_ended=True)
+  await reports.start()
+  await asyncio.sleep(0.1)
+  members.sent.clear()
+  members.names.append('n3')
+  await asyncio.sleep(0.1)
+  told = [m.reports for address, m in members.sent if address == 'at-n3']
+  assert [(item.fingerprint, item.state) for item in told[0]] == [
+    ('f', State.ENDED)
+  ]
+  await reports.stop()
+
+
+# Guards against a daemon that starts again so quickly that nobody misses it, is
+# told of a few ended instances a second and sends a fatal request on meanwhile.
+async def test_a_member_that_restarts_unnoticed_is_told_of_ended_instances(
+  monkeypatch,
+):
+  monkeypatch.setattr(crash_reports, 'INFORM_INTERVAL_SECONDS', 0.02)
+  members = Members()
+  records, reports = make(members)
+  for number in range(RECORDS):
+    records.lose(f'f{number}', 'a')
+  records.resolve('a', is_ended=True)
+  members.started_at_by_name['n2'] = 1.0
+  await reports.start()
+  # Until it is told as a member that is new.
+  await asyncio.sleep(0.1)
+  for number in range(len(members.sent)):
+    members.acknowledge(number)
+  await asyncio.sleep(0.6)
+  members.sent.clear()
+  await asyncio.sleep(0.1)
+  assert members.sent == []
+  members.started_at_by_name['n2'] = 2.0
+  await asyncio.sleep(0.1)
+  # One datagram, which is sent again as it is not acknowledged.
+  assert {address for address, _ in members.sent} == {'at-n2'}
+  assert len({told.id for _, told in members.sent}) == 1
+  for _, told in members.sent:
+    assert len(told.reports) == RECORDS
+  await reports.stop()
+
+
 class Peer:
   """A member that answers a question for records with `reports`, if at all."""
 
