Admission: programs that return rank as those that ask first

What callers saw: at a service that is asked for more than it can run, a program that obeyed Retry-After, with half of its time left, stood behind every newer one. Of 10 programs a second each, with room for 10, all new ones began and none of those that returned.

Cause: ClassKey.order was NEW, RETURNING_IN_TIME, RETURNING_LATE, and a class is served before all later ones. Whether a program can still be in time was asked only of those that return.

Change: the order is IN_TIME or LATE, from the time left and the learned duration of its kind, for first tries and repeats alike.

Evidence: test_a_returning_program_ranks_as_one_that_asks_first fails before ('0.1.' beside '0.0.').

Replaced tests: the order of returning programs was pinned; it must follow from time and work now, of a first request as well.

--- a/src/woadrun/decisions/program_admission.py
+++ b/src/woadrun/decisions/program_admission.py
@@ -57,17 +57,16 @@
 MAX_NAMED_TEAMS = 16
 OTHER_TEAMS = ''
 
-NEW = 0
-RETURNING_IN_TIME = 1
-RETURNING_LATE = 2
+IN_TIME = 0
+LATE = 1
 
 
 class ClassKey(NamedTuple):
   """A class of programs of one team.
 
   `priority` is that of the route, 0 the most urgent.  `order` is the order
-  within the priority: `NEW`, `RETURNING_IN_TIME` or `RETURNING_LATE`.  `team`
-  may be `OTHER_TEAMS`.
+  within the priority: `IN_TIME` for programs that can still end by their finish
+  time, `LATE` for others.  `team` may be `OTHER_TEAMS`.
   """
 
   priority: int
@@ -282,22 +281,16 @@
 
 
 def get_order(
-  *,
-  is_returning: bool,
-  allowed: float | None,
-  left: float | None,
-  ratio: float,
+  *, allowed: float | None, left: float | None, ratio: float
 ) -> int:
   """Returns the order of a program within its priority.
 
-  The arguments are those of `can_be_in_time`; `is_returning` tells whether the
-  program was refused before.
+  The arguments are those of `can_be_in_time`.  Whether the program was refused
+  before does not count.
   """
-  if not is_returning:
-    return NEW
   if can_be_in_time(allowed=allowed, left=left, ratio=ratio):
-    return RETURNING_IN_TIME
-  return RETURNING_LATE
+    return IN_TIME
+  return LATE
 
 
 def estimate_retry_after(
--- a/src/woadrun/process/load/program_gate.py
+++ b/src/woadrun/process/load/program_gate.py
@@ -267,7 +267,6 @@
     key = program_admission.ClassKey(
       priority=ask.priority,
       order=program_admission.get_order(
-        is_returning=ticket is not None,
         allowed=allowed,
         left=ask.seconds_left,
         ratio=self._get_ratio(ask.kind),
