Team rates: a refused program is told when its units have accrued

What callers saw: programs whose missing units took 2.8, 3.2, 2.9 and 1.9 s to accrue were told to return after 1.0 s each, together, and were refused again. One that could not be in time was told 1 s as well.

After 3 s a program that returned counted as new, with the time left then.

Change: the time told is that in which the missing units accrue, and the units of the programs of the same priority that were refused before, as long as their own time lasts. A program is remembered for the time that it had at its first request; at most 10,000 are. The floor of 0.1 s and the special time for late programs are gone: how long a caller obeys is its own decision.

--- a/bench/timed_rates.py
+++ b/bench/timed_rates.py
@@ -117,6 +117,7 @@
         now=now,
       )
       if refusal is not None:
+        known.record_refused_start(request.program, refusal)
         return rate_limit.Outcome(
           is_granted=False, retry_after=refusal.retry_after
         )
--- a/src/woadrun/decisions/timed_programs.py
+++ b/src/woadrun/decisions/timed_programs.py
@@ -40,13 +40,8 @@
 RESERVE_FACTOR = 2.0
 # Each kind gets at least this fraction of its proportional part of the rate.
 MIN_PART = 0.25
-# Time for which a program that has not begun is remembered.  Refused callers
-# return within about 1 s.
-TICKET_TTL_SECONDS = 3.0
-# Bounds of the time after which a refused program is told to return.  Callers
-# obey delays up to about 1 s.
-MIN_RETRY_SECONDS = 0.1
-MAX_RETRY_SECONDS = 1.0
+# Maximum number of programs that are remembered before they begin.
+MAX_TICKETS = 10_000
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -66,10 +61,10 @@
 class Refusal:
   """Why a program does not begin; it may return after `retry_after` seconds.
 
-  `excess` is the number of requests for which the rate does not suffice.
+  `needed` is the number of requests that it is expected to send.
   """
 
-  excess: float
+  needed: float
   retry_after: float
 
 
@@ -111,11 +106,18 @@
 class _Ticket:
   """A program that was asked for and has not begun.
 
-  `allowed` is the time that it had at its first request, in seconds.
+  `allowed` is the time that it had at its first request, in seconds.  `needed`
+  is the number of requests that it will send, 0 if it was not refused.
   """
 
   asked_at: float
   allowed: float
+  priority: int
+  needed: float = 0.0
+
+  def is_expired(self, now: float) -> bool:
+    """Returns whether the time that the program had is over."""
+    return now - self.asked_at > self.allowed
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -127,6 +129,7 @@
   """
 
   kind: str
+  priority: int
   allowed: float
   started_at: float
   last_request_at: float
@@ -145,14 +148,19 @@
     self._running_by_id: dict[str, _Running] = {}
     self._offer_by_kind: dict[str, _Offer] = {}
     self._ticket_by_id: dict[str, _Ticket] = {}
+    # Requests of the refused programs that may return.
+    self._needed_by_priority: dict[int, float] = {}
 
   def __contains__(self, id: object) -> bool:
     return id in self._running_by_id
 
-  def get_seconds_left(self, id: str, now: float) -> float | None:
-    """Returns the time until a running program should end, None if unknown."""
-    running = self._running_by_id.get(id)
-    return None if running is None else running.finish_at - now
+  def get_allowed(self, id: str) -> float | None:
+    """Returns the time that a program which has not begun had at first.
+
+    The result is in seconds, None if the program is not known or has begun.
+    """
+    ticket = self._ticket_by_id.get(id)
+    return None if ticket is None else ticket.allowed
 
   def record_asked(self, start: Start, now: float) -> None:
     """Records the first request of a program, before it is decided on.
@@ -163,7 +171,10 @@
       return
     # A program may tell a finish time that has passed.
     allowed = max(0.0, start.seconds_left)
-    self._ticket_by_id[start.id] = _Ticket(asked_at=now, allowed=allowed)
+    self._put_ticket(
+      start.id,
+      _Ticket(asked_at=now, allowed=allowed, priority=start.priority),
+    )
     offer = self._offer_by_kind.setdefault(
       start.kind, _Offer(priority=start.priority, updated_at=now)
     )
@@ -171,6 +182,31 @@
     offer.decay(now)
     offer.asked += allowed
 
+  def record_refused_start(self, id: str, refusal: Refusal) -> None:
+    """Records that a program which asked to begin was refused.
+
+    It stands before those of its priority that are refused later.
+    """
+    ticket = self._take_ticket(id)
+    if ticket is not None:
+      self._put_ticket(id, dataclasses.replace(ticket, needed=refusal.needed))
+
+  def _put_ticket(self, id: str, ticket: _Ticket) -> None:
+    if len(self._ticket_by_id) >= MAX_TICKETS:
+      self._take_ticket(next(iter(self._ticket_by_id)))
+    self._ticket_by_id[id] = ticket
+    self._add_needed(ticket.priority, ticket.needed)
+
+  def _take_ticket(self, id: str) -> _Ticket | None:
+    ticket = self._ticket_by_id.pop(id, None)
+    if ticket is not None:
+      self._add_needed(ticket.priority, -ticket.needed)
+    return ticket
+
+  def _add_needed(self, priority: int, needed: float) -> None:
+    known = self._needed_by_priority.get(priority, 0.0)
+    self._needed_by_priority[priority] = max(0.0, known + needed)
+
   def record_request(
     self,
     id: str,
@@ -188,12 +224,13 @@
     if running is None:
       if seconds_left is None:
         return
-      ticket = self._ticket_by_id.pop(id, None)
+      ticket = self._take_ticket(id)
       if ticket is not None and kind in self._offer_by_kind:
         self._offer_by_kind[kind].decay(now)
         self._offer_by_kind[kind].begun += ticket.allowed
       running = _Running(
         kind=kind,
+        priority=ticket.priority if ticket else 0,
         allowed=ticket.allowed if ticket else max(0.0, seconds_left),
         started_at=now,
         last_request_at=now,
@@ -224,8 +261,13 @@
     if running.requests <= 0:
       del self._running_by_id[id]
       if running.is_whole:
-        self._ticket_by_id[id] = _Ticket(
-          asked_at=running.started_at, allowed=running.allowed
+        self._put_ticket(
+          id,
+          _Ticket(
+            asked_at=running.started_at,
+            allowed=running.allowed,
+            priority=running.priority,
+          ),
         )
 
   def expire_idle(self, now: float) -> None:
@@ -241,12 +283,10 @@
     for id in ended:
       self._learn(self._running_by_id.pop(id))
     gone = [
-      id
-      for id, ticket in self._ticket_by_id.items()
-      if now - ticket.asked_at > TICKET_TTL_SECONDS
+      id for id, ticket in self._ticket_by_id.items() if ticket.is_expired(now)
     ]
     for id in gone:
-      del self._ticket_by_id[id]
+      self._take_ticket(id)
 
   def _learn(self, ended: _Running) -> None:
     if not ended.is_whole or ended.is_refused or ended.allowed <= 0:
@@ -278,15 +318,19 @@
     second.  `other_rate` is the rate of requests of programs that tell no
     finish time.  A program that finds no other under way and a full bucket is
     admitted even if the rate suffices for no whole program: it could wait for
-    no more.
+    no more.  A refused program is told when the missing units have accrued, and
+    those for the programs of its priority that were refused before.
     """
     demand = self.demand_by_kind.get(start.kind)
     active = self._count_active(now)
     # The bucket has a unit left for each program under way.
     room = level - min(burst, 1.0 + UNITS_PER_PROGRAM * active)
-    if demand is None:
-      return _make_refusal(-room, rate)
     ticket = self._ticket_by_id.get(start.id)
+    others = self._needed_by_priority.get(start.priority, 0.0)
+    if ticket is not None:
+      others -= ticket.needed
+    if demand is None:
+      return _make_refusal(-room, needed=1.0, others=others, rate=rate)
     allowed = ticket.allowed if ticket else max(0.0, start.seconds_left)
     # The duration without waiting for the rate.
     seconds = max(program_demand.MIN_DURATION_SECONDS, demand.ratio * allowed)
@@ -312,12 +356,9 @@
     excess = needed - rate * horizon - level
     if can_be_in_time and self._is_below_part(start, rate, offered_by_kind):
       excess = 0.0
-    refusal = _make_refusal(max(excess, -room), rate)
-    if refusal and start.seconds_left - refusal.retry_after < seconds:
-      # The program cannot be in time when it returns, so it is told to stay
-      # away for as long as callers obey.
-      return dataclasses.replace(refusal, retry_after=MAX_RETRY_SECONDS)
-    return refusal
+    return _make_refusal(
+      max(excess, -room), needed=own, others=others, rate=rate
+    )
 
   def _is_below_part(
     self, start: Start, rate: float, offered_by_kind: Mapping[str, float]
@@ -374,8 +415,10 @@
     }
 
 
-def _make_refusal(excess: float, rate: float) -> Refusal | None:
+def _make_refusal(
+  excess: float, *, needed: float, others: float, rate: float
+) -> Refusal | None:
   if excess <= 0:
     return None
-  seconds = min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, excess / rate))
-  return Refusal(excess=excess, retry_after=seconds)
+  missing = excess + max(0.0, others)
+  return Refusal(needed=needed, retry_after=missing / rate)
--- a/src/woadrun/process/rate_owner.py
+++ b/src/woadrun/process/rate_owner.py
@@ -791,6 +791,7 @@
   )
   if refusal is None:
     return None
+  limit.timed.record_refused_start(ask.program, refusal)
   return rate_messages.RateDecision(
     is_granted=False, retry_after=refusal.retry_after
   )
