Admission: a refused program is told when there is a place for it

What callers saw: at most 1.0 s, whatever the programs under way took to end, and 1.0 s as well if they could not be in time any more. With 240 programs at a capacity of 85 and a duration of 2 s, eight refused programs were told 1.0 s each, when the first place is free after 1.3 s.

A program that came back later than 3 s after its refusal counted as new.

Change: the delay follows from what is observed: the programs beyond the capacity end first, then one for each refused program that is to return, also those refused since the last plan. A refused program is remembered as long as it has time (at most 10,000 are), and counts as waiting until it was told to be back.

Evidence: test_time_to_return_is_that_of_a_free_place and the delays in test_programs_are_refused_only_above_the_capacity fail before (1.0 each).

Replaced tests: the limits of 0.1 and 1 s were pinned; the exact delays are now. That a program without time does not make others late was read off a delay of 0.1 s, and is now read off the order in which they rank.

--- a/src/woadrun/decisions/program_admission.py
+++ b/src/woadrun/decisions/program_admission.py
@@ -49,10 +49,6 @@
 RATE_HALF_LIFE_SECONDS = 0.25
 # A program is under way until this long after its last turn ended.
 IDLE_SECONDS = 0.5
-# The first request of a refused program is remembered for this long.
-TICKET_SECONDS = 3.0
-MIN_RETRY_SECONDS = 0.1
-MAX_RETRY_SECONDS = 1.0
 # The heaviest teams are named in sums; all others count as this one team.
 MAX_NAMED_TEAMS = 16
 OTHER_TEAMS = ''
@@ -294,17 +290,19 @@
 
 
 def estimate_retry_after(
-  *, waiting: float, budget: float, can_be_in_time: bool
+  state: ServiceState, plan: Plan, *, waiting: int
 ) -> float:
   """Returns the seconds after which a refused program should return.
 
-  `waiting` counts the programs refused and not yet back, `budget` is in
-  programs per second.  `can_be_in_time` tells whether the program can still be
-  in time when it returns.
+  `waiting` counts the refused programs that are to return before it.  The
+  programs beyond the capacity end first, then one for each that begins.
   """
-  if not can_be_in_time or budget <= 0:
-    return MAX_RETRY_SECONDS
-  return min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, waiting / budget))
+  seconds = state.seconds_per_program
+  if seconds is None:
+    seconds = INITIAL_SECONDS_PER_PROGRAM
+  excess = max(0.0, state.programs - plan.capacity)
+  ends = excess / max(1.0, state.programs)
+  return seconds * (ends + (waiting + 1) / max(1.0, plan.capacity))
 
 
 def get_initial_credit(member: str, rank: tuple[int, int]) -> float:
--- a/src/woadrun/process/load/program_gate.py
+++ b/src/woadrun/process/load/program_gate.py
@@ -52,8 +52,6 @@
 # Minimum interval between two scans for ended programs while programs ask to
 # begin.
 EXPIRE_INTERVAL_SECONDS = 0.1
-# A refused program counts as waiting until this long after it should be back.
-RETURN_GRACE_SECONDS = 0.3
 # A turn whose end is not reported ends this long after its deadline.
 CLOSE_GRACE_SECONDS = 0.5
 # Half-life of the rate at which programs end.  A program lasts longer than a
@@ -67,6 +65,8 @@
 # Longest interval that one sample of the running turns stands for.  After an
 # idle time, a single sample with few programs would otherwise count fully.
 MAX_SAMPLE_SECONDS = 0.25
+# Maximum number of refused programs that are remembered.
+MAX_TICKETS = 10_000
 # Lower rates per second are neither reported nor kept.
 MIN_RATE = 0.05
 # Maximum number of weights kept for teams that the routing table lacks.
@@ -86,17 +86,14 @@
 class _Ticket:
   """A refused program that should return at `due_at`.
 
-  `allowed` is the time that it had at its first request, in seconds.
+  `allowed` is the time that it had at its first request, in seconds, and
+  `forget_at` the time at which it counts as a new one.
   """
 
   service: str
   allowed: float | None
-  refused_at: float
   due_at: float
-
-  def is_expired(self, now: float) -> bool:
-    """Returns whether the program counts as new when it returns now."""
-    return now - self.refused_at >= program_admission.TICKET_SECONDS
+  forget_at: float
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -131,12 +128,13 @@
       )
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
+@dataclasses.dataclass(kw_only=True)
 class _CurrentPlan:
   """The plan for a service, and the sums from which it was made.
 
-  Without recent sums, `limit` is the number of programs that this daemon may
-  have under way, else it is None.
+  `waiting` counts the refused programs that were to return then, and `refused`
+  those that this daemon has refused since.  Without recent sums, `limit` is the
+  number of programs that this daemon may have under way, else it is None.
   """
 
   made_at: float
@@ -144,6 +142,7 @@
   plan: program_admission.Plan
   waiting: int
   limit: int | None
+  refused: int = 0
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -261,7 +260,7 @@
       self._expire(now)
     ask = first.ask
     ticket = self._ticket_by_program.pop(first.program, None)
-    if ticket is not None and ticket.is_expired(now):
+    if ticket is not None and now >= ticket.forget_at:
       ticket = None
     allowed = ask.seconds_left if ticket is None else ticket.allowed
     key = program_admission.ClassKey(
@@ -370,7 +369,7 @@
     self._ticket_by_program = {
       program: ticket
       for program, ticket in self._ticket_by_program.items()
-      if not ticket.is_expired(now)
+      if now < ticket.forget_at
     }
 
   def _learn(self, ended: _Program) -> None:
@@ -424,25 +423,19 @@
   ) -> errors.WoadrunError:
     """Keeps a ticket for a program, and returns the error to raise."""
     ask = first.ask
-    ratio = self._get_ratio(ask.kind)
-
-    def estimate(can_be_in_time: bool) -> float:
-      return program_admission.estimate_retry_after(
-        waiting=current.waiting + 1,
-        budget=current.plan.budget,
-        can_be_in_time=can_be_in_time,
-      )
-
-    delay = estimate(True)
-    left = None if ask.seconds_left is None else ask.seconds_left - delay
-    delay = estimate(
-      program_admission.can_be_in_time(allowed=allowed, left=left, ratio=ratio)
+    delay = program_admission.estimate_retry_after(
+      current.state, current.plan, waiting=current.waiting + current.refused
     )
-    self._ticket_by_program[first.program] = _Ticket(
-      service=ask.service,
-      allowed=allowed,
-      refused_at=now,
-      due_at=now + delay,
+    current.refused += 1
+    left = delay if ask.seconds_left is None else ask.seconds_left
+    self._put_ticket(
+      first.program,
+      _Ticket(
+        service=ask.service,
+        allowed=allowed,
+        due_at=now + delay,
+        forget_at=now + max(0.0, left),
+      ),
     )
     self._record_decision(ask.service, ask.kind, False)
     state = current.state
@@ -475,6 +468,11 @@
       retry_after=delay,
     )
 
+  def _put_ticket(self, program: str, ticket: _Ticket) -> None:
+    if len(self._ticket_by_program) >= MAX_TICKETS:
+      del self._ticket_by_program[next(iter(self._ticket_by_program))]
+    self._ticket_by_program[program] = ticket
+
   def _get_current_plan(self, name: str, now: float) -> _CurrentPlan:
     """Returns the plan for a service, made anew from time to time."""
     service = self._get_service(name)
@@ -615,7 +613,7 @@
     return fleet_heartbeats.ServiceDemand(
       programs=service.programs,
       waiting=sum(
-        ticket.service == name and now < ticket.due_at + RETURN_GRACE_SECONDS
+        ticket.service == name and now < ticket.due_at
         for ticket in self._ticket_by_program.values()
       ),
       ended=_round_rate(service.ended.get(now)),
