Retry delays of full services and outages follow from what is observed

What callers saw: at a full service at most 2 s, with 300 requests of 4 s ahead (20 s), and 0.1 s where an instance had a slot sooner or later than that; in an outage 1.5 to 2 s, whether it had just begun or lasted for 9 s.

Change: a full service tells the time in which the requests ahead end, at least that in which an instance frees one slot; an outage is assumed to last as long again, at least until a daemon looks again whether it has ended. An isolated daemon counts from when it last heard another member.

Evidence: test_a_full_service_is_told_the_time_of_the_requests_ahead fails before (2.0 in place of 20.0 s), as does the replaced test of outages (1.5, 1.5, 1.5, 2.0 in place of 0.25, 0.3, 1.2, 9.0), which pinned both limits.

--- a/src/woadrun/decisions/retry_after.py
+++ b/src/woadrun/decisions/retry_after.py
@@ -1,35 +1,38 @@
-"""Estimates of when a refused caller should retry."""
+"""Estimates of when a refused caller should return.
+
+They follow from what a daemon has observed.  How long a caller obeys is its own
+decision.
+"""
 
 from __future__ import annotations
 
-# Lower bound of the delay: a caller that retries immediately would be refused
-# for the same reason.
-MIN_SECONDS = 0.1
-MAX_SECONDS = 2.0
-# Lower bound of the delay during an outage.  Outages and network partitions
-# last seconds and a caller has few attempts: with a shorter delay it would use
-# up its attempts before the outage ends.
-MIN_OUTAGE_SECONDS = 1.5
+# Interval at which a daemon checks whether an outage has ended.  A caller that
+# returns sooner meets a daemon that knows no more than before.
+OUTAGE_CHECK_SECONDS = 0.25
 
 
-def estimate(*, running: int, slots: int, seconds: float) -> float:
-  """Returns the estimated seconds until a slot is free.
+def estimate(
+  *, running: int, slots: int, seconds: float, slots_of_instance: float
+) -> float:
+  """Returns the estimated seconds until a request finds a free slot.
 
   `running` counts the requests at all instances of a service, `slots` the
   requests that these instances run concurrently, and `seconds` is the mean
-  duration of a request there.
+  duration of a request there.  Even if other instances have free slots, one
+  that has refused a request has one after a request of its own has ended;
+  `slots_of_instance` is the number of its slots, a mean.  Without slots, the
+  result is that of `estimate_outage` for one that has just begun.
   """
   if slots <= 0:
-    return MAX_SECONDS
+    return estimate_outage(0.0)
   ahead = max(0, running - slots) + 1
-  return min(MAX_SECONDS, max(MIN_SECONDS, ahead / slots * seconds))
+  return max(ahead / slots, 1.0 / max(1.0, slots_of_instance)) * seconds
 
 
 def estimate_outage(elapsed: float) -> float:
   """Returns the estimated seconds until an outage ends.
 
   The only known predictor of the remaining duration is the elapsed duration,
-  so the outage is assumed to last as long again.  A caller that retries sooner
-  uses up its few attempts while no daemon can serve it.
+  so the outage is assumed to last as long again.
   """
-  return min(MAX_SECONDS, max(MIN_OUTAGE_SECONDS, elapsed))
+  return max(OUTAGE_CHECK_SECONDS, elapsed)
--- a/src/woadrun/process/fleet.py
+++ b/src/woadrun/process/fleet.py
@@ -338,6 +338,14 @@
     )
     return max(lasting, default=0.0)
 
+  def get_isolation_seconds(self) -> float:
+    """Returns how long ago any other member was heard, in seconds.
+
+    The result is 0 if none was ever heard.
+    """
+    heard_at = max(self._heard_at_by_domain.values(), default=None)
+    return 0.0 if heard_at is None else time.monotonic() - heard_at
+
   def get_silent_seconds(self) -> dict[str, float]:
     """Returns for how long each member has counted as silent, by name.
 
--- a/src/woadrun/process/load/loads.py
+++ b/src/woadrun/process/load/loads.py
@@ -526,15 +526,17 @@
   def estimate_retry_after(self, group: instances.Group) -> float:
     """Returns the seconds until a rejected request should find a free slot.
 
-    `retry_after.estimate` limits the result; for a group without instances it
-    is the upper limit.
+    See `retry_after.estimate`.
     """
     running = sum(self.get_total(item.incarnation_id) for item in group.all)
     seconds = [self._get(item.incarnation_id).seconds for item in group.all]
+    slots = sum(item.slots for item in group.all)
+    count = max(1, len(seconds))
     return retry_after.estimate(
       running=running,
-      slots=sum(item.slots for item in group.all),
-      seconds=sum(seconds) / len(seconds) if seconds else 0.0,
+      slots=slots,
+      seconds=sum(seconds) / count,
+      slots_of_instance=slots / count,
     )
 
   def _get(self, id: str) -> Load:
--- a/src/woadrun/request/rates.py
+++ b/src/woadrun/request/rates.py
@@ -120,7 +120,9 @@
       raise errors.WoadrunError(
         errors.Code.ISOLATED,
         'No other daemon is reachable; another one may own the rate limit.',
-        retry_after=retry_after.MIN_OUTAGE_SECONDS,
+        retry_after=retry_after.estimate_outage(
+          self._members.get_isolation_seconds()
+        ),
       )
     decision = await self._ask_until_decided(
       ask, deadline, work_seconds=work_seconds
--- a/tests/test_retry_after.py
+++ b/tests/test_retry_after.py
@@ -1,5 +1,7 @@
 """The retry delay of refused callers depends on the cause of the refusal."""
 
+import functools
+
 import nodes
 import pytest
 
@@ -9,7 +11,19 @@
 
 def test_outage_is_expected_to_last_as_long_again():
   found = [retry_after.estimate_outage(s) for s in (0.0, 0.3, 1.2, 9.0)]
-  assert found == [1.5, 1.5, 1.5, 2.0]
+  # Not before a daemon has looked whether the outage has ended.
+  assert found == [0.25, 0.3, 1.2, 9.0]
+
+
+def test_a_full_service_is_told_the_time_of_the_requests_ahead():
+  """It was at most 2 s, while 300 requests of 4 s each were ahead."""
+  estimate = functools.partial(
+    retry_after.estimate, slots=60, seconds=4.0, slots_of_instance=6.0
+  )
+  assert estimate(running=359) == pytest.approx(20.0)
+  # One instance was full, although others were not.
+  assert estimate(running=3) == pytest.approx(4.0 / 6)
+  assert estimate(running=0, slots=0) == retry_after.estimate_outage(0.0)
 
 
 async def test_retry_delay_grows_with_the_silence_of_a_domain():
