Attempts: a refused request goes on while its usual time is left

What callers saw: on a route with one attempt, a request that an instance refused after 10.2 of 30 s was sent to no other one, with 19.8 s left; one refused after 0.3 of 1 s was, with 0.7 s left, however long it takes.

Cause: attempt_limit.FURTHER_ATTEMPTS_SHARE, a third of the time that the request had, asked neither for the time left nor for the work.

Change: a further attempt after one that did not run needs the usual duration of requests to that service, which the daemon observes (mean and mean deviation).

--- a/src/woadrun/request/attempts.py
+++ b/src/woadrun/request/attempts.py
@@ -136,7 +136,6 @@
   last_error: Exception | None = None
   may_have_run: bool = False
   not_run: int = 0
-  started_at: float = dataclasses.field(default_factory=time.monotonic)
 
   @property
   def route(self) -> routes.Route:
@@ -295,7 +294,7 @@
   ) -> exchange.RequestAttempt | None:
     """Returns the next attempt once it may be sent, None if there is none."""
     until = time.monotonic() + crash_guard.MAX_WAIT_SECONDS
-    while _has_attempt_left(state):
+    while self._has_attempt_left(state):
       try:
         state.admission = await self._guard.admit(
           state.fingerprint, service=state.service, deadline=state.deadline
@@ -322,6 +321,17 @@
       await asyncio.sleep(crash_guard.POLL_INTERVAL_SECONDS)
     return None
 
+  def _has_attempt_left(self, state: _SendState) -> bool:
+    """Returns whether the limits on attempts and time allow another one."""
+    seconds_left = exchange.get_seconds_left(state.deadline)
+    return seconds_left >= MIN_REMAINING_SECONDS and attempt_limit.may_send(
+      max_attempts=state.route.max_attempts,
+      tried=len(state.tried),
+      not_run=state.not_run,
+      seconds_left=seconds_left,
+      work_seconds=self.estimate_seconds(state.service),
+    )
+
   def _prepare_next(
     self,
     state: _SendState,
@@ -336,7 +346,7 @@
     attempts or the deadline is reached, the request is no longer authorized, or
     no instance is left.
     """
-    if not _has_attempt_left(state):
+    if not self._has_attempt_left(state):
       return None
     try:
       self._authorization.check(state.request, state.grant)
@@ -761,18 +771,6 @@
     )
 
 
-def _has_attempt_left(state: _SendState) -> bool:
-  """Returns whether the limits on attempts and time allow another one."""
-  seconds = exchange.get_seconds_left(state.deadline)
-  return seconds >= MIN_REMAINING_SECONDS and attempt_limit.may_send(
-    max_attempts=state.route.max_attempts,
-    tried=len(state.tried),
-    not_run=state.not_run,
-    elapsed=time.monotonic() - state.started_at,
-    total=state.deadline - state.started_at,
-  )
-
-
 def _is_stream(request: exchange.Request, route: routes.Route) -> bool:
   """Returns whether the response consists of events, as a history does."""
   keeps_history = route.keeps_history and request.turn is not None
