Crash guard: the wait for other attempts follows from their duration

What callers saw: a request whose other attempts held the last place waited for 1 s, whether such requests take 0.08 or 10 s, up to its deadline, and was told to return after 1 s.

Cause: crash_guard.MAX_WAIT_SECONDS and RETRY_AFTER_SECONDS, one figure each for all callers and requests.

Change: it waits for the usual duration of such requests, within which the others mostly end, and no longer than leaves as much of its caller's time; with less time it is refused at once. It is told to return after that duration.

Evidence: test_a_request_waits_for_its_other_attempts_as_long_as_they_take (without work_seconds: 1.0 s and the whole 0.3 and 0.2 s).

--- a/src/woadrun/process/load/loads.py
+++ b/src/woadrun/process/load/loads.py
@@ -295,12 +295,11 @@
   def get_usual_seconds(self, service: str) -> float:
     """Returns a duration that most requests to a service do not exceed.
 
-    It is the mean and one mean deviation, and 0 before the first request.
+    It is the mean and one mean deviation; the mean is INITIAL_ESTIMATE_SECONDS
+    before the first request.
     """
-    deviation = self._deviation_by_service.get(service)
-    return (
-      0.0 if deviation is None else self.get_mean_seconds(service) + deviation
-    )
+    deviation = self._deviation_by_service.get(service, 0.0)
+    return self.get_mean_seconds(service) + deviation
 
   def record_unreachable(self, id: str) -> None:
     """Makes `choose` skip an instance for UNREACHABLE_BACKOFF_SECONDS."""
--- a/src/woadrun/request/attempts.py
+++ b/src/woadrun/request/attempts.py
@@ -293,11 +293,15 @@
     self, state: _SendState
   ) -> exchange.RequestAttempt | None:
     """Returns the next attempt once it may be sent, None if there is none."""
-    until = time.monotonic() + crash_guard.MAX_WAIT_SECONDS
+    work_seconds = self.estimate_seconds(state.service)
+    until = crash_guard.get_wait_end(state.deadline, work_seconds=work_seconds)
     while self._has_attempt_left(state):
       try:
         state.admission = await self._guard.admit(
-          state.fingerprint, service=state.service, deadline=state.deadline
+          state.fingerprint,
+          service=state.service,
+          deadline=state.deadline,
+          work_seconds=work_seconds,
         )
       except errors.WoadrunError as error:
         state.refusal = error
@@ -315,8 +319,10 @@
       self._guard.release(state.admission)
       # Its last attempt: one that runs beside another suspect request would
       # be held against both.
-      if time.monotonic() >= min(until, state.deadline):
-        state.refusal = crash_guard.make_undecided(state.fingerprint)
+      if time.monotonic() >= until:
+        state.refusal = crash_guard.make_undecided(
+          state.fingerprint, work_seconds=work_seconds
+        )
         return None
       await asyncio.sleep(crash_guard.POLL_INTERVAL_SECONDS)
     return None
--- a/src/woadrun/request/crash_guard.py
+++ b/src/woadrun/request/crash_guard.py
@@ -33,16 +33,12 @@
 
 log = logging.getLogger('woadrun.crashes')
 
-# Longest wait for the outcome of other attempts of a request.
-MAX_WAIT_SECONDS = 1.0
 POLL_INTERVAL_SECONDS = 0.05
 PROBE_POLL_SECONDS = 0.005
 # Time for which a request waits for a probe of its earlier attempts.
 PROBE_WAIT_SECONDS = 0.05
 # Time after which an instance must be in the list of a daemon that works.
 UNLISTED_TIMEOUT_SECONDS = 5.0
-# Retry delay for callers of a request whose other attempts have no outcome yet.
-RETRY_AFTER_SECONDS = 1.0
 # Probes of an instance whose connection opens and breaks off without an answer.
 MAX_PROBES = 3
 PROBE_INTERVAL_SECONDS = 0.05
@@ -120,16 +116,18 @@
     *,
     service: str,
     deadline: float,
+    work_seconds: float,
   ) -> Admission:
     """Returns where a request may be sent, once it may be sent anywhere.
 
-    `deadline` is on the monotonic clock.  Raises `request_quarantined` if
-    too many instances ended under the request, and `upstream_unavailable` if
-    that is not known in time.  The caller has to `release` the admission.
+    `deadline` is on the monotonic clock, and `work_seconds` the usual duration
+    of such requests.  Raises `request_quarantined` if too many instances ended
+    under the request, and `upstream_unavailable` if that is not known in time.
+    The caller has to `release` the admission.
     """
-    until = min(deadline, time.monotonic() + MAX_WAIT_SECONDS)
+    until = get_wait_end(deadline, work_seconds=work_seconds)
     if not await self._reports.catch_up(until):
-      raise make_undecided(fingerprint)
+      raise make_undecided(fingerprint, work_seconds=work_seconds)
     while (
       admission := await self._find_admission(fingerprint, service)
     ) is None:
@@ -137,7 +135,7 @@
       if is_late or not self.records.has_running_attempt(fingerprint):
         self._log_verdict(fingerprint, 'may not be sent')
         self._counters.record_undecided(service)
-        raise make_undecided(fingerprint)
+        raise make_undecided(fingerprint, work_seconds=work_seconds)
       await asyncio.sleep(POLL_INTERVAL_SECONDS)
     self._log_verdict(
       fingerprint,
@@ -475,14 +473,28 @@
       probe.cancel()
 
 
-def make_undecided(fingerprint: str) -> errors.WoadrunError:
-  """Returns the error for a request that waits for others in vain."""
+def get_wait_end(deadline: float, *, work_seconds: float) -> float:
+  """Returns until when a request waits for the outcome of its other attempts.
+
+  These mostly end within the usual duration of the request, and the request
+  itself needs as long afterwards.  Times are on the monotonic clock.
+  """
+  return min(deadline - work_seconds, time.monotonic() + work_seconds)
+
+
+def make_undecided(
+  fingerprint: str, *, work_seconds: float
+) -> errors.WoadrunError:
+  """Returns the error for a request that waits for others in vain.
+
+  `work_seconds` is the usual duration of such requests.
+  """
   return errors.WoadrunError(
     errors.Code.UPSTREAM_UNAVAILABLE,
     'Instances ended, or may have ended, while they ran this request '
     f'(fingerprint {fingerprints.shorten(fingerprint)}), and it is not known '
     'yet whether it may be sent to another one.',
-    retry_after=RETRY_AFTER_SECONDS,
+    retry_after=work_seconds,
   )
 
 
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import dataclasses
+import time
+import unittest.mock
 
 import crashing_engines
 import nodes
@@ -423,3 +425,27 @@
       raise AssertionError('The budget was never spent.')
     tokens_per_event = 3
     assert 0 < events * tokens_per_event <= budget + most
+
+
+# Guards against one wait for all callers: a second, whatever time they have and
+# however long such requests take.
+@pytest.mark.parametrize(
+  ('seconds', 'work', 'waited'), [(3.0, 0.2, 0.2), (0.3, 0.2, 0.1), (0.2, 3, 0)]
+)
+async def test_a_request_waits_for_its_other_attempts_as_long_as_they_take(
+  seconds, work, waited
+):
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1')
+    guard = fleet.by_name['n1'].crash_guard
+    # Another attempt of the request runs, and holds the last place.
+    guard.records.has_running_attempt = lambda fingerprint: True
+    guard._find_admission = unittest.mock.AsyncMock(return_value=None)
+    began = time.monotonic()
+    with pytest.raises(errors.WoadrunError) as caught:
+      await guard.admit(
+        'f', service='tools', deadline=began + seconds, work_seconds=work
+      )
+    assert time.monotonic() - began == pytest.approx(waited, abs=0.09)
+    assert caught.value.ran is errors.RunStatus.NOT_RUN
+    assert caught.value.retry_after == work
