Permits: a call whose turn comes too late is refused at once

What callers saw: on the product's own interface, a later call of a program that could not get a permit in its patience waited for all of it and was then told that the upstream is full; a first call did so up to 1.5 times its patience. The delay told was at least 0.5 s, for the whole queue.

Cause: PermitDispatcher._refuse_early asked only first calls, with a factor for the estimate, and counted all waiting calls whatever their order.

Change: FairQueue.count_ahead tells how many calls are served before a new one, by its row's share and its own place in the row. A call whose expected wait exceeds its patience is refused at once with that wait, first or later. A permit that is held already is confirmed before. An upstream without a keeper is told by the operator's time for silent peers in place of 1 s.

Evidence: test_call_that_would_wait_too_long_is_refused_at_once fails before for both kinds of calls (no answer within 0.5 s); a property test compares the calls ahead with the order of the queue.

--- a/src/woadrun/decisions/admission.py
+++ b/src/woadrun/decisions/admission.py
@@ -41,13 +41,13 @@
   return max(0, min(MAX_LENT_IN_ADVANCE, free // (2 * max(1, members))))
 
 
-def estimate_retry_after(waiting: int, slots: int, seconds: float) -> float:
-  """Returns the seconds after which a refused call should be retried.
+def estimate_wait(ahead: float, slots: int, seconds: float) -> float:
+  """Returns the seconds until a call that finds all slots busy can begin.
 
-  `waiting` counts queued calls, `slots` the calls that run concurrently, and
-  `seconds` is the mean duration of a call.
+  `ahead` counts the calls that are served before it, `slots` the calls that run
+  concurrently, and `seconds` is the mean duration of a call.
   """
-  return max(0.5, waiting / max(1, slots) * seconds)
+  return (ahead + 1) / max(1, slots) * seconds
 
 
 def fill(level: float, *, seconds: float, rate: float, burst: float) -> float:
--- a/src/woadrun/decisions/queue.py
+++ b/src/woadrun/decisions/queue.py
@@ -47,6 +47,7 @@
 
   virtual_time: float
   heap: list[tuple[float, int, QueuedCall]]
+  waiting: int = 0
 
 
 def get_delay(attained: float) -> float:
@@ -57,6 +58,11 @@
   return min(MAX_DELAY_SECONDS, DELAY_SECONDS_PER_DOUBLING * doublings)
 
 
+def _get_key(call: QueuedCall) -> float:
+  """Returns the sort key of a call within its row."""
+  return call.arrived + get_delay(call.attained)
+
+
 class FairQueue:
   """Calls queued for one upstream, with weighted fair sharing between rows."""
 
@@ -65,10 +71,31 @@
     self._active_rows: list[tuple[float, int, str]] = []
     self._sequence = itertools.count()
     self._virtual_time = 0.0
-    self._waiting_ids: set[str] = set()
+    self._row_by_id: dict[str, _RowQueue] = {}
 
   def __len__(self) -> int:
-    return len(self._waiting_ids)
+    return len(self._row_by_id)
+
+  def count_ahead(self, call: QueuedCall) -> float:
+    """Returns how many waiting calls would be popped before a new one.
+
+    Rows are assumed to get their shares by weight, with calls of equal cost.
+    Calls that arrive later may still be popped before it.
+    """
+    own_row = self._row_by_key.get(call.row)
+    own = 0
+    if own_row is not None:
+      key = _get_key(call)
+      own = sum(
+        other_key <= key and other.id in self._row_by_id
+        for other_key, _, other in own_row.heap
+      )
+    ahead = float(own)
+    for row in self._row_by_key.values():
+      if row is not own_row and row.waiting:
+        turns = (own + 1) * row.heap[0][2].weight / call.weight
+        ahead += min(row.waiting, turns)
+    return ahead
 
   def push(self, call: QueuedCall) -> None:
     """Adds a call to the queue."""
@@ -79,13 +106,15 @@
     if not row.heap:
       row.virtual_time = max(row.virtual_time, self._virtual_time)
       self._activate(call.row, row)
-    key = call.arrived + get_delay(call.attained)
-    heapq.heappush(row.heap, (key, next(self._sequence), call))
-    self._waiting_ids.add(call.id)
+    heapq.heappush(row.heap, (_get_key(call), next(self._sequence), call))
+    row.waiting += 1
+    self._row_by_id[call.id] = row
 
   def remove(self, call_id: str) -> None:
     """Removes a call that is no longer waiting."""
-    self._waiting_ids.discard(call_id)
+    row = self._row_by_id.pop(call_id, None)
+    if row is not None:
+      row.waiting -= 1
 
   def pop(self) -> QueuedCall | None:
     """Removes and returns the next call, or returns None if none waits."""
@@ -111,8 +140,8 @@
   def _pop_waiting(self, row: _RowQueue) -> QueuedCall | None:
     while row.heap:
       call = heapq.heappop(row.heap)[2]
-      if call.id in self._waiting_ids:
-        self._waiting_ids.discard(call.id)
+      if call.id in self._row_by_id:
+        self.remove(call.id)
         return call
     return None
 
--- a/src/woadrun/model/simulation.py
+++ b/src/woadrun/model/simulation.py
@@ -246,16 +246,13 @@
     if engine.has_failed or self._is_partitioned(run.domain, engine.domain):
       self._fail_call(run, index)
       return
-    wait = admission.estimate_retry_after(
+    wait = admission.estimate_wait(
       len(self._queues[index]), self._site.slots, self._call_seconds[index]
     )
     is_busy = engine.running >= self._site.slots
     is_new = run.attained == 0 or self._policy.refuses_all
     if (
-      self._policy.refuses
-      and is_new
-      and is_busy
-      and wait > WAIT_LIMIT_SECONDS * 1.5
+      self._policy.refuses and is_new and is_busy and wait > WAIT_LIMIT_SECONDS
     ):
       self._refuse_call(run, wait)
       return
--- a/src/woadrun/process/dispatcher.py
+++ b/src/woadrun/process/dispatcher.py
@@ -48,10 +48,6 @@
 RELEASE_BATCH_DELAY_SECONDS = 0.003
 # Interval at which holders report all their permits to keepers.
 RECONCILE_INTERVAL_SECONDS = 1.0
-# A call is refused early when its expected wait exceeds its patience, the
-# seconds that it may wait, by this factor.  The estimate is inexact, and
-# waiting costs little.
-EARLY_REFUSAL_FACTOR = 1.5
 # Added to the call's patience in the timeout of a request for a permit, for the
 # response to arrive.
 RESPONSE_MARGIN_SECONDS = 1.0
@@ -96,6 +92,15 @@
       return self.slots
     return 1 if now - self.last_attempt_at >= PROBE_INTERVAL_SECONDS else 0
 
+  def estimate_wait(self, call: queue.QueuedCall, now: float) -> float:
+    """Returns the expected seconds until a new call gets its permit."""
+    slots = self.get_slots(now)
+    if len(self.holder_by_permit) < slots:
+      return 0.0
+    return admission.estimate_wait(
+      self.waiting.count_ahead(call), slots, self.seconds
+    )
+
   def record_outcome(self, seconds: float, *, is_ok: bool, now: float) -> None:
     """Updates the statistics with the outcome of one call."""
     if not is_ok:
@@ -207,7 +212,9 @@
         )
         patience = expires_at - self.clock()
         if not keeper or patience <= 0:
-          raise make_overloaded(request.upstream, 1.0) from error
+          raise make_overloaded(
+            request.upstream, self._config.timing.silent_after
+          ) from error
       request = msgspec.structs.replace(request, patience=patience)
 
   async def _request_permit(
@@ -281,57 +288,40 @@
   async def queue(self, request: messages.Acquire) -> messages.Granted:
     """Returns once the permit is granted to the holder.
 
-    Raises `overloaded` if it is not granted within the call's patience, if the
-    queue is full, or if the expected wait of a program's first call is too
-    long.
+    Raises `overloaded` if the expected wait exceeds the call's patience, if it
+    is not granted within that, or if the queue is full.
     """
     upstream = self._get_upstream(request.upstream)
     now = self.clock()
-    self._refuse_early(upstream, request, now)
     if request.permit in upstream.holder_by_permit:
       return messages.Granted(permit=request.permit)
+    call = queue.QueuedCall(
+      id=request.permit,
+      row=request.row,
+      weight=request.weight,
+      attained=request.attained,
+      cost=request.cost,
+      arrived=now,
+    )
+    wait = upstream.estimate_wait(call, now)
+    is_full = len(upstream.waiting) >= self._config.limits.waiting
+    if is_full or wait > request.patience:
+      raise make_overloaded(request.upstream, wait)
     future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
     waiter = Waiter(holder=request.holder, future=future)
     upstream.waiter_by_permit[request.permit] = waiter
-    upstream.waiting.push(
-      queue.QueuedCall(
-        id=request.permit,
-        row=request.row,
-        weight=request.weight,
-        attained=request.attained,
-        cost=request.cost,
-        arrived=now,
-      )
-    )
+    upstream.waiting.push(call)
     upstream.grant(now)
     try:
       await asyncio.wait_for(future, request.patience)
     except TimeoutError:
-      seconds = self._estimate_retry_delay(upstream, now)
+      seconds = upstream.estimate_wait(call, self.clock())
       raise make_overloaded(request.upstream, seconds) from None
     finally:
       upstream.waiting.remove(request.permit)
       upstream.waiter_by_permit.pop(request.permit, None)
     return messages.Granted(permit=request.permit)
 
-  def _refuse_early(
-    self, upstream: Upstream, request: messages.Acquire, now: float
-  ) -> None:
-    wait = self._estimate_retry_delay(upstream, now)
-    # Only a program's first call is refused for a long wait: refusing a later
-    # one would waste the service that the program has already received.
-    is_new = request.attained == 0
-    is_full = len(upstream.waiting) >= self._config.limits.waiting
-    is_busy = len(upstream.holder_by_permit) >= upstream.get_slots(now)
-    is_long = wait > request.patience * EARLY_REFUSAL_FACTOR
-    if is_full or (is_new and is_busy and is_long):
-      raise make_overloaded(request.upstream, wait)
-
-  def _estimate_retry_delay(self, upstream: Upstream, now: float) -> float:
-    return admission.estimate_retry_after(
-      len(upstream.waiting), upstream.get_slots(now), upstream.seconds
-    )
-
   def release_slot(self, message: messages.Release) -> messages.Done:
     """Releases a permit and records the outcome of its call.
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -98,6 +98,35 @@
   )
 
 
+@hypothesis.given(
+  waiting=strategies.lists(
+    strategies.tuples(
+      strategies.sampled_from(sorted(ROWS)),
+      strategies.sampled_from([0.0, 3.0, 50.0]),
+    ),
+    max_size=60,
+  ),
+  row=strategies.sampled_from(sorted(ROWS)),
+  attained=strategies.sampled_from([0.0, 3.0, 50.0]),
+)
+def test_calls_ahead_are_those_served_before(waiting, row, attained):
+  """Calls with a long wait could not be told from those served next."""
+  fair = queue.FairQueue()
+  for number, (other, used) in enumerate(waiting):
+    fair.push(make_call(number, other, used, arrived=0.1 * number))
+  call = make_call('new', row, attained, arrived=6.0)
+  ahead = fair.count_ahead(call)
+  fair.push(call)
+  served = 0
+  while fair.pop() is not call:
+    served += 1
+  # Shares by weight are kept to within one call of each row, counted by the
+  # largest ratio of weights.
+  assert served == pytest.approx(ahead, abs=len(ROWS) * 4)
+  if len({other for other, _ in waiting} | {row}) == 1:
+    assert served == ahead
+
+
 def test_backlogged_rows_get_their_weighted_share():
   fair = queue.FairQueue()
   for number in range(3000):
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -142,6 +142,40 @@
   assert refusal.value.code is errors.Code.OVERLOADED
 
 
+@pytest.mark.parametrize('attained', [0.0, 50.0])
+async def test_call_that_would_wait_too_long_is_refused_at_once(attained):
+  """Later calls, and first ones up to 1.5 times, waited for the same answer."""
+  permits = make_dispatcher()
+  ask = msgspec.structs.replace(make_acquire('a'), attained=attained)
+  for number in range(SLOTS):
+    await permits.queue(msgspec.structs.replace(ask, permit=f'r{number}'))
+  upstream = permits.upstream_by_name['s']
+  # With two slots and calls of 1 s, a call begins 0.5 s after the one before.
+  waiting = [
+    asyncio.ensure_future(
+      permits.queue(
+        msgspec.structs.replace(ask, permit=f'w{number}', patience=60.0)
+      )
+    )
+    for number in range(3)
+  ]
+  await asyncio.sleep(0)
+  assert upstream.seconds == 1.0
+  late = msgspec.structs.replace(ask, permit='late', patience=1.9)
+  async with asyncio.timeout(0.5):
+    with pytest.raises(errors.WoadrunError) as refusal:
+      await permits.queue(late)
+  assert refusal.value.retry_after == 2.0
+  assert len(upstream.waiting) == 3
+  patient = asyncio.ensure_future(
+    permits.queue(msgspec.structs.replace(late, patience=2.1))
+  )
+  await asyncio.sleep(0)
+  assert len(upstream.waiting) == 4
+  for task in (*waiting, patient):
+    task.cancel()
+
+
 def get_held(permits):
   return set(permits.upstream_by_name['s'].holder_by_permit)
 
