Team rates: finish times count whatever the number of attempts

What callers saw: a program on a route with max_attempts 2 told until when it should end, and was begun, or refused and told to return, as if it had told nothing.

Cause: rates._get_seconds_left passed the finish time on only for routes with a single attempt.

Change: each turn of a stream route passes it on.

Evidence: test_finish_time_counts_whatever_the_number_of_attempts[2, 2.0] fails before. It replaces the test that pinned the condition.

--- a/src/woadrun/request/rates.py
+++ b/src/woadrun/request/rates.py
@@ -41,8 +41,6 @@
 UNREACHABLE_BACKOFF_SECONDS = 0.5
 # Validity of a grant: a request that is sent later needs a new one.
 GRANT_TTL_SECONDS = 1.0
-# Retry-After value for a caller when no member decides.
-NO_OWNER_RETRY_SECONDS = 0.5
 # Time for which a request is retried while no member accepts to be the owner:
 # two daemons may disagree for a moment on which member owns the limit.
 OWNER_WAIT_SECONDS = 0.25
@@ -269,7 +267,7 @@
           raise errors.WoadrunError(
             errors.Code.OWNER_UNAVAILABLE,
             f'No daemon decided on the rate of {ask.team}: {error.message}',
-            retry_after=NO_OWNER_RETRY_SECONDS,
+            retry_after=retry_after.OUTAGE_CHECK_SECONDS,
           ) from error
       await asyncio.sleep(RETRY_INTERVAL_SECONDS)
 
@@ -373,16 +371,11 @@
 def _get_seconds_left(
   turn: exchange.TurnInfo | None, route: routes.Route
 ) -> float | None:
-  """Returns the time until a turn's program should end.
-
-  Returns None where the rules for finish times do not apply: they apply to
-  routes where a turn has a single attempt.
-  """
+  """Returns the time until a turn's program should end, None if unknown."""
   if (
     turn is None
     or turn.finish_at is None
     or route.kind is not routes.Kind.STREAM
-    or route.max_attempts != 1
     # An infinite time would stay in the team's learned demand.
     or not math.isfinite(turn.finish_at)
   ):
--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -1015,13 +1015,14 @@
     assert get_counts()['red'].granted == 1
 
 
+@pytest.mark.parametrize('attempts', [1, 2])
 @pytest.mark.parametrize(
-  ('attempts', 'finish_in', 'is_told'),
-  [(1, 2.0, True), (2, 2.0, False), (1, float('inf'), False)],
+  ('finish_in', 'is_told'), [(2.0, True), (float('inf'), False)]
 )
-def test_finish_time_counts_on_routes_with_a_single_attempt(
+def test_finish_time_counts_whatever_the_number_of_attempts(
   attempts, finish_in, is_told
 ):
+  """Programs with two attempts were begun as if they had no finish time."""
   route = routes.Route(
     name='chat',
     host='h',
