Retry delays of outages no longer depend on the part that noticed them

What callers saw: in an outage of the store or of another domain the delay was 0.3, 0.5 or 1 s, a fixed figure of the module that refused the request, however long the outage had lasted.

Cause: retry_after=1.0 and like figures written in place.

Change: such a refusal says that the daemon may know more at its next look (OUTAGE_CHECK_SECONDS); the handler of requests extends it by what the daemon observes of the outage.

Evidence: test_callers_are_told_how_long_an_outage_is_expected_to_last fails before (0.1 in place of 0.25 and 4.0 s).

--- a/src/woadrun/process/histories.py
+++ b/src/woadrun/process/histories.py
@@ -6,13 +6,11 @@
 
 from woadrun import errors
 from woadrun.connection import turn_messages
+from woadrun.decisions import retry_after
 from woadrun.process import turn_store
 
 log = logging.getLogger('woadrun.turns')
 
-# Retry delay for callers whose parent turn is not found.
-RETRY_AFTER_SECONDS = 0.3
-
 
 async def find(
   parent: str, *, cache: turn_store.TurnCache, store: turn_store.TurnStore
@@ -37,7 +35,7 @@
     raise errors.WoadrunError(
       errors.Code.NOT_OWNER,
       f'The history cannot be read: {error.message}',
-      retry_after=RETRY_AFTER_SECONDS,
+      retry_after=retry_after.OUTAGE_CHECK_SECONDS,
     ) from error
   return _join(turns)
 
@@ -95,5 +93,7 @@
 
 def _make_missing(message: str) -> errors.WoadrunError:
   return errors.WoadrunError(
-    errors.Code.UNKNOWN_PROGRAM, message, retry_after=RETRY_AFTER_SECONDS
+    errors.Code.UNKNOWN_PROGRAM,
+    message,
+    retry_after=retry_after.OUTAGE_CHECK_SECONDS,
   )
--- a/src/woadrun/process/node.py
+++ b/src/woadrun/process/node.py
@@ -302,6 +302,7 @@
       domain=config.domain,
       counters=self.counters,
       account=binding.held.account,
+      get_outage=self._get_outage,
     )
     self._handler_by_path.update(
       (path, peer_messages.make_handler(type, answer, codec=CODEC))
--- a/src/woadrun/process/program_rows.py
+++ b/src/woadrun/process/program_rows.py
@@ -23,6 +23,7 @@
 from woadrun import errors
 from woadrun.connection import rows
 from woadrun.connection import turn_messages
+from woadrun.decisions import retry_after
 from woadrun.process import store_access
 from woadrun.process import turn_store
 from woadrun.version import ledger
@@ -291,5 +292,5 @@
     raise errors.WoadrunError(
       errors.Code.PLATFORM_UNAVAILABLE,
       f'The row of the program cannot be decoded: {error}',
-      retry_after=1.0,
+      retry_after=retry_after.OUTAGE_CHECK_SECONDS,
     ) from error
--- a/src/woadrun/process/reservations.py
+++ b/src/woadrun/process/reservations.py
@@ -39,9 +39,6 @@
 # Number of write conflicts after which a reservation is refused.  Each of them
 # means that another daemon wrote the same row.
 MAX_CONFLICTS = 6
-# Retry delay, in seconds, for callers that are refused for a reason that may
-# soon have passed.
-RETRY_AFTER_SECONDS = 0.3
 
 
 class Reservations:
@@ -74,6 +71,7 @@
     # Without a standby, only the store can show that another member decides
     # for the program, so that the answer is awaited.
     is_bounded = self._copies.has_standby(entry.program)
+    began = time.monotonic()
     for _ in range(MAX_CONFLICTS):
       await self._check_budget(entry, ask, budget)
       entry.ledger.reserve(ask.request, ask.most)
@@ -92,7 +90,8 @@
     raise errors.WoadrunError(
       errors.Code.NOT_COMMITTED,
       'Too many write conflicts on the program.',
-      retry_after=RETRY_AFTER_SECONDS,
+      # As long as another daemon has already kept writing the row.
+      retry_after=time.monotonic() - began,
     )
 
   async def reserve_at_standby(
@@ -107,7 +106,9 @@
     await self._check_budget(entry, ask, budget)
     entry.ledger.reserve(ask.request, ask.most)
     reason = errors.WoadrunError(
-      errors.Code.PLATFORM_UNAVAILABLE, 'the store is slow', retry_after=1.0
+      errors.Code.PLATFORM_UNAVAILABLE,
+      'the store is slow',
+      retry_after=retry_after.OUTAGE_CHECK_SECONDS,
     )
     await self._reserve_without_store(entry, ask, budget, reason)
 
@@ -181,7 +182,9 @@
         errors.Code.OWNER_UNAVAILABLE,
         f'The home domain {held.home} of the program is unreachable, and the '
         'share of this domain is spent.',
-        retry_after=RETRY_AFTER_SECONDS,
+        retry_after=retry_after.estimate_outage(
+          self._members.get_domain_silence_seconds()
+        ),
       )
 
   def _check_partition_limit(
@@ -272,7 +275,7 @@
       raise errors.WoadrunError(
         errors.Code.NOT_OWNER,
         f'Cannot determine whether the program is new: {error.message}',
-        retry_after=RETRY_AFTER_SECONDS,
+        retry_after=retry_after.OUTAGE_CHECK_SECONDS,
       ) from error
     # Protects the reservation: a copy from another daemon that lacks it does
     # not remove it.
@@ -350,7 +353,7 @@
         errors.Code.PLATFORM_UNAVAILABLE,
         'The store is unreachable, and the program may have started in '
         'another domain.',
-        retry_after=RETRY_AFTER_SECONDS,
+        retry_after=retry_after.OUTAGE_CHECK_SECONDS,
       )
     if self._fits_offline(entry, ask, budget):
       return
--- a/src/woadrun/process/store_access.py
+++ b/src/woadrun/process/store_access.py
@@ -34,6 +34,7 @@
 from woadrun.connection import peers
 from woadrun.connection import rows
 from woadrun.connection import turn_messages
+from woadrun.decisions import retry_after
 from woadrun.process import fleet
 from woadrun.process import fleet_heartbeats
 from woadrun.process import store_clock
@@ -457,7 +458,7 @@
     failure = errors.WoadrunError(
       errors.Code.PLATFORM_UNAVAILABLE,
       'The store is unreachable, both directly and through peers.',
-      retry_after=1.0,
+      retry_after=retry_after.OUTAGE_CHECK_SECONDS,
     )
     # No direct call is made while the store does not serve this VM: the timeout
     # of the call would delay the caller, and the probe detects when the store
@@ -574,7 +575,7 @@
         errors.Code.PLATFORM_UNAVAILABLE,
         'Contact with the store was lost during the call.',
         ran=errors.RunStatus.UNKNOWN,
-        retry_after=1.0,
+        retry_after=retry_after.OUTAGE_CHECK_SECONDS,
       ) from error
     finally:
       self._running_timeouts.pop(timeout_scope, None)
@@ -686,7 +687,7 @@
     errors.Code.PLATFORM_UNAVAILABLE,
     'The store does not answer.',
     ran=ran,
-    retry_after=1.0,
+    retry_after=retry_after.OUTAGE_CHECK_SECONDS,
   )
 
 
@@ -706,7 +707,7 @@
       raise errors.WoadrunError(
         errors.Code.PLATFORM_UNAVAILABLE,
         'The store does not respond to the relaying daemon either.',
-        retry_after=1.0,
+        retry_after=retry_after.OUTAGE_CHECK_SECONDS,
       )
 
   async def change(
--- a/src/woadrun/request/authorization.py
+++ b/src/woadrun/request/authorization.py
@@ -18,11 +18,6 @@
 from woadrun.version import routes
 from woadrun.version import teams
 
-NO_TABLE_RETRY_SECONDS = 0.5
-# Retry delay sent to callers while the store cannot confirm that the routing
-# table is the newest one.
-UNCONFIRMED_RETRY_SECONDS = 0.5
-
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Grant:
@@ -67,7 +62,7 @@
       raise errors.WoadrunError(
         errors.Code.CONFIG_UNAVAILABLE,
         'No routing table has been loaded yet.',
-        retry_after=NO_TABLE_RETRY_SECONDS,
+        retry_after=retry_after.OUTAGE_CHECK_SECONDS,
       )
     found = self._decide(self._catalogue.table, request)
     if isinstance(found, errors.WoadrunError):
@@ -75,7 +70,7 @@
         raise errors.WoadrunError(
           errors.Code.CONFIG_UNAVAILABLE,
           f'A newer routing table may exist: {found.message}',
-          retry_after=UNCONFIRMED_RETRY_SECONDS,
+          retry_after=retry_after.OUTAGE_CHECK_SECONDS,
         )
       found = self._decide(self._catalogue.table, request)
     if isinstance(found, errors.WoadrunError):
--- a/src/woadrun/request/serving.py
+++ b/src/woadrun/request/serving.py
@@ -11,6 +11,7 @@
 import asyncio
 from collections.abc import AsyncGenerator
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
 import dataclasses
@@ -23,6 +24,7 @@
 from woadrun.connection import request_bodies
 from woadrun.connection import turn_messages
 from woadrun.decisions import line_expiry
+from woadrun.decisions import retry_after
 from woadrun.process import catalogue
 from woadrun.process import counters
 from woadrun.process import planned_stop
@@ -42,8 +44,16 @@
 # A request's deadline is brought forward by this time, which its response takes
 # to get back to the caller.
 RESPONSE_MARGIN_SECONDS = 0.02
-# Retry delay for callers whose turn no owner admitted in time.
-OPEN_RETRY_AFTER_SECONDS = 0.5
+# Errors whose cause is an outage of the store, of another domain or of daemons.
+OUTAGE_CODES = frozenset(
+  (
+    errors.Code.CONFIG_UNAVAILABLE,
+    errors.Code.ISOLATED,
+    errors.Code.OWNER_UNAVAILABLE,
+    errors.Code.PLATFORM_UNAVAILABLE,
+    errors.Code.TABLE_TOO_OLD,
+  )
+)
 
 
 class RequestHandler:
@@ -51,6 +61,8 @@
 
   `domain` is the failure domain of this daemon.  `active` is the number of
   requests being handled.  `account` counts the histories sent with turns.
+  `get_outage` returns for how many seconds the row store or another domain has
+  been unreachable.
   """
 
   def __init__(
@@ -65,8 +77,10 @@
     domain: str,
     counters: counters.Counters,
     account: memory_account.Account,
+    get_outage: Callable[[], float],
   ) -> None:
     self._account = account
+    self._get_outage = get_outage
     self._stop = stop
     self._counters = counters
     self._catalogue = catalogue
@@ -120,6 +134,7 @@
       # An error after the response has begun tells only of the turn's end.
       ran = errors.RunStatus.RAN if is_answered else error.ran
       reason = f' (request {ran.value}: {error.message})'
+      self._extend_retry_delay(error)
       raise
     except exchange.ResponseLost as error:
       reason = f' ({error})'
@@ -136,6 +151,13 @@
         extra={**request.fields, 'kind': kind},
       )
 
+  def _extend_retry_delay(self, error: errors.WoadrunError) -> None:
+    """Makes the caller return no sooner than an outage is expected to end."""
+    if error.retry_after is not None and error.code in OUTAGE_CODES:
+      error.retry_after = max(
+        error.retry_after, retry_after.estimate_outage(self._get_outage())
+      )
+
   def _claim(
     self, key: recent_requests.Key, route: routes.Route
   ) -> contextlib.AbstractContextManager[recent_requests.Claim]:
@@ -289,7 +311,7 @@
       raise errors.WoadrunError(
         errors.Code.OWNER_UNAVAILABLE,
         'No owner of the program admitted the turn before its deadline.',
-        retry_after=OPEN_RETRY_AFTER_SECONDS,
+        retry_after=retry_after.OUTAGE_CHECK_SECONDS,
       ) from None
 
   async def _relay_reply(
--- a/tests/test_retry_after.py
+++ b/tests/test_retry_after.py
@@ -1,6 +1,7 @@
 """The retry delay of refused callers depends on the cause of the refusal."""
 
 import functools
+import unittest.mock
 
 import nodes
 import pytest
@@ -26,6 +27,24 @@
   assert estimate(running=0, slots=0) == retry_after.estimate_outage(0.0)
 
 
+# Guards against a fixed delay of half a second or one second, whichever part
+# noticed the outage.
+@pytest.mark.parametrize('seconds', [0.0, 4.0])
+async def test_callers_are_told_how_long_an_outage_is_expected_to_last(seconds):
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1')
+    serving = fleet.by_name['n1'].serving
+    serving._get_outage = lambda: seconds
+    serving._turn_client.open = unittest.mock.AsyncMock(
+      side_effect=errors.WoadrunError(
+        errors.Code.PLATFORM_UNAVAILABLE, 'Out.', retry_after=0.1
+      )
+    )
+    with pytest.raises(errors.WoadrunError) as caught:
+      await fleet.turn('n1', 'a')
+    assert caught.value.retry_after == retry_after.estimate_outage(seconds)
+
+
 async def test_retry_delay_grows_with_the_silence_of_a_domain():
   async with nodes.Nodes() as fleet:
     await fleet.start('n1', 's1')
