Team rates: a program may take the time that it has

What callers saw: a program with three times the time that its work takes was refused as if it had to end within 2.3 times (urgent), 1.7 or 1.1 times (less urgent), and less urgent ones while twice the demand of urgent kinds would have found room.

Change: a program fits if the rate suffices within the time that it has left, less the spread of the durations of its kind, which is learned; a less urgent one leaves room for the mean demand of more urgent kinds. Programs that tell no finish time keep the factors: for them nothing is known of their time.

--- a/src/woadrun/connection/rate_messages.py
+++ b/src/woadrun/connection/rate_messages.py
@@ -96,13 +96,15 @@
   """The learned demand of programs of one kind.
 
   `requests` and `seconds` are those of `program_demand.ProgramDemand`;
-  `density` and `ratio` those of `timed_programs.KindDemand`, 0 if unknown.
+  `density`, `ratio` and `spread` those of `timed_programs.KindDemand`, 0 if
+  unknown.
   """
 
   requests: float = 0.0
   seconds: float = 0.0
   density: float = 0.0
   ratio: float = 0.0
+  spread: float = 0.0
 
 
 class RateState(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
--- a/src/woadrun/decisions/program_demand.py
+++ b/src/woadrun/decisions/program_demand.py
@@ -14,7 +14,6 @@
 
 from collections.abc import Container
 import dataclasses
-import math
 
 # Weight of the newest sample in the moving averages of a kind.
 LEARN_WEIGHT = 0.1
@@ -33,14 +32,12 @@
 SLOWDOWN_STEP_PER_PRIORITY = 0.6
 
 
-def get_slowdown(priority: int, *, available: float = math.inf) -> float:
+def get_slowdown(priority: int) -> float:
   """Returns the factor allowed when a program of `priority` starts.
 
-  It is at least 1: no slowdown.  `available` is the ratio of the time that the
-  program has to the duration that it is expected to have.
+  It is at least 1: no slowdown.
   """
-  most = MAX_SLOWDOWN - SLOWDOWN_STEP_PER_PRIORITY * priority
-  return max(1.0, min(most, available))
+  return max(1.0, MAX_SLOWDOWN - SLOWDOWN_STEP_PER_PRIORITY * priority)
 
 
 @dataclasses.dataclass(kw_only=True)
--- a/src/woadrun/decisions/timed_programs.py
+++ b/src/woadrun/decisions/timed_programs.py
@@ -18,27 +18,19 @@
 
 from woadrun.decisions import program_demand
 
-# Fraction of the time that a program has within which its requests have to fit:
-# the duration of a program varies.
-USABLE_FRACTION = 0.9
-# A program no longer counts this long after its last request.  With the
-# IDLE_TIMEOUT_SECONDS of 2 s, a program of 1 s counts for 3 s, and the rate
-# seems used up at a third of it.
+# A program no longer counts this long after its last request.  Its end is not
+# reported, and a longer time would keep the rate of ended programs reserved.
 ACTIVE_SECONDS = 0.5
 # A program that has sent as many requests as expected counts with this many
 # more until it ends.
 MIN_REMAINING_REQUESTS = 1.0
-# Units that the bucket must have for each program under way when one begins, so
-# that their next requests do not wait.  In `bench/timed_rates.py`, fewer
-# requests wait than with 0 or 0.5, and more programs end in time.
+# Units that the bucket must have for each program under way when one begins:
+# their next requests, which are the work that is left first.
 UNITS_PER_PROGRAM = 1.0
 # Time constant of the moving average of the demand of a kind.
 DEMAND_SECONDS = 5.0
-# Less urgent programs leave room for this multiple of the mean demand of more
-# urgent kinds, because that demand varies.  With 1.5, urgent programs ended in
-# time less often than others in `bench/timed_rates.py`.
-RESERVE_FACTOR = 2.0
-# Each kind gets at least this fraction of its proportional part of the rate.
+# Each kind gets at least this fraction of its proportional part of the rate, so
+# that less urgent programs are not shut out by more urgent ones.
 MIN_PART = 0.25
 # Maximum number of programs that are remembered before they begin.
 MAX_TICKETS = 10_000
@@ -74,11 +66,12 @@
 
   `density` is the number of requests and `ratio` the duration without waiting
   for the rate, each divided by the time that the program had at its first
-  request.
+  request.  `spread` is the mean distance of the ratio of a program from it.
   """
 
   density: float
   ratio: float
+  spread: float = 0.0
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -298,7 +291,9 @@
     if known is None:
       self.demand_by_kind[ended.kind] = KindDemand(density=density, ratio=ratio)
       return
+    distance = abs(ratio - known.ratio)
     known.density += program_demand.LEARN_WEIGHT * (density - known.density)
+    known.spread += program_demand.LEARN_WEIGHT * (distance - known.spread)
     known.ratio += program_demand.LEARN_WEIGHT * (ratio - known.ratio)
 
   def check(
@@ -335,10 +330,9 @@
     # The duration without waiting for the rate.
     seconds = max(program_demand.MIN_DURATION_SECONDS, demand.ratio * allowed)
     can_be_in_time = seconds <= start.seconds_left
-    available = USABLE_FRACTION * start.seconds_left / seconds
-    horizon = seconds * program_demand.get_slowdown(
-      start.priority, available=available
-    )
+    # The program may wait for the rate as long as it has time left beside its
+    # work, which takes longer for some programs than for others.
+    horizon = max(seconds, start.seconds_left - demand.spread * allowed)
     own = max(1.0, demand.density * allowed)
     sent_by_kind = self._count_remaining(horizon, now)
     offered_by_kind = self._get_offered(now)
@@ -350,8 +344,7 @@
       offer = self._offer_by_kind.get(kind)
       # A program that cannot be in time leaves room for all the others.
       if offer and (offer.priority < start.priority or not can_be_in_time):
-        reserved = RESERVE_FACTOR * offered_by_kind.get(kind, 0.0) * horizon
-        sent = max(sent, reserved)
+        sent = max(sent, offered_by_kind.get(kind, 0.0) * horizon)
       needed += sent
     excess = needed - rate * horizon - level
     if can_be_in_time and self._is_below_part(start, rate, offered_by_kind):
--- a/src/woadrun/process/rate_owner.py
+++ b/src/woadrun/process/rate_owner.py
@@ -323,7 +323,9 @@
       if demand.density:
         self.timed.demand_by_kind.setdefault(
           kind,
-          timed_programs.KindDemand(density=demand.density, ratio=demand.ratio),
+          timed_programs.KindDemand(
+            density=demand.density, ratio=demand.ratio, spread=demand.spread
+          ),
         )
 
 
@@ -340,6 +342,7 @@
     seconds=demand.seconds,
     density=timed.density if timed else 0.0,
     ratio=timed.ratio if timed else 0.0,
+    spread=timed.spread if timed else 0.0,
   )
 
 
