Admission: the expected duration of programs follows from their time

What callers saw: before any program of a service had ended, each was expected to last 2 s, so that one with 1 s was told to return too late and many with 30 s too early.

Change: until the first has ended, the expected duration is that part of the time that the programs have which is assumed of their kinds. The constant remains for programs that tell no finish time.

Evidence: test_duration_is_expected_from_the_time_that_programs_have fails before (1.3 s in place of less than 1 s).

--- a/src/woadrun/decisions/program_admission.py
+++ b/src/woadrun/decisions/program_admission.py
@@ -18,8 +18,7 @@
 from woadrun.decisions import fair_shares
 
 # Turns are placed by counts up to 0.5 s old, so that some instances have more
-# turns than slots while others have free ones.  With 0.9, replays of overload
-# lost half as many programs again to full queues, and had fewer in time.
+# turns than slots while others have free ones.
 USABLE_FRACTION = 0.85
 # The difference between capacity and programs under way is made up over this
 # time.  It is longer than the age of the sums (0.5 s), so that hundreds of
@@ -39,13 +38,13 @@
 # Defaults of a decider that has no measurements yet.
 INITIAL_TURNS_PER_PROGRAM = 1.0
 INITIAL_DURATION_RATIO = 0.75
-# Longer than programs in the replays are under way (about 1.7 s), so that a
-# fleet that starts during a burst admits less than its engines can serve.
+# Duration of programs that tell no finish time, before any has ended.
 INITIAL_SECONDS_PER_PROGRAM = 2.0
+# Lower limit of the duration that is expected before any program has ended.
+MIN_INITIAL_SECONDS = 0.1
 # Half-life of the ratios `turns_per_program` and `seconds_per_program`.
 TURNS_HALF_LIFE_SECONDS = 1.5
-# With 1 s, replays noticed a burst late: when all deciders were new, 132 of
-# 1,000 programs failed at full queues in place of 43.
+# A burst has to be noticed within a few heartbeats.
 RATE_HALF_LIFE_SECONDS = 0.25
 # A program is under way until this long after its last turn ended.
 IDLE_SECONDS = 0.5
@@ -201,7 +200,7 @@
   ended_per_second = state.ended_per_second
   # The programs that end at full capacity, not those that end now.  The latter
   # repeat the admissions of a program's duration ago, and lag behind growing
-  # demand: replays refused programs at full load although there was room.
+  # demand.
   if state.seconds_per_program is not None:
     ended_per_second = capacity / state.seconds_per_program
   gap = capacity - state.programs
@@ -305,6 +304,14 @@
   return seconds * (ends + (waiting + 1) / max(1.0, plan.capacity))
 
 
+def expect_seconds(seconds_left: float) -> float:
+  """Returns the expected duration of a program before any has ended.
+
+  `seconds_left` is the time that it has.
+  """
+  return max(MIN_INITIAL_SECONDS, INITIAL_DURATION_RATIO * seconds_left)
+
+
 def get_initial_credit(member: str, rank: tuple[int, int]) -> float:
   """Returns the initial credit of a class at a decider, in [0, 1).
 
--- a/src/woadrun/process/load/program_gate.py
+++ b/src/woadrun/process/load/program_gate.py
@@ -198,6 +198,18 @@
   sampled_seconds: float = 0.0
   current: _CurrentPlan | None = None
   requests_of_plan: int = 0
+  expected_seconds: float | None = None
+
+  def note_time(self, seconds_left: float) -> None:
+    """Notes the time that a program has which asks to begin.
+
+    It tells how long programs last as long as none has ended.
+    """
+    seconds = program_admission.expect_seconds(seconds_left)
+    if self.expected_seconds is None:
+      self.expected_seconds = seconds
+    self.expected_seconds += LEARN_WEIGHT * (seconds - self.expected_seconds)
+    self.seconds_per_program.initial = self.expected_seconds
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -277,6 +289,8 @@
       key, program_admission.DecayedRate()
     ).record(now)
     self._keep_weight(ask.team, ask.weight)
+    if ask.seconds_left is not None and math.isfinite(ask.seconds_left):
+      service.note_time(ask.seconds_left)
     current = self._get_current_plan(ask.service, now)
     if not self._take(service, key, current):
       raise self._refuse(first, key, current, allowed=allowed, now=now)
--- a/tests/test_program_gate.py
+++ b/tests/test_program_gate.py
@@ -132,8 +132,9 @@
   clock.now += 0.1
   clock.hear(north=120, south=120, asked=40.0)
   delays = [clock.admit(f'q{n}') for n in range(8)]
-  # Each is told another time: 240 of them are under way, and they last 2 s.
-  seconds = program_admission.INITIAL_SECONDS_PER_PROGRAM
+  # Each is told another time: 240 of them are under way.  None has ended, and
+  # all have 3 s.
+  seconds = program_admission.INITIAL_DURATION_RATIO * 3.0
   excess = (248 - CLOCK_CAPACITY) / 248
   assert delays == pytest.approx(
     [seconds * (excess + (n + 1) / CLOCK_CAPACITY) for n in range(8)]
@@ -330,6 +331,16 @@
   assert [clock.admit(f'q{n}') for n in range(4)] == [None] * 4
 
 
+def test_duration_is_expected_from_the_time_that_programs_have(clock):
+  # Guards against 2 s for all programs of a service of which none has ended.
+  clock.hear(north=200, asked=40.0)
+  short = clock.admit('p', seconds_left=1.0)
+  assert short < 1.0
+  for number in range(60):
+    clock.admit(f'q{number}', seconds_left=30.0)
+  assert clock.admit('r', seconds_left=30.0) > 10.0
+
+
 def test_all_is_admitted_while_no_instance_is_usable(clock):
   clock.slots = 0
   clock.hear(north=50, asked=40.0)
