Turns: wait for an owner only while the turn can be run in time

What callers saw: a turn whose program had no owner that answered was refused at the caller's deadline.

Cause: RequestHandler._open_turn waited for all of the time left, although a turn that is admitted at its end cannot be run any more.

Change: it waits until the usual duration of such turns is left, which the daemon observes. A caller that has less time than that waits as before.

Evidence: test_turn_waits_for_its_owner_while_it_can_be_run_in_time fails before (refused after 0.98 s of 1 s; now after 0.4 s, with a usual duration of 0.6 s).

--- a/src/woadrun/request/serving.py
+++ b/src/woadrun/request/serving.py
@@ -227,7 +227,12 @@
     try:
       async with self._stop.reject_late():
         opened = await self._open_turn(
-          id, route, turn, deadline, admission=admission
+          id,
+          route,
+          turn,
+          deadline,
+          work_seconds=work_seconds,
+          admission=admission,
         )
     except BaseException:
       self._limits.give_back(unit)
@@ -298,10 +303,16 @@
     turn: exchange.TurnInfo,
     deadline: float,
     *,
+    work_seconds: float,
     admission: turn_messages.AdmissionRequest | None,
   ) -> turn_messages.OpenedTurn:
-    """Opens a turn; raises `owner_unavailable` at the deadline."""
+    """Opens a turn; raises `owner_unavailable` if it cannot be run in time.
+
+    `work_seconds` is the usual duration of such turns.
+    """
     remaining = exchange.get_seconds_left(deadline)
+    if remaining > work_seconds:
+      remaining -= work_seconds
     try:
       async with asyncio.timeout(remaining):
         return await self._turn_client.open(
@@ -310,7 +321,7 @@
     except TimeoutError:
       raise errors.WoadrunError(
         errors.Code.OWNER_UNAVAILABLE,
-        'No owner of the program admitted the turn before its deadline.',
+        'No owner of the program admitted the turn in time.',
         retry_after=retry_after.OUTAGE_CHECK_SECONDS,
       ) from None
 
--- a/tests/test_retry_after.py
+++ b/tests/test_retry_after.py
@@ -1,6 +1,8 @@
 """The retry delay of refused callers depends on the cause of the refusal."""
 
+import asyncio
 import functools
+import time
 import unittest.mock
 
 import nodes
@@ -8,6 +10,7 @@
 
 from woadrun import errors
 from woadrun.decisions import retry_after
+from woadrun.request import exchange
 
 
 def test_outage_is_expected_to_last_as_long_again():
@@ -45,6 +48,25 @@
     assert caught.value.retry_after == retry_after.estimate_outage(seconds)
 
 
+# Guards against a caller that is told at its deadline that no owner answers,
+# when a turn admitted then could no longer be run in time.
+async def test_turn_waits_for_its_owner_while_it_can_be_run_in_time():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1')
+    daemon = fleet.by_name['n1']
+    daemon.serving._attempts.estimate_seconds = lambda service: 0.6
+    daemon.serving._turn_client.open = lambda *_, **__: asyncio.Event().wait()
+    request = nodes.make_request(
+      'a', path='/chat/', turn=exchange.TurnInfo(program='p'), seconds=1.0
+    )
+    began = time.monotonic()
+    with pytest.raises(errors.WoadrunError) as caught:
+      await fleet.ask('n1', request)
+    assert time.monotonic() - began == pytest.approx(0.4, abs=0.1)
+    assert caught.value.code is errors.Code.OWNER_UNAVAILABLE
+    assert caught.value.ran is errors.RunStatus.NOT_RUN
+
+
 async def test_retry_delay_grows_with_the_silence_of_a_domain():
   async with nodes.Nodes() as fleet:
     await fleet.start('n1', 's1')
