Own interface: the time to return is rounded up

What callers saw: Retry-After 2 for 2.4 s, so that they came back before a permit was expected to be free, and 1 where they may return at once.

Cause: the header allows whole seconds only, and was rounded to the nearest one, at least 1.

Change: it is rounded up.

Evidence: test_time_to_return_is_rounded_up fails before for 0.0 and 2.4 s.

--- a/src/woadrun/request/gateway.py
+++ b/src/woadrun/request/gateway.py
@@ -468,8 +468,9 @@
   )
   response.headers['Woadrun-Error'] = error.code.value
   if error.retry_after is not None:
-    # The header allows whole seconds only; the body has the exact time.
-    response.headers['Retry-After'] = str(max(1, round(error.retry_after)))
+    # The header allows whole seconds only; the body has the exact time.  A
+    # caller that returned sooner would be refused again.
+    response.headers['Retry-After'] = str(math.ceil(error.retry_after))
   return response
 
 
--- a/tests/test_product_run_status.py
+++ b/tests/test_product_run_status.py
@@ -108,6 +108,19 @@
   assert errors.from_body(response.body).ran is ran
 
 
+# Guards against callers that return before the time that is told: 2.4 s were
+# rounded to 2, and nothing to a second.
+@pytest.mark.parametrize(
+  ('seconds', 'told'), [(0.0, '0'), (0.2, '1'), (2.4, '3'), (3.0, '3')]
+)
+def test_time_to_return_is_rounded_up(seconds, told):
+  code = errors.Code.OVERLOADED
+  response = gateway.make_error_response(
+    errors.WoadrunError(code, 'm', retry_after=seconds)
+  )
+  assert response.headers['Retry-After'] == told
+
+
 @pytest.mark.parametrize('code', [errors.Code.UPSTREAM_FAILED])
 @pytest.mark.parametrize('ran', list(errors.RunStatus))
 def test_status_that_promises_nothing_is_kept(code, ran):
