Limits: a report does not overtake a request that waits for its answer

What callers saw: 429 "The limits of riders are reached", not run, 0.3 s into a planned stop, with one call of 1,000 places.

Cause: Limits.report forgot the keeper of a row without places, also while a request to that keeper was pending. The next change of the roster then looked like another keeper, and the holder reported its places at once, under a later number. The keeper, which waits 0.3 s before it lends anything, took the request for one that nobody waits for any more.

--- a/src/woadrun/process/limits.py
+++ b/src/woadrun/process/limits.py
@@ -420,8 +420,9 @@
       if borrowed.places or borrowed.keeper:
         spare = borrowed.peak_in_use - len(borrowed.in_use)
         self._return_places(key, borrowed, spare=spare)
-        # Without places, later intervals need no report.
-        borrowed.keeper = borrowed.keeper if borrowed.places else ''
+        if not borrowed.places and not borrowed.pending_requests:
+          # Later intervals need no report.
+          borrowed.keeper = ''
 
   def _remove_gone_holders(self) -> None:
     known = self._members.directory.get_known_processes()
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -426,6 +426,52 @@
   assert keepers.asked == ['127.0.0.1:2', '127.0.0.1:3']
 
 
+class SlowKeeper:
+  """A keeper whose answer waits until `is_ready` is set."""
+
+  def __init__(self, keeper):
+    self._keeper = keeper
+    self.is_ready = asyncio.Event()
+
+  async def post(self, address, path, ask, *, type, timeout):
+    if path == 'limit/hold':
+      return self._keeper.apply_holds(ask)
+    await self.is_ready.wait()
+    return await self._keeper.lend(ask)
+
+
+# Guards against a call that is refused although no limit is reached: its holder
+# reported its places while the keeper was still to answer.
+async def test_report_and_change_of_roster_do_not_overtake_a_request():
+  row = rows.Row(key='riders')
+  keeper = limits.Limits(
+    config=make_config(),
+    members=Members(),
+    messenger=None,
+    get_row=lambda key: row,
+  )
+  keeper._count_members = lambda: 1
+  members = Members()
+  members.directory = members
+  members.get_known_processes = lambda: {members.process_name}
+  posts = SlowKeeper(keeper)
+  holder = limits.Limits(
+    config=make_config(),
+    members=members,
+    messenger=posts,
+    get_row=lambda key: row,
+  )
+  asking = asyncio.ensure_future(holder.acquire(row, 'p'))
+  await asyncio.sleep(0)
+  holder.report()
+  for on_change in members.own_roster_listeners:
+    on_change(None)
+  await asyncio.sleep(0.01)
+  posts.is_ready.set()
+  await asyncio.wait_for(asking, 1.0)
+  assert holder._borrowed_by_row['riders'].in_use == {'p'}
+
+
 class Members:
   address = '127.0.0.1:1'
   domain = 'north'
