Team rates: programs without a finish time begin at their own pace

What callers saw: with programs that tell no finish time, a new one was begun until all under way were slowed down by 2.3 (urgent), 1.7 or 1.1.

Change: a program begins if the rate suffices for it and the programs under way that are as urgent or more, at the pace that was observed. Less urgent ones do not keep it from beginning: priority is a rank.

Evidence: test_low_priority_programs_are_refused_first, now with three ranks and a second urgent program, which is refused; the code before begins that one as well.

--- a/src/woadrun/decisions/program_demand.py
+++ b/src/woadrun/decisions/program_demand.py
@@ -23,21 +23,6 @@
 # Lower bound of the duration by which request rates are computed: the duration
 # from the first to the last request is 0 for a program of one request.
 MIN_DURATION_SECONDS = 0.1
-# The factor by which programs may be slowed down by waiting for their team's
-# rate.  A program sends one request after the other, so it waits instead of
-# being refused.  The factor is highest for the most urgent priority (0) and
-# decreases by a step per priority level: a more urgent program may start beside
-# more running programs, so that less urgent programs are refused first.
-MAX_SLOWDOWN = 2.3
-SLOWDOWN_STEP_PER_PRIORITY = 0.6
-
-
-def get_slowdown(priority: int) -> float:
-  """Returns the factor allowed when a program of `priority` starts.
-
-  It is at least 1: no slowdown.
-  """
-  return max(1.0, MAX_SLOWDOWN - SLOWDOWN_STEP_PER_PRIORITY * priority)
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -60,6 +45,7 @@
 @dataclasses.dataclass(kw_only=True)
 class _RunningProgram:
   kind: str
+  priority: int
   started_at: float
   last_request_at: float
   requests: int = 0
@@ -74,15 +60,24 @@
     self._running_by_id: dict[str, _RunningProgram] = {}
 
   def record_request(
-    self, id: str, kind: str, now: float, *, wait: float = 0.0
+    self,
+    id: str,
+    kind: str,
+    now: float,
+    *,
+    wait: float = 0.0,
+    priority: int = 0,
   ) -> None:
     """Records a granted request of a program, which is running from then on.
 
-    The request is sent `wait` seconds after `now`.
+    The request is sent `wait` seconds after `now`.  `priority` is that of the
+    program's first request, 0 the most urgent.
     """
     running = self._running_by_id.get(id)
     if running is None:
-      running = _RunningProgram(kind=kind, started_at=now, last_request_at=now)
+      running = _RunningProgram(
+        kind=kind, priority=priority, started_at=now, last_request_at=now
+      )
       self._running_by_id[id] = running
     running.requests += 1
     running.last_request_at = now + wait
@@ -128,16 +123,24 @@
     need.seconds += LEARN_WEIGHT * (seconds - need.seconds)
 
   def get_excess(
-    self, kind: str, *, level: float, rate: float, slowdown: float
+    self,
+    kind: str,
+    *,
+    level: float,
+    rate: float,
+    priority: int = 0,
+    slowdown: float = 1.0,
   ) -> float:
     """Returns the demand over the available rate with one more program.
 
     The result, for a new program of `kind`, is in requests per second; the
     program fits if it is 0 or less.  `level` is the number of units in the
     token bucket, `rate` the units added per second.  For the duration of the
-    program they have to cover the requests of the program and of all running
-    ones, slowed down by the factor `slowdown`.  A kind without a known demand
-    has no excess, and running programs of such a kind are not counted.
+    program they have to cover the requests of the program and of the running
+    ones that are as urgent or more, at their own pace or slowed down by the
+    factor `slowdown`.  Less urgent ones do not keep it from beginning.  A kind
+    without a known demand has no excess, and running programs of such a kind
+    are not counted.
     """
     need = self.demand_by_kind.get(kind)
     if need is None:
@@ -145,7 +148,7 @@
     running_rate = sum(
       self.demand_by_kind[running.kind].per_second
       for running in self._running_by_id.values()
-      if running.kind in self.demand_by_kind
+      if running.kind in self.demand_by_kind and running.priority <= priority
     )
     spare = max(0.0, level) / max(MIN_DURATION_SECONDS, need.seconds)
     return running_rate + need.per_second - rate * slowdown - spare
--- a/src/woadrun/process/rate_owner.py
+++ b/src/woadrun/process/rate_owner.py
@@ -222,7 +222,9 @@
     """Records a request of a program that is sent `wait` seconds from now."""
     self.returns.forget(_get_return_key(ask))
     if ask.program:
-      self.programs.record_request(ask.program, ask.kind, now, wait=wait)
+      self.programs.record_request(
+        ask.program, ask.kind, now, wait=wait, priority=ask.priority
+      )
       self.timed.record_request(
         ask.program, ask.kind, now, wait=wait, seconds_left=ask.seconds_left
       )
@@ -515,7 +517,7 @@
       ask.kind,
       level=limit.free_level,
       rate=limit.rate,
-      slowdown=program_demand.get_slowdown(ask.priority),
+      priority=ask.priority,
     )
     if excess <= 0:
       return None
--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -441,7 +441,7 @@
   async with nodes.Nodes() as served:
     await served.start('n1')
     owner = get_owner(served)
-    await owner.answer(make_ask(program='old'))
+    await owner.answer(make_ask(program='old', priority=1))
     limit = owner._limit_by_team['red']
     # One program is running, and each one needs the whole rate.
     limit.programs.demand_by_kind['chat'] = program_demand.ProgramDemand(
@@ -450,11 +450,13 @@
     limit.bucket.level = 0.0
     answers = [
       await owner.answer(
-        make_ask(program=f'p{priority}', priority=priority, begins=True)
+        make_ask(program=f'p{number}', priority=priority, begins=True)
       )
-      for priority in (1, 0)
+      for number, priority in enumerate((2, 1, 0, 0))
     ]
-    assert [unit.is_granted for unit in answers] == [False, True]
+    # Another urgent program would slow the one down that is under way.
+    is_granted = [unit.is_granted for unit in answers]
+    assert is_granted == [False, False, True, False]
 
 
 async def test_only_one_daemon_owns_the_whole_rate():
