Records of crashes: a row that is gone does not end the writer

What callers saw: a request under which three instances had ended ran at a fourth once all daemons were killed: the store had two of the three ends (soak).

Cause: CrashRows._note_changed looked up a row that another daemon had removed and the feed had dropped while the write was under way. The KeyError ended the task that writes, which nobody awaits, and what else was in its batch stayed unwritten.

Change: a row that is gone needs no removal, and one that is not known is left alone.

Evidence: test_a_row_that_others_remove_during_a_write_stops_no_other_row fails before with that KeyError.

--- a/src/woadrun/process/crash_rows.py
+++ b/src/woadrun/process/crash_rows.py
@@ -223,13 +223,16 @@
       newer = present.get(name, 0)
       if newer == version:
         continue
-      row = self._row_by_name[name]
-      if newer:
+      # None if the feed has told meanwhile that another daemon removed it.
+      row = self._row_by_name.get(name)
+      if newer and row is not None:
         self._version_by_name[name] = newer
-      else:
+      elif not newer:
         self._note(name, None, outcome.version)
-      is_held = self._records.is_held(row.fingerprint, row.incarnation_id)
-      if (is_held or not newer) and self._unwritten.get(name) is None:
+      is_kept = row is None or self._records.is_held(
+        row.fingerprint, row.incarnation_id
+      )
+      if (is_kept or not newer) and self._unwritten.get(name) is None:
         self._unwritten.pop(name, None)
 
   def _note(self, name: str, row: PlaceRow | None, version: int) -> None:
--- a/tests/test_crash_rows.py
+++ b/tests/test_crash_rows.py
@@ -310,3 +310,35 @@
         seconds=2.0,
       )
       assert not daemon.records.count_quarantined()
+
+
+class RacingStore(Store):
+  """A store of which another daemon removes a row just before this one does."""
+
+  rows = None
+
+  async def change(self, *, removes=(), **options):
+    for key in removes:
+      if key in self.row_by_key:
+        await super().change(removes=[key])
+        # The feed tells of it before the answer comes.
+        await nodes.wait_until(lambda: not self.rows._row_by_name)
+    return await super().change(removes=removes, **options)
+
+
+# Guards against a writer that dies: the end of another instance, in the same
+# batch, stayed unwritten, and a fourth instance ended once all daemons were
+# killed.
+async def test_a_row_that_others_remove_during_a_write_stops_no_other_row():
+  store = RacingStore()
+  async with Daemon(store) as daemon:
+    store.rows = daemon.rows
+    daemon.records.lose('f', 'a')
+    await daemon.wait_written()
+    daemon.records.complete('f', 'a')
+    daemon.records.lose('g', 'b')
+    daemon.records.resolve('b', is_ended=True)
+    await nodes.wait_until(
+      lambda: not daemon.rows.is_write_awaited, seconds=3.0
+    )
+    assert find_places(store) == [('g', 'b', True)]
