Metrics: errors that end a task and that nothing handles are counted

What operators saw: nothing but "Task exception was never retrieved" in a log, while the writer of the records of crashes had ended five times.

Cause: no part looked at errors that reach the event loop.

Change: a daemon's event loop counts them (woadrun_loop_errors_total) and logs them as before. Who starts such a task again is not changed.

--- a/src/woadrun/process/counters.py
+++ b/src/woadrun/process/counters.py
@@ -82,6 +82,11 @@
       ('service',),
       registry=self.registry,
     )
+    self._loop_errors = prometheus_client.Counter(
+      'woadrun_loop_errors',
+      'Errors that ended a task or callback and that nothing handled.',
+      registry=self.registry,
+    )
     self._programs = prometheus_client.Counter(
       'woadrun_programs',
       'Programs that asked this daemon to begin, by outcome.',
@@ -105,6 +110,10 @@
     """Records a request refused because it ended the instances that ran it."""
     self._quarantined.labels(service).inc()
 
+  def record_loop_error(self) -> None:
+    """Records an error of a task or callback that nothing handled."""
+    self._loop_errors.inc()
+
   def record_undecided(self, service: str) -> None:
     """Records a request refused as it is not known what its instances do."""
     self._undecided.labels(service).inc()
--- a/src/woadrun/process/node.py
+++ b/src/woadrun/process/node.py
@@ -324,6 +324,7 @@
 
   async def on_start(self) -> None:
     """Starts listening for peers and following the platform."""
+    asyncio.get_running_loop().set_exception_handler(self._handle_loop_error)
     await self._listen()
     for part in (
       self.store,
@@ -343,6 +344,17 @@
       'Started daemon %s in domain %s.', self.config.name, self.config.domain
     )
 
+  def _handle_loop_error(
+    self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]
+  ) -> None:
+    """Counts and logs an error that nothing handled.
+
+    A task that runs beside requests ends by such an error, and what it does
+    stops without any other sign.
+    """
+    self.counters.record_loop_error()
+    loop.default_exception_handler(context)
+
   async def on_shutdown(self) -> None:
     """Closes the listener for peers."""
     if self._runner is not None:
