Team rates: places of requests that are gone do not stay in the line

A daemon that is killed gives no place back. If nobody of its team asked again, the place kept the team's limit in memory. A place now leaves the line once its caller can wait no longer; found by reading, with a test.

--- a/src/woadrun/decisions/rate_line.py
+++ b/src/woadrun/decisions/rate_line.py
@@ -69,6 +69,12 @@
       del self._keys[bisect.bisect_left(self._keys, _get_key(place))]
     return place
 
+  def find_expired(self, now: float) -> list[str]:
+    """Returns the requests whose callers can wait no longer."""
+    return [
+      id for id, place in self._place_by_id.items() if place.expires_at < now
+    ]
+
   def get_first(self) -> Place | None:
     """Returns the first place, None if there is none."""
     return self._place_by_id[self._keys[0][1]] if self._keys else None
--- a/src/woadrun/decisions/timed_programs.py
+++ b/src/woadrun/decisions/timed_programs.py
@@ -326,7 +326,9 @@
       others -= ticket.needed
     if demand is None:
       return _make_refusal(-room, needed=1.0, others=others, rate=rate)
-    allowed = ticket.allowed if ticket else max(0.0, start.seconds_left)
+    allowed = self.get_allowed(start.id)
+    if allowed is None:
+      allowed = max(0.0, start.seconds_left)
     # The duration without waiting for the rate.
     seconds = max(program_demand.MIN_DURATION_SECONDS, demand.ratio * allowed)
     can_be_in_time = seconds <= start.seconds_left
--- a/src/woadrun/process/rate_owner.py
+++ b/src/woadrun/process/rate_owner.py
@@ -85,8 +85,7 @@
   """A granted unit, which its request may use from `usable_at` on.
 
   `is_told` tells whether the request has learned of it.  A unit that was given
-  back is kept until it expires, because its messages may
-  be repeated.
+  back is kept until it expires, because its messages may be repeated.
   """
 
   granted_at: float
@@ -770,6 +769,9 @@
       for team in idle:
         del limit_by_team[team]
       for limit in limit_by_team.values():
+        # Those who wait may be gone without a word, and ask no more.
+        for id in limit.line.find_expired(now):
+          limit.leave_line(id)
         limit.programs.expire_idle(now)
         limit.timed.expire_idle(now)
         limit.expire_units(now)
--- a/tests/test_rate_line.py
+++ b/tests/test_rate_line.py
@@ -339,6 +339,21 @@
     assert limit.counts.returned == 1
 
 
+async def test_places_of_requests_that_are_gone_do_not_stay():
+  """A daemon that is killed gives no place back, and nobody asks any more."""
+  async with nodes.Nodes() as served:
+    owner = await test_rates.start_owner(served, level=-10.0)
+    ask = test_rates.make_ask(program='old', id='x', max_wait=3.0)
+    assert (await owner.answer(ask)).has_place
+    now = time.monotonic()
+    owner._evict_idle(now + 2.9)
+    assert owner._limit_by_team['red'].line
+    owner._evict_idle(now + 3.1)
+    assert not owner._limit_by_team['red'].line
+    owner._evict_idle(now + 60.0)
+    assert not owner._limit_by_team
+
+
 # --- The line -----------------------------------------------------------------
 
 
