Requests wait for the routing table as long as their callers do

What callers saw: a caller with 0.3 s waited up to 1 s at a daemon that had just started, and up to 1.25 s where it had to be found out whether a newer table has its route; both passed its deadline.

Cause: STARTUP_TIMEOUT_SECONDS and REFRESH_TIMEOUT_SECONDS, one figure each for all callers.

Change: both waits end at the caller's deadline, with 503, not run, and the time to return of an outage. The figures remain as upper limits.

Evidence: test_request_waits_for_the_routing_table_as_long_as_its_caller, which does not end on the code before.

--- a/src/woadrun/process/catalogue.py
+++ b/src/woadrun/process/catalogue.py
@@ -142,9 +142,8 @@
     `is_known` tells which of both.  The start-up time is
     STARTUP_TIMEOUT_SECONDS.
 
-    After a failure of all daemons, callers retry at processes that have just
-    started.  When such requests were refused immediately, callers missed their
-    deadlines or ran out of attempts although routes were known a moment later.
+    After a failure of all daemons, callers return to processes that have just
+    started, and that mostly know the routes a moment later.
     """
     remaining = self._started_at + STARTUP_TIMEOUT_SECONDS - time.monotonic()
     if self.is_known or remaining <= 0:
--- a/src/woadrun/request/serving.py
+++ b/src/woadrun/request/serving.py
@@ -113,8 +113,7 @@
       # Any other error would promise that the request has not run.
       self._recent.check(key)
       async with self._stop.reject_late():
-        await self._catalogue.wait_until_known()
-        grant = await self._access.grant(request)
+        grant = await self._grant_in_time(request)
       route = grant.route
       kind = route.kind.value
       deadline = _get_deadline(request, route)
@@ -151,6 +150,27 @@
         extra={**request.fields, 'kind': kind},
       )
 
+  async def _grant_in_time(
+    self, request: exchange.Request
+  ) -> authorization.Grant:
+    """Authorizes a request; waits for the routing table as its caller does.
+
+    Raises `config_unavailable` if the table, or whether it is the newest one,
+    is not known before the caller's deadline.
+    """
+    deadline = request.deadline
+    seconds = None if deadline is None else exchange.get_seconds_left(deadline)
+    try:
+      async with asyncio.timeout(seconds):
+        await self._catalogue.wait_until_known()
+        return await self._access.grant(request)
+    except TimeoutError:
+      raise errors.WoadrunError(
+        errors.Code.CONFIG_UNAVAILABLE,
+        'The newest routing table is not known in the time of the request.',
+        retry_after=retry_after.OUTAGE_CHECK_SECONDS,
+      ) from None
+
   def _extend_retry_delay(self, error: errors.WoadrunError) -> None:
     """Makes the caller return no sooner than an outage is expected to end."""
     if error.retry_after is not None and error.code in OUTAGE_CODES:
--- a/tests/test_retry_after.py
+++ b/tests/test_retry_after.py
@@ -67,6 +67,24 @@
     assert caught.value.ran is errors.RunStatus.NOT_RUN
 
 
+# Guards against a wait for the routing table of up to 1.25 s, whatever time the
+# caller has.
+@pytest.mark.parametrize('part', ['wait_until_known', 'refresh'])
+async def test_request_waits_for_the_routing_table_as_long_as_its_caller(part):
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1')
+    catalogue = fleet.by_name['n1'].catalogue
+    setattr(catalogue, part, lambda: asyncio.Event().wait())
+    request = nodes.make_request('a', path='/unknown/', seconds=0.3)
+    began = time.monotonic()
+    with pytest.raises(errors.WoadrunError) as caught:
+      await fleet.ask('n1', request)
+    assert time.monotonic() - began == pytest.approx(0.3, abs=0.1)
+    assert caught.value.code is errors.Code.CONFIG_UNAVAILABLE
+    assert caught.value.ran is errors.RunStatus.NOT_RUN
+    assert caught.value.retry_after > 0.0
+
+
 async def test_retry_delay_grows_with_the_silence_of_a_domain():
   async with nodes.Nodes() as fleet:
     await fleet.start('n1', 's1')
