--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -459,6 +459,21 @@
     assert is_granted == [False, False, True, False]
 
 
+async def test_program_does_not_slow_down_one_that_is_as_urgent():
+  """Guards against programs that all take 2.3 times as long as they need."""
+  async with nodes.Nodes() as served:
+    await served.start('n1')
+    owner = get_owner(served)
+    await owner.answer(make_ask(program='old'))
+    limit = owner._limit_by_team['red']
+    limit.programs.demand_by_kind['chat'] = program_demand.ProgramDemand(
+      requests=100, seconds=10.0
+    )
+    limit.bucket.level = 0.0
+    refused = await owner.answer(make_ask(program='new', begins=True))
+    assert not refused.is_granted and refused.retry_after > 0.0
+
+
 async def test_only_one_daemon_owns_the_whole_rate():
   async with nodes.Nodes() as served:
     await served.start('n1', 's1', 'w1')
