--- a/tests/test_program_admission.py
+++ b/tests/test_program_admission.py
@@ -158,6 +158,7 @@
   assert order(allowed=2.0, left=2.0, ratio=0.5) == program_admission.IN_TIME
   assert order(allowed=2.0, left=1.0, ratio=0.5) == program_admission.IN_TIME
   assert order(allowed=2.0, left=0.9, ratio=0.5) == program_admission.LATE
+  assert order(allowed=2.0, left=0.1, ratio=0.5) == program_admission.LATE
   # A first request that leaves too little time is late as well.
   assert order(allowed=2.0, left=2.0, ratio=1.1) == program_admission.LATE
   assert order(allowed=None, left=None, ratio=0.5) == program_admission.IN_TIME
@@ -178,6 +179,16 @@
   free = dataclasses.replace(state, programs=3.0)
   plan = program_admission.make_plan(free, weight_by_team={})
   assert estimate(free, plan, waiting=9) == pytest.approx(10 * 4 / 85)
+  # However many are ahead, the time is not cut off.
+  assert estimate(free, plan, waiting=900) == pytest.approx(901 * 4 / 85)
+  # Before any program has ended, and without any capacity or budget.
+  unknown = dataclasses.replace(free, seconds_per_program=None)
+  initial = program_admission.INITIAL_SECONDS_PER_PROGRAM
+  assert estimate(unknown, plan, waiting=0) == pytest.approx(initial / 85)
+  closed = dataclasses.replace(state, slots=0.0)
+  plan = program_admission.make_plan(closed, weight_by_team={})
+  assert (plan.capacity, plan.budget) == (0.0, 0.0)
+  assert estimate(closed, plan, waiting=0) == pytest.approx(2 * 4.0)
 
 
 def test_slow_programs_reduce_the_capacity():
