Attempts: an instance that a request did not reach is not one of its attempts

Callers saw: on a route with two attempts, a request was refused 5 ms after it came, with 2.97 of its 3 s left and two instances untried.

Cause: `attempt_limit.may_send` counted an attempt whose connection could not be opened against `max_attempts`, the number of instances that a request may be sent to. One such attempt and one refusal ended the request.

--- a/src/woadrun/request/attempts.py
+++ b/src/woadrun/request/attempts.py
@@ -119,8 +119,9 @@
   prompt tokens that each incarnation is expected to have cached.  `tried` lists
   the incarnations that were chosen so far, `last_error` is the error of the
   latest attempt without a reply, and `refusal` is the error that forbids
-  further attempts.  `not_run` counts the attempts that certainly did
-  not run.  `fingerprint` identifies the request across its tries.
+  further attempts.  `not_run` counts the attempts that certainly did not run,
+  `not_sent` those of them that did not reach their instance.  `fingerprint`
+  identifies the request across its tries.
   """
 
   request: exchange.Request
@@ -136,6 +137,7 @@
   last_error: Exception | None = None
   may_have_run: bool = False
   not_run: int = 0
+  not_sent: int = 0
 
   @property
   def route(self) -> routes.Route:
@@ -219,6 +221,7 @@
         except exchange.RequestNotSent as error:
           state.last_error = error
           state.not_run += 1
+          state.not_sent += 1
           continue
         except exchange.ResponseLost as error:
           state.last_error = error
@@ -334,6 +337,7 @@
       max_attempts=state.route.max_attempts,
       tried=len(state.tried),
       not_run=state.not_run,
+      not_sent=state.not_sent,
       seconds_left=seconds_left,
       work_seconds=self.estimate_seconds(state.service),
     )
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -234,6 +234,11 @@
     """Writes a configuration to the store, sealed as by the operator."""
     await self.shared.change(writes=[_make_config_row(config)])
 
+  async def add_instance(self, id, service):
+    """Writes the entry of one more instance, for daemons that start later."""
+    entry = msgspec.json.encode(_make_default_entry(service))
+    await self.shared.change(writes=[(rows.Key('servers', '', id), entry)])
+
   async def start(self, *names):
     for name in names:
       await self._start(name)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -217,6 +217,7 @@
       max_attempts=1,
       tried=len(tried),
       not_run=len(tried),
+      not_sent=0,
       seconds_left=3.0,
       work_seconds=CALL_SECONDS,
     ):
