Turns: a caller without time for the work no longer waits until its deadline

Callers saw: a turn whose program had no owner that answers was refused after 0.98 of 1 s, if turns usually take longer than the caller's time.

Cause: `_open_turn` kept the usual duration of the work free only for callers that have more time than that; the others waited for all of their time, for an answer after which they could not be served.

Fix: `decisions/usual_duration.py` limits a wait without a line to the caller's time less the work, and to the usual time until such an answer where that is longer. Both are observed: openings of turns now have moving averages, as requests to services have (that code moves there from `process/load/loads.py`).

Tests: test_turn_without_time_for_its_work_waits_for_a_usual_answer fails before (0.981 s instead of 0.1 s).

--- a/src/woadrun/process/load/loads.py
+++ b/src/woadrun/process/load/loads.py
@@ -33,16 +33,12 @@
 from woadrun.decisions import retry_after
 from woadrun.decisions import routing
 from woadrun.decisions import service_times
+from woadrun.decisions import usual_duration
 from woadrun.process import fleet_heartbeats
 from woadrun.process.load import health
 from woadrun.process.load import slowness
 from woadrun.version import instances
 
-# Weight of the newest request in the moving average of an instance's request
-# time: requests differ by a factor of ten, so that a few samples say little.
-EWMA_WEIGHT = 0.05
-# Estimate of a request's duration before any was measured.
-INITIAL_ESTIMATE_SECONDS = 0.2
 # Time for which an unreachable instance is skipped while there are others.
 UNREACHABLE_BACKOFF_SECONDS = 1.0
 # Time within which the entry of an instance that has ended expires.
@@ -89,7 +85,7 @@
   """
 
   running: int = 0
-  seconds: float = INITIAL_ESTIMATE_SECONDS
+  seconds: float = usual_duration.INITIAL_ESTIMATE_SECONDS
   unreachable_until: float = 0.0
   idle_since: list[float] = dataclasses.field(default_factory=list)
 
@@ -134,9 +130,7 @@
     self._domain = domain
     self._is_silent = is_silent
     self._load_by_id: dict[str, Load] = {}
-    self._mean_seconds_by_service: dict[str, float] = {}
-    # Moving averages of the distance of request times from their mean.
-    self._deviation_by_service: dict[str, float] = {}
+    self._duration_by_service: dict[str, usual_duration.UsualDuration] = {}
     self._last_sent: dict[str, int] = {}
     # The time of the counts and the counts by instance, for each peer; also for
     # each domain with a digest, and for the sum of all other domains.
@@ -273,33 +267,27 @@
     A failure never lowers them: an instance that fails at once is not fast.
     """
     load = self._load_by_id.setdefault(id, Load())
-    mean = self.get_mean_seconds(service)
     least = -math.inf if not is_failure else 0.0
-    load.seconds += EWMA_WEIGHT * max(least, seconds - load.seconds)
-    if not is_failure:
-      known = self._deviation_by_service.get(service, 0.0)
-      distance = abs(seconds - mean)
-      self._deviation_by_service[service] = known + EWMA_WEIGHT * (
-        distance - known
-      )
-    mean += EWMA_WEIGHT * max(least, seconds - mean)
-    self._mean_seconds_by_service[service] = mean
+    load.seconds += usual_duration.EWMA_WEIGHT * max(
+      least, seconds - load.seconds
+    )
+    self._get_duration(service).record(seconds, is_failure=is_failure)
+
+  def _get_duration(self, service: str) -> usual_duration.UsualDuration:
+    return self._duration_by_service.setdefault(
+      service, usual_duration.UsualDuration()
+    )
 
   def get_mean_seconds(self, service: str) -> float:
     """Returns the moving average of request times over a whole service.
 
-    The result is INITIAL_ESTIMATE_SECONDS before the first request.
+    Before the first request, the result is an initial estimate.
     """
-    return self._mean_seconds_by_service.get(service, INITIAL_ESTIMATE_SECONDS)
+    return self._get_duration(service).mean
 
   def get_usual_seconds(self, service: str) -> float:
-    """Returns a duration that most requests to a service do not exceed.
-
-    It is the mean and one mean deviation; the mean is INITIAL_ESTIMATE_SECONDS
-    before the first request.
-    """
-    deviation = self._deviation_by_service.get(service, 0.0)
-    return self.get_mean_seconds(service) + deviation
+    """Returns a duration that most requests to a service do not exceed."""
+    return self._get_duration(service).seconds
 
   def record_unreachable(self, id: str) -> None:
     """Makes `choose` skip an instance for UNREACHABLE_BACKOFF_SECONDS."""
@@ -575,7 +563,9 @@
     # `batch_delay` accounts for; the measured average would count that load
     # twice.
     seconds = (
-      slowness * INITIAL_ESTIMATE_SECONDS if batch_delay else load.seconds
+      slowness * usual_duration.INITIAL_ESTIMATE_SECONDS
+      if batch_delay
+      else load.seconds
     )
     if not load.has_idle_connection(now):
       seconds += CONNECT_COST_SECONDS
--- a/src/woadrun/request/serving.py
+++ b/src/woadrun/request/serving.py
@@ -25,6 +25,7 @@
 from woadrun.connection import turn_messages
 from woadrun.decisions import line_expiry
 from woadrun.decisions import retry_after
+from woadrun.decisions import usual_duration
 from woadrun.process import catalogue
 from woadrun.process import counters
 from woadrun.process import planned_stop
@@ -91,6 +92,7 @@
     self._domain = domain
     self._close_tasks: set[asyncio.Task[None]] = set()
     self._recent = recent_requests.RecentRequests()
+    self._opening = usual_duration.UsualDuration()
     self.active = 0
 
   @contextlib.asynccontextmanager
@@ -330,12 +332,15 @@
 
     `work_seconds` is the usual duration of such turns.
     """
-    remaining = exchange.get_seconds_left(deadline)
-    if remaining > work_seconds:
-      remaining -= work_seconds
+    began = time.monotonic()
+    seconds = usual_duration.limit_wait(
+      deadline - began,
+      work_seconds=work_seconds,
+      answer_seconds=self._opening.seconds,
+    )
     try:
-      async with asyncio.timeout(remaining):
-        return await self._turn_client.open(
+      async with asyncio.timeout(seconds):
+        opened = await self._turn_client.open(
           id, turn, keeps_history=route.keeps_history, admission=admission
         )
     except TimeoutError:
@@ -344,6 +349,8 @@
         'No owner of the program admitted the turn in time.',
         retry_after=retry_after.OUTAGE_CHECK_SECONDS,
       ) from None
+    self._opening.record(time.monotonic() - began)
+    return opened
 
   async def _relay_reply(
     self, running: _RunningTurn, reply: exchange.Reply
--- a/tests/test_retry_after.py
+++ b/tests/test_retry_after.py
@@ -10,6 +10,7 @@
 
 from woadrun import errors
 from woadrun.decisions import retry_after
+from woadrun.decisions import usual_duration
 from woadrun.request import exchange
 
 
@@ -67,6 +68,34 @@
     assert caught.value.ran is errors.RunStatus.NOT_RUN
 
 
+# Guards against a caller with less time than the work takes that is told at its
+# deadline that no owner answers.
+async def test_turn_without_time_for_its_work_waits_for_a_usual_answer():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1')
+    daemon = fleet.by_name['n1']
+    daemon.serving._attempts.estimate_seconds = lambda service: 2.0
+    daemon.serving._opening = usual_duration.UsualDuration(mean=0.1)
+    daemon.serving._turn_client.open = lambda *_, **__: asyncio.Event().wait()
+    request = nodes.make_request(
+      'a', path='/chat/', turn=exchange.TurnInfo(program='p'), seconds=1.0
+    )
+    began = time.monotonic()
+    with pytest.raises(errors.WoadrunError) as caught:
+      await fleet.ask('n1', request)
+    assert time.monotonic() - began == pytest.approx(0.1, abs=0.1)
+    assert caught.value.code is errors.Code.OWNER_UNAVAILABLE
+    assert caught.value.ran is errors.RunStatus.NOT_RUN
+
+
+async def test_usual_time_until_an_owner_answers_is_observed():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1')
+    before = fleet.by_name['n1'].serving._opening.mean
+    await fleet.turn('n1', 'a', budget=10, most=10)
+    assert fleet.by_name['n1'].serving._opening.mean < before
+
+
 # Guards against a wait for the routing table of up to 1.25 s, whatever time the
 # caller has.
 @pytest.mark.parametrize('part', ['wait_until_known', 'refresh'])
