Requests wait for the routing table only while they can still be run

Callers saw: a request was refused at its deadline (0.50 of 0.5 s, 0.20 of 0.2 s) because the table, or whether it is the newest one, was not known.

Cause: the wait lasted for all of the caller's time. A request that is authorized then can be run no more, and the caller has no time left to return.

Fix: the wait leaves the time of a request of usual duration, and lasts for the usual time of a refresh (observed) where the caller has less than that.

Tests: test_request_waits_for_the_routing_table_while_it_can_be_run replaces the test that expected the whole deadline; it expects 0.3 of 0.5 s and 0.05 of 0.2 s, and fails before in all four cases (0.50 and 0.20 s).

--- a/src/woadrun/process/catalogue.py
+++ b/src/woadrun/process/catalogue.py
@@ -23,6 +23,7 @@
 from woadrun import decoding
 from woadrun import errors
 from woadrun.connection import rows
+from woadrun.decisions import usual_duration
 from woadrun.process import feed
 from woadrun.process import store_clock
 from woadrun.process import table_age
@@ -64,7 +65,8 @@
   again; it counts as live until then.  `rejections` counts the instance rows
   that could not be decoded.  `revocation` is the time in seconds for which
   a key may be used after it is revoked, None if that is not bounded.  `clock`
-  estimates the store's clock.  `age` is the age of the routing table.
+  estimates the store's clock.  `age` is the age of the routing table, and
+  `refresh_duration` the usual time until the store answers a refresh.
   """
 
   def __init__(
@@ -108,6 +110,7 @@
     )
     self._refresh_task: asyncio.Task[bool] | None = None
     self._refreshed_at = -math.inf
+    self.refresh_duration = usual_duration.UsualDuration()
     self._has_undecodable_table = False
     self._instance_feed = feed.Feed(
       store=store,
@@ -238,12 +241,14 @@
   async def _refresh_once(self) -> bool:
     delay = self._refreshed_at + REFRESH_INTERVAL_SECONDS - time.monotonic()
     await asyncio.sleep(max(0.0, delay))
+    began = time.monotonic()
     try:
       async with asyncio.timeout(REFRESH_TIMEOUT_SECONDS):
         await self._table_feed.refresh()
     except (errors.WoadrunError, TimeoutError) as error:
       log.info('Cannot refresh the routing table: %s', error)
       return False
+    self.refresh_duration.record(time.monotonic() - began)
     return True
 
   def _apply_table_rows(self, listed_rows: tuple[rows.Row, ...]) -> None:
--- a/src/woadrun/request/serving.py
+++ b/src/woadrun/request/serving.py
@@ -155,13 +155,19 @@
   async def _grant_in_time(
     self, request: exchange.Request
   ) -> authorization.Grant:
-    """Authorizes a request; waits for the routing table as its caller does.
+    """Authorizes a request once the routing table is known.
 
     Raises `config_unavailable` if the table, or whether it is the newest one,
-    is not known before the caller's deadline.
+    is not known while the caller has time for a request of usual duration.
     """
-    deadline = request.deadline
-    seconds = None if deadline is None else exchange.get_seconds_left(deadline)
+    seconds = None
+    if request.deadline is not None:
+      seconds = usual_duration.limit_wait(
+        exchange.get_seconds_left(request.deadline),
+        # Without a table, the service is not known either.
+        work_seconds=usual_duration.INITIAL_ESTIMATE_SECONDS,
+        answer_seconds=self._catalogue.refresh_duration.seconds,
+      )
     try:
       async with asyncio.timeout(seconds):
         await self._catalogue.wait_until_known()
--- a/tests/test_retry_after.py
+++ b/tests/test_retry_after.py
@@ -97,18 +97,22 @@
 
 
 # Guards against a wait for the routing table of up to 1.25 s, whatever time the
-# caller has.
+# caller has, and against one that ends at the caller's deadline.
 @pytest.mark.parametrize('part', ['wait_until_known', 'refresh'])
-async def test_request_waits_for_the_routing_table_as_long_as_its_caller(part):
+@pytest.mark.parametrize(('seconds', 'waited'), [(0.5, 0.3), (0.2, 0.05)])
+async def test_request_waits_for_the_routing_table_while_it_can_be_run(
+  part, seconds, waited
+):
   async with nodes.Nodes() as fleet:
     await fleet.start('n1')
     catalogue = fleet.by_name['n1'].catalogue
+    catalogue.refresh_duration = usual_duration.UsualDuration(mean=0.05)
     setattr(catalogue, part, lambda: asyncio.Event().wait())
-    request = nodes.make_request('a', path='/unknown/', seconds=0.3)
+    request = nodes.make_request('a', path='/unknown/', seconds=seconds)
     began = time.monotonic()
     with pytest.raises(errors.WoadrunError) as caught:
       await fleet.ask('n1', request)
-    assert time.monotonic() - began == pytest.approx(0.3, abs=0.1)
+    assert time.monotonic() - began == pytest.approx(waited, abs=0.1)
     assert caught.value.code is errors.Code.CONFIG_UNAVAILABLE
     assert caught.value.ran is errors.RunStatus.NOT_RUN
     assert caught.value.retry_after > 0.0
