Team rates: demand is observed over the time that programs have

Callers saw: for seconds after a surge of urgent programs, less urgent ones were refused although the rate had room: with programs of 2 s, 4 s after its end.

Cause: `timed_programs.DEMAND_SECONDS`, one figure for programs of all lengths, whose only known source is the windows of operators' quotas.

Fix: the demand of a kind decays with the mean time that its programs have, as their callers tell it. The part that a less urgent kind keeps follows.

Evidence: test_demand_is_observed_over_the_time_that_programs_have fails before.

--- a/src/woadrun/decisions/timed_programs.py
+++ b/src/woadrun/decisions/timed_programs.py
@@ -27,8 +27,6 @@
 # Units that the bucket must have for each program under way when one begins:
 # their next requests, which are the work that is left first.
 UNITS_PER_PROGRAM = 1.0
-# Time constant of the moving average of the demand of a kind.
-DEMAND_SECONDS = 5.0
 # Each kind gets at least this fraction of its proportional part of the rate, so
 # that less urgent programs are not shut out by more urgent ones.
 MIN_PART = 0.25
@@ -79,21 +77,38 @@
   """The programs of one kind that were asked for, and those that began.
 
   `asked` and `begun` are decayed sums of the times that these programs had.
+  They decay with the mean time that programs of the kind have, `seconds`.
   """
 
   priority: int
   updated_at: float
+  seconds: float
   asked: float = 0.0
   begun: float = 0.0
 
+  def record_asked(self, allowed: float, now: float) -> None:
+    """Adds a program that has `allowed` seconds."""
+    self.decay(now)
+    self.seconds += program_demand.LEARN_WEIGHT * (allowed - self.seconds)
+    self.asked += allowed
+
   def decay(self, now: float) -> None:
     """Brings the sums up to `now`."""
     age = max(0.0, now - self.updated_at)
-    factor = math.exp(-age / DEMAND_SECONDS)
+    factor = math.exp(-age / self.time_constant)
     self.asked *= factor
     self.begun *= factor
     self.updated_at = now
 
+  @property
+  def time_constant(self) -> float:
+    """The time constant of the decay, in seconds."""
+    return max(program_demand.MIN_DURATION_SECONDS, self.seconds)
+
+  def get_expected(self, horizon: float) -> float:
+    """Returns the times that the programs of the next seconds have, as a sum."""
+    return self.asked * horizon / self.time_constant
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _Ticket:
@@ -169,11 +184,11 @@
       _Ticket(asked_at=now, allowed=allowed, priority=start.priority),
     )
     offer = self._offer_by_kind.setdefault(
-      start.kind, _Offer(priority=start.priority, updated_at=now)
+      start.kind,
+      _Offer(priority=start.priority, updated_at=now, seconds=allowed),
     )
     offer.priority = start.priority
-    offer.decay(now)
-    offer.asked += allowed
+    offer.record_asked(allowed, now)
 
   def record_refused_start(self, id: str, refusal: Refusal) -> None:
     """Records that a program which asked to begin was refused.
@@ -346,7 +361,7 @@
       offer = self._offer_by_kind.get(kind)
       # A program that cannot be in time leaves room for all the others.
       if offer and (offer.priority < start.priority or not can_be_in_time):
-        sent = max(sent, offered_by_kind.get(kind, 0.0) * horizon)
+        sent = max(sent, self._expect_requests(kind, horizon))
       needed += sent
     excess = needed - rate * horizon - level
     if can_be_in_time and self._is_below_part(start, rate, offered_by_kind):
@@ -371,7 +386,7 @@
     if not total or own is None or is_most_urgent:
       return False
     density = self.demand_by_kind[start.kind].density
-    begun = own.begun / DEMAND_SECONDS * density
+    begun = own.begun / own.time_constant * density
     return begun < MIN_PART * rate * offered_by_kind[start.kind] / total
 
   def _count_active(self, now: float) -> int:
@@ -399,12 +414,25 @@
       count_by_kind[running.kind] = count_by_kind.get(running.kind, 0.0) + count
     return count_by_kind
 
+  def _expect_requests(self, kind: str, horizon: float) -> float:
+    """Returns the requests of the programs that are expected to be asked for.
+
+    Only requests within the next `horizon` seconds are counted, without those
+    of a kind whose demand is not known.
+    """
+    demand = self.demand_by_kind.get(kind)
+    if demand is None:
+      return 0.0
+    return demand.density * self._offer_by_kind[kind].get_expected(horizon)
+
   def _get_offered(self, now: float) -> dict[str, float]:
     """Returns the requests per second of the programs asked for, by kind."""
     for offer in self._offer_by_kind.values():
       offer.decay(now)
     return {
-      kind: offer.asked / DEMAND_SECONDS * self.demand_by_kind[kind].density
+      kind: offer.asked
+      / offer.time_constant
+      * self.demand_by_kind[kind].density
       for kind, offer in self._offer_by_kind.items()
       if kind in self.demand_by_kind
     }
