Team rates: less urgent programs leave room for the spread of the demand

Callers saw: urgent programs that came a little closer together than on average found the rate used up by less urgent ones, and ended late.

Cause: room was left for the mean demand of urgent kinds alone. Half of the time the demand is above its mean.

Fix: one standard deviation of the demand within the horizon is added. For programs that arrive independently it follows from the observed sum of the squares of what they need, so that no figure is chosen.

--- a/src/woadrun/decisions/timed_programs.py
+++ b/src/woadrun/decisions/timed_programs.py
@@ -76,8 +76,9 @@
 class _Offer:
   """The programs of one kind that were asked for, and those that began.
 
-  `asked` and `begun` are decayed sums of the times that these programs had.
-  They decay with the mean time that programs of the kind have, `seconds`.
+  `asked` and `begun` are decayed sums of the times that these programs had,
+  `squares` is one of the squares of the times of those asked for.  They decay
+  with the mean time that programs of the kind have, `seconds`.
   """
 
   priority: int
@@ -85,12 +86,14 @@
   seconds: float
   asked: float = 0.0
   begun: float = 0.0
+  squares: float = 0.0
 
   def record_asked(self, allowed: float, now: float) -> None:
     """Adds a program that has `allowed` seconds."""
     self.decay(now)
     self.seconds += program_demand.LEARN_WEIGHT * (allowed - self.seconds)
     self.asked += allowed
+    self.squares += allowed * allowed
 
   def decay(self, now: float) -> None:
     """Brings the sums up to `now`."""
@@ -98,6 +101,7 @@
     factor = math.exp(-age / self.time_constant)
     self.asked *= factor
     self.begun *= factor
+    self.squares *= factor
     self.updated_at = now
 
   @property
@@ -106,8 +110,12 @@
     return max(program_demand.MIN_DURATION_SECONDS, self.seconds)
 
   def get_expected(self, horizon: float) -> float:
-    """Returns the times that the programs of the next seconds have, as a sum."""
-    return self.asked * horizon / self.time_constant
+    """Returns the times that the programs of the next seconds have, as a sum.
+
+    It is the mean and one standard deviation, as of independent arrivals.
+    """
+    part = horizon / self.time_constant
+    return self.asked * part + math.sqrt(self.squares * part)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -762,6 +762,18 @@
   assert known.check(other, now=9.0, **bucket) is None
 
 
+def test_less_urgent_programs_leave_room_for_the_spread_of_the_demand():
+  """Urgent programs that came a little closer together were late."""
+  known = make_timed_programs(urgent=(5.0, 0.5), other=(5.0, 0.5))
+  for number in range(12):
+    known.record_asked(make_start(f'u{number}', kind='urgent'), number / 1.2)
+  # The mean demand of 24 requests in 2 s leaves room for 10 more.
+  bucket = {'level': 1.0, 'burst': 20.0, 'rate': 20.0, 'now': 10.0}
+  other = make_start('b', kind='other', priority=2)
+  assert known.check(make_start('a', kind='urgent'), **bucket) is None
+  assert known.check(other, **bucket) is not None
+
+
 def test_less_urgent_kind_keeps_a_quarter_of_its_part():
   """Demand of urgent kinds beyond the rate would refuse all other programs."""
   known = make_timed_programs(urgent=(1.0, 0.5), other=(1.0, 0.5))
