Admission: figures that nobody tells or observes are settings of the operator

Callers saw: which programs begin, and how many less urgent ones, followed from constants without a source: a quarter for each kind and priority, 0.85 of the slots, 0.8 of the programs' time, 0.6 as least capacity, 0.75 of their time as expected duration, 0.5 s and 2 s until a program counts as ended.

Cause: no caller tells these and no daemon observes them, and an operator could not set them.

Change: `python3 -m woadrun.platform FILE.toml` reads them from a table `[admission]` (`process/admission_settings.py`, `decisions/admission_policy.py`). All findings of the file are told at once, and the daemon does not start with any. Without a file the defaults are those of before, so that nothing else changes. MIN_PART and MIN_PRIORITY_FRACTION are one setting, `least_part`.

Evidence: tests/test_admission_settings.py; the tests of rates, admission and the gate pass unchanged but for the names of two constants.

--- a/src/woadrun/decisions/program_admission.py
+++ b/src/woadrun/decisions/program_admission.py
@@ -15,29 +15,17 @@
 import math
 from typing import NamedTuple
 
+from woadrun.decisions import admission_policy
 from woadrun.decisions import fair_shares
 
-# Turns are placed by counts up to 0.5 s old, so that some instances have more
-# turns than slots while others have free ones.
-USABLE_FRACTION = 0.85
 # The difference between capacity and programs under way is made up over this
 # time.  It is longer than the age of the sums (0.5 s), so that hundreds of
 # deciders approach the capacity without oscillating.
 ADJUST_SECONDS = 1.0
-# Each priority gets at least this fraction of its proportional part.
-MIN_PRIORITY_FRACTION = 0.25
 # Older sums are not used.
 MAX_SUMS_AGE_SECONDS = 1.5
-# Programs are meant to need at most this fraction of the time that they have,
-# in the mean; the rest is for the spread of their durations.  Turns that run
-# beside others are slower, long before all slots are taken.
-TARGET_DURATION_RATIO = 0.8
-# The capacity is reduced at most to this fraction, so that programs that are
-# late for another reason, such as slow calls, do not close a service.
-MIN_PACE = 0.6
 # Defaults of a decider that has no measurements yet.
 INITIAL_TURNS_PER_PROGRAM = 1.0
-INITIAL_DURATION_RATIO = 0.75
 # Duration of programs that tell no finish time, before any has ended.
 INITIAL_SECONDS_PER_PROGRAM = 2.0
 # Lower limit of the duration that is expected before any program has ended.
@@ -46,8 +34,6 @@
 TURNS_HALF_LIFE_SECONDS = 1.5
 # A burst has to be noticed within a few heartbeats.
 RATE_HALF_LIFE_SECONDS = 0.25
-# A program is under way until this long after its last turn ended.
-IDLE_SECONDS = 0.5
 # The heaviest teams are named in sums; all others count as this one team.
 MAX_NAMED_TEAMS = 16
 OTHER_TEAMS = ''
@@ -129,25 +115,40 @@
 
 
 def estimate_capacity(
-  *, slots: float, turns_per_program: float, duration_ratio: float | None = None
+  *,
+  slots: float,
+  turns_per_program: float,
+  duration_ratio: float | None = None,
+  policy: admission_policy.AdmissionPolicy = admission_policy.DEFAULT,
 ) -> float:
   """Returns the number of programs that a service can have under way.
 
   It is less if the programs that ended recently needed more than
-  TARGET_DURATION_RATIO of the time that they had.
+  `policy.target_duration` of the time that they had: turns that run beside
+  others are slower, long before all slots are taken.
   """
-  usable = _count_usable_slots(slots=slots, duration_ratio=duration_ratio)
+  usable = _count_usable_slots(
+    slots=slots, duration_ratio=duration_ratio, policy=policy
+  )
   return usable / max(1e-3, turns_per_program)
 
 
-def _count_usable_slots(*, slots: float, duration_ratio: float | None) -> float:
+def _count_usable_slots(
+  *,
+  slots: float,
+  duration_ratio: float | None,
+  policy: admission_policy.AdmissionPolicy,
+) -> float:
   pace = 1.0
   if duration_ratio is not None:
-    pace = TARGET_DURATION_RATIO / max(TARGET_DURATION_RATIO, duration_ratio)
-  return USABLE_FRACTION * max(MIN_PACE, pace) * slots
+    target = policy.target_duration
+    pace = target / max(target, duration_ratio)
+  return policy.usable_slots * max(policy.least_capacity, pace) * slots
 
 
-def _find_capacity(state: ServiceState) -> float:
+def _find_capacity(
+  state: ServiceState, policy: admission_policy.AdmissionPolicy
+) -> float:
   """Returns the capacity by the turns of programs, or by the free slots.
 
   Turns of routes without admission count as running, but their programs do not
@@ -159,11 +160,12 @@
     slots=state.slots,
     turns_per_program=state.turns_per_program,
     duration_ratio=state.duration_ratio,
+    policy=policy,
   )
   if state.turns_per_program <= INITIAL_TURNS_PER_PROGRAM:
     return capacity
   usable = _count_usable_slots(
-    slots=state.slots, duration_ratio=state.duration_ratio
+    slots=state.slots, duration_ratio=state.duration_ratio, policy=policy
   )
   free = max(0.0, usable - state.running)
   return max(capacity, min(usable, state.programs + free))
@@ -190,13 +192,16 @@
 
 
 def make_plan(
-  state: ServiceState, *, weight_by_team: Mapping[str, float]
+  state: ServiceState,
+  *,
+  weight_by_team: Mapping[str, float],
+  policy: admission_policy.AdmissionPolicy = admission_policy.DEFAULT,
 ) -> Plan:
   """Divides the programs that may begin among the classes that ask.
 
   `weight_by_team` has the configured rate of each team that has one.
   """
-  capacity = _find_capacity(state)
+  capacity = _find_capacity(state, policy)
   ended_per_second = state.ended_per_second
   # The programs that end at full capacity, not those that end now.  The latter
   # repeat the admissions of a program's duration ago, and lag behind growing
@@ -212,14 +217,14 @@
       budget=budget,
       fraction_by_class=dict.fromkeys(state.asked_per_second, 1.0),
     )
-  min_fraction = MIN_PRIORITY_FRACTION * budget / asked
+  min_fraction = policy.least_part * budget / asked
   return Plan(
     capacity=capacity,
     budget=budget,
     fraction_by_class=_divide_budget(
       budget,
       asked_by_class=state.asked_per_second,
-      min_fraction=min_fraction,
+      least_part=policy.least_part,
       weight_by_team=weight_by_team,
     ),
     min_fraction=min_fraction,
@@ -230,7 +235,7 @@
   budget: float,
   *,
   asked_by_class: Mapping[ClassKey, float],
-  min_fraction: float,
+  least_part: float,
   weight_by_team: Mapping[str, float],
 ) -> dict[ClassKey, float]:
   """Returns the fraction of each class, by team, priority and order.
@@ -238,6 +243,7 @@
   Teams come first: if priorities did, a team's surplus of urgent programs would
   displace the less urgent ones of teams that ask for no more than usual.
   """
+  min_fraction = least_part * budget / sum(asked_by_class.values())
   asked_by_order: dict[tuple[str, int], dict[int, float]] = {}
   rest_by_team: dict[str, float] = {}
   for key, asked in asked_by_class.items():
@@ -245,7 +251,7 @@
     rest = (1 - min_fraction) * asked
     rest_by_team[key.team] = rest_by_team.get(key.team, 0.0) + rest
   left_by_team = fair_shares.divide(
-    budget * (1 - MIN_PRIORITY_FRACTION), rest_by_team, weight_by_team
+    budget * (1 - least_part), rest_by_team, weight_by_team
   )
   fraction_by_class: dict[ClassKey, float] = {}
   for team, priority in sorted(asked_by_order):
@@ -304,12 +310,16 @@
   return seconds * (ends + (waiting + 1) / max(1.0, plan.capacity))
 
 
-def expect_seconds(seconds_left: float) -> float:
+def expect_seconds(
+  seconds_left: float,
+  *,
+  policy: admission_policy.AdmissionPolicy = admission_policy.DEFAULT,
+) -> float:
   """Returns the expected duration of a program before any has ended.
 
   `seconds_left` is the time that it has.
   """
-  return max(MIN_INITIAL_SECONDS, INITIAL_DURATION_RATIO * seconds_left)
+  return max(MIN_INITIAL_SECONDS, policy.initial_duration * seconds_left)
 
 
 def get_initial_credit(member: str, rank: tuple[int, int]) -> float:
--- a/src/woadrun/decisions/program_demand.py
+++ b/src/woadrun/decisions/program_demand.py
@@ -15,11 +15,10 @@
 from collections.abc import Container
 import dataclasses
 
+from woadrun.decisions import admission_policy
+
 # Weight of the newest sample in the moving averages of a kind.
 LEARN_WEIGHT = 0.1
-# A program that has sent no request for this long is considered ended: its end
-# is not reported.
-IDLE_TIMEOUT_SECONDS = 2.0
 # Lower bound of the duration by which request rates are computed: the duration
 # from the first to the last request is 0 for a program of one request.
 MIN_DURATION_SECONDS = 0.1
@@ -55,7 +54,12 @@
 class ProgramTracker:
   """The running programs of one team, and the learned demand of each kind."""
 
-  def __init__(self) -> None:
+  def __init__(
+    self,
+    *,
+    policy: admission_policy.AdmissionPolicy = admission_policy.DEFAULT,
+  ) -> None:
+    self._policy = policy
     self.demand_by_kind: dict[str, ProgramDemand] = {}
     self._running_by_id: dict[str, _RunningProgram] = {}
 
@@ -107,7 +111,7 @@
     ended = [
       id
       for id, running in self._running_by_id.items()
-      if now - running.last_request_at > IDLE_TIMEOUT_SECONDS
+      if now - running.last_request_at > self._policy.ended_seconds
     ]
     for id in ended:
       self._learn(self._running_by_id.pop(id))
--- a/src/woadrun/decisions/timed_programs.py
+++ b/src/woadrun/decisions/timed_programs.py
@@ -16,20 +16,15 @@
 import dataclasses
 import math
 
+from woadrun.decisions import admission_policy
 from woadrun.decisions import program_demand
 
-# A program no longer counts this long after its last request.  Its end is not
-# reported, and a longer time would keep the rate of ended programs reserved.
-ACTIVE_SECONDS = 0.5
 # A program that has sent as many requests as expected counts with this many
 # more until it ends.
 MIN_REMAINING_REQUESTS = 1.0
 # Units that the bucket must have for each program under way when one begins:
 # their next requests, which are the work that is left first.
 UNITS_PER_PROGRAM = 1.0
-# Each kind gets at least this fraction of its proportional part of the rate, so
-# that less urgent programs are not shut out by more urgent ones.
-MIN_PART = 0.25
 # Maximum number of programs that are remembered before they begin.
 MAX_TICKETS = 10_000
 
@@ -159,7 +154,12 @@
 class TimedPrograms:
   """The programs of one team, and the learned demand of each kind."""
 
-  def __init__(self) -> None:
+  def __init__(
+    self,
+    *,
+    policy: admission_policy.AdmissionPolicy = admission_policy.DEFAULT,
+  ) -> None:
+    self._policy = policy
     self.demand_by_kind: dict[str, KindDemand] = {}
     self._running_by_id: dict[str, _Running] = {}
     self._offer_by_kind: dict[str, _Offer] = {}
@@ -294,7 +294,7 @@
     ended = [
       id
       for id, running in self._running_by_id.items()
-      if now - running.last_request_at > program_demand.IDLE_TIMEOUT_SECONDS
+      if now - running.last_request_at > self._policy.ended_seconds
     ]
     for id in ended:
       self._learn(self._running_by_id.pop(id))
@@ -395,12 +395,15 @@
       return False
     density = self.demand_by_kind[start.kind].density
     begun = own.begun / own.time_constant * density
-    return begun < MIN_PART * rate * offered_by_kind[start.kind] / total
+    part = rate * offered_by_kind[start.kind] / total
+    return begun < self._policy.least_part * part
+
+  def _is_active(self, running: _Running, now: float) -> bool:
+    return now - running.last_request_at < self._policy.idle_seconds
 
   def _count_active(self, now: float) -> int:
     return sum(
-      now - running.last_request_at < ACTIVE_SECONDS
-      for running in self._running_by_id.values()
+      self._is_active(running, now) for running in self._running_by_id.values()
     )
 
   def _count_remaining(self, horizon: float, now: float) -> dict[str, float]:
@@ -411,7 +414,7 @@
     count_by_kind: dict[str, float] = {}
     for running in self._running_by_id.values():
       demand = self.demand_by_kind.get(running.kind)
-      if demand is None or now - running.last_request_at >= ACTIVE_SECONDS:
+      if demand is None or not self._is_active(running, now):
         continue
       remaining = max(
         MIN_REMAINING_REQUESTS,
--- a/src/woadrun/platform/__main__.py
+++ b/src/woadrun/platform/__main__.py
@@ -1,5 +1,8 @@
 """`python3 -m woadrun.platform`: runs the daemon on the users' platform.
 
+An argument names the operator's file with settings for the admission of
+programs (`woadrun.process.admission_settings`); without one the defaults hold.
+
 The module imports only what the daemon needs: the whole command line would
 cost each process some ten megabytes.
 """
@@ -38,7 +41,7 @@
   gc.enable()
   try:
     with asyncio.Runner(loop_factory=event_loop.make) as runner:
-      runner.run(program.run())
+      runner.run(program.run(*sys.argv[1:2]))
       # Cancelling what is left and freeing all objects would take long beside
       # many requests, and the grace period ends.
       os._exit(0)
--- a/src/woadrun/platform/program.py
+++ b/src/woadrun/platform/program.py
@@ -28,6 +28,7 @@
 from woadrun.platform import settings
 from woadrun.platform import store
 from woadrun.platform import upstream
+from woadrun.process import admission_settings
 from woadrun.process import event_log
 from woadrun.process import node
 from woadrun.process import planned_stop
@@ -49,10 +50,17 @@
 SETTINGS_CHECK_INTERVAL_SECONDS = 1.0
 
 
-async def run() -> None:
-  """Serves until SIGTERM, then finishes the requests in progress."""
+async def run(admission_path: str = '') -> None:
+  """Serves until SIGTERM, then finishes the requests in progress.
+
+  `admission_path` is that of the operator's settings for the admission of
+  programs, if there are any.
+  """
   path = os.environ[settings.PATH_VARIABLE]
   config = settings.load(path)
+  if admission_path:
+    admission = admission_settings.load(admission_path)
+    config = dataclasses.replace(config, admission=admission)
   event_log.configure()
   connector = tcp_connections.make_connector(
     limit=node.MAX_CONNECTIONS, keepalive=node.KEEPALIVE_TIMEOUT_SECONDS
@@ -189,7 +197,9 @@
   change nothing.
   """
   try:
-    reloaded = settings.load(path)
+    reloaded = dataclasses.replace(
+      settings.load(path), admission=config.admission
+    )
   except errors.FindingsError as error:
     log.error(
       'Reload: the settings are invalid and were not applied: %s', error
--- a/src/woadrun/process/load/program_gate.py
+++ b/src/woadrun/process/load/program_gate.py
@@ -24,6 +24,7 @@
 
 from woadrun import errors
 from woadrun.connection import turn_messages
+from woadrun.decisions import admission_policy
 from woadrun.decisions import program_admission
 from woadrun.process import counters
 from woadrun.process import fleet
@@ -191,7 +192,7 @@
   )
   duration_ratio: program_admission.DecayedRatio = dataclasses.field(
     default_factory=lambda: program_admission.DecayedRatio(
-      initial=program_admission.INITIAL_DURATION_RATIO
+      initial=admission_policy.DEFAULT.initial_duration
     )
   )
   sampled_at: float = -math.inf
@@ -200,12 +201,14 @@
   requests_of_plan: int = 0
   expected_seconds: float | None = None
 
-  def note_time(self, seconds_left: float) -> None:
+  def note_time(
+    self, seconds_left: float, policy: admission_policy.AdmissionPolicy
+  ) -> None:
     """Notes the time that a program has which asks to begin.
 
     It tells how long programs last as long as none has ended.
     """
-    seconds = program_admission.expect_seconds(seconds_left)
+    seconds = program_admission.expect_seconds(seconds_left, policy=policy)
     if self.expected_seconds is None:
       self.expected_seconds = seconds
     self.expected_seconds += LEARN_WEIGHT * (seconds - self.expected_seconds)
@@ -226,7 +229,7 @@
   `measure` returns the load of a service.  `get_weights` returns the configured
   rate of each team that has one, and the sum of the weights of all teams.
   `record_decision` is called with service, kind and whether the program was
-  admitted.
+  admitted.  `policy` has the operator's settings.
   """
 
   def __init__(
@@ -236,7 +239,9 @@
     measure: Callable[[str], loads.ServiceLoad],
     get_weights: Callable[[], tuple[Mapping[str, float], float]],
     record_decision: Callable[[str, str, bool], None],
+    policy: admission_policy.AdmissionPolicy = admission_policy.DEFAULT,
   ) -> None:
+    self._policy = policy
     self._members = members
     self._measure_load = measure
     self._get_weights = get_weights
@@ -289,7 +294,7 @@
     ).record(now)
     self._keep_weight(ask.team, ask.weight)
     if ask.seconds_left is not None and math.isfinite(ask.seconds_left):
-      service.note_time(ask.seconds_left)
+      service.note_time(ask.seconds_left, self._policy)
     current = self._get_current_plan(ask.service, now)
     if not self._take(service, key, current):
       raise self._refuse(first, key, current, allowed=allowed, now=now)
@@ -367,7 +372,7 @@
           self._learn(found)
         continue
       found.expire_turns(now)
-      idle_until = found.idle_since + program_admission.IDLE_SECONDS
+      idle_until = found.idle_since + self._policy.idle_seconds
       if not found.deadline_by_request and now >= idle_until:
         found.ended_at = now
         service = self._get_service(found.service)
@@ -393,9 +398,7 @@
     self._ratio_by_kind[ended.kind] = ratio + LEARN_WEIGHT * (sample - ratio)
 
   def _get_ratio(self, kind: str) -> float:
-    return self._ratio_by_kind.get(
-      kind, program_admission.INITIAL_DURATION_RATIO
-    )
+    return self._ratio_by_kind.get(kind, self._policy.initial_duration)
 
   def _keep_weight(self, team: str, weight: float) -> None:
     if len(self._told_weight_by_team) >= MAX_KEPT_WEIGHTS:
@@ -520,7 +523,9 @@
       duration_ratio=service.duration_ratio.get(),
     )
     plan = program_admission.make_plan(
-      state, weight_by_team=self._get_weight_by_team(state.asked_per_second)
+      state,
+      weight_by_team=self._get_weight_by_team(state.asked_per_second),
+      policy=self._policy,
     )
     limit = None
     if not is_known:
@@ -555,6 +560,7 @@
     service = self._service_by_name.get(name)
     if service is None:
       service = self._service_by_name[name] = _Service()
+      service.duration_ratio.initial = self._policy.initial_duration
       # Damps the first samples, of programs whose first turn is yet to begin.
       service.turns_per_program.record(
         program_admission.INITIAL_TURNS_PER_PROGRAM, 1.0, 0.0
--- a/src/woadrun/process/node.py
+++ b/src/woadrun/process/node.py
@@ -39,6 +39,7 @@
 from woadrun.connection import rows
 from woadrun.connection import tcp_connections
 from woadrun.connection import turn_messages
+from woadrun.decisions import admission_policy
 from woadrun.process import catalogue
 from woadrun.process import counters
 from woadrun.process import crash_reports
@@ -109,7 +110,8 @@
   than `Binding.grace`.  `revocation` is the time for which a key of a team
   may be used after it was revoked, also at daemons that are cut off; None if
   that is not bounded.  `memory_mb` is the daemon's memory limit in megabytes,
-  None without a limit.
+  None without a limit.  `admission` has the operator's settings for the
+  admission of programs.
   """
 
   name: str
@@ -122,6 +124,7 @@
   grace: float
   revocation: float | None = None
   memory_mb: float | None = None
+  admission: admission_policy.AdmissionPolicy = admission_policy.DEFAULT
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -242,6 +245,7 @@
       measure=self._measure_service,
       get_weights=self._get_team_weights,
       record_decision=self.counters.record_program,
+      policy=config.admission,
     )
     self.turns = turn_store.TurnStore(
       store=self.store.bounded, row_bytes=config.row_bytes
@@ -273,6 +277,7 @@
       members=self.fleet,
       has_member_list=lambda: self.registration.feed.version is not None,
       messenger=self.calls,
+      policy=config.admission,
     )
     self.serving = serving.RequestHandler(
       catalogue=self.catalogue,
--- a/src/woadrun/process/rate_owner.py
+++ b/src/woadrun/process/rate_owner.py
@@ -29,6 +29,7 @@
 from woadrun import errors
 from woadrun.connection import peers
 from woadrun.connection import rate_messages
+from woadrun.decisions import admission_policy
 from woadrun.decisions import program_demand
 from woadrun.decisions import rate_limit
 from woadrun.decisions import rate_line
@@ -371,7 +372,7 @@
 
   `has_member_list` returns whether this daemon has received a list of all
   members from the store.  Without a `messenger`, previous owners are not asked
-  for their units.
+  for their units.  `policy` has the operator's settings for programs.
   """
 
   def __init__(
@@ -380,8 +381,10 @@
     members: fleet.Fleet,
     has_member_list: Callable[[], bool],
     messenger: peers.Messenger | None = None,
+    policy: admission_policy.AdmissionPolicy = admission_policy.DEFAULT,
   ) -> None:
     super().__init__()
+    self._policy = policy
     self._members = members
     self._messenger = messenger
     self._has_member_list = has_member_list
@@ -582,6 +585,8 @@
         share=share,
         used_at=since,
         owned_at=since,
+        programs=program_demand.ProgramTracker(policy=self._policy),
+        timed=timed_programs.TimedPrograms(policy=self._policy),
       )
     return limit
 
--- a/tests/overload_replay.py
+++ b/tests/overload_replay.py
@@ -15,6 +15,7 @@
 import random
 import sys
 
+from woadrun.decisions import admission_policy
 from woadrun.decisions import program_admission
 
 TICK_SECONDS = 0.25
@@ -402,7 +403,7 @@
 
   def close(self, program):
     self.schedule(
-      program_admission.IDLE_SECONDS, self.expire, program, program.sends
+      admission_policy.DEFAULT.idle_seconds, self.expire, program, program.sends
     )
 
   # Results.
--- a/tests/test_program_gate.py
+++ b/tests/test_program_gate.py
@@ -12,6 +12,7 @@
 
 from woadrun import errors
 from woadrun.connection import turn_messages
+from woadrun.decisions import admission_policy
 from woadrun.decisions import program_admission
 from woadrun.process import fleet_heartbeats
 from woadrun.process import hubs
@@ -134,7 +135,7 @@
   delays = [clock.admit(f'q{n}') for n in range(8)]
   # Each is told another time: 240 of them are under way.  None has ended, and
   # all have 3 s.
-  seconds = program_admission.INITIAL_DURATION_RATIO * 3.0
+  seconds = admission_policy.DEFAULT.initial_duration * 3.0
   excess = (248 - CLOCK_CAPACITY) / 248
   assert delays == pytest.approx(
     [seconds * (excess + (n + 1) / CLOCK_CAPACITY) for n in range(8)]
--- a/tools/reference.py
+++ b/tools/reference.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+import dataclasses
 import pathlib
 import typing
 
@@ -16,6 +17,8 @@
 from woadrun import errors
 from woadrun import settings
 from woadrun.cli import app
+from woadrun.decisions import admission_policy
+from woadrun.process import admission_settings
 from woadrun.process import daemon
 from woadrun.version import rows
 
@@ -77,6 +80,18 @@
     '|---|---|---|---|',
     *_describe_section(settings.Settings, ''),
     '',
+    '## Admission of programs',
+    '',
+    'Of the file that `python3 -m woadrun.platform FILE.toml` reads:',
+    '',
+    '| key | default | meaning |',
+    '|---|---|---|',
+    *(
+      f'| `admission.{name}` | {default} | '
+      f'{admission_settings.MEANING_BY_FIELD[name]} |'
+      for name, default in dataclasses.asdict(admission_policy.DEFAULT).items()
+    ),
+    '',
     '## Columns of the table',
     '',
     '| column | type | default | meaning |',
