Permits: a call that others overtake is refused once its turn comes too late

Callers saw: on the product's own interface, a call that calls with less attained service overtook, or before which calls lasted longer than expected, was refused only after all of its patience (1.20 of 1.2 s).

Cause: the keeper estimated the wait as the call came, and then no more.

Fix: the keeper estimates again after half of the patience that is left each time, so that a call costs few estimates, and refuses the call once its turn comes after the rest of it, with the expected wait as the time to return.

Tests: test_call_that_others_overtake_is_refused_once_that_is_known fails before (1.20 s instead of 0.6 s); test_call_that_waits_is_granted_at_its_turn.

--- a/src/woadrun/decisions/queue.py
+++ b/src/woadrun/decisions/queue.py
@@ -77,7 +77,9 @@
     return len(self._row_by_id)
 
   def count_ahead(self, call: QueuedCall) -> float:
-    """Returns how many waiting calls would be popped before a new one.
+    """Returns how many waiting calls would be popped before a call.
+
+    The call may be a new one, or wait already.
 
     Rows are assumed to get their shares by weight, with calls of equal cost.
     Calls that arrive later may still be popped before it.
@@ -87,7 +89,7 @@
     if own_row is not None:
       key = _get_key(call)
       own = sum(
-        other_key <= key and other.id in self._row_by_id
+        other_key <= key and other.id != call.id and other.id in self._row_by_id
         for other_key, _, other in own_row.heap
       )
     ahead = float(own)
--- a/src/woadrun/process/dispatcher.py
+++ b/src/woadrun/process/dispatcher.py
@@ -54,6 +54,8 @@
 # Interval at which a request for a permit looks for another keeper, after its
 # keeper gave no answer.
 KEEPER_POLL_INTERVAL_SECONDS = 0.05
+# Least time between two estimates of the wait of a call that is in the queue.
+MIN_ESTIMATE_INTERVAL_SECONDS = 0.05
 
 
 @dataclasses.dataclass(eq=False, kw_only=True)
@@ -93,7 +95,7 @@
     return 1 if now - self.last_attempt_at >= PROBE_INTERVAL_SECONDS else 0
 
   def estimate_wait(self, call: queue.QueuedCall, now: float) -> float:
-    """Returns the expected seconds until a new call gets its permit."""
+    """Returns the expected seconds until a call gets its permit."""
     slots = self.get_slots(now)
     if len(self.holder_by_permit) < slots:
       return 0.0
@@ -288,8 +290,8 @@
   async def queue(self, request: messages.Acquire) -> messages.Granted:
     """Returns once the permit is granted to the holder.
 
-    Raises `overloaded` if the expected wait exceeds the call's patience, if it
-    is not granted within that, or if the queue is full.
+    Raises `overloaded` once the expected wait exceeds the rest of the call's
+    patience, or if the queue is full.
     """
     upstream = self._get_upstream(request.upstream)
     now = self.clock()
@@ -313,10 +315,13 @@
     upstream.waiting.push(call)
     upstream.grant(now)
     try:
-      await asyncio.wait_for(future, request.patience)
-    except TimeoutError:
-      seconds = upstream.estimate_wait(call, self.clock())
-      raise make_overloaded(request.upstream, seconds) from None
+      await _wait_for_turn(
+        upstream,
+        call,
+        future,
+        expires_at=now + request.patience,
+        clock=self.clock,
+      )
     finally:
       upstream.waiting.remove(request.permit)
       upstream.waiter_by_permit.pop(request.permit, None)
@@ -467,3 +472,28 @@
     f'{upstream} has too many calls waiting.',
     retry_after=round(seconds, 2),
   )
+
+
+async def _wait_for_turn(
+  upstream: Upstream,
+  call: queue.QueuedCall,
+  turn: asyncio.Future[None],
+  *,
+  expires_at: float,
+  clock: Callable[[], float],
+) -> None:
+  """Returns once a queued call has its turn.
+
+  Raises `overloaded` once its turn would come after `expires_at`: later calls
+  may overtake it, and calls may last longer than expected.
+  """
+  left = expires_at - clock()
+  while not turn.done():
+    await asyncio.wait(
+      (turn,), timeout=max(MIN_ESTIMATE_INTERVAL_SECONDS, left / 2)
+    )
+    now = clock()
+    left = expires_at - now
+    wait = upstream.estimate_wait(call, now)
+    if not turn.done() and (left <= 0 or wait > left):
+      raise make_overloaded(upstream.name, wait)
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -1,6 +1,7 @@
 """Permits of upstreams: what a keeper is told of them, and of their calls."""
 
 import asyncio
+import time
 
 import msgspec
 import pytest
@@ -176,6 +177,60 @@
     task.cancel()
 
 
+async def test_call_that_others_overtake_is_refused_once_that_is_known():
+  """It was told only after all of its patience."""
+  permits = make_dispatcher()
+  ask = make_acquire('a')
+  for number in range(SLOTS):
+    await permits.queue(msgspec.structs.replace(ask, permit=f'r{number}'))
+  upstream = permits.upstream_by_name['s']
+  waiting = asyncio.ensure_future(
+    permits.queue(
+      msgspec.structs.replace(ask, permit='w', attained=64.0, patience=1.2)
+    )
+  )
+  await asyncio.sleep(0)
+  assert len(upstream.waiting) == 1
+  # They have attained less service.
+  others = [
+    asyncio.ensure_future(
+      permits.queue(
+        msgspec.structs.replace(ask, permit=f'o{number}', patience=60.0)
+      )
+    )
+    for number in range(10)
+  ]
+  began = time.monotonic()
+  with pytest.raises(errors.WoadrunError) as refusal:
+    await waiting
+  assert time.monotonic() - began == pytest.approx(0.6, abs=0.2)
+  # Ten calls of 1 s before it in two slots, and its own turn.
+  assert refusal.value.code is errors.Code.OVERLOADED
+  assert refusal.value.retry_after == pytest.approx(5.5, abs=0.5)
+  assert len(upstream.waiting) == 10
+  for task in others:
+    task.cancel()
+
+
+async def test_call_that_waits_is_granted_at_its_turn():
+  permits = make_dispatcher()
+  ask = make_acquire('a')
+  for number in range(SLOTS):
+    await permits.queue(msgspec.structs.replace(ask, permit=f'r{number}'))
+  upstream = permits.upstream_by_name['s']
+  upstream.seconds = 0.2
+  waiting = asyncio.ensure_future(
+    permits.queue(msgspec.structs.replace(ask, permit='w', patience=1.0))
+  )
+  await asyncio.sleep(0.7)
+  assert not waiting.done()
+  permits.release_slot(
+    messages.Release(permit='r0', upstream='s', seconds=0.2, is_ok=True)
+  )
+  assert (await waiting).permit == 'w'
+  assert not upstream.waiter_by_permit
+
+
 def get_held(permits):
   return set(permits.upstream_by_name['s'].holder_by_permit)
 
