Faults: the check of offline shares finds its fault with any hash seed

With the offline bound switched off, a run of 39 schedules found no violation with hash seed 12, and 1 to 3 with others: the order of sets moves the random draws. A budget is overspent only if both sides of a cut spend it, which few of these schedules do.

The test demands the same violation of the same seeds; it passes with hash seeds 0 to 19.

--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -75,13 +75,15 @@
   monkeypatch.setattr(
     reservations.Reservations, '_fits_offline', lambda *_: True
   )
-  # Failed turns spend no budget: too few of these seeds would then overspend.
+  # Failed turns spend no budget, and a budget is overspent only if both sides
+  # of a cut spend it.
   monkeypatch.setattr(outside, 'CONTRADICTION_SHARE', 0.0)
+  monkeypatch.setattr(callers, 'ANY_DOMAIN_SHARE', 0.7)
   violations = (
     line
     for seed in range(200, 239)
     for line in schedule.run(
-      make_schedule(make_fault('cut', target=seed), seed=seed)
+      make_schedule(make_fault('cut', seconds=4.0, target=seed), seed=seed)
     ).violations
   )
   assert next(violations, '').startswith('budget:')
