Crash rule: shorter by a data class and a method that only tests used

`crash_limit.assess` takes what it decides on as arguments, `judge` no longer takes sides that nobody passed, and whether an instance holds a place is looked up by its id. `find_open` was used by tests alone, which have it in `tests/nodes.py` now with the same states.

--- a/src/woadrun/decisions/crash_limit.py
+++ b/src/woadrun/decisions/crash_limit.py
@@ -83,20 +83,6 @@
   NONE = 'none'
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Sight:
-  """From where a daemon knows the places of requests.
-
-  `is_loaded` tells whether it has read those from before its start.
-  `unheard_seconds` is the time since it heard the member that it heard least
-  recently, `unread_seconds` the time since it has read the store.
-  """
-
-  is_loaded: bool
-  unheard_seconds: float
-  unread_seconds: float
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Place:
   """A place that an instance holds.
@@ -120,13 +106,19 @@
   reached: Collection[str] = ()
 
 
-def assess(sight: Sight) -> Knowledge:
-  """Returns what a daemon knows of the places that others have recorded."""
-  if not sight.is_loaded:
+def assess(
+  *, is_loaded: bool, unheard_seconds: float, unread_seconds: float
+) -> Knowledge:
+  """Returns what a daemon knows of the places that others have recorded.
+
+  `is_loaded` tells whether it has read those from before its start.
+  `unheard_seconds` is the time since it heard the member that it heard least
+  recently, `unread_seconds` the time since it has read the store.
+  """
+  if not is_loaded:
     return Knowledge.NONE
-  is_told = sight.unheard_seconds <= MAX_UNHEARD_SECONDS
-  has_read = sight.unread_seconds <= MAX_UNHEARD_SECONDS
-  return Knowledge.COMPLETE if is_told or has_read else Knowledge.STALE
+  is_current = min(unheard_seconds, unread_seconds) <= MAX_UNHEARD_SECONDS
+  return Knowledge.COMPLETE if is_current else Knowledge.STALE
 
 
 def is_held(state: State) -> bool:
--- a/src/woadrun/process/crash_reports.py
+++ b/src/woadrun/process/crash_reports.py
@@ -397,11 +397,9 @@
 
   def _assess(self) -> crash_limit.Knowledge:
     return crash_limit.assess(
-      crash_limit.Sight(
-        is_loaded=self.is_informed,
-        unheard_seconds=self._members.get_unheard_seconds(),
-        unread_seconds=self._rows.unread_seconds,
-      )
+      is_loaded=self.is_informed,
+      unheard_seconds=self._members.get_unheard_seconds(),
+      unread_seconds=self._rows.unread_seconds,
     )
 
   async def answer(
--- a/src/woadrun/process/load/crash_records.py
+++ b/src/woadrun/process/load/crash_records.py
@@ -107,18 +107,13 @@
   # --- Decisions ------------------------------------------------------------
 
   def judge(
-    self,
-    fingerprint: str,
-    sides: crash_limit.Sides | None = None,
-    *,
-    without: str = '',
+    self, fingerprint: str, *, without: str = ''
   ) -> crash_limit.Verdict:
     """Returns whether a request may be sent to an instance, and to which.
 
     `without` is a claim of the caller that is left out.
     """
-    places = self._find_places(fingerprint, without=without)
-    return crash_limit.decide(places, sides)
+    return crash_limit.decide(self._find_places(fingerprint, without=without))
 
   def has_free_place(
     self,
@@ -192,7 +187,8 @@
 
   def is_held(self, fingerprint: str, incarnation_id: str) -> bool:
     """Returns whether an instance holds a place of a request."""
-    return incarnation_id in self.find_holders(fingerprint)
+    attempt = self._get_attempt(fingerprint, incarnation_id)
+    return attempt is not None and crash_limit.is_held(attempt.state)
 
   # --- Claims of places -----------------------------------------------------
 
@@ -528,14 +524,6 @@
       )
     ]
 
-  def find_open(self) -> set[str]:
-    """Returns the instances of which it is not known whether they ended."""
-    return {
-      id
-      for id in self._requests_by_instance
-      if self._find_requests(id, *request_attempts.DOUBTED_STATES)
-    }
-
   def is_open(self, incarnation_id: str) -> bool:
     """Returns whether a sign of an instance is still awaited."""
     return bool(
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -18,6 +18,7 @@
 from woadrun.platform import operator
 from woadrun.process import node
 from woadrun.process import turn_store
+from woadrun.process.load import request_attempts
 from woadrun.request import exchange
 from woadrun.standins import rows as standin
 from woadrun.version import teams
@@ -433,6 +434,16 @@
   return turn_store.get_part(name)
 
 
+def find_open(records):
+  """Returns the instances of which it is not known whether they ended."""
+  states = request_attempts.DOUBTED_STATES
+  return {
+    id
+    for id in records._requests_by_instance
+    if records._find_requests(id, *states)
+  }
+
+
 def make_entry(**fields):
   """Returns the row that an instance writes, with `fields` replaced."""
   return {**_make_default_entry('models'), **fields}
--- a/tests/test_crash_records.py
+++ b/tests/test_crash_records.py
@@ -282,7 +282,7 @@
   records, sent = make()
   records.orphan('f', 'a')
   records.give_up('a')
-  assert records.find_open() == {'a'}
+  assert nodes.find_open(records) == {'a'}
   records.resolve('a', is_ended=True)
   assert sent == [
     report('f', 'a', State.LOST),
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -270,7 +270,7 @@
       with pytest.raises(TimeoutError):
         async with asyncio.timeout(1.5):
           await send_once(fleet, 'n1', f'r{number}')
-      await nodes.wait_until(lambda: not records.find_open())
+      await nodes.wait_until(lambda: not nodes.find_open(records))
     assert await send_once(fleet, 'n1', 'last') == 'request_quarantined'
     assert len(fleet.engines.ended) == MAX_ENDED
 
--- a/tests/test_places_machine.py
+++ b/tests/test_places_machine.py
@@ -191,12 +191,11 @@
   def learn(self, domain):
     """Returns whether the domain may send, once it knows what it can."""
     hears_all = self.find_reached(domain) == set(self.domains)
-    sight = crash_limit.Sight(
+    known = crash_limit.assess(
       is_loaded=domain in self.loaded,
       unheard_seconds=0.0 if hears_all or self.unnoticed else math.inf,
       unread_seconds=math.inf,
     )
-    known = crash_limit.assess(sight)
     if known is crash_limit.Knowledge.STALE and self.has_store(domain):
       self.read(domain)
     return known is not crash_limit.Knowledge.NONE
@@ -327,10 +326,10 @@
   ],
 )
 def test_knowledge(is_loaded, unheard, unread, known):
-  sight = crash_limit.Sight(
+  found = crash_limit.assess(
     is_loaded=is_loaded, unheard_seconds=unheard, unread_seconds=unread
   )
-  assert crash_limit.assess(sight) is known
+  assert found is known
 
 
 @hypothesis.given(
--- a/tests/test_run_status.py
+++ b/tests/test_run_status.py
@@ -125,7 +125,7 @@
     for _ in range(3):
       with pytest.raises(errors.WoadrunError):
         await fleet.ask('n1', make_request(path))
-      assert not guard.records.find_open()
+      assert not nodes.find_open(guard.records)
       assert len(guard.records) == 0
 
 
