Responses: a daemon killed as it writes a head does not complete a response

Callers saw: an empty complete response of a stream that its instance had answered with six events ("got b'' as complete").

Cause: a response without length and chunks ends with its connection, which the kernel closes if the daemon is killed. The reset that tells a truncated one was set on the socket only after the head had been written.

Fix: `response_ends.begin_head` sets the reset before the head is written, on both interfaces, where the response will have neither length nor chunks.

Tests: test_head_without_length_ends_with_a_reset_as_well fails before for HTTP/1.0 and HTTP/1.1.

--- a/src/woadrun/connection/response_ends.py
+++ b/src/woadrun/connection/response_ends.py
@@ -159,6 +159,18 @@
 # --- Responses of this process ----------------------------------------------
 
 
+def begin_head(http: web.BaseRequest, *, is_unframed: bool = False) -> None:
+  """Makes any end of a caller's connection look like a truncated response.
+
+  It is called before the head of a response is written.  A head without length
+  and chunks looks like a complete empty response if the process is killed
+  before `begin_body`.  Callers of HTTP/1.0 get no chunks.
+  """
+  is_framed = not is_unframed and http.version >= aiohttp.HttpVersion11
+  if not is_framed and http.transport is not None:
+    _set_linger(http.transport, _RESET_ON_CLOSE)
+
+
 def begin_body(http: web.BaseRequest, response: web.StreamResponse) -> None:
   """Makes any end of a caller's connection look like a truncated response.
 
--- a/src/woadrun/platform/ingress.py
+++ b/src/woadrun/platform/ingress.py
@@ -129,6 +129,7 @@
     """Writes a response; if it breaks off, aborts the connection and raises."""
     id = http.headers.get(wire.REQUEST_ID, '')
     try:
+      response_ends.begin_head(http, is_unframed=answer.ends_with_connection)
       await response.prepare(http)
       response_ends.begin_body(http, response)
       async with contextlib.aclosing(answer.chunks) as chunks:
--- a/src/woadrun/request/gateway.py
+++ b/src/woadrun/request/gateway.py
@@ -393,6 +393,7 @@
   async with contextlib.aclosing(chunks) as source:
     async for chunk in source:
       if not response.prepared:
+        response_ends.begin_head(request)
         await response.prepare(request)
         response_ends.begin_body(request, response)
       await response.write(chunk)
--- a/tests/test_truncated_responses.py
+++ b/tests/test_truncated_responses.py
@@ -18,6 +18,7 @@
 
 from woadrun import errors
 from woadrun.connection import memory_account
+from woadrun.connection import response_ends
 from woadrun.connection import tcp_connections
 from woadrun.platform import ingress
 from woadrun.platform import program
@@ -304,6 +305,32 @@
     assert is_reset
 
 
+# Guards against a head that looks like a complete empty response: a daemon that
+# is killed has its connections closed by the kernel.
+@pytest.mark.parametrize('version', [b'HTTP/1.0', b'HTTP/1.1'])
+async def test_head_without_length_ends_with_a_reset_as_well(
+  monkeypatch, version
+):
+  resets = []
+  prepare = web.StreamResponse.prepare
+
+  async def prepare_and_check(response, http):
+    writer = await prepare(response, http)
+    resets.append(response_ends.resets_on_close(http.transport))
+    return writer
+
+  monkeypatch.setattr(web.StreamResponse, 'prepare', prepare_and_check)
+  async with nodes.Nodes() as fleet, serve(fleet) as port:
+    fleet.engines.faults.append(
+      make_stream_reply(b'whole', ends_with_connection=version == b'HTTP/1.1')
+    )
+    head = make_head().replace(b'HTTP/1.1', version)
+    found, is_reset = await read_until_end(port, head)
+  assert found.endswith(b'whole') and not is_reset
+  # It is called once more after the end of the response.
+  assert resets[0]
+
+
 @pytest.mark.parametrize(('path', 'part'), RELAYED_PARTS)
 async def test_stop_of_the_daemon_does_not_complete_a_response_without_length(
   path, part
