Faults: a window counts the requests that are sent and arrive in it

Cause: the check counted requests by the time at which callers sent them. Both times were alike while requests waited for 0.5 s at most; since the line of team rates they wait as long as their callers do, and requests of one window arrive in the next.

Evidence: in the 5 s in which the check counted 102 requests the owners granted 68 units, 72 by rate and burst; the last ones arrived up to seconds later.

Change: instances note the arrival, and a window counts the requests that were sent and arrived in it, with the bounds as before.

--- a/bench/faults/callers.py
+++ b/bench/faults/callers.py
@@ -404,7 +404,10 @@
         'after its key was revoked'
       )
     if team == tenancy.LIMITED_TEAM:
-      self._teams.ran_at.append(turn.sent_at)
+      arrived_at = self._served.instances.arrived_at_by_request[turn.id]
+      self._teams.runs.append(
+        tenancy.Run(sent_at=turn.sent_at, arrived_at=arrived_at)
+      )
 
   def _get_team(self, turn: Turn) -> str | None:
     """Returns the team for which an instance ran a turn, or None."""
--- a/bench/faults/outside.py
+++ b/bench/faults/outside.py
@@ -195,6 +195,7 @@
     # The requests that each instance runs, each with its connection.
     self._running_by_id: dict[str, dict[asyncio.Event, bytes]] = {}
     self.bodies_by_request: dict[str, list[bytes]] = {}
+    self.arrived_at_by_request: dict[str, float] = {}
     self.team_by_request: dict[str, str | None] = {}
     self.answer_by_request: dict[str, bytes] = {}
     self.truncated_requests: set[str] = set()
@@ -309,6 +310,7 @@
       return
     id = sending.request.id
     self.bodies_by_request.setdefault(id, []).append(sending.body)
+    self.arrived_at_by_request.setdefault(id, time.monotonic())
     self.team_by_request[id] = sending.team
     contradiction = self._draw_contradiction(sending)
     if contradiction is not None:
