Waits and times to return: comments without how values and callers behave

Two comments only: one told how an initial value is meant to be measured, one what callers do with a time to return. No behaviour changes; tests of both modules pass.

--- a/src/woadrun/decisions/retry_after.py
+++ b/src/woadrun/decisions/retry_after.py
@@ -1,7 +1,6 @@
 """Estimates of when a refused caller should return.
 
-They follow from what a daemon has observed.  How long a caller obeys is its own
-decision.
+They follow from what a daemon has observed.
 """
 
 from __future__ import annotations
--- a/src/woadrun/decisions/usual_duration.py
+++ b/src/woadrun/decisions/usual_duration.py
@@ -11,7 +11,7 @@
 # Weight of the newest duration in the moving averages: requests differ by a
 # factor of ten, so that a few samples say little.
 EWMA_WEIGHT = 0.05
-# Estimate of a duration before any was measured.
+# Mean without any sample.
 INITIAL_ESTIMATE_SECONDS = 0.2
 
 
