--- a/bench/fleet_soak/daemons.py
+++ b/bench/fleet_soak/daemons.py
@@ -31,7 +31,7 @@
 
   `grace` is the time in seconds from SIGTERM to SIGKILL, drawn from `rng` for
   each process if there is one, and `memory_mb` the memory limit that the daemon
-  is told.
+  is told.  `max_fds` is the limit on descriptors that it is told, if any.
   `fault_times` are the times of the daemon's unplanned faults, `stop_times` the
   times of its graceful stops, `closing_times` those from which on these close
   the listener, `exit_times` those of their ends, `start_times` those at which
@@ -53,6 +53,7 @@
     self._rng = rng
     self.grace = grace
     self.memory_mb = memory_mb
+    self.max_fds: int | None = None
     self.name = f'front-{domain}-{number}'
     self.domain = domain
     self.host = host
@@ -94,6 +95,8 @@
       'bounds': {'grace_s': self.grace},
       'limits': {'memory_mb': self.memory_mb},
     }
+    if self.max_fds is not None:
+      settings['limits']['max_fds'] = self.max_fds
     self._settings.write_text(json.dumps(settings))
     # Started without an await, so that a cancellation leaves no process behind.
     # The process has a group of its own, since the kernel resumes the stopped
