Attempts: an instance that has ended does not keep silent attempts waiting

Cause: a connection can lose its peer without a sign. The daemons whose connections were closed record and report the end, and the report only kept new requests away.

A recorded end now makes the daemon ask the address of the instance itself, four times in 0.4 s. If all say that it is gone and no part of a response refutes the end meanwhile, its attempts end as lost: idempotent requests are tried elsewhere, others are answered at once.

--- a/src/woadrun/process/catalogue.py
+++ b/src/woadrun/process/catalogue.py
@@ -119,6 +119,11 @@
       on_row=self._apply_instance_row,
     )
 
+  def get_health_path(self, service: str) -> str:
+    """Returns the path of a service's health checks, empty if it has none."""
+    found = self.table.service_by_name.get(service) if self.table else None
+    return found.health_path if found else ''
+
   def read_limits(self) -> routes.Limits:
     """Returns the limits on requests; those by default before a table."""
     return self.table.limits if self.table is not None else routes.Limits()
--- a/src/woadrun/process/node.py
+++ b/src/woadrun/process/node.py
@@ -66,6 +66,7 @@
 from woadrun.request import attempts
 from woadrun.request import authorization
 from woadrun.request import crash_guard
+from woadrun.request import ended_instances
 from woadrun.request import exchange
 from woadrun.request import held_bytes
 from woadrun.request import rates
@@ -225,7 +226,10 @@
       name=config.name,
       domain=config.domain,
       on_change=lambda report: self.crash_reports.send(report),
-      on_ended=self.loads.record_ended,
+      on_ended=self._record_ended,
+    )
+    self.ends = ended_instances.EndMonitor(
+      records=crashes, upstreams=binding.upstreams, catalogue=self.catalogue
     )
     self.crash_rows = crash_rows.CrashRows(store=self.store, records=crashes)
     self.feeds = feed_sync.FeedSync(
@@ -271,6 +275,7 @@
       counters=self.counters,
       is_domain_silent=self.fleet.is_domain_silent,
       reports=self.crash_reports,
+      ends=self.ends,
     )
     access = authorization.Authorization(catalogue=self.catalogue)
     self.rate_owner = rate_owner.RateOwner(
@@ -293,6 +298,7 @@
         held=binding.held,
         counters=self.counters,
         guard=self.crash_guard,
+        ends=self.ends,
         stop=self.planned_stop,
         is_partitioned=self._is_cut_off,
       ),
@@ -389,6 +395,10 @@
       self.store.outage_seconds, self.fleet.get_domain_silence_seconds()
     )
 
+  def _record_ended(self, incarnation_id: str) -> None:
+    self.loads.record_ended(incarnation_id)
+    self.ends.note_ended(incarnation_id)
+
   def _is_cut_off(self, domain: str) -> bool:
     # Returns whether a network partition separates this daemon from a domain.
     # A daemon that can reach the store keeps waiting for an instance in a
--- a/src/woadrun/request/attempts.py
+++ b/src/woadrun/request/attempts.py
@@ -44,6 +44,7 @@
 from woadrun.process.load import loads
 from woadrun.request import authorization
 from woadrun.request import crash_guard
+from woadrun.request import ended_instances
 from woadrun.request import events
 from woadrun.request import exchange
 from woadrun.request import fingerprints
@@ -165,6 +166,7 @@
     held: held_bytes.HeldBytes,
     counters: counters.Counters,
     guard: crash_guard.CrashGuard,
+    ends: ended_instances.EndMonitor,
     stop: planned_stop.PlannedStop,
     is_partitioned: Callable[[str], bool] = lambda domain: False,
   ) -> None:
@@ -175,6 +177,7 @@
     self._held = held
     self._counters = counters
     self._guard = guard
+    self._ends = ends
     self._stop = stop
     self._partition_watch = partition_monitor.PartitionMonitor(
       is_partitioned=is_partitioned
@@ -530,7 +533,7 @@
     stack.callback(self._record_duration, sending, started_at, result)
     self._loads.health.record_request(stack, id, sending.instance.service)
     try:
-      reply = await stack.enter_async_context(self._upstreams.send(sending))
+      reply = await self._send_until_end(sending, stack)
       self._loads.health.record_response(stack)
     except BaseException as error:
       beside = self._loads.get_running().get(id, 1) - 1
@@ -547,6 +550,11 @@
     )
     stack.callback(history.close)
     self._record_reply(sending, reply, result, started_at, history)
+    stack.enter_context(
+      self._ends.watch(
+        sending.instance, functools.partial(self._abort_at_end, sending, reply)
+      )
+    )
     if timer is not None and not result.is_failure and reply.status < 300:
       reply.chunks = self._time_chunks(sending, reply, reply.chunks, timer)
     stack.callback(self._record_idle_connection, id, reply)
@@ -568,6 +576,27 @@
         raise
     return _Attempt(sending=sending, stack=stack, reply=reply, result=result)
 
+  async def _send_until_end(
+    self, sending: exchange.RequestAttempt, stack: contextlib.AsyncExitStack
+  ) -> exchange.Reply:
+    """Returns the reply; raises `ResponseLost` if the instance has ended."""
+    scope = asyncio.timeout(None)
+    now = asyncio.get_running_loop().time()
+    try:
+      async with scope:
+        with self._ends.watch(sending.instance, lambda: scope.reschedule(now)):
+          return await stack.enter_async_context(self._upstreams.send(sending))
+    except TimeoutError as error:
+      if not scope.expired():
+        raise
+      raise exchange.ResponseLost('the instance has ended') from error
+
+  def _abort_at_end(
+    self, sending: exchange.RequestAttempt, reply: exchange.Reply
+  ) -> None:
+    self._log_outcome(sending, 'aborted: the instance has ended')
+    reply.abort()
+
   def _record_reply(
     self,
     sending: exchange.RequestAttempt,
--- a/src/woadrun/request/crash_guard.py
+++ b/src/woadrun/request/crash_guard.py
@@ -27,6 +27,7 @@
 from woadrun.process import counters
 from woadrun.process import ticks
 from woadrun.process.load import crash_records
+from woadrun.request import ended_instances
 from woadrun.request import exchange
 from woadrun.request import fingerprints
 from woadrun.version import instances
@@ -92,8 +93,10 @@
     counters: counters.Counters,
     is_domain_silent: Callable[[str], bool],
     reports: Reports,
+    ends: ended_instances.EndMonitor,
   ) -> None:
     super().__init__()
+    self._ends = ends
     self.records = records
     self._upstreams = upstreams
     self._catalogue = catalogue
@@ -243,6 +246,7 @@
     """
     if reply.is_genuine:
       self.records.record_bytes(sending.instance.incarnation_id)
+      self._ends.note_bytes(sending.instance.incarnation_id)
 
   def _note_other_instance(self, instance: instances.Instance) -> None:
     """Finds out whether an instance at whose address another one answers lives.
@@ -251,7 +255,7 @@
     """
     if not self.records.has_open_attempt(instance.incarnation_id):
       return
-    if self._get_health_path(instance):
+    if self._catalogue.get_health_path(instance.service):
       self._start_probe(instance)
     else:
       self._resolve(instance, is_ended=True)
@@ -392,7 +396,7 @@
     # A health check may wait at a busy instance: where callers gave up, that
     # its address opens a connection is all that can be told at once.
     is_given_up = not self.records.has_disconnected(instance.incarnation_id)
-    path = self._get_health_path(instance)
+    path = self._catalogue.get_health_path(instance.service)
     for _ in range(MAX_PROBES):
       liveness = await self._upstreams.probe(instance, health_path=path)
       if self._is_domain_silent(instance.domain):
@@ -437,11 +441,6 @@
         len(lost),
       )
 
-  def _get_health_path(self, instance: instances.Instance) -> str:
-    table = self._catalogue.table
-    service = table.service_by_name.get(instance.service) if table else None
-    return service.health_path if service else ''
-
   @mode.Service.task
   async def _compare_periodically(self) -> None:
     while not self.should_stop:
