Callers' connections: bounds on what they hold, and on the work they cause

Callers that nobody controls ended a process, or kept it from serving others: bodies that stop short of their end, tiny chunks, requests ahead, heads, and connections that are only open cost the caller nothing and had no bound, or one for each and none for all.

The memory account now counts connections, what is parsed ahead on them, and requests that are handled. Beyond its part, and beyond half of the descriptors, the connections that give least are closed first: those that rest, then those that have been receiving a request for longest, then requests ahead. Two requests are read ahead; a caller that does not read is not served its next one; reads are smaller the more bodies arrive. A body has to bring something within the operator's idle timeout and to end by its deadline, which counts from its head (408). Connections that rest, or are not read, end after that timeout. Bodies in tiny pieces wait for turns. The own interface has the same server. Metrics and log lines tell why a connection was closed.

--- a/src/woadrun/connection/bounded_reads.py
+++ b/src/woadrun/connection/bounded_reads.py
@@ -7,6 +7,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
+from typing import Any
 
 from aiohttp import web
 
@@ -14,14 +16,19 @@
 READ_BYTES = 16_384
 
 
-def bound(transport: asyncio.BaseTransport) -> None:
+def bound(transport: Any, size: int = READ_BYTES) -> None:
   """Bounds the size of the next reads from a connection."""
   # asyncio has no public parameter for it.
-  transport.max_size = READ_BYTES  # type: ignore[attr-defined]
+  transport.max_size = size
 
 
 class Connection(web.RequestHandler):
-  """The protocol of one connection."""
+  """The protocol of one connection.
+
+  `reject_body` rejects the request whose body is being read, if there is one.
+  """
+
+  reject_body: Callable[[], None] | None = None
 
   def connection_made(self, transport: asyncio.BaseTransport) -> None:
     """Bounds the size of a read."""
--- a/src/woadrun/connection/memory_account.py
+++ b/src/woadrun/connection/memory_account.py
@@ -26,14 +26,13 @@
 # Messages up to that size are held also if large ones have filled the account,
 # as long as all exceed it by no more than this share of its bound.
 SMALL_SHARE = 1 / 4
-# Part of the bound that bodies of callers may take: those of running requests
-# cannot let go.
-REQUEST_SHARE = 1 / 2
 
 
 class Kind(enum.StrEnum):
   """What is held, as metrics name it."""
 
+  CONNECTION = 'connection'
+  CALL = 'call'
   REQUEST = 'request'
   RESPONSE = 'response'
   HISTORY = 'history'
@@ -42,15 +41,21 @@
 
 
 # How far the sum may rise by what is added, as a part of the bound.  Bodies and
-# responses leave room for streams that run, and these for other daemons and the
-# store, without whose answers the daemon would serve nobody.
+# responses leave room for streams that run, and these for new requests and for
+# other daemons and the store, without whose answers the daemon would serve
+# nobody.
 RISE_BY_KIND = {
+  Kind.CONNECTION: 1 / 2,
+  Kind.CALL: 5 / 4,
   Kind.REQUEST: 3 / 4,
   Kind.RESPONSE: 3 / 4,
   Kind.HISTORY: 1.0,
   Kind.PEER: 5 / 4,
   Kind.PLATFORM: 5 / 4,
 }
+# Parts of the bound that some kinds may take: what is held for running requests
+# cannot let go.
+SHARE_BY_KIND = {Kind.REQUEST: 1 / 2, Kind.CALL: 1 / 2}
 # These are cut only for others of their kind.
 CONTROL_KINDS = frozenset((Kind.PEER, Kind.PLATFORM))
 
@@ -192,7 +197,7 @@
 
   def get_most(self, kind: Kind) -> int:
     """Returns the bound of the bytes of a kind."""
-    share = REQUEST_SHARE if kind is Kind.REQUEST else RISE_BY_KIND[kind]
+    share = SHARE_BY_KIND.get(kind, RISE_BY_KIND[kind])
     return int(self.most * share)
 
   async def wait_for_change(self) -> None:
--- a/src/woadrun/connection/request_bodies.py
+++ b/src/woadrun/connection/request_bodies.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 
 from woadrun import errors
+from woadrun.connection import bounded_reads
 from woadrun.connection import memory_account
 
 # Time after which a caller may return whose body cannot be held now.
@@ -18,33 +19,59 @@
 # sender gets to read the response.
 LINGERING_SECONDS = 2.0
 
+# Smaller parts of a body are joined.
+MIN_PART_BYTES = 4_096
+# Times that a body may take where the server is given none: without a byte, and
+# in all.
+PATIENCE_SECONDS = 15.0
+MAX_SECONDS = 60.0
+
 
 async def read(
-  http: web.BaseRequest, holder: memory_account.Holder, *, limit: int
+  http: web.BaseRequest,
+  holder: memory_account.Holder,
+  *,
+  limit: int,
+  patience: float = PATIENCE_SECONDS,
+  seconds: float = MAX_SECONDS,
 ) -> bytes:
   """Returns the whole body of a request, whose bytes `holder` counts.
 
+  Waits up to `patience` seconds for each part of it, and up to `seconds` for
+  all of it.
   Raises `body_too_large` if it has more than `limit` bytes or more than may
-  ever be held, and `memory_full` if it cannot be held now.  The rest of it is
-  not read then.
+  ever be held, `memory_full` if it cannot be held now, and `body_late` if it
+  does not arrive in time.  The rest of it is not read then.
   """
   limit = min(limit, holder.account.get_most(holder.kind))
   stated = http.content_length or 0
   check_size(stated, limit=limit)
   parts: list[bytes] = []
   size = 0
+  loop = asyncio.get_running_loop()
+  until = loop.time() + seconds
   scope = asyncio.timeout(None)
-  # The time of the loop is always later.
-  holder.on_evict = lambda: scope.reschedule(0.0)
+
+  def reject() -> None:
+    holder.on_evict = None
+    # The time of the loop is always later.
+    scope.reschedule(0.0)
+
+  holder.on_evict = reject
+  protocol = http.protocol
+  if isinstance(protocol, bounded_reads.Connection):
+    protocol.reject_body = reject
   try:
     # A body that will not fit is rejected before it is read.
     holder.grow(stated)
     async with scope:
-      while part := await http.content.readany():
+      while not http.content.at_eof():
+        scope.reschedule(min(loop.time() + patience, until))
+        part = await http.content.readany()
         _check_held(holder)
-        parts.append(part)
         size += len(part)
         check_size(size, limit=limit)
+        _append(parts, part)
         holder.grow(max(0, size - holder.size))
       _check_held(holder)
   except memory_account.MemoryExceeded as error:
@@ -52,13 +79,28 @@
   except TimeoutError as error:
     if not scope.expired():
       raise
-    raise make_rejection() from error
+    if holder.on_evict is None:
+      raise make_rejection() from error
+    raise errors.WoadrunError(
+      errors.Code.BODY_LATE,
+      f'The request body did not arrive in time, after {size} bytes.',
+      place='body',
+    ) from error
   finally:
     # The request is about to run: it cannot let go of its body any more.
     holder.on_evict = None
+    if isinstance(protocol, bounded_reads.Connection):
+      protocol.reject_body = None
   return b''.join(parts)
 
 
+def _append(parts: list[bytes], part: bytes) -> None:
+  # Many small parts would cost more than what they hold.
+  if parts and len(parts[-1]) < MIN_PART_BYTES:
+    part = parts.pop() + part
+  parts.append(part)
+
+
 def check_size(size: int, *, limit: int) -> None:
   """Raises `body_too_large` if a size in bytes exceeds a limit."""
   if size > limit:
--- a/src/woadrun/errors.py
+++ b/src/woadrun/errors.py
@@ -29,6 +29,7 @@
   BAD_JSON = 'bad_json'
   BAD_REQUEST = 'bad_request'
   BODY_TOO_LARGE = 'body_too_large'
+  BODY_LATE = 'body_late'
   HEAD_TOO_LARGE = 'head_too_large'
   UNAUTHORIZED = 'unauthorized'
   FORBIDDEN_TEAM = 'forbidden_team'
@@ -71,6 +72,7 @@
   Code.BAD_JSON: 400,
   Code.BAD_REQUEST: 400,
   Code.BODY_TOO_LARGE: 413,
+  Code.BODY_LATE: 408,
   Code.HEAD_TOO_LARGE: 431,
   Code.UNAUTHORIZED: 401,
   Code.FORBIDDEN_TEAM: 403,
--- a/src/woadrun/platform/ingress.py
+++ b/src/woadrun/platform/ingress.py
@@ -6,10 +6,12 @@
 from collections.abc import Callable
 import contextlib
 import logging
+import time
 
 from aiohttp import web
 
 from woadrun import errors
+from woadrun.connection import caller_bounds
 from woadrun.connection import callers_server
 from woadrun.connection import memory_account
 from woadrun.connection import request_bodies
@@ -40,7 +42,8 @@
   `is_ready` returns whether the load balancer should send new connections.
   During the planned stop `stop`, each connection is closed after the last
   request that has begun on it.  `account` counts the bodies of requests.
-  `read_limits` returns the operator's limits on requests.
+  `read_limits` returns the operator's limits on requests, and `on_close` is
+  called with the reason of each connection that is closed for others.
   """
 
   def __init__(
@@ -52,9 +55,11 @@
     read_metrics: Callable[[], bytes],
     account: memory_account.Account,
     read_limits: Callable[[], routes.Limits] = routes.Limits,
+    on_close: Callable[[caller_bounds.Reason], None] = lambda reason: None,
   ) -> None:
     self.read_limits = read_limits
-    self._account = account
+    self.account = account
+    self.on_close = on_close
     self._service = service
     self._read_metrics = read_metrics
     self._is_ready = is_ready
@@ -71,24 +76,45 @@
   async def answer(self, http: web.BaseRequest) -> web.StreamResponse:
     """Returns the response to a caller's request, streamed to the caller."""
     id = http.headers.get(wire.REQUEST_ID, '')
-    with self._account.hold(memory_account.Kind.REQUEST, id) as holder:
+    kind = memory_account.Kind.REQUEST
+    with contextlib.ExitStack() as stack:
+      try:
+        stack.enter_context(
+          caller_bounds.hold_call(self.account, id, http._message)
+        )
+      except memory_account.MemoryExceeded:
+        return self._make_error_response(
+          http, request_bodies.make_rejection(), id
+        )
+      holder = stack.enter_context(self.account.hold(kind, id))
       return await self._answer(http, id, holder)
 
   async def _answer(
     self, http: web.BaseRequest, id: str, holder: memory_account.Holder
   ) -> web.StreamResponse:
     limits = self.read_limits()
+    received_at = time.monotonic()
     try:
       request_heads.check_size(http, limit=limits.header_bytes)
+      seconds = wire.get_deadline_seconds(http.headers)
       async with self._stop.reject_late():
         body = await request_bodies.read(
-          http, holder, limit=min(MAX_BODY_BYTES, limits.body_bytes)
+          http,
+          holder,
+          limit=min(MAX_BODY_BYTES, limits.body_bytes),
+          patience=limits.idle_timeout,
+          # A request cannot run once its deadline has passed.
+          seconds=min(
+            request_bodies.MAX_SECONDS if seconds is None else seconds,
+            request_bodies.MAX_SECONDS,
+          ),
         )
       request = wire.decode_request(
         method=http.method,
         target=http.raw_path,
         headers=http.headers,
         body=body,
+        received_at=received_at,
       )
     except errors.WoadrunError as error:
       log.info('Request %s: %s: %s', id, error.code.value, error.message)
@@ -142,7 +168,14 @@
       response_ends.abort_body(http)
       raise
     except (ConnectionError, asyncio.CancelledError):
-      log.info('Request %s: the caller disconnected.', id)
+      reason = callers_server.get_close_reason(http)
+      log.info(
+        'Request %s: %s.',
+        id,
+        f'its connection was closed, {reason}'
+        if reason
+        else 'the caller disconnected',
+      )
       raise
 
   def _make_error_response(
--- a/src/woadrun/platform/program.py
+++ b/src/woadrun/platform/program.py
@@ -15,6 +15,7 @@
 
 from woadrun import errors
 from woadrun.connection import bounded_reads
+from woadrun.connection import caller_bounds
 from woadrun.connection import callers_server
 from woadrun.connection import endpoints
 from woadrun.connection import memory_account
@@ -87,6 +88,7 @@
     is_ready=service.is_ready,
     stop=service.planned_stop,
     account=binding.held.account,
+    on_close=service.counters.record_close,
     read_limits=service.catalogue.read_limits,
   )
   stopped = asyncio.Event()
@@ -254,7 +256,11 @@
 async def _listen(
   config: node.NodeSettings, entry: ingress.Ingress
 ) -> list[web.ServerRunner]:
-  callers = make_callers_runner(entry, finish=SHUTDOWN_SECONDS)
+  callers = make_callers_runner(
+    entry,
+    finish=SHUTDOWN_SECONDS,
+    bounds=caller_bounds.plan(descriptors=config.descriptors),
+  )
   ready = web.ServerRunner(
     web.Server(entry.handle_ready, access_log=None),
     shutdown_timeout=SHUTDOWN_SECONDS,
@@ -275,15 +281,21 @@
 
 
 def make_callers_runner(
-  entry: ingress.Ingress, *, finish: float
+  entry: ingress.Ingress,
+  *,
+  finish: float,
+  bounds: caller_bounds.Bounds | None = None,
 ) -> web.ServerRunner:
-  """Returns the server runner for callers' connections.
+  """Returns the server runner for callers' connections, within `bounds`.
 
   At cleanup, requests in progress have `finish` seconds to complete.
   """
   server = callers_server.Server(
     entry.answer,
     read_limits=entry.read_limits,
+    bounds=bounds,
+    account=entry.account,
+    on_close=entry.on_close,
     access_log=None,
     request_factory=node.make_request_factory(ingress.MAX_BODY_BYTES),
     read_bufsize=bounded_reads.READ_BYTES,
--- a/src/woadrun/platform/settings.py
+++ b/src/woadrun/platform/settings.py
@@ -57,9 +57,13 @@
 
 
 class _Limits(msgspec.Struct, kw_only=True):
-  """`memory_mb` is the daemon's memory limit in megabytes, if there is one."""
+  """`memory_mb` is the daemon's memory limit in megabytes, if there is one.
+
+  `max_fds` is its limit on descriptors, if that is not the process's own.
+  """
 
   memory_mb: Annotated[float, msgspec.Meta(gt=0)] | None = None
+  max_fds: Annotated[int, msgspec.Meta(gt=0)] | None = None
 
 
 class _File(msgspec.Struct, kw_only=True):
@@ -96,6 +100,7 @@
     grace=file.bounds.grace_s,
     revocation=_get_revocation(file.bounds),
     memory_mb=file.limits.memory_mb if file.limits else None,
+    descriptors=file.limits.max_fds if file.limits else None,
   )
 
 
--- a/src/woadrun/platform/wire.py
+++ b/src/woadrun/platform/wire.py
@@ -89,9 +89,11 @@
   target: str,
   headers: multidict.CIMultiDictProxy[str],
   body: bytes,
+  received_at: float | None = None,
 ) -> exchange.Request:
-  """Returns a caller's request.
+  """Returns a caller's request; `received_at` is when its head arrived.
 
+  That is a time of the monotonic clock, by default now.
   Raises a `WoadrunError` with code `bad_request` and the header's name as
   `place` if the request id is missing or a header is malformed.
   """
@@ -99,10 +101,9 @@
   id = headers.get(REQUEST_ID, '')
   if not id:
     raise _make_bad_request(REQUEST_ID, 'The header is required.')
-  milliseconds = _get_number(headers, DEADLINE)
-  deadline = None
-  if milliseconds is not None:
-    deadline = time.monotonic() + milliseconds / 1000
+  seconds = get_deadline_seconds(headers)
+  began = time.monotonic() if received_at is None else received_at
+  deadline = None if seconds is None else began + seconds
   forwarded = _get_forwarded(headers.items(), headers.getall('Connection', []))
   return exchange.Request(
     id=id,
@@ -299,6 +300,17 @@
   return status, headers
 
 
+def get_deadline_seconds(
+  headers: multidict.CIMultiDictProxy[str],
+) -> float | None:
+  """Returns for how long the caller waits, None if it does not tell.
+
+  Raises `bad_request` if that is no number.
+  """
+  milliseconds = _get_number(headers, DEADLINE)
+  return None if milliseconds is None else milliseconds / 1000
+
+
 def _get_forwarded(
   headers: Iterable[tuple[str, str]], connection: list[str]
 ) -> list[tuple[str, str]]:
--- a/src/woadrun/process/counters.py
+++ b/src/woadrun/process/counters.py
@@ -87,6 +87,12 @@
       'Errors that ended a task or callback and that nothing handled.',
       registry=self.registry,
     )
+    self._closes = prometheus_client.Counter(
+      'woadrun_connections_closed',
+      'Connections of callers that the daemon closed within its bounds.',
+      ('reason',),
+      registry=self.registry,
+    )
     self._programs = prometheus_client.Counter(
       'woadrun_programs',
       'Programs that asked this daemon to begin, by outcome.',
@@ -114,6 +120,10 @@
     """Records an error of a task or callback that nothing handled."""
     self._loop_errors.inc()
 
+  def record_close(self, reason: str) -> None:
+    """Records that a connection of a caller was closed, and why."""
+    self._closes.labels(reason).inc()
+
   def record_undecided(self, service: str) -> None:
     """Records a request refused as it is not known what its instances do."""
     self._undecided.labels(service).inc()
--- a/src/woadrun/process/daemon.py
+++ b/src/woadrun/process/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 from collections.abc import Callable
 import contextlib
 import logging
@@ -76,6 +77,7 @@
     self._is_stopping = False
     self._runner: web.ServerRunner | None = None
     self._server: callers_server.Server | None = None
+    self.closed_by_reason: collections.Counter[str] = collections.Counter()
     self.planned_stop = planned_stop.PlannedStop(grace=config.timing.leaving)
 
   # --- Starting -------------------------------------------------------------
@@ -297,6 +299,8 @@
     self._server = await callers_server.make_server(
       application,
       access_log=None,
+      account=self.memory,
+      on_close=lambda reason: self.closed_by_reason.update((reason,)),
       max_field_size=MAX_HEADER_BYTES,
       read_bufsize=bounded_reads.READ_BYTES,
       lingering_time=request_bodies.LINGERING_SECONDS,
@@ -471,6 +475,7 @@
   'gateway.active': lambda d: d.gateway.active,
   'gateway.served': lambda d: d.gateway.served,
   'gateway.retries': lambda d: d.forwarding.retries,
+  'gateway.closed': lambda d: d.closed_by_reason.total(),
   'owner.slots': lambda d: len(d.ownership.owned_slot_by_number),
   'owner.programs': _count_programs,
   'owner.running': lambda d: len(d.runner.execution_by_key),
--- a/src/woadrun/process/node.py
+++ b/src/woadrun/process/node.py
@@ -110,7 +110,8 @@
   planned stop until the platform kills the process, which is another period
   than `Binding.grace`.  `revocation` is the time for which a key of a team
   may be used after it was revoked, also at daemons that are cut off; None if
-  that is not bounded.  `memory_mb` is the daemon's memory limit in megabytes,
+  that is not bounded.  `descriptors` is the daemon's limit on descriptors, None
+  for that of its process.  `memory_mb` is its memory limit in megabytes,
   None without a limit.  `admission` has the operator's settings for the
   admission of programs.
   """
@@ -125,6 +126,7 @@
   grace: float
   revocation: float | None = None
   memory_mb: float | None = None
+  descriptors: int | None = None
   admission: admission_policy.AdmissionPolicy = admission_policy.DEFAULT
 
 
--- a/src/woadrun/request/request_memory.py
+++ b/src/woadrun/request/request_memory.py
@@ -4,11 +4,14 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import contextlib
 from typing import Any
 
 from aiohttp import web
 
 from woadrun.connection import bounded_reads
+from woadrun.connection import caller_bounds
+from woadrun.connection import callers_server
 from woadrun.connection import memory_account
 from woadrun.connection import request_bodies
 
@@ -29,9 +32,21 @@
     is_peer = request.path.startswith(PEER_PREFIX)
     kinds = memory_account.Kind
     kind = kinds.PEER if is_peer else kinds.REQUEST
-    with account.hold(kind, request.path) as holder:
-      request[_HOLDER] = holder
-      return await handler(request)
+    with contextlib.ExitStack() as stack:
+      if not is_peer:
+        try:
+          stack.enter_context(
+            caller_bounds.hold_call(account, request.path, request._message)
+          )
+        except memory_account.MemoryExceeded as error:
+          raise request_bodies.make_rejection() from error
+      request[_HOLDER] = stack.enter_context(account.hold(kind, request.path))
+      response = await handler(request)
+    protocol = request.protocol
+    if is_peer and isinstance(protocol, callers_server.Connection):
+      # An unauthorized message raises.
+      protocol.is_exempt = True
+    return response
 
   return middleware
 
--- a/tests/test_request_bodies.py
+++ b/tests/test_request_bodies.py
@@ -28,7 +28,9 @@
     content.feed_data(part)
   if is_whole:
     content.feed_eof()
-  return types.SimpleNamespace(content=content, content_length=stated)
+  return types.SimpleNamespace(
+    protocol=None, content=content, content_length=stated
+  )
 
 
 def hold(account):
--- /dev/null
+++ b/tests/test_stalled_callers.py
@@ -0,0 +1,159 @@
+"""Callers that stop within a request, or rest, do not hold a daemon."""
+
+import asyncio
+import contextlib
+
+from aiohttp import web
+import nodes
+import pytest
+
+from woadrun.connection import caller_bounds
+from woadrun.connection import memory_account
+from woadrun.platform import ingress
+from woadrun.platform import program
+
+CONFIG = nodes.CONFIG | {
+  'limits': {'idle_timeout_ms': 400, 'header_timeout_ms': 3_000}
+}
+END_SECONDS = 10.0
+
+
+@contextlib.asynccontextmanager
+async def serve(*, connections=1_000, closes=None):
+  async with nodes.Nodes(config=CONFIG) as fleet:
+    await fleet.start('n1')
+    served = fleet.by_name['n1']
+    entry = ingress.Ingress(
+      service=served.serving,
+      is_ready=served.is_ready,
+      stop=served.planned_stop,
+      read_metrics=served.counters.encode,
+      account=memory_account.Account(),
+      read_limits=served.catalogue.read_limits,
+      on_close=[].append if closes is None else closes.append,
+    )
+    runner = program.make_callers_runner(
+      entry,
+      finish=2.0,
+      bounds=caller_bounds.Bounds(connections=connections),
+    )
+    await runner.setup()
+    port = nodes.find_port()
+    await web.TCPSite(runner, '127.0.0.1', port).start()
+    yield port
+    await runner.cleanup()
+
+
+def make_head(number, *fields):
+  lines = (
+    'POST /act/x HTTP/1.1',
+    'Host: h',
+    f'Request-Id: {number:016x}',
+    *fields,
+  )
+  return ('\r\n'.join(lines) + '\r\n\r\n').encode()
+
+
+async def read_status(reader):
+  async with asyncio.timeout(END_SECONDS):
+    line = await reader.readline()
+  return int(line.split()[1]) if line else 0
+
+
+async def ask(port, number):
+  reader, writer = await asyncio.open_connection('127.0.0.1', port)
+  writer.write(make_head(number, 'Deadline-Ms: 3000', 'Content-Length: 0'))
+  status = await read_status(reader)
+  writer.transport.abort()
+  return status
+
+
+@pytest.mark.parametrize(
+  'framing', ['Content-Length: 10', 'Transfer-Encoding: chunked']
+)
+async def test_body_that_stops_gets_an_answer_that_it_has_not_run(framing):
+  async with serve() as port:
+    reader, writer = await asyncio.open_connection('127.0.0.1', port)
+    writer.write(make_head(1, framing) + b'3\r\nabc\r\n')
+    assert await read_status(reader) == 408
+    writer.transport.abort()
+
+
+async def test_body_that_trickles_ends_at_its_deadline():
+  async with serve() as port:
+    reader, writer = await asyncio.open_connection('127.0.0.1', port)
+    writer.write(make_head(1, 'Deadline-Ms: 900', 'Content-Length: 1000'))
+
+    async def trickle():
+      with contextlib.suppress(OSError):
+        while True:
+          writer.write(b'x')
+          await asyncio.sleep(0.1)
+
+    task = asyncio.ensure_future(trickle())
+    assert await read_status(reader) == 408
+    task.cancel()
+    writer.transport.abort()
+
+
+async def test_connection_that_rests_is_closed():
+  closes = []
+  async with serve(closes=closes) as port:
+    for head in (b'', make_head(1, 'Content-Length: 0')):
+      reader, writer = await asyncio.open_connection('127.0.0.1', port)
+      writer.write(head)
+      async with asyncio.timeout(END_SECONDS):
+        await reader.read()
+      writer.transport.abort()
+  assert closes == [caller_bounds.Reason.IDLE] * 2
+
+
+# All connections beyond a bound were closed, not as many as were needed.
+async def test_connection_beyond_the_bound_closes_only_some():
+  closes = []
+  async with serve(connections=64, closes=closes) as port:
+    idle = [await asyncio.open_connection('127.0.0.1', port) for _ in range(64)]
+    assert await ask(port, 1) == 200
+    assert 0 < len(closes) <= 9
+    for _, writer in idle:
+      writer.transport.abort()
+
+
+# Half heads were closed again and again, and the bound was exceeded by them.
+async def test_half_heads_stay_within_the_bound():
+  closes = []
+  async with serve(connections=50, closes=closes) as port:
+    opened = []
+    for number in range(300):
+      _, writer = await asyncio.open_connection('127.0.0.1', port)
+      writer.write(make_head(number)[:-2])
+      opened.append(writer)
+    assert await ask(port, 1) == 200
+    assert len(closes) <= 301
+    for writer in opened:
+      writer.transport.abort()
+
+
+def test_bodies_with_least_work_come_first_and_debt_is_bounded():
+  now, calls, order = 0.0, [], []
+  queue = caller_bounds.WorkQueue(
+    call_later=lambda seconds, call: calls.append(call), clock=lambda: now
+  )
+  queue.spend(1e9)
+  assert queue.is_exhausted
+  for name, work in (('much', 9.0), ('gone', 5.0), ('little', 1.0)):
+    turn = lambda name=name: order.append(name)  # noqa: E731
+    queue.wait(turn, work=work)
+    if name == 'gone':
+      queue.cancel(turn)
+  while calls:
+    now += caller_bounds.TURN_SECONDS
+    calls.pop(0)()
+  assert order == ['little', 'much']
+  assert now < 1.0
+
+
+def test_plain_bodies_cost_no_work():
+  assert caller_bounds.get_work(received=4_096, payload=4_096) == 0
+  assert caller_bounds.get_work(received=1_052, payload=1_024) == 0
+  assert caller_bounds.get_work(received=1_024, payload=170) > 5
--- a/tools/reference.py
+++ b/tools/reference.py
@@ -29,6 +29,7 @@
   errors.Code.BAD_JSON: 'the body is no JSON',
   errors.Code.BAD_REQUEST: 'something in the request is wrong; see `place`',
   errors.Code.BODY_TOO_LARGE: 'the body is over `limits.body_bytes`',
+  errors.Code.BODY_LATE: 'the body stopped, or was late for its deadline',
   errors.Code.HEAD_TOO_LARGE: 'the head is over the limit of the operator',
   errors.Code.UNAUTHORIZED: 'the bearer token is not known',
   errors.Code.FORBIDDEN_TEAM: 'the token may not act for this team',
