Responses: a body without length closes its connection for HTTP/1.0 too

Callers of HTTP/1.0 that ask for a kept connection saw no end of their answers: these have neither length nor chunks, and the connection stayed open behind them. A second request on it was answered behind the first answer, whose body its caller could then not tell from it.

Cause: aiohttp drops the header that promises to keep the connection, but still keeps it: the response holds on to the caller's wish. The connection of a response that ends with it is now closed behind it.

--- a/src/woadrun/connection/response_ends.py
+++ b/src/woadrun/connection/response_ends.py
@@ -177,6 +177,9 @@
   `response` is prepared.  Without chunks, only a reset tells a truncated
   response from a complete one.
   """
+  if _ends_with_connection(http, response):
+    # aiohttp keeps the connection of a caller of HTTP/1.0 that asks for it.
+    response.force_close()
   if _has_chunks(response) or http.transport is None:
     return
   # `drain` then waits until the kernel has all bytes: those that the process
@@ -216,6 +219,17 @@
   return bool(value == _RESET_ON_CLOSE)
 
 
+def _ends_with_connection(
+  http: web.BaseRequest, response: web.StreamResponse
+) -> bool:
+  has_body = (
+    http.method != hdrs.METH_HEAD
+    and response.status not in _STATUSES_WITHOUT_BODY
+  )
+  is_framed = _has_chunks(response) or hdrs.CONTENT_LENGTH in response.headers
+  return has_body and not is_framed
+
+
 def _has_chunks(response: web.StreamResponse) -> bool:
   return hdrs.TRANSFER_ENCODING in response.headers
 
--- a/tests/test_lost_beside_changes.py
+++ b/tests/test_lost_beside_changes.py
@@ -179,6 +179,8 @@
   'kept-configurations': (False, KEPT, change_configuration),
   'kept-settings': (False, KEPT, change_settings),
   'http-1.0': (True, OLD, *BOTH),
+  # Guards against a connection that stays open behind an answer without length.
+  'http-1.0-kept': (False, OLD | {'fields': ['Connection: keep-alive']}, *BOTH),
   'late-body': (True, {'timeout': 0.3, 'pause': 0.6, 'work': 0.02}, *BOTH),
 }
 
