Requests: callers that wait for 100 Continue are told to send their body

A caller of the platform's interface that waits for a 100 response got none and sent no body; in a planned stop it was refused after 8 s.

Cause: aiohttp answers the expectation in its router only, and these callers are served without one. The daemon now sends the response as it first waits for such a body.

--- a/src/woadrun/connection/request_bodies.py
+++ b/src/woadrun/connection/request_bodies.py
@@ -7,6 +7,8 @@
 
 import asyncio
 
+import aiohttp
+from aiohttp import hdrs
 from aiohttp import web
 
 from woadrun import errors
@@ -34,11 +36,12 @@
   limit: int,
   patience: float = PATIENCE_SECONDS,
   seconds: float = MAX_SECONDS,
+  invites: bool = False,
 ) -> bytes:
   """Returns the whole body of a request, whose bytes `holder` counts.
 
   Waits up to `patience` seconds for each part of it, and up to `seconds` for
-  all of it.
+  all of it.  With `invites`, tells a caller that waits for it to send the body.
   Raises `body_too_large` if it has more than `limit` bytes or more than may
   ever be held, `memory_full` if it cannot be held now, and `body_late` if it
   does not arrive in time.  The rest of it is not read then.
@@ -65,6 +68,8 @@
     # A body that will not fit is rejected before it is read.
     holder.grow(stated)
     async with scope:
+      if invites:
+        await _invite(http)
       while not http.content.at_eof():
         scope.reschedule(min(loop.time() + patience, until))
         part = await http.content.readany()
@@ -101,6 +106,20 @@
   parts.append(part)
 
 
+async def _invite(http: web.BaseRequest) -> None:
+  """Tells a caller that waits for it to send its body (RFC 9110, 10.1.1)."""
+  is_waiting = (
+    http.headers.get(hdrs.EXPECT, '').lower() == '100-continue'
+    and http.version >= aiohttp.HttpVersion11
+    and not http.content.total_bytes
+    and not http.content.is_eof()
+  )
+  if is_waiting:
+    await http.writer.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+    # aiohttp counts these bytes to the response.
+    http.writer.output_size = 0
+
+
 def check_size(size: int, *, limit: int) -> None:
   """Raises `body_too_large` if a size in bytes exceeds a limit."""
   if size > limit:
--- a/src/woadrun/platform/ingress.py
+++ b/src/woadrun/platform/ingress.py
@@ -108,6 +108,7 @@
             request_bodies.MAX_SECONDS if seconds is None else seconds,
             request_bodies.MAX_SECONDS,
           ),
+          invites=True,
         )
       request = wire.decode_request(
         method=http.method,
--- a/tests/test_lost_beside_changes.py
+++ b/tests/test_lost_beside_changes.py
@@ -182,6 +182,8 @@
   # Guards against a connection that stays open behind an answer without length.
   'http-1.0-kept': (False, OLD | {'fields': ['Connection: keep-alive']}, *BOTH),
   'late-body': (True, {'timeout': 0.3, 'pause': 0.6, 'work': 0.02}, *BOTH),
+  # Guards against a caller that waits in vain for a 100 response.
+  'continue': (False, {'work': 0.1, 'fields': ['Expect: 100-continue']}, *BOTH),
 }
 
 
