Registration: a daemon registers as soon as the store is reached

What callers saw: turns that had ended whole beside an outage of the store were answered 503 by every daemon, also once the store was back, after the daemon that ran them had stopped as planned.

Cause: a daemon tries to register before its first contact with the store, which fails each time, and again a second later. It is ready meanwhile. If the store went away in that second, no member knew the daemon, nor it them. A turn that ends then counts as kept as there is no other member of the domain, and is in one memory only; the planned stop found nobody to hand it over to.

Change: a list of members without the own row starts the next try at once.

Left: a daemon is still ready some tens of milliseconds before it is registered.

--- a/src/woadrun/process/registration.py
+++ b/src/woadrun/process/registration.py
@@ -133,6 +133,11 @@
       self._forget(name)
     for row in found:
       self._apply_row(row)
+    if self._me.name not in listed:
+      # The first try to register is made before the store is reached.  While no
+      # member knew this daemon, the turns that it kept without the store had no
+      # copy, and were lost when it stopped.
+      self._is_row_outdated.set()
 
   def _apply_row(self, row: rows.Row) -> None:
     name = row.key.name
