Tests: turns that ended whole are continued on real daemons

Ways of a lost turn on daemon processes with histories checked at the instances: a chain of six turns at once at other daemons, of one and of two domains, each at the first try; beside and after the planned stop of the turn's daemon; of all daemons in turn with restarts, and of both of a domain beside a store that is slow, silent or cut; beside such a store alone; an outage right after the start. No turn may be answered 404 or 410, and each ends whole within five tries.

--- a/tests/real_site.py
+++ b/tests/real_site.py
@@ -28,13 +28,15 @@
 class Instance:
   """An instance that works for as long as the path of a request says.
 
-  `runs` has the time at which it began each request, by request id, and
-  `lost` the requests whose connections closed before it had answered.
+  `runs` has the time at which it began each request, by request id,
+  `body_by_turn` the bodies of turns, and `lost` the requests whose connections
+  closed before it had answered.
   """
 
   def __init__(self, id):
     self.id = id
     self.runs = {}
+    self.body_by_turn = {}
     self.lost = set()
     self.respond = respond
     self._server = None
@@ -61,8 +63,10 @@
         line, *fields = head.splitlines()[:-1]
         parts = (field.partition(':') for field in fields)
         headers = {name.lower(): value.strip() for name, _, value in parts}
-        await reader.readexactly(int(headers.get('content-length', 0)))
+        body = await reader.readexactly(int(headers.get('content-length', 0)))
         request = headers.get('request-id', '')
+        if line.startswith('POST /chat'):
+          self.body_by_turn[request] = body
         self.runs.setdefault(request, []).append(time.monotonic())
         await self.respond(self, writer, line.split()[1], request)
         await writer.drain()
@@ -125,8 +129,14 @@
 class Site:
   """The store, instances and daemons; daemons are processes of their own."""
 
-  def __init__(self, folder, *, memory_mb=None, grace=8.0, count=2, faulty=()):
-    """`faulty` has the addresses of instances of the routes `/bad-...`."""
+  def __init__(
+    self, folder, *, memory_mb=None, grace=8.0, count=2, faulty=(),
+    domains=('north',),
+  ):  # fmt: skip
+    """`faulty` has the addresses of instances of the routes `/bad-...`.
+
+    Daemon n is in the failure domain n of `domains`, which begin again.
+    """
     self._faulty = faulty
     self.hosts = network.Network()
     self.store = memory.MemoryRowStore()
@@ -134,7 +144,7 @@
     self.daemons = [
       daemons.Daemon(
         number=n,
-        domain='north',
+        domain=domains[n % len(domains)],
         folder=folder,
         host=self.hosts.get_host(3, n),
         grace=grace,
