Turns: a log tells where a missed turn was looked for, and who holds one

What on-call saw: a turn whose preceding turn is not found is answered 503, never 404 or 410, and its log had the error of one member only; for a turn that the store lacks, no line told which daemons have it.

Change: the daemon that was asked logs one line with the missed turn, each member that was asked and its answer, the home domain and its first members, the silent members, and for how long the store or a domain has been out of reach. It is a warning if a member could read the store and did not find the turn. The owner logs for each turn that is not in the store who has a copy.

--- a/src/woadrun/process/program_copies.py
+++ b/src/woadrun/process/program_copies.py
@@ -82,12 +82,12 @@
 
   async def send(
     self, entry: program_rows.Entry, turns: tuple[turn_messages.Turn, ...]
-  ) -> None:
-    """Returns once the standby, or a lower ranked member, has a copy.
+  ) -> str:
+    """Returns the name of the standby, or a lower ranked member, with a copy.
 
     Turns that the receiver counts and this daemon does not are merged into the
-    entry's ledger.  Returns at once if no other member of the domain is alive,
-    and raises the last error if none of those alive answers.
+    entry's ledger.  Returns '' at once if no other member of the domain is
+    alive, and raises the last error if none of those alive answers.
     """
     message = self._make_copy(entry, turns)
     me = self._members.me
@@ -99,13 +99,14 @@
         known = await self._post(member, 'program/copy', message)
         if known.copy is not None:
           entry.ledger.merge(decode(known.copy))
-        return
+        return member.name
       except errors.WoadrunError as error:
         if isinstance(error, peers.NoAnswer):
           self._members.record_failure(member.name)
         failure = error
     if failure is not None:
       raise failure
+    return ''
 
   def send_remote_in_background(
     self, entry: program_rows.Entry, turns: tuple[turn_messages.Turn, ...]
--- a/src/woadrun/process/programs.py
+++ b/src/woadrun/process/programs.py
@@ -288,7 +288,14 @@
     if done.is_saved:
       self._copies.send_in_background(entry, turns)
     else:
-      await self._copies.send(entry, turns)
+      copied_to = await self._copies.send(entry, turns)
+      if turns:
+        log.info(
+          'Turn %s of %s is not in the store: it is held here, a copy by %s.',
+          done.request,
+          done.program,
+          copied_to or 'nobody, as no other member of the domain is alive',
+        )
     if entry.ledger.home == self._members.me.domain:
       self._copies.send_remote_in_background(entry, turns)
       self._copies.announce_in_background(entry)
--- a/src/woadrun/request/turn_client.py
+++ b/src/woadrun/request/turn_client.py
@@ -12,6 +12,7 @@
 
 import asyncio
 from collections.abc import Callable
+import dataclasses
 import logging
 import secrets
 import time
@@ -35,6 +36,8 @@
 
 T = TypeVar('T')
 
+# Maximum number of members that a log line names in a list.
+MAX_LOGGED_MEMBERS = 8
 # Maximum number of members of a domain that are asked about one program: the
 # owner, the standby, and the member that was one of the two before the last
 # membership change.
@@ -57,6 +60,15 @@
 )
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Refusal:
+  """The error by which a member did not admit a turn."""
+
+  member: str
+  code: errors.Code
+  message: str
+
+
 class TurnClient:
   """Client of the owners of programs, which admit turns.
 
@@ -81,6 +93,8 @@
     self._get_outage = get_outage
     self._recent_lines = history_cache.HistoryCache()
     self._close_tasks: set[asyncio.Task[None]] = set()
+    # The answers of members that did not admit a turn that is being opened.
+    self._refusals_by_arrival: dict[str, list[_Refusal]] = {}
 
   # --- Opening a turn -------------------------------------------------------
 
@@ -120,7 +134,15 @@
       admission=admission,
       arrival=secrets.token_hex(8),
     )
-    opened = await self._open(message)
+    refusals = self._refusals_by_arrival.setdefault(message.arrival, [])
+    try:
+      opened = await self._open(message)
+    except errors.WoadrunError as error:
+      if parent and error.code is errors.Code.OWNER_UNAVAILABLE:
+        self._log_missed_parent(message, refusals)
+      raise
+    finally:
+      del self._refusals_by_arrival[message.arrival]
     if known is None:
       return opened
     return msgspec.structs.replace(
@@ -325,12 +347,58 @@
         error.message,
       )
 
+  def _log_missed_parent(
+    self, message: turn_messages.OpenTurn, refusals: list[_Refusal]
+  ) -> None:
+    """Logs where the turn was looked for that a refused turn continues from.
+
+    Each member that was asked looks in its memory, then in the store.  It is a
+    warning if one of them could read the store and did not find the turn.
+    """
+    is_missing = any(r.code is errors.Code.UNKNOWN_PROGRAM for r in refusals)
+    entry = self._local_programs.entry_by_program.get(message.program)
+    home = '' if entry is None else entry.ledger.home
+    holders = self._members.rank(message.program, home) if home else []
+    silent = self._members.get_silent_seconds()
+    log.log(
+      logging.WARNING if is_missing else logging.INFO,
+      'Turn %s of program %s is not admitted: turn %s, from which it '
+      'continues, was looked for at %s.  Home domain: %s, first by rank now: '
+      '%s.  Silent members, which may have it: %s.  The store or a domain has '
+      'been unreachable for %.1f s.',
+      message.request,
+      message.program,
+      message.parent,
+      _join_names([f'{r.member} ({r.message})' for r in refusals]),
+      home or 'not known here',
+      _join_names([member.name for member in holders[:MAX_MEMBERS_ASKED]]),
+      _join_names([f'{name} ({s:.1f} s)' for name, s in silent.items()]),
+      self._get_outage(),
+    )
+
   async def _send_open(
     self,
     member: fleet_heartbeats.Member,
     message: turn_messages.OpenTurn,
     *,
     is_new: bool,
+  ) -> turn_messages.OpenedTurn:
+    try:
+      return await self._send_open_once(member, message, is_new=is_new)
+    except errors.WoadrunError as error:
+      refusals = self._refusals_by_arrival.get(message.arrival)
+      if refusals is not None:
+        refusals.append(
+          _Refusal(member=member.name, code=error.code, message=error.message)
+        )
+      raise
+
+  async def _send_open_once(
+    self,
+    member: fleet_heartbeats.Member,
+    message: turn_messages.OpenTurn,
+    *,
+    is_new: bool,
   ) -> turn_messages.OpenedTurn:
     if member.name == self._members.me.name:
       return await self._local_programs.open_turn(message, is_new=is_new)
@@ -516,3 +584,10 @@
     message,
     admission=msgspec.structs.replace(message.admission, is_first=False),
   )
+
+
+def _join_names(names: list[str]) -> str:
+  """Returns a list for a log line, shortened to MAX_LOGGED_MEMBERS."""
+  left = len(names) - MAX_LOGGED_MEMBERS
+  more = [f'{left} more'] if left > 0 else []
+  return ', '.join([*names[:MAX_LOGGED_MEMBERS], *more]) or 'none'
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -714,3 +714,39 @@
     if end != 'stop':
       # Its caller returns under another id.
       await fleet.turn(names[front], 'b', most=12, budget=20)
+
+
+async def test_log_tells_where_a_missed_turn_was_looked_for(caplog):
+  caplog.set_level('WARNING', 'woadrun.turns')
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1', 'n2', 's1')
+    await fleet.turn('n1', 'a')
+    with pytest.raises(errors.WoadrunError) as refusal:
+      await fleet.turn('n1', 'b', parent='unknown')
+    owner, standby = get_owner_and_standby(fleet, 'p')
+  assert refusal.value.code is errors.Code.OWNER_UNAVAILABLE
+  (line,) = [m for m in caplog.messages if 'is not admitted' in m]
+  assert line.startswith(
+    'Turn b of program p is not admitted: turn unknown, from which it '
+    f'continues, was looked for at {owner} (Turn unknown is not found.)'
+  )
+  assert 'Silent members, which may have it: none.' in line
+  if owner == 'n1':
+    assert f'Home domain: north, first by rank now: {owner}, {standby}.' in line
+
+
+@pytest.mark.parametrize('names', [('n1', 'n2'), ('n1',)])
+async def test_log_tells_who_holds_a_turn_that_is_not_stored(caplog, names):
+  caplog.set_level('INFO', 'woadrun.programs')
+  async with nodes.Nodes() as fleet:
+    await fleet.start(*names)
+    await fleet.turn('n1', 'a')
+    owner, *others = get_owner_and_standby(fleet, 'p')
+    fleet.shared.is_out = True
+    await fleet.turn(owner, 'b', parent='a')
+    fleet.shared.is_out = False
+  holder = others[0] if others else 'nobody, as no other member of the domain'
+  (line,) = [m for m in caplog.messages if 'is not in the store' in m]
+  assert line.startswith(
+    f'Turn b of p is not in the store: it is held here, a copy by {holder}'
+  )
