--- a/bench/faults/callers.py
+++ b/bench/faults/callers.py
@@ -35,8 +35,8 @@
 ANY_DOMAIN_SHARE = 0.3
 # Statuses that guarantee that a request has not run.
 NOT_RUN_STATUSES = (401, 402, 404, 408, 410, 421, 429, 503)
-# Share of turns that are also sent with another key: a revoked key, an invalid
-# key, or a key of any team.
+# Share of turns and single requests that are also sent with another key: a
+# revoked key, an invalid key, or a key of any team.
 OTHER_KEY_SHARE = 0.2
 
 
@@ -175,6 +175,9 @@
         id=f'l{next(self._turns)}', program=program, history=b'', key=key
       )
       self._start_task(self._send_and_check(turn))
+      # Turns need the store; only single requests run with an old table.
+      if self._served.revocation and rng.random() < OTHER_KEY_SHARE:
+        self._start_task(self._send_with_other_key(turn))
       await asyncio.sleep(rng.uniform(0.5, 1.5) * LOOK_INTERVAL_SECONDS)
 
   async def _send_and_check(self, turn: Turn) -> None:
@@ -309,6 +312,7 @@
         async for chunk in answer.chunks:
           self._record_chunk(turn, chunk)
         turn.status = answer.status
+        self._check_stored(turn)
     except errors.WoadrunError as error:
       # After its headers are sent, an answer can only be broken off.
       turn.status = 502 if has_head else error.status
@@ -331,9 +335,28 @@
         f'budget: {program.id} received {program.received_tokens} tokens, '
         f'allowed {program.budget} and one turn of {program.max_tokens}'
       )
+    stored = self._served.store.get_spent(teams.scope(program.team, program.id))
+    if program.received_tokens > stored:
+      self.violations.append(
+        f'uncounted: {program.id} received {program.received_tokens} tokens, '
+        f'the store counts {stored}'
+      )
 
   # --- Invariants -----------------------------------------------------------
 
+  def _check_stored(self, turn: Turn) -> None:
+    """Checks, as a turn ends for its caller, that the store has it.
+
+    Whatever happens to the daemons next cannot lose the turn then.
+    """
+    team = self._get_team(turn)
+    if turn.program.path != fleet.CHAT or not turn.is_complete or team is None:
+      return
+    if not self._served.store.has_turn(teams.scope(team, turn.id)):
+      self.violations.append(
+        f'unstored: {turn.id} ended as complete, but the store lacks it'
+      )
+
   def _check(self, turn: Turn) -> None:
     bodies = self._served.instances.bodies_by_request.get(turn.id, [])
     is_repeatable = turn.program.path == fleet.LOOK
--- a/bench/faults/outside.py
+++ b/bench/faults/outside.py
@@ -11,12 +11,17 @@
 import time
 from typing import Any
 
+import msgspec
+
 from faults import network
 from woadrun import errors
 from woadrun.connection import rows
+from woadrun.process import program_rows
+from woadrun.process import turn_store
 from woadrun.request import exchange
 from woadrun.standins import rows as standin
 from woadrun.version import instances
+from woadrun.version import ledger
 
 # Path prefix of the requests that may run more than once.
 LOOK = '/look/'
@@ -97,6 +102,25 @@
     is_rejected = name in self.rejected_names or domain in self.domains_without
     return self.is_out or is_rejected
 
+  def has_turn(self, request: str) -> bool:
+    """Returns whether a turn, named by team and id, is in the store."""
+    name = rows.make_name(request)
+    key = rows.Key(turn_store.TABLE, turn_store.get_part(request), name)
+    return key in self.rows.row_by_key
+
+  def get_spent(self, program: str) -> int:
+    """Returns the tokens that the store counts as spent by a program.
+
+    These are the tokens of ended turns and those reserved for others.
+    """
+    name = rows.make_name(program)
+    key = rows.Key(program_rows.TABLE, turn_store.get_part(program), name)
+    row = self.rows.row_by_key.get(key)
+    if row is None:
+      return 0
+    stored = msgspec.json.decode(row.value, type=ledger.LedgerRow)
+    return stored.settled + sum(stored.reserved.values())
+
 
 class StoreView:
   """A daemon's view of the store; implements `rows.RowStore`."""
--- a/bench/fleet_soak/outside.py
+++ b/bench/fleet_soak/outside.py
@@ -21,6 +21,7 @@
 from fleet_soak import sockets
 from woadrun.connection import rows
 from woadrun.platform import standin
+from woadrun.process import turn_store
 from woadrun.standins import rows as memory
 
 # Path prefixes of the routes.
@@ -522,6 +523,11 @@
   async def _write(self, writes: list[tuple[rows.Key, bytes]]) -> None:
     await self._change(writes=writes)
 
+  def has_turn(self, request: str) -> bool:
+    """Returns whether the store has a turn, even while it is out."""
+    key = rows.Key(turn_store.TABLE, turn_store.get_part(request), request)
+    return key in self.memory_rows.row_by_key
+
   async def _change(self, **options: Any) -> None:
     # The operator's writes succeed despite faults of the store.
     memory_rows = self.memory_rows
--- a/src/woadrun/connection/turn_messages.py
+++ b/src/woadrun/connection/turn_messages.py
@@ -124,11 +124,9 @@
   """Reports the end of a turn to the owner of its program.
 
   Answered by `Closed`.  `tokens` is the number of tokens sent to the caller.
-  `turn` is set if the turn is complete and part of a history; `is_saved` tells
-  whether the row store has it.  `is_away` is set when both the program's home
-  domain and the store are unreachable.  `instance` ran the turn and has `parts`
-  cached, the parts of its prompt and of its output.  `has_run` is false if the
-  turn certainly has not run.
+  `turn` is set if the turn is complete and part of a history.  `instance` ran
+  the turn and has `parts` cached, the parts of its prompt and of its output.
+  `has_run` is false if the turn certainly has not run.
   """
 
   program: str
@@ -137,8 +135,6 @@
   instance: str = ''
   parts: tuple[PromptPart, ...] = ()
   turn: Turn | None = None
-  is_saved: bool = True
-  is_away: bool = False
   has_run: bool = True
 
 
@@ -154,10 +150,7 @@
   turns, both by request.  `saved_settled`, `saved_reserved`, `saved_recent` and
   `version` are the content and version of the row when it was last read or
   written.  `is_behind` tells that the store lacks changes that do not follow
-  from stored turns.  `is_split` tells that the program may have begun in
-  another domain as well.  `offline_known` is the number of tokens that other
-  domains know to be spent while the store is unavailable, None if undetermined.
-  `unsaved` lists the requests of `turns` that the store lacks.
+  from stored turns.
   """
 
   program: str
@@ -169,22 +162,16 @@
   saved_recent: tuple[str, ...]
   is_behind: bool
   version: int
-  is_split: bool = False
-  offline_known: int | None = None
   turns: tuple[Turn, ...] = ()
-  unsaved: tuple[str, ...] = ()
 
 
 class ProgramQuery(msgspec.Struct, frozen=True, kw_only=True):
   """Asks a member for what it knows of a program and the store lacks.
 
-  Answered by `KnownProgram`.  With `is_far` the sender belongs to the program's
-  home domain and asks a member of another domain to return the last copy that
-  it received from the home domain.
+  Answered by `KnownProgram`.
   """
 
   program: str
-  is_far: bool = False
 
 
 class KnownProgram(msgspec.Struct, frozen=True, kw_only=True):
@@ -193,26 +180,6 @@
   copy: LedgerCopy | None = None
 
 
-class StoredTurnsQuery(msgspec.Struct, frozen=True, kw_only=True):
-  """Asks which turns a member has stored or is about to store.
-
-  The member is the first of those responsible for storing these turns.
-  Answered by `StoredTurns`.
-  """
-
-  requests: tuple[str, ...]
-
-
-class StoredTurns(msgspec.Struct, frozen=True, kw_only=True):
-  """The turns that the store has and those that this member will store.
-
-  The member does not know the turns that are in neither of the two.
-  """
-
-  stored: tuple[str, ...] = ()
-  pending: tuple[str, ...] = ()
-
-
 class StoreRow(msgspec.Struct, frozen=True, kw_only=True):
   """A row as sent between daemons; with `is_packed` its value is compressed."""
 
--- a/src/woadrun/platform/operator.py
+++ b/src/woadrun/platform/operator.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 
 import msgspec
@@ -41,6 +42,7 @@
   traffic_split: list[_TrafficSplit] = []
   timeout_ms: float = 30_000
   target_latency_ms: float = 1_000
+  gap_aim_ms: float = 0
   priority: int = 0
   max_attempts: int = 1
   retain_history: bool = False
@@ -175,9 +177,21 @@
     keeps_history=route.retain_history,
     retention=route.retention_s,
     is_public=route.public,
+    patience=_get_patience(route),
   )
 
 
+def _get_patience(route: _Route) -> float:
+  """Returns after how many seconds without a byte callers leave a stream.
+
+  The platform's interface states the rule.
+  """
+  if route.kind != 'stream':
+    return math.inf
+  longest = max(2_000.0, 4 * route.target_latency_ms, 8 * route.gap_aim_ms)
+  return longest / 1000
+
+
 def _get_service(service: _Service) -> routes.Service:
   engine = service.engine
   return routes.Service(
--- a/src/woadrun/process/node.py
+++ b/src/woadrun/process/node.py
@@ -19,6 +19,7 @@
 from collections.abc import Mapping
 import dataclasses
 import logging
+import math
 import secrets
 import time
 from typing import Any
@@ -71,6 +72,7 @@
 from woadrun.request import held_bytes
 from woadrun.request import rates
 from woadrun.request import serving
+from woadrun.request import store_waits
 from woadrun.request import turn_client
 from woadrun.version import instances
 from woadrun.version import routes
@@ -257,8 +259,9 @@
       policy=config.admission,
     )
     self.turns = turn_store.TurnStore(
-      store=self.store.bounded, row_bytes=config.row_bytes
+      store=self.store.durable, row_bytes=config.row_bytes
     )
+    self.waits = store_waits.StoreWaits()
     self.programs = programs.Programs(
       members=self.fleet,
       store=self.store,
@@ -311,7 +314,9 @@
         members=self.fleet,
         local=self.programs,
         messenger=self.calls,
+        store=self.store,
         turns=self.turns,
+        waits=self.waits,
         get_outage=self._get_outage,
       ),
       stop=self.planned_stop,
@@ -423,7 +428,6 @@
       'requests_running': self.serving.active,
       'programs_known': len(self.programs.entry_by_program),
       'turns_kept': len(self.programs.cache),
-      'turns_unsaved': len(self.programs.unsaved),
       'members_known': len(self.fleet.member_by_name),
       'instances_known': len(self.catalogue.directory.by_id),
       'instances_avoided': len(self.loads.health.avoided),
@@ -449,6 +453,7 @@
       'requests_quarantined': self.crash_guard.records.count_quarantined(),
       'rows_swept': self.sweeper.removed_rows,
       'turns_missing': self.turns.missing_turns,
+      **self.waits.read_gauges(),
     }
 
   # --- Datagrams between daemons --------------------------------------------
@@ -466,8 +471,6 @@
       demand=self.gate.report(),
       turn_times=self.loads.slowness.report(),
       silent=tuple(self.fleet.find_silent_domains()),
-      is_owing=self.programs.is_owing,
-      is_behind=self.programs.is_behind,
       confirmed=self.catalogue.get_confirmation(),
       suspects_store=self.store.is_suspect,
       is_served=self.store.has_recent_answer,
@@ -525,7 +528,6 @@
     receiver = self.programs.copy_receiver
     return [
       ('program/open', turn_messages.OpenTurn, self.programs.open_turn),
-      ('program/open-new', turn_messages.OpenTurn, self._open_new),
       ('program/close', turn_messages.CloseTurn, self.programs.close_turn),
       (
         'program/copy',
@@ -538,11 +540,6 @@
         receiver.handle_remote_copy,
       ),
       ('program/ask', turn_messages.ProgramQuery, receiver.find_unsaved_copy),
-      (
-        'turns/stored',
-        turn_messages.StoredTurnsQuery,
-        receiver.find_stored_turns,
-      ),
       ('store/change', turn_messages.StoreChange, self.relay.change),
       ('store/read', turn_messages.StoreRead, self.relay.read),
       ('store/follow', turn_messages.StoreFollow, self.relay.follow),
@@ -566,11 +563,6 @@
       ),
     ]
 
-  async def _open_new(
-    self, ask: turn_messages.OpenTurn
-  ) -> turn_messages.OpenedTurn:
-    return await self.programs.open_turn(ask, is_new=True)
-
   # --- Stopping -------------------------------------------------------------
 
   async def leave(self) -> None:
@@ -606,25 +598,24 @@
       log.warning('Cannot unregister: %s', error.message)
 
   async def finish(self) -> None:
-    """Flushes unsaved turns to the store after the last request.
+    """Writes the ends of turns to the store after the last request.
 
-    Returns once none is left, or as the grace period ends.
+    Returns once all are written, or as the grace period ends.
     """
     stop = self.planned_stop
     try:
       async with asyncio.timeout(stop.get_seconds_until(stop.schedule.stored)):
         if self._hand_over_task is not None:
           await self._hand_over_task
-        while not await self.programs.flusher.flush():
+        while await self.programs.flusher.flush(used_before=math.inf):
           await asyncio.sleep(FLUSH_RETRY_DELAY_SECONDS)
     except TimeoutError:
-      log.warning('Planned stop: no time is left to store turns.')
+      log.warning('Planned stop: no time is left to settle programs.')
     log.info(
       'Planned stop finished: %d requests rejected, %d ended before their '
-      'time, %d turns not stored.',
+      'time.',
       stop.rejected,
       stop.cut,
-      len(self.programs.unsaved),
       extra=event_log.RARE,
     )
 
--- a/src/woadrun/process/program_copies.py
+++ b/src/woadrun/process/program_copies.py
@@ -15,8 +15,6 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 import logging
-import math
-import time
 
 import msgspec
 
@@ -29,7 +27,6 @@
 from woadrun.process import fleet_heartbeats
 from woadrun.process import hubs
 from woadrun.process import program_rows
-from woadrun.process import unsaved_turns
 from woadrun.version import ledger
 
 log = logging.getLogger('woadrun.programs')
@@ -37,16 +34,6 @@
 # Timeout for a standby's answer to a copy, after which the next member is
 # tried, and for a member's answer to a query.
 COPY_TIMEOUT_SECONDS = 0.6
-# Timeout for a member of another domain that is asked to count the spending,
-# after which the next member of that domain is tried.
-REPORT_TIMEOUT_SECONDS = 0.4
-# Number of members of each other domain that are asked, one after another, to
-# count the spending.
-MAX_REPORT_ATTEMPTS = 2
-# Time for which a domain is not asked again after none of its members answered.
-# Callers whose turns depend on that domain are refused at once meanwhile,
-# instead of waiting for the timeouts again.
-DOMAIN_BACKOFF_SECONDS = 0.5
 # Maximum number of requests with copies that run in the background at a time.
 # Further copies are dropped, since the store or the standby has what they hold.
 MAX_BACKGROUND_COPIES = 256
@@ -55,30 +42,23 @@
 # members.
 MAX_QUERIED_MEMBERS = 3
 # Number of other domains that get a copy of each turn.  It is limited because
-# each copy takes processor time at both ends.  In regions of five domains, two
-# of the four other domains get each copy, so that a domain behind a network
-# partition can continue half of the others' programs.
+# each copy takes processor time at both ends.
 MAX_REMOTE_DOMAINS = 2
 
 
 class Copies:
   """Sends copies of the programs of this daemon, and asks others for theirs.
 
-  `unsaved` has the turns that are not in the store.
+  Copies save reads of the store; what they hold is in the store as well, or is
+  lost without harm.
   """
 
   def __init__(
-    self,
-    *,
-    members: fleet.Fleet,
-    messenger: peers.Messenger,
-    unsaved: unsaved_turns.UnsavedTurns,
+    self, *, members: fleet.Fleet, messenger: peers.Messenger
   ) -> None:
     self._members = members
     self._links = messenger
-    self._unsaved = unsaved
     self._background_tasks: set[asyncio.Task[None]] = set()
-    self._backoff_until_by_domain: dict[str, float] = {}
 
   async def send(
     self, entry: program_rows.Entry, turns: tuple[turn_messages.Turn, ...]
@@ -113,9 +93,8 @@
   ) -> None:
     """Sends a program to other domains after a turn, in the background.
 
-    A domain that is cut off by a network partition can continue only programs
-    of which it has copies.  It needs them, because a fifth of all turns arrive
-    through another domain than the turn before.
+    A turn that arrives through another domain than the turn before then needs
+    no read of the store to find its home domain and its history.
     """
     message = self._make_copy(entry, turns)
     data = _encode_datagram(message)
@@ -129,104 +108,15 @@
           self._try_post(member, 'program/far', message)
         )
 
-  async def report_to_domains(self, entry: program_rows.Entry) -> bool:
-    """Returns whether each other domain counts the spending of this domain.
-
-    A domain that prefers its own entry of the program answers with a copy of
-    that and ignores the report.  The copy is merged into the entry's ledger,
-    and the result is False.  It is also False if a domain does not answer.
-    """
-    others = self._members.domains - {self._members.me.domain}
-    if any(self._is_backing_off(domain) for domain in others):
-      return False
-    message = self._make_copy(entry, ())
-    answers = await asyncio.gather(
-      *(
-        self._report_to_domain(entry, domain, message)
-        for domain in sorted(others)
-      )
-    )
-    return all(answer is not None and answer.copy is None for answer in answers)
-
-  def announce_in_background(self, entry: program_rows.Entry) -> None:
-    """Announces a program to its `uninformed_domains` in the background.
-
-    These are the domains that may not know the program yet.  A domain that
-    answers is removed from them.
-    """
-    if entry.uninformed_domains:
-      self._start_in_background(self._announce(entry))
-
-  async def _announce(self, entry: program_rows.Entry) -> None:
-    message = self._make_copy(entry, ())
-
-    async def announce(domain: str) -> None:
-      if await self._report_to_domain(entry, domain, message) is not None:
-        entry.uninformed_domains.discard(domain)
-
-    await asyncio.gather(
-      *(announce(domain) for domain in sorted(entry.uninformed_domains))
-    )
-
-  def _is_backing_off(self, domain: str) -> bool:
-    until = self._backoff_until_by_domain.get(domain, -math.inf)
-    return time.monotonic() < until
-
-  async def _report_to_domain(
-    self,
-    entry: program_rows.Entry,
-    domain: str,
-    message: turn_messages.LedgerCopy,
-  ) -> turn_messages.KnownProgram | None:
-    """Returns the first answer of a member of a domain, or None without one.
-
-    A copy in the answer is merged into the entry's ledger.  Without an answer
-    the domain is not asked again for a short time.
-    """
-    for member in self._members.rank(entry.program, domain)[
-      :MAX_REPORT_ATTEMPTS
-    ]:
-      try:
-        known = await self._post(
-          member, 'program/far', message, timeout=REPORT_TIMEOUT_SECONDS
-        )
-      except errors.WoadrunError as error:
-        log.info(
-          '%s did not answer a report about program %s: %s',
-          member.name,
-          entry.program,
-          error,
-        )
-        continue
-      if known.copy is not None:
-        entry.ledger.merge(decode(known.copy))
-      return known
-    self._backoff_until_by_domain[domain] = (
-      time.monotonic() + DOMAIN_BACKOFF_SECONDS
-    )
-    return None
-
-  async def fetch(
-    self, program: str, *, includes_remote: bool = False
-  ) -> list[turn_messages.LedgerCopy]:
+  async def fetch(self, program: str) -> list[turn_messages.LedgerCopy]:
     """Returns other members' copies of a program that the store may lack.
 
-    Members that do not answer or have nothing to add are left out.  With
-    `includes_remote` members of other domains are asked as well, for the last
-    copies that they got from the home domain.
+    Members that do not answer or have nothing to add are left out.
     """
     me = self._members.me
-    local_members = self._members.rank(program, me.domain)[:MAX_QUERIED_MEMBERS]
-    queried = [(m, False) for m in local_members if m.name != me.name]
-    if includes_remote:
-      # Needed if all daemons of a domain are lost in an outage: without these
-      # copies, their successors did not know the spending and granted the
-      # budget again.
-      queried += (
-        (member, True) for member in self._find_remote_members(program)
-      )
+    queried = self._members.rank(program, me.domain)[:MAX_QUERIED_MEMBERS]
     results = await asyncio.gather(
-      *(self._fetch_from(m, program, is_far=is_far) for m, is_far in queried)
+      *(self._fetch_from(m, program) for m in queried if m.name != me.name)
     )
     return [copy for copy in results if copy is not None]
 
@@ -239,14 +129,14 @@
       yield from self._members.rank(program, domain)[:1]
 
   async def _fetch_from(
-    self, member: fleet_heartbeats.Member, program: str, *, is_far: bool
+    self, member: fleet_heartbeats.Member, program: str
   ) -> turn_messages.LedgerCopy | None:
     """Returns a member's copy, or None if it has none or does not answer."""
     try:
       known = await self._links.post(
         member.address,
         'program/ask',
-        turn_messages.ProgramQuery(program=program, is_far=is_far),
+        turn_messages.ProgramQuery(program=program),
         type=turn_messages.KnownProgram,
         timeout=COPY_TIMEOUT_SECONDS,
       )
@@ -283,10 +173,6 @@
         )
         return
 
-  def has_standby(self, program: str) -> bool:
-    """Returns whether another member of this domain is alive."""
-    return len(self._members.rank(program, self._members.me.domain)) > 1
-
   def is_first(self, program: str) -> bool:
     """Returns whether this daemon ranks first for a program in its domain.
 
@@ -326,15 +212,13 @@
     member: fleet_heartbeats.Member,
     path: str,
     message: turn_messages.LedgerCopy,
-    *,
-    timeout: float = COPY_TIMEOUT_SECONDS,
   ) -> turn_messages.KnownProgram:
     return await self._links.post(
       member.address,
       path,
       message,
       type=turn_messages.KnownProgram,
-      timeout=timeout,
+      timeout=COPY_TIMEOUT_SECONDS,
     )
 
   async def try_send(
@@ -351,7 +235,6 @@
   ) -> turn_messages.LedgerCopy:
     """Returns a copy of a program with the given turns for the receiver."""
     held = entry.ledger
-    unsaved = tuple(t.request for t in turns if t.request in self._unsaved)
     return turn_messages.LedgerCopy(
       program=entry.program,
       home=held.home,
@@ -362,10 +245,7 @@
       saved_recent=held.saved.recent,
       is_behind=entry.needs_flush,
       version=held.version,
-      is_split=held.saved.is_split,
-      offline_known=entry.offline_known,
       turns=turns,
-      unsaved=unsaved,
     )
 
 
@@ -373,12 +253,9 @@
   """Returns a copy encoded as a datagram, or None if it has to be a request.
 
   Datagrams are preferred in the background, where nothing waits for an answer,
-  because a request takes a connection and an answer.  A copy with turns that
-  are not in the store has to be a request, since a datagram may be lost; so has
-  a copy that is too large for a datagram.
+  because a request takes a connection and an answer.  A copy that is too large
+  for a datagram has to be a request.
   """
-  if copy.unsaved:
-    return None
   data = msgspec.msgpack.encode(copy)
   return data if len(data) <= datagrams.MAX_DATAGRAM_BYTES else None
 
@@ -415,7 +292,6 @@
     settled=copy.saved_settled,
     reserved=copy.saved_reserved,
     recent=copy.saved_recent,
-    is_split=copy.is_split,
   )
   found = ledger.Ledger(saved=saved, version=copy.version)
   found.given = dict(copy.given)
--- a/src/woadrun/process/program_rows.py
+++ b/src/woadrun/process/program_rows.py
@@ -3,9 +3,8 @@
 A program is a series of turns, model requests that share a budget of tokens.
 Its ledger has the tokens of settled turns, which have ended, and the tokens
 reserved for running ones.  The daemon that decides on a program's turns is its
-owner, a member of the program's home domain, which is the failure domain that
-serves the program while the store is unavailable.  Another daemon may become
-owner at any time, so each write is conditional on the row's version.
+owner, a member of the program's home domain.  Another daemon may become owner
+at any time, so each write is conditional on the row's version.
 """
 
 from __future__ import annotations
@@ -22,13 +21,11 @@
 from woadrun import decoding
 from woadrun import errors
 from woadrun.connection import rows
-from woadrun.connection import turn_messages
 from woadrun.decisions import retry_after
 from woadrun.process import store_access
 from woadrun.process import turn_store
 from woadrun.version import ledger
 from woadrun.version import prefixes
-from woadrun.version import spending
 
 log = logging.getLogger('woadrun.programs')
 
@@ -43,78 +40,34 @@
 class Entry:
   """A program in memory.
 
-  Spending is in tokens, settled and reserved; times are on the monotonic clock.
-  `lock` is held while a reservation is decided with the store, and while the
-  row is flushed.
-  `unconfirmed_writes` are the ids of writes that may have been applied although
-  no answer arrived.  `offline_known` is the spending that other domains know
-  while the store is unreachable, None until it is determined; this domain may
-  spend a share of the rest of the budget.  `min_reported_spent` is the lowest
-  spending reported to other domains since this daemon last began to have them
-  count it; `report_lock` is held while they are asked.  `home_copy` is the
-  latest copy from the home domain if that is another one; the store may lack
-  what it holds.  `uninformed_domains` are the other domains that may not know a
-  program that started here.  `partition_limit` is the total up to which this
-  domain may spend while another domain may spend without this one knowing, None
-  if none does.  `needs_flush` says that the row should be written without
-  waiting for the next call.  `is_copy` says that the latest update came from
-  another daemon; `local_decisions` has the request ids of turns that this
-  daemon decided on itself and that the row does not count yet.  `is_unverified`
-  says that neither the store nor a daemon was asked yet whether the program is
-  new.  Until `undetected_partition_until`, a network partition may have begun
-  undetected and the program may have started in another domain too.
-  `refreshed_at` is the time of the last `ProgramRows.refresh`, `used_at` that
-  of the last call.  `prefixes` records which instances read which prompts,
-  `spending` the recent values of the settled tokens.
+  Times are on the monotonic clock.  `lock` is held while a reservation is
+  decided, and while the row is flushed.  `unconfirmed_writes` are the ids of
+  writes that may have been applied although no answer arrived.  `needs_flush`
+  says that the row should be written without waiting for the next call.
+  `decided` has the request ids of turns that this daemon admitted and whose end
+  the row may not count yet.  `is_unverified` says that neither the store nor a
+  daemon was asked yet whether the program is new.  `refreshed_at` is the time
+  of the last `ProgramRows.refresh`, `used_at` that of the last call.
+  `prefixes` records which instances read which prompts.
   """
 
   program: str
   ledger: ledger.Ledger
   lock: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
   unconfirmed_writes: set[str] = dataclasses.field(default_factory=set)
-  offline_known: int | None = None
-  min_reported_spent: float = math.inf
-  report_lock: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
-  home_copy: turn_messages.LedgerCopy | None = None
-  uninformed_domains: set[str] = dataclasses.field(default_factory=set)
-  partition_limit: float | None = None
   needs_flush: bool = False
-  is_copy: bool = False
+  decided: set[str] = dataclasses.field(default_factory=set)
   is_unverified: bool = False
-  undetected_partition_until: float = -math.inf
-  local_decisions: set[str] = dataclasses.field(default_factory=set)
   refreshed_at: float = -math.inf
   used_at: float = dataclasses.field(default_factory=time.monotonic)
   prefixes: prefixes.Prefixes = dataclasses.field(
     default_factory=prefixes.Prefixes
   )
-  spending: spending.SpendingHistory = dataclasses.field(
-    default_factory=spending.SpendingHistory
-  )
-
-  def note_settled(self) -> None:
-    """Records the tokens of settled turns at the current time."""
-    self.spending.note(self.ledger.settled, now=time.monotonic())
-
-  def get_known(self, *, lasted: float) -> int:
-    """Returns the spending that other domains are certain to know, in tokens.
-
-    `lasted` is the duration of the outage or network partition so far, in
-    seconds.
-    """
-    known = self.spending.get_known(now=time.monotonic(), lasted=lasted)
-    return min(known, self.ledger.settled)
-
-  def note_reported(self) -> None:
-    """Records that the current spending is sent to other domains.
 
-    It may be lower than what they were sent before: a turn that ends with fewer
-    tokens than were reserved for it reduces the spending.
-    """
-    spent = self.ledger.spent
-    self.min_reported_spent = min(self.min_reported_spent, spent)
-    if self.offline_known is not None:
-      self.offline_known = min(self.offline_known, spent)
+  def find_decided(self) -> set[str]:
+    """Returns the turns of `decided` that the ledger still lists."""
+    self.decided = {r for r in self.decided if self.ledger.knows(r)}
+    return self.decided
 
 
 class ProgramRows:
@@ -136,34 +89,28 @@
     self._cache = cache
     self._domain = domain
 
-  def make(self, *, is_split: bool = False) -> ledger.Ledger:
+  def make(self) -> ledger.Ledger:
     """Returns the ledger of a program that starts in this domain.
 
-    With `is_split` the program may have started in another domain too.  The
-    ledger has version 0: there is no row yet.
+    It has version 0: there is no row yet.
     """
-    row = ledger.LedgerRow(home=self._domain, is_split=is_split)
+    row = ledger.LedgerRow(home=self._domain)
     return ledger.Ledger(saved=row, version=0)
 
-  async def read(
-    self, program: str, *, is_split: bool = False, is_bounded: bool = False
-  ) -> ledger.Ledger:
+  async def read(self, program: str) -> ledger.Ledger:
     """Returns the ledger of a program as stored.
 
-    Returns the result of `make` if the program has no row; `is_split` applies
-    only then.  With `is_bounded` the store is not waited for once it is
-    suspected to be silent.  Turns that the store or the cache has, but the row
-    still has as reserved, are settled in the result.  Raises
-    `errors.WoadrunError` if the store cannot be reached or the row cannot be
-    decoded.
+    Returns the result of `make` if the program has no row.  Turns that the
+    store or the cache has, but the row still has as reserved, are settled in
+    the result.  Raises `errors.WoadrunError` if the store cannot be reached or
+    the row cannot be decoded.
     """
     key = _get_key(program)
-    store = self._store.bounded if is_bounded else self._store
-    page = await store.read(
+    page = await self._store.bounded.read(
       TABLE, key.part, first=key.name, end=f'{key.name}\0'
     )
     if not page.rows:
-      return self.make(is_split=is_split)
+      return self.make()
     row = _decode(page.rows[0].value)
     found = ledger.Ledger(saved=row, version=page.rows[0].version)
     await self._resolve(found)
@@ -181,20 +128,17 @@
         found.settle(turn.request, turn.tokens)
 
   async def refresh(self, entry: Entry) -> None:
-    """Reloads an entry from the store if the store can be reached.
+    """Reloads an entry from the store.
 
     Calls within REFRESH_INTERVAL_SECONDS of the last one do nothing: programs
-    that retry in a loop call again and again after their budget is spent.  A
-    failure is logged.
+    that retry in a loop call again and again after their budget is spent.
+    Raises `errors.WoadrunError` if the row cannot be read.
     """
     now = time.monotonic()
     if now - entry.refreshed_at < REFRESH_INTERVAL_SECONDS:
       return
+    await self.reload(entry)
     entry.refreshed_at = now
-    try:
-      await self.reload(entry)
-    except errors.WoadrunError as error:
-      log.info('Cannot reload program %s: %s', entry.program, error.message)
 
   async def reload(self, entry: Entry) -> None:
     """Applies the stored row to an entry if it is newer.
@@ -211,23 +155,22 @@
       if turn is not None:
         entry.ledger.settle(request, turn.tokens)
 
-  async def save(self, entry: Entry, *, is_bounded: bool) -> bool:
+  async def save(self, entry: Entry) -> bool:
     """Writes an entry's row if the row is still the one that is known.
 
     Returns whether the store has all changes of the entry.  False means that
     another daemon changed the row: the entry is rebased onto that row, and its
-    changes are still to be written by another call.  With `is_bounded` the
-    store is not waited for once it is suspected to be silent.  Raises
-    `errors.WoadrunError` if the store cannot be reached, in which case the
-    write may have been applied, or if the row cannot be decoded.
+    changes are still to be written by another call.  The write is repeated
+    until the store answers, and may have been applied if this is cancelled.
+    Raises `errors.WoadrunError` if the store rejects the write or the row
+    cannot be decoded.
     """
     held = entry.ledger
     write = secrets.token_hex(4)
     row = held.make_row(write, now=time.time())
     key = _get_key(entry.program)
     entry.unconfirmed_writes.add(write)
-    store = self._store.bounded if is_bounded else self._store
-    outcome = await store.change(
+    outcome = await self._store.durable.change(
       writes=[(key, msgspec.json.encode(row))],
       conditions=[(key, held.version)],
     )
@@ -245,15 +188,7 @@
   def _note_saved(self, entry: Entry) -> None:
     entry.unconfirmed_writes.clear()
     entry.is_unverified = False
-    entry.offline_known = None
     entry.needs_flush = False
-    held = entry.ledger
-    entry.local_decisions = {
-      request
-      for request in entry.local_decisions
-      if request in held.given
-      or (request in held.reserved and request not in held.saved.reserved)
-    }
 
   def _apply_conflict(self, entry: Entry, outcome: rows.Outcome) -> None:
     current = outcome.rows[0] if outcome.rows else None
--- a/src/woadrun/process/store_access.py
+++ b/src/woadrun/process/store_access.py
@@ -84,6 +84,14 @@
 # Timeout of a probe: a store that responds more slowly would delay each turn by
 # more time than the turn itself takes.
 PROBE_TIMEOUT_SECONDS = 0.6
+# Interval at which operations that wait for the store check whether it is
+# reachable.
+RETURN_CHECK_SECONDS = 0.05
+# Maximum number of parallel attempts of one durable change.
+MAX_ATTEMPTS = 3
+# Maximum number of parallel probes.  One that a silent store does not answer
+# must not delay the next.
+MAX_PROBES = 3
 # Range of the delay before a call that exceeded the store's rate limit is
 # retried, drawn uniformly so that refused calls are not all retried at once.
 # The rate is counted per second, and most of a second is left when a burst
@@ -113,8 +121,9 @@
 
   `change`, `read` and `follow` have the interface of `rows.RowStore`.  They
   raise `WoadrunError` if neither the store nor a peer answers.  `bounded` is
-  for operations that can go on without the store: its calls also raise as soon
-  as the store is found silent.
+  for operations that need not wait for the store: its calls also raise as soon
+  as the store is found silent.  `durable` is for changes that have to reach the
+  store: they are repeated until it answers.
 
   A store that neither answers nor refuses calls is silent.  A daemon suspects
   this when a call takes much longer than usual, and reports it in its
@@ -143,6 +152,7 @@
     self._unreachable_since: float | None = None
     self._relay_backoff_until = -math.inf
     self.bounded = BoundedAccess(store=self)
+    self.durable = DurableAccess(store=self)
     self._direct_call_began_at: dict[object, float] = {}
     self._longest_answer_seconds = 0.0
     self._answered_at = -math.inf
@@ -152,6 +162,7 @@
     self._suspected_since: float | None = None
     # Bounded calls that nobody waits for any more are among these.
     self._bounded_calls: set[asyncio.Future[Any]] = set()
+    self._probes: set[asyncio.Task[None]] = set()
 
   def use_fleet(self, members: fleet.Fleet) -> None:
     """Sets the fleet whose members may relay calls."""
@@ -515,6 +526,50 @@
       self._record_suspicion(self._get_oldest_call())
     raise _make_silence_error(errors.RunStatus.UNKNOWN)
 
+  async def wait_until_reachable(self) -> None:
+    """Returns once the store is reachable, at once if it is now."""
+    while not self.is_reachable:
+      await asyncio.sleep(RETURN_CHECK_SECONDS)
+
+  async def run_until_answered(
+    self, call: Callable[[], Coroutine[Any, Any, T]]
+  ) -> T:
+    """Returns the first result of a call that is repeated until it has one.
+
+    An attempt without an answer is joined by another one after the usual time,
+    as its connection may be silent, and none begins while the store is
+    unreachable.  The caller limits the time.  Raises `rows.CallRejected` if the
+    store rejects the call.
+    """
+    attempts: set[asyncio.Future[T]] = set()
+    try:
+      while True:
+        is_reachable = self.is_reachable
+        if is_reachable and len(attempts) < MAX_ATTEMPTS:
+          attempts.add(asyncio.ensure_future(call()))
+        if not attempts:
+          await asyncio.sleep(RETURN_CHECK_SECONDS)
+          continue
+        done, attempts = await asyncio.wait(
+          attempts,
+          timeout=(
+            self._get_patience() if is_reachable else RETURN_CHECK_SECONDS
+          ),
+          return_when=asyncio.FIRST_COMPLETED,
+        )
+        for attempt in done:
+          try:
+            return attempt.result()
+          except rows.CallRejected:
+            raise
+          except errors.WoadrunError as error:
+            log.debug('A call of the store is repeated: %s', error.message)
+        if done:
+          await asyncio.sleep(RETURN_CHECK_SECONDS)
+    finally:
+      for attempt in attempts:
+        attempt.cancel()
+
   def _get_bound(self, began: float) -> float:
     """Returns for how many more seconds to wait for a bounded call."""
     # A store that refuses calls over its rate limit is not silent.
@@ -529,7 +584,7 @@
 
   async def on_stop(self) -> None:
     """Cancels the calls that nobody waits for."""
-    for call in list(self._bounded_calls):
+    for call in (*self._bounded_calls, *self._probes):
       call.cancel()
 
   async def _call_timed(self, call: Callable[[], Awaitable[T]]) -> T:
@@ -625,8 +680,11 @@
         self._unreachable_since = None
       elif self._unreachable_since is None:
         self._unreachable_since = time.monotonic()
-      if not self.is_direct or self.is_suspect or self.is_silent:
-        await self._probe_once()
+      needs_probe = not self.is_direct or self.is_suspect or self.is_silent
+      if needs_probe and len(self._probes) < MAX_PROBES:
+        probe = asyncio.ensure_future(self._probe_once())
+        self._probes.add(probe)
+        probe.add_done_callback(self._probes.discard)
       await ticks.sleep(PROBE_INTERVAL_SECONDS)
 
   async def _probe_once(self) -> None:
@@ -641,7 +699,7 @@
 
 
 class BoundedAccess:
-  """The store for operations that can go on without it.
+  """The store for operations that need not wait for it.
 
   It has the interface of `rows.RowStore`.  Each call raises `WoadrunError` at
   once while the store is silent, and as soon as it takes much longer than
@@ -678,6 +736,34 @@
     return await self._store.follow(table, after=after, wait=wait)
 
 
+class DurableAccess:
+  """The store for changes of which callers are told only once it has them.
+
+  It has the interface of `rows.RowStore`.  A change is repeated until the store
+  answers, and may be applied more than once, its conditions permitting; reads
+  are bounded.
+  """
+
+  def __init__(self, *, store: StoreAccess) -> None:
+    self._store = store
+    self.read = store.bounded.read
+    self.follow = store.follow
+
+  async def change(
+    self,
+    *,
+    writes: Sequence[tuple[rows.Key, bytes]] = (),
+    removes: Sequence[rows.Key] = (),
+    conditions: Sequence[tuple[rows.Key, int]] = (),
+  ) -> rows.Outcome:
+    """Returns the outcome of an atomic change of one part of a table."""
+    return await self._store.run_until_answered(
+      lambda: self._store.change(
+        writes=writes, removes=removes, conditions=conditions
+      )
+    )
+
+
 # --- Relay for peers that the store refuses ----------------------------------
 
 
--- a/src/woadrun/request/attempts.py
+++ b/src/woadrun/request/attempts.py
@@ -557,6 +557,8 @@
     )
     if timer is not None and not result.is_failure and reply.status < 300:
       reply.chunks = self._time_chunks(sending, reply, reply.chunks, timer)
+    if sending.is_stream:
+      reply.chunks = _end_attempt(reply.chunks, stack)
     stack.callback(self._record_idle_connection, id, reply)
     is_withheld = (
       reply.has_run
@@ -868,6 +870,19 @@
   )
 
 
+async def _end_attempt(
+  chunks: AsyncGenerator[bytes], stack: contextlib.AsyncExitStack
+) -> AsyncGenerator[bytes]:
+  """Yields a reply's chunks, then ends the attempt.
+
+  The end of a turn may have to wait for the store, without its instance.
+  """
+  async with contextlib.aclosing(chunks):
+    async for chunk in chunks:
+      yield chunk
+  await stack.aclose()
+
+
 async def _discard(reply: exchange.Reply) -> None:
   """Reads a reply that does not go to the caller.
 
--- a/src/woadrun/request/serving.py
+++ b/src/woadrun/request/serving.py
@@ -16,6 +16,7 @@
 import contextlib
 import dataclasses
 import logging
+import math
 import random
 import time
 
@@ -45,6 +46,8 @@
 # A request's deadline is brought forward by this time, which its response takes
 # to get back to the caller.
 RESPONSE_MARGIN_SECONDS = 0.02
+# A caller that gives up a silent stream is sent something this much earlier.
+SILENCE_MARGIN_SECONDS = 0.15
 # Errors whose cause is an outage of the store, of another domain or of daemons.
 OUTAGE_CODES = frozenset(
   (
@@ -180,8 +183,11 @@
       ) from None
 
   def _extend_retry_delay(self, error: errors.WoadrunError) -> None:
-    """Makes the caller return no sooner than an outage is expected to end."""
-    if error.retry_after is not None and error.code in OUTAGE_CODES:
+    """Makes the caller return no sooner than an outage is expected to end.
+
+    A caller that may return at once would wait here again.
+    """
+    if error.retry_after and error.code in OUTAGE_CODES:
       error.retry_after = max(
         error.retry_after, retry_after.estimate_outage(self._get_outage())
       )
@@ -266,7 +272,12 @@
       self._limits.give_back(unit)
       raise
     running = _RunningTurn(
-      request=request, id=id, turn=turn, route=route, opened=opened
+      request=request,
+      id=id,
+      turn=turn,
+      route=route,
+      opened=opened,
+      deadline=deadline,
     )
     try:
       # The grant of the rate limit may have expired while the turn was opened.
@@ -339,23 +350,31 @@
     `work_seconds` is the usual duration of such turns.
     """
     began = time.monotonic()
+    was_held = self._turn_client.is_held
     seconds = usual_duration.limit_wait(
       deadline - began,
       work_seconds=work_seconds,
       answer_seconds=self._opening.seconds,
     )
+    patience = route.patience - SILENCE_MARGIN_SECONDS
     try:
-      async with asyncio.timeout(seconds):
+      async with asyncio.timeout(min(seconds, patience)):
         opened = await self._turn_client.open(
           id, turn, keeps_history=route.keeps_history, admission=admission
         )
     except TimeoutError:
+      has_time = patience < seconds
       raise errors.WoadrunError(
         errors.Code.OWNER_UNAVAILABLE,
-        'No owner of the program admitted the turn in time.',
-        retry_after=retry_after.OUTAGE_CHECK_SECONDS,
+        f'No owner of the program admitted the turn in {seconds:.2f} s: its '
+        f'caller had {deadline - began:.2f} s, of which the work usually takes '
+        f'{work_seconds:.2f} s.',
+        # The caller leaves a silent stream before its deadline, and can spend
+        # the rest of its time waiting here.
+        retry_after=0.0 if has_time else retry_after.OUTAGE_CHECK_SECONDS,
       ) from None
-    self._opening.record(time.monotonic() - began)
+    if not was_held:
+      self._opening.record(time.monotonic() - began)
     return opened
 
   async def _relay_reply(
@@ -364,18 +383,48 @@
     """Yields a reply's chunks, then closes the turn if it has a history."""
     if reply.event_reader is not None:
       running.reader = reply.event_reader
+    is_kept = 200 <= reply.status < 300 and running.route.keeps_history
+    held_chunk = b''
     async for chunk in reply.chunks:
-      yield chunk
-    if not 200 <= reply.status < 300 or not running.route.keeps_history:
+      if held_chunk:
+        yield held_chunk
+      # While the end may have to wait, the last chunk is kept back for the
+      # caller, who leaves a stream that is silent for long.
+      held_chunk = chunk if is_kept and self._turn_client.is_held else b''
+      if not held_chunk:
+        yield chunk
+    if not is_kept:
       # No later turn can continue from this one, so `_handle_turn` closes it in
       # the background, which settles its tokens.
       return
     # The caller may continue from the turn as soon as its response ends, so the
     # response does not end before the turn is durable.
+    closing = asyncio.ensure_future(self._close_complete(running))
+    try:
+      if held_chunk:
+        patience = running.route.patience - SILENCE_MARGIN_SECONDS
+        await asyncio.wait((closing,), timeout=patience)
+        yield held_chunk
+      await closing
+    finally:
+      closing.cancel()
+
+  async def _close_complete(self, running: _RunningTurn) -> None:
+    """Closes a turn; returns once it is durable, or raises `not_committed`."""
     message = self._make_close_message(running, is_complete=True)
-    await self._turn_client.close(
-      message, home=running.opened.home or self._domain
-    )
+    try:
+      async with self._stop.bound():
+        await self._turn_client.close(
+          message,
+          home=running.opened.home or self._domain,
+          deadline=running.deadline,
+        )
+    except planned_stop.StopReached as error:
+      raise errors.WoadrunError(
+        errors.Code.NOT_COMMITTED,
+        'The daemon stops before the store has the turn.',
+        ran=errors.RunStatus.RAN,
+      ) from error
     running.is_closed = True
     if message.turn is not None:
       self._turn_client.record_history(running.opened, message.turn)
@@ -433,7 +482,7 @@
     self, message: turn_messages.CloseTurn, home: str
   ) -> None:
     try:
-      await self._turn_client.close(message, home=home)
+      await self._turn_client.close(message, home=home, deadline=math.inf)
     except errors.WoadrunError as error:
       # The budget then still counts the turn's reservation, which is at least
       # what the caller received.
@@ -450,9 +499,10 @@
   """A turn from its admission by the program's owner to its end.
 
   `id` and the ids in `turn` are scoped by team.  `opened` is the owner's
-  answer, with the history.  `instance` is the instance that replied, None until
-  then.  `is_closed` tells that the end of the turn is recorded.  `has_run` is
-  false once it is certain that the turn has not run.
+  answer, with the history.  `deadline` is on the monotonic clock.  `instance`
+  is the instance that replied, None until then.  `is_closed` tells that the end
+  of the turn is recorded.  `has_run` is false once it is certain that the turn
+  has not run.
   """
 
   request: exchange.Request
@@ -460,6 +510,7 @@
   turn: exchange.TurnInfo
   route: routes.Route
   opened: turn_messages.OpenedTurn
+  deadline: float
   reader: events.EventReader = dataclasses.field(
     default_factory=events.EventReader
   )
--- a/src/woadrun/request/turn_client.py
+++ b/src/woadrun/request/turn_client.py
@@ -6,6 +6,12 @@
 started.  The live members of a domain are ranked for each program: the first is
 the owner, the next its standby, which has a copy of what the owner decided.
 The members are asked in this order, until one of them can decide.
+
+No daemon has a disk, and all of them may be lost at once.  So what a caller was
+told has to be in the row store: a turn runs only once its reservation is there,
+and its answer ends as complete only once the turn is.  While the store is
+unreachable for this daemon and its peers, both wait here, as long as the
+caller's deadline allows.
 """
 
 from __future__ import annotations
@@ -22,15 +28,16 @@
 
 from woadrun import errors
 from woadrun.connection import peers
-from woadrun.connection import rows
 from woadrun.connection import turn_messages
 from woadrun.decisions import retry_after
 from woadrun.process import fleet
 from woadrun.process import fleet_heartbeats
 from woadrun.process import programs
+from woadrun.process import store_access
 from woadrun.process import turn_store
 from woadrun.request import exchange
 from woadrun.request import history_cache
+from woadrun.request import store_waits
 
 log = logging.getLogger('woadrun.turns')
 
@@ -51,6 +58,12 @@
 # Timeout of a message to an owner.  It covers the longest time that an owner
 # waits for the row store, the network round trip and the owner's standby.
 POST_TIMEOUT_SECONDS = 3.0
+# Delay after which a turn that the store kept from being admitted is opened
+# again.
+REOPEN_DELAY_SECONDS = 0.05
+# How long the end of a turn waits for the owner once the store has the turn.
+# The owner is told in the background then.
+MAX_OWNER_WAIT_SECONDS = 0.1
 # Errors of one member after which another member may still admit the turn.
 # `UNKNOWN_PROGRAM` says that the turn to continue from was not found.
 INCONCLUSIVE_CODES = (
@@ -72,7 +85,8 @@
 class TurnClient:
   """Client of the owners of programs, which admit turns.
 
-  `members` is the fleet, `local` the part of this daemon that acts as owner.
+  `members` is the fleet, `local` the part of this daemon that acts as owner,
+  `store` its access to the row store, and `waits` counts what waits for that.
   `get_outage` returns for how many seconds the row store or another domain has
   been unreachable.
   """
@@ -83,9 +97,13 @@
     members: fleet.Fleet,
     local: programs.Programs,
     messenger: peers.Messenger,
+    store: store_access.StoreAccess,
     turns: turn_store.TurnStore,
+    waits: store_waits.StoreWaits,
     get_outage: Callable[[], float],
   ) -> None:
+    self._waits = waits
+    self._store = store
     self._members = members
     self._local_programs = local
     self._peers = messenger
@@ -96,6 +114,11 @@
     # The answers of members that did not admit a turn that is being opened.
     self._refusals_by_arrival: dict[str, list[_Refusal]] = {}
 
+  @property
+  def is_held(self) -> bool:
+    """Whether a turn that begins or ends now has to wait for the row store."""
+    return not self._store.is_reachable
+
   # --- Opening a turn -------------------------------------------------------
 
   async def open(
@@ -108,6 +131,7 @@
   ) -> turn_messages.OpenedTurn:
     """Reserves the tokens of a turn and returns its history, if it has one.
 
+    Waits for the row store while it is unreachable; the caller limits the time.
     `id` and the ids in `turn` are scoped by team.  Without `keeps_history` the
     turn is opened without its parent.  With `admission`, a program begins only
     if its service has room.  In the result, unlike in an owner's answer, `home`
@@ -136,7 +160,7 @@
     )
     refusals = self._refusals_by_arrival.setdefault(message.arrival, [])
     try:
-      opened = await self._open(message)
+      opened = await self._open_with_store(message)
     except errors.WoadrunError as error:
       if parent and error.code is errors.Code.OWNER_UNAVAILABLE:
         self._log_missed_parent(message, refusals)
@@ -149,6 +173,26 @@
       known, home=opened.home, cached_by_instance=opened.cached_by_instance
     )
 
+  async def _open_with_store(
+    self, message: turn_messages.OpenTurn
+  ) -> turn_messages.OpenedTurn:
+    """Opens a turn while the row store is reachable, and waits for that."""
+    with self._waits.measure(store_waits.Kind.START, message.request) as wait:
+      while True:
+        if self.is_held:
+          wait.note('the store is unreachable')
+          await self._store.wait_until_reachable()
+        try:
+          return await self._open(message)
+        except errors.WoadrunError as error:
+          is_outage = error.code is errors.Code.PLATFORM_UNAVAILABLE or (
+            error.code is errors.Code.OWNER_UNAVAILABLE and self.is_held
+          )
+          if not is_outage:
+            raise
+          wait.note(error.message)
+        await asyncio.sleep(REOPEN_DELAY_SECONDS)
+
   async def _open(
     self, message: turn_messages.OpenTurn
   ) -> turn_messages.OpenedTurn:
@@ -160,10 +204,11 @@
     try:
       opened = await self._open_in_domain(own_domain, message)
     except errors.WoadrunError as error:
+      # What the row store lacks, no member has.
+      if error.code is errors.Code.UNKNOWN_PROGRAM:
+        raise self._make_refusal(error) from error
       if error.code not in INCONCLUSIVE_CODES:
         raise
-      if self._is_conclusive(error):
-        raise self._make_refusal(error) from error
       return await self._open_in_other_domains(message, error)
     if not opened.home:
       return opened
@@ -190,10 +235,9 @@
           home=opened.home,
           cached_by_instance=granted.cached_by_instance,
         )
-      # Each of the two domains started the program during a network partition.
-      # The answer of the home domain, which names another one, admits nothing
-      # and has no history, so the turn is opened in this domain below.  The row
-      # store arbitrates between the reservations of the two domains.
+      # Two domains started the program at the same time.  The answer of the
+      # home domain, which names another one, admits nothing and has no history,
+      # so the turn is opened in this domain below.
       log.warning(
         'Program %s: domain %s names %s as its home, which names %s.',
         message.program,
@@ -225,8 +269,7 @@
   ) -> turn_messages.OpenedTurn:
     """Asks the members of one domain one by one; returns the first answer.
 
-    Raises the first conclusive error.  Otherwise raises an inconclusive one,
-    `unknown_program` by preference.
+    Raises the first conclusive error, otherwise the last inconclusive one.
     """
     members = self._members.rank(message.program, domain)[:MAX_MEMBERS_ASKED]
     failure: errors.WoadrunError | None = None
@@ -234,7 +277,10 @@
       try:
         return await self._open_at(member, message)
       except errors.WoadrunError as error:
-        if error.code not in INCONCLUSIVE_CODES or self._is_conclusive(error):
+        if (
+          error.code not in INCONCLUSIVE_CODES
+          or error.code is errors.Code.UNKNOWN_PROGRAM
+        ):
           raise
         if not isinstance(error, peers.NoAnswer):
           # This member has decided whether the program may begin.  If each
@@ -244,30 +290,21 @@
           if error.code is errors.Code.OWNER_UNAVAILABLE:
             # This member knows the program, so the next one must not create it.
             message = msgspec.structs.replace(message, begins=False)
-        # `UNKNOWN_PROGRAM` (the parent was not found) is more specific than the
-        # other errors.
-        if failure is None or failure.code is not errors.Code.UNKNOWN_PROGRAM:
-          failure = error
+        failure = error
     raise failure or errors.WoadrunError(
       errors.Code.OWNER_UNAVAILABLE, f'No member of {domain} is alive.'
     )
 
-  def _is_conclusive(self, error: errors.WoadrunError) -> bool:
-    # The row store lacks the turn's parent, and while the fleet is settled
-    # (`Fleet.is_store_current`) no member has turns that the store lacks.
-    is_missing = error.code is errors.Code.UNKNOWN_PROGRAM
-    return is_missing and self._members.is_store_current
-
   async def _open_in_other_domains(
     self, message: turn_messages.OpenTurn, failure: errors.WoadrunError
   ) -> turn_messages.OpenedTurn:
-    # Without the row store only the home domain of a program knows that it is
-    # the home domain, so all other domains are asked at once.
+    """Opens a turn at another domain, as no member of this one can.
+
+    Another domain may be its home; only the domain of its caller may begin a
+    program.
+    """
     own_domain = self._members.me.domain
     others = sorted(self._members.domains - {own_domain})
-    # The other domains must not create the program: a domain that had not yet
-    # noticed the outage of the store became home of a program whose callers are
-    # in this domain.
     without_create = msgspec.structs.replace(message, begins=False)
     results = await asyncio.gather(
       *(self._open_in_domain(domain, without_create) for domain in others),
@@ -282,34 +319,15 @@
         and result.code not in INCONCLUSIVE_CODES
       ):
         raise result
-    # No member that answered knows the program, and the turn continues from no
-    # other one: this domain starts the program.
-    owners = self._members.rank(message.program, own_domain)
-    if owners and not message.parent and failure.code is errors.Code.NOT_OWNER:
-      try:
-        opened = await self._open_at(owners[0], message, is_new=True)
-      except errors.WoadrunError as error:
-        # Callers must not see `not_owner`: it is meant for other daemons.
-        raise self._make_refusal(error) from error
-      # The store may be back by now, and its row may name another domain as the
-      # home.  Such an answer reserves nothing, so the home must be asked: when
-      # turns ran after such an answer alone, no domain counted their tokens.
-      return (
-        await self._open_at_home(message, opened) if opened.home else opened
-      )
     raise self._make_refusal(failure)
 
   async def _open_at(
     self,
     member: fleet_heartbeats.Member,
     message: turn_messages.OpenTurn,
-    *,
-    is_new: bool = False,
   ) -> turn_messages.OpenedTurn:
     """Asks one member; a turn that it opens after a cancellation is closed."""
-    opening = asyncio.ensure_future(
-      self._send_open(member, message, is_new=is_new)
-    )
+    opening = asyncio.ensure_future(self._send_open(member, message))
     try:
       return await asyncio.shield(opening)
     except asyncio.CancelledError:
@@ -380,11 +398,9 @@
     self,
     member: fleet_heartbeats.Member,
     message: turn_messages.OpenTurn,
-    *,
-    is_new: bool,
   ) -> turn_messages.OpenedTurn:
     try:
-      return await self._send_open_once(member, message, is_new=is_new)
+      return await self._send_open_once(member, message)
     except errors.WoadrunError as error:
       refusals = self._refusals_by_arrival.get(message.arrival)
       if refusals is not None:
@@ -397,14 +413,11 @@
     self,
     member: fleet_heartbeats.Member,
     message: turn_messages.OpenTurn,
-    *,
-    is_new: bool,
   ) -> turn_messages.OpenedTurn:
     if member.name == self._members.me.name:
-      return await self._local_programs.open_turn(message, is_new=is_new)
-    path = 'program/open-new' if is_new else 'program/open'
+      return await self._local_programs.open_turn(message)
     return await self._post_with_resend(
-      member, path, message, turn_messages.OpenedTurn
+      member, 'program/open', message, turn_messages.OpenedTurn
     )
 
   def _make_refusal(self, failure: errors.WoadrunError) -> errors.WoadrunError:
@@ -431,65 +444,52 @@
     """Records the history of a durable turn for the turn that follows it."""
     self._recent_lines.put(opened, turn)
 
-  async def close(self, message: turn_messages.CloseTurn, *, home: str) -> None:
-    """Records the end of a turn; returns once a completed turn is durable.
+  async def close(
+    self, message: turn_messages.CloseTurn, *, home: str, deadline: float
+  ) -> None:
+    """Records the end of a turn; returns once the row store has a complete one.
 
-    A turn is durable once it is in the row store, so that it survives the loss
-    of all daemons.  Without the store, replication to two members of the home
-    domain suffices: the owner answers once its standby has a copy.  If that
-    fails too, this daemon and the program's owner in this daemon's domain hold
-    the turn.  A message without `turn` only settles the tokens, in the home
-    domain: the turn is incomplete or has no history.
+    A message without `turn` only settles the tokens, in the home domain: the
+    turn is incomplete or has no history.  `home` is the domain that admitted
+    the turn, `deadline` is on the monotonic clock.
 
-    `home` is the domain that admitted the turn.  Raises the last error if the
-    end of the turn was recorded in none of these places.
+    Raises `not_committed` if the store does not have the turn by then, and
+    `rows.CallRejected` if it rejects the turn.  The answer must not end as
+    complete then.
     """
     if message.turn is None:
       await self._close_in(home, message)
       return
-    store_result, close_result = await asyncio.gather(
-      self._turn_store.write(message.turn),
-      self._close_in(home, message),
-      return_exceptions=True,
-    )
-    for failure in (store_result, close_result):
-      if failure is None:
-        continue
-      if not isinstance(failure, errors.WoadrunError):
-        raise failure
-      log.info(
-        'End of turn %s was not fully recorded: %s',
-        message.request,
-        failure.message,
-      )
-    if isinstance(store_result, rows.CallRejected):
-      # It would never be durable, so that its answer must not end as complete.
-      raise store_result
-    if store_result is not None:
-      await self._close_without_store(message, home)
-
-  async def _close_without_store(
+    recording = asyncio.ensure_future(self._record_end(message, home))
+    self._close_tasks.add(recording)
+    recording.add_done_callback(self._close_tasks.discard)
+    with self._waits.measure(store_waits.Kind.END, message.request) as wait:
+      if self.is_held:
+        wait.note('the store is unreachable')
+      try:
+        async with asyncio.timeout(deadline - time.monotonic()):
+          await self._turn_store.write(message.turn)
+      except TimeoutError:
+        raise errors.WoadrunError(
+          errors.Code.NOT_COMMITTED,
+          'The store did not take the turn before the deadline of its caller.',
+          ran=errors.RunStatus.RAN,
+        ) from None
+    await asyncio.wait((recording,), timeout=MAX_OWNER_WAIT_SECONDS)
+
+  async def _record_end(
     self, message: turn_messages.CloseTurn, home: str
   ) -> None:
-    unsaved = msgspec.structs.replace(message, is_saved=False)
+    """Tells the owner of a program that a turn has ended; logs a failure."""
     try:
-      await self._close_in(home, unsaved)
+      await self._close_in(home, message)
     except errors.WoadrunError as error:
-      # This domain is cut off from the store and from the home domain.  Until
-      # the store is back, the turn is held by this daemon and by the program's
-      # owner in this domain.
-      log.warning(
-        'Turn %s of %s is held outside its home domain %s: %s',
+      # The row of the program has the turn as reserved, at its most tokens.
+      log.info(
+        'The owner does not know of the end of turn %s: %s',
         message.request,
-        message.program,
-        home,
         error.message,
       )
-      self._local_programs.keep_turn(unsaved)
-      own_domain = self._members.me.domain
-      await self._close_in(
-        own_domain, msgspec.structs.replace(unsaved, is_away=True)
-      )
 
   async def _close_in(
     self, domain: str, message: turn_messages.CloseTurn
--- a/src/woadrun/version/ledger.py
+++ b/src/woadrun/version/ledger.py
@@ -5,9 +5,9 @@
 before the turn runs, and settles it with the tokens delivered when the turn
 ends.  The program's home is the failure domain where it started.
 
-The ledger is stored as a row.  The row and the owner's view may diverge while
-the store is unavailable; `rebase` applies the owner's unsaved changes to a
-newer row.
+The ledger is stored as a row.  Reservations are in the row before their turns
+run; settled turns are added to it later.  `rebase` applies the owner's unsaved
+changes to a row that another daemon wrote.
 """
 
 from __future__ import annotations
@@ -16,23 +16,18 @@
 
 # Maximum length of `LedgerRow.recent`, by which a daemon recognizes turns that
 # another daemon has already added to `LedgerRow.settled`.  A short list
-# suffices: if two daemons both save the turns that ended during an outage of
-# the store, they do so within seconds of each other.
+# suffices: two daemons that both save the end of a turn do so within seconds.
 MAX_RECENT_TURNS = 64
 
 
 class LedgerRow(msgspec.Struct, kw_only=True, omit_defaults=True):
   """The stored row of a program.
 
-  `home` is the failure domain that serves the program while the store is
-  unavailable.  `settled` is the sum of the tokens of all settled turns;
-  `reserved` maps the request id of each running turn to its reserved tokens.
-  `away_most` is the number of spent tokens of the whole program up to which
-  other domains may reserve while they cannot reach the home, None without such
-  a limit.  `recent` lists the request ids of turns that were settled although
-  no stored row had a reservation for them, newest last.  `is_split` says that
-  the program may also have been started in a domain that was unreachable, or
-  before a restart of the daemon that started it.  `write` is the id of the last
+  `home` is the failure domain whose members decide for the program.  `settled`
+  is the sum of the tokens of all settled turns; `reserved` maps the request id
+  of each running turn to its reserved tokens.
+  `recent` lists the request ids of turns that were settled although no stored
+  row had a reservation for them, newest last.  `write` is the id of the last
   write, by which a writer recognizes its own write after a lost response;
   `written_at` is the Unix time of that write, in seconds.
   """
@@ -40,9 +35,7 @@
   home: str
   settled: int = 0
   reserved: dict[str, int] = {}
-  away_most: int | None = None
   recent: tuple[str, ...] = ()
-  is_split: bool = False
   write: str = ''
   written_at: float = 0.0
 
@@ -54,8 +47,7 @@
   0 if the row does not exist.  `given` holds the tokens of settled turns that
   the row does not count as settled yet, `reserved` the tokens reserved for
   running turns.  Both are keyed by request id, so that two views can be merged
-  without counting a turn twice.  `home` and `away_most` are as in the row and
-  may have changed since it was saved.
+  without counting a turn twice.
   """
 
   def __init__(self, *, saved: LedgerRow, version: int) -> None:
@@ -64,7 +56,6 @@
     self.home = saved.home
     self.given: dict[str, int] = {}
     self.reserved = dict(saved.reserved)
-    self.away_most = saved.away_most
     self._given_by_write: dict[str, frozenset[str]] = {}
 
   @property
@@ -79,22 +70,8 @@
 
   @property
   def is_dirty(self) -> bool:
-    """Whether settled turns, reservations or the limit are not saved yet."""
-    return (
-      bool(self.given)
-      or self.reserved != self.saved.reserved
-      or self.away_most != self.saved.away_most
-    )
-
-  @property
-  def has_uncounted_turns(self) -> bool:
-    """Whether a turn is counted here but is absent from the saved row.
-
-    A settled turn that the row still has as reserved does not matter: the row
-    counts the maximum output of the turn, so no reader of the row overspends.
-    """
-    counted = self.saved.reserved
-    return any(r not in counted for r in (*self.given, *self.reserved))
+    """Whether settled turns or reservations are not saved yet."""
+    return bool(self.given) or self.reserved != self.saved.reserved
 
   def knows(self, request: str) -> bool:
     """Returns whether a turn is listed by id in this view or the saved row.
@@ -156,8 +133,6 @@
       settled=self.settled,
       recent=(*saved.recent, *unreserved)[-MAX_RECENT_TURNS:],
       reserved=dict(self.reserved),
-      away_most=self.away_most,
-      is_split=saved.is_split,
       write=write,
       written_at=now,
     )
@@ -198,11 +173,6 @@
     }
     self.reserved = {**kept, **added}
     self.home = row.home
-    # If the row has no limit, one that was set here and not saved yet is kept.
-    # A limit that was saved and is gone from the row was removed by the home.
-    is_unsaved = self.away_most != self.saved.away_most
-    if row.away_most is not None or not is_unsaved:
-      self.away_most = row.away_most
     self.saved = row
     self.version = version
 
--- a/src/woadrun/version/routes.py
+++ b/src/woadrun/version/routes.py
@@ -9,6 +9,7 @@
 from collections.abc import Sequence
 import dataclasses
 import enum
+import math
 
 from woadrun.version import teams
 
@@ -36,7 +37,8 @@
   `timeout`, `target_latency` and `retention` are in seconds.  `priority` is
   0 for the most urgent.  `keeps_history` says that a call is a turn of a
   program, whose input and answer are stored for `retention`.  Requests on a
-  route that `is_public` need no key.
+  route that `is_public` need no key.  Callers give up a stream from which they
+  have received nothing for `patience` seconds.
   """
 
   name: str
@@ -51,6 +53,7 @@
   keeps_history: bool = False
   retention: float = 0.0
   is_public: bool = False
+  patience: float = math.inf
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -17,10 +17,12 @@
 from woadrun.platform import discovery
 from woadrun.platform import operator
 from woadrun.process import node
+from woadrun.process import program_rows
 from woadrun.process import turn_store
 from woadrun.process.load import request_attempts
 from woadrun.request import exchange
 from woadrun.standins import rows as standin
+from woadrun.version import ledger
 from woadrun.version import teams
 
 CONFIG = {
@@ -294,6 +296,13 @@
       if DOMAIN_BY_LETTER[name[0]] == domain:
         view.is_cut = True
 
+  def heal(self, domain):
+    """Ends the cut of a domain."""
+    self.cut.discard(domain)
+    for name, view in self.view_by_name.items():
+      if DOMAIN_BY_LETTER[name[0]] == domain:
+        view.is_cut = False
+
   def _apply_cuts(self, daemon):
     """Makes a daemon's datagrams and messages across a cut fail."""
     send, post = daemon.fleet.datagrams.send, daemon.links.post
@@ -388,6 +397,20 @@
     views = self.view_by_name.values()
     return [name for view in views for name in view.written]
 
+  def has_turn(self, id):
+    """Returns whether the store has a turn, whatever daemons reach it."""
+    key = rows.Key(turn_store.TABLE, get_part(id), id)
+    return key in self.shared.row_by_key
+
+  def get_spent(self, program):
+    """Returns the tokens that the store counts as spent by a program."""
+    key = rows.Key(program_rows.TABLE, get_part(program), program)
+    row = self.shared.row_by_key.get(key)
+    if row is None:
+      return 0
+    stored = msgspec.json.decode(row.value, type=ledger.LedgerRow)
+    return stored.settled + sum(stored.reserved.values())
+
   def get_body(self, id):
     """Returns the body of the last send of a request, or None if never sent."""
     found = [item.body for item in self.engines.sent if item.request.id == id]
