Turns: a store that is down in part takes a turn in another part

What callers saw: with a fifth of the store's parts down, turns whose part was among them waited until their deadline, and the others beside them: one failed call counted as the loss of the store, which ended all calls under way.

Change: a turn's id names two parts. Where the usual one is overdue while the store answers, the turn goes to the other; readers look in both. A failed call counts as the loss of the store only if a read of a part drawn at random fails too, and writes that began before the last answer do not count as its age.

Evidence: tests/test_durable_turns.py, a part that refuses and one that is silent.

--- a/bench/faults/outside.py
+++ b/bench/faults/outside.py
@@ -105,8 +105,10 @@
   def has_turn(self, request: str) -> bool:
     """Returns whether a turn, named by team and id, is in the store."""
     name = rows.make_name(request)
-    key = rows.Key(turn_store.TABLE, turn_store.get_part(request), name)
-    return key in self.rows.row_by_key
+    return any(
+      rows.Key(turn_store.TABLE, part, name) in self.rows.row_by_key
+      for part in turn_store.get_parts(request)
+    )
 
   def get_spent(self, program: str) -> int:
     """Returns the tokens that the store counts as spent by a program.
--- a/bench/fleet_soak/outside.py
+++ b/bench/fleet_soak/outside.py
@@ -525,8 +525,10 @@
 
   def has_turn(self, request: str) -> bool:
     """Returns whether the store has a turn, even while it is out."""
-    key = rows.Key(turn_store.TABLE, turn_store.get_part(request), request)
-    return key in self.memory_rows.row_by_key
+    return any(
+      rows.Key(turn_store.TABLE, part, request) in self.memory_rows.row_by_key
+      for part in turn_store.get_parts(request)
+    )
 
   async def _change(self, **options: Any) -> None:
     # The operator's writes succeed despite faults of the store.
--- a/src/woadrun/process/node.py
+++ b/src/woadrun/process/node.py
@@ -259,7 +259,9 @@
       policy=config.admission,
     )
     self.turns = turn_store.TurnStore(
-      store=self.store.durable, row_bytes=config.row_bytes
+      store=self.store.durable,
+      row_bytes=config.row_bytes,
+      is_overdue=self.store.durable.is_overdue,
     )
     self.waits = store_waits.StoreWaits()
     self.programs = programs.Programs(
--- a/src/woadrun/process/store_access.py
+++ b/src/woadrun/process/store_access.py
@@ -92,6 +92,8 @@
 # Maximum number of parallel probes.  One that a silent store does not answer
 # must not delay the next.
 MAX_PROBES = 3
+# Number of parts that probes read, one at random.
+PROBED_PARTS = 256
 # Range of the delay before a call that exceeded the store's rate limit is
 # retried, drawn uniformly so that refused calls are not all retried at once.
 # The rate is counted per second, and most of a second is left when a burst
@@ -162,7 +164,7 @@
     self._suspected_since: float | None = None
     # Bounded calls that nobody waits for any more are among these.
     self._bounded_calls: set[asyncio.Future[Any]] = set()
-    self._probes: set[asyncio.Task[None]] = set()
+    self._probes: set[asyncio.Task[bool]] = set()
 
   def use_fleet(self, members: fleet.Fleet) -> None:
     """Sets the fleet whose members may relay calls."""
@@ -216,9 +218,17 @@
   def _get_oldest_write_age(self) -> float:
     """Returns the seconds since the oldest running write began.
 
-    The result is -inf if no write is running.
+    Those that began before the last answer do not count, as their part of the
+    store may be down alone.  The result is -inf if no other write is running.
     """
-    oldest = min(self._write_started_at.values(), default=math.inf)
+    oldest = min(
+      (
+        began
+        for began in self._write_started_at.values()
+        if began >= self._answered_at
+      ),
+      default=math.inf,
+    )
     return time.monotonic() - oldest
 
   # --- Silence of the store ---------------------------------------------------
@@ -251,6 +261,19 @@
       default=math.inf,
     )
 
+  @property
+  def _was_answered_lately(self) -> bool:
+    """Whether the store answered this daemon a moment ago.
+
+    If a call fails then, the store may be down in part.
+    """
+    return time.monotonic() - self._answered_at < ANSWER_TTL_SECONDS
+
+  @property
+  def patience(self) -> float:
+    """Seconds after which a call of a store that answers is overdue."""
+    return self._get_patience()
+
   @property
   def has_recent_answer(self) -> bool:
     """Whether the store answered this daemon within the usual patience."""
@@ -483,7 +506,9 @@
         self._update_status(None)
         raise
       except errors.WoadrunError as error:
-        self._update_status(error)
+        is_part_only = self._was_answered_lately and await self._probe_once()
+        if not is_part_only:
+          self._update_status(error)
         failure = error
         if is_bounded and time.monotonic() - began >= self._get_patience():
           raise
@@ -687,15 +712,19 @@
         probe.add_done_callback(self._probes.discard)
       await ticks.sleep(PROBE_INTERVAL_SECONDS)
 
-  async def _probe_once(self) -> None:
+  async def _probe_once(self) -> bool:
+    """Returns whether the store answers a read of a part drawn at random."""
     try:
       async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
         with self.time_call():
+          part = f'{random.randrange(PROBED_PARTS):02x}'
           # '~' comes after the usual names, which keeps the response small.
-          await self.direct.read(fleet.TABLE, '', first='~')
-      self._update_status(None)
+          await self.direct.read(fleet.TABLE, part, first='~')
     except (errors.WoadrunError, TimeoutError) as error:
-      log.debug('The store still does not serve this VM: %s', error)
+      log.debug('The store does not serve this VM: %s', error)
+      return False
+    self._update_status(None)
+    return True
 
 
 class BoundedAccess:
@@ -749,6 +778,13 @@
     self.read = store.bounded.read
     self.follow = store.follow
 
+  def is_overdue(self, seconds: float) -> bool:
+    """Returns whether a change that has run for some seconds is overdue.
+
+    It is not while the whole store is unreachable.
+    """
+    return self._store.is_reachable and seconds >= self._store.patience
+
   async def change(
     self,
     *,
--- a/src/woadrun/process/turn_store.py
+++ b/src/woadrun/process/turn_store.py
@@ -1,15 +1,17 @@
 """Finished turns in the store, and a cache of them in memory.
 
-A turn is found by its request id alone, by any daemon and for any program.  A
-turn larger than a row is stored as several rows of one part.  If they exceed
-the limits of a transaction, the first row is written last: with it the turn is
-complete.
+A turn is found by its request id alone, by any daemon and for any program.  Its
+id names two parts of the table.  The second one is used only where the first
+one does not take the turn, since the store may be down in part.  A turn larger
+than a row is stored as several rows of one part.  If they exceed the limits of
+a transaction, the first row is written last: with it the turn is complete.
 """
 
 from __future__ import annotations
 
 import asyncio
 from collections.abc import Awaitable
+from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
 import hashlib
@@ -19,6 +21,7 @@
 import msgspec
 
 from woadrun import decoding
+from woadrun import errors
 from woadrun.connection import rows
 from woadrun.connection import turn_messages
 from woadrun.process import feed
@@ -31,6 +34,8 @@
 PART_COUNT = 256
 # Digits of the number of a piece.
 MAX_PIECE_DIGITS = 9
+# Interval of checks whether a write to the usual part of a turn is overdue.
+OVERDUE_CHECK_SECONDS = 0.06
 # Maximum parallel reads for one history.
 MAX_PARALLEL_READS = 8
 # The first piece of a turn starts with the turn's expiry, so that the sweeper
@@ -56,6 +61,14 @@
   return hashlib.blake2b(name.encode(), digest_size=1).hexdigest()
 
 
+def get_parts(request: str) -> tuple[str, str]:
+  """Returns the parts in which a turn may lie, the usual one first."""
+  usual = get_part(request)
+  digest = hashlib.blake2b(request.encode(), digest_size=2).digest()
+  distance = 1 + int.from_bytes(digest, 'big') % (PART_COUNT - 1)
+  return usual, f'{(int(usual, 16) + distance) % PART_COUNT:02x}'
+
+
 def is_expired(piece: bytes, *, now: float) -> bool:
   """Returns whether the turn that starts with this piece has expired."""
   return line_expiries.is_expired(piece, now=now)
@@ -88,11 +101,20 @@
 class TurnStore:
   """Turns by request id, in the store.
 
-  `row_bytes` is the largest value of a row.  `missing_turns` counts the turns
-  before others that the store did not have when it was asked for them.
+  `row_bytes` is the largest value of a row.  `is_overdue` tells whether a write
+  that has run for some seconds takes unusually long.  `missing_turns` counts
+  the turns before others that the store did not have when it was asked for
+  them.
   """
 
-  def __init__(self, *, store: rows.RowStore, row_bytes: int) -> None:
+  def __init__(
+    self,
+    *,
+    store: rows.RowStore,
+    row_bytes: int,
+    is_overdue: Callable[[float], bool] = lambda seconds: False,
+  ) -> None:
+    self._is_overdue = is_overdue
     self._store = store
     self._row_bytes = row_bytes
     self.missing_turns = 0
@@ -102,15 +124,42 @@
 
     Storing it again has no effect.
     """
-    written = [self._write_pieces(turn)]
+    written: list[Awaitable[None]] = [self._write_to_one_part(turn)]
     if turn.extends_line and turn.line:
       written.append(self._write_all([line_expiries.make_write(turn)]))
     await _gather_all(written)
 
-  async def _write_pieces(self, turn: turn_messages.Turn) -> None:
+  async def _write_to_one_part(self, turn: turn_messages.Turn) -> None:
+    """Returns once one of the turn's parts has it; the usual one is first."""
+    began = time.monotonic()
+    usual, other = get_parts(turn.request)
+    writes = {asyncio.ensure_future(self._write_pieces(turn, usual))}
+    try:
+      while True:
+        done, writes = await asyncio.wait(
+          writes,
+          timeout=OVERDUE_CHECK_SECONDS if other else None,
+          return_when=asyncio.FIRST_COMPLETED,
+        )
+        for write in done:
+          write.result()
+          return
+        if other and self._is_overdue(time.monotonic() - began):
+          log.info(
+            'Turn %s: part %s of the store does not take it, part %s is asked.',
+            turn.request,
+            usual,
+            other,
+          )
+          writes.add(asyncio.ensure_future(self._write_pieces(turn, other)))
+          other = ''
+    finally:
+      for write in writes:
+        write.cancel()
+
+  async def _write_pieces(self, turn: turn_messages.Turn, part: str) -> None:
     header = _EXPIRY_HEADER.pack(turn.kept_until)
     data = header + msgspec.msgpack.encode(turn)
-    part = get_part(turn.request)
     size = self._row_bytes
     pieces = [data[at : at + size] for at in range(0, len(data), size)]
     writes = [
@@ -125,11 +174,30 @@
     await self._store.change(writes=writes)
 
   async def read(self, request: str) -> turn_messages.Turn | None:
-    """Returns a turn, or None if the store has none."""
+    """Returns a turn, or None if the store has none.
+
+    Raises `errors.WoadrunError` if a part in which it may lie cannot be read.
+    """
+    failure: errors.WoadrunError | None = None
+    for part in get_parts(request):
+      try:
+        turn = await self._read_from(part, request)
+      except errors.WoadrunError as error:
+        failure = error
+        continue
+      if turn is not None:
+        return turn
+    if failure is not None:
+      raise failure
+    return None
+
+  async def _read_from(
+    self, part: str, request: str
+  ) -> turn_messages.Turn | None:
     name = rows.make_name(request)
     # '0' is the character after '/': the range covers all pieces of one turn.
     page = await feed.read_all(
-      self._store, TABLE, get_part(request), first=name, end=f'{name}0'
+      self._store, TABLE, part, first=name, end=f'{name}0'
     )
     # It may hold those of other turns as well: 'a-b' lies between 'a' and 'a0'.
     found = sorted(
--- a/tests/test_durable_turns.py
+++ b/tests/test_durable_turns.py
@@ -15,6 +15,7 @@
 from woadrun import errors
 from woadrun.process import store_access
 from woadrun.process import ticks
+from woadrun.process import turn_store
 from woadrun.request import exchange
 
 
@@ -253,6 +254,56 @@
     assert min(gaps) < store_access.PROBE_TIMEOUT_SECONDS
 
 
+def lose_parts(fleet, parts, *, how):
+  """Makes some parts of the store refuse calls or stay silent."""
+
+  def wrap(call):
+    async def call_unless_lost(*args, **options):
+      keys = [key for key, _ in options.get('writes', ())]
+      asked = {key.part for key in keys} | set(args[1:2])
+      if asked & set(parts):
+        if how == 'silent':
+          await asyncio.sleep(0.8)
+        raise errors.WoadrunError(errors.Code.PLATFORM_UNAVAILABLE, 'lost')
+      return await call(*args, **options)
+
+    return call_unless_lost
+
+  fleet.shared.change = wrap(fleet.shared.change)
+  fleet.shared.read = wrap(fleet.shared.read)
+
+
+# Guards against turns that wait for a part of the store that is down alone, and
+# against a store that counts as lost with it.
+@pytest.mark.parametrize('how', ['refuses', 'silent'])
+async def test_a_store_that_is_down_in_part_takes_turns_elsewhere(how):
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1', 'n2')
+    await fleet.turn('n1', 'a')
+    lost = turn_store.get_part('b')
+    assert lost != nodes.get_part('p')
+    lose_parts(fleet, [lost], how=how)
+    began = time.monotonic()
+    for number in range(4):
+      assert (await fleet.turn('n1', f'other{number}'))[0] == 200
+    assert (await fleet.turn('n1', 'b', parent='a'))[0] == 200
+    assert time.monotonic() - began < 1.0
+    assert fleet.has_turn('b')
+    for name in ('n1', 'n2'):
+      await fleet.stop(name)
+    # A daemon without a copy finds it as well.
+    await fleet.start('n3')
+    assert (await fleet.turn('n3', 'c', parent='b'))[0] == 200
+    assert fleet.get_body('c') == b'<a>a-0\na-1\n<b>b-0\nb-1\n<c>'
+
+
+def test_the_parts_of_a_turn_differ():
+  for number in range(2_000):
+    usual, other = turn_store.get_parts(f't{number}')
+    assert usual == turn_store.get_part(f't{number}')
+    assert usual != other and len(other) == 2
+
+
 # --- One rule over random sequences of faults ---------------------------------
 
 DAEMONS, DOMAINS = 4, 2
