--- a/src/woadrun/process/store_access.py
+++ b/src/woadrun/process/store_access.py
@@ -551,6 +551,15 @@
       self._record_suspicion(self._get_oldest_call())
     raise _make_silence_error(errors.RunStatus.UNKNOWN)
 
+  @property
+  def is_doubtful(self) -> bool:
+    """Whether the store did not serve the last call of this daemon.
+
+    It may be reachable through a peer.  Unlike `is_reachable` this costs
+    nothing.
+    """
+    return not self.is_direct or self._suspected_since is not None
+
   async def wait_until_reachable(self) -> None:
     """Returns once the store is reachable, at once if it is now."""
     while not self.is_reachable:
--- a/src/woadrun/request/serving.py
+++ b/src/woadrun/request/serving.py
@@ -390,8 +390,9 @@
         yield held_chunk
       # While the end may have to wait, the last chunk is kept back for the
       # caller, who leaves a stream that is silent for long.
-      held_chunk = chunk if is_kept and self._turn_client.is_held else b''
-      if not held_chunk:
+      may_wait = is_kept and self._turn_client.may_hold_ends
+      held_chunk = chunk if may_wait else b''
+      if not may_wait:
         yield chunk
     if not is_kept:
       # No later turn can continue from this one, so `_handle_turn` closes it in
--- a/src/woadrun/request/turn_client.py
+++ b/src/woadrun/request/turn_client.py
@@ -61,6 +61,8 @@
 # Delay after which a turn that the store kept from being admitted is opened
 # again.
 REOPEN_DELAY_SECONDS = 0.05
+# Time for the store to take a turn whose reply ends at its deadline.
+MIN_WRITE_SECONDS = 0.25
 # How long the end of a turn waits for the owner once the store has the turn.
 # The owner is told in the background then.
 MAX_OWNER_WAIT_SECONDS = 0.1
@@ -119,6 +121,11 @@
     """Whether a turn that begins or ends now has to wait for the row store."""
     return not self._store.is_reachable
 
+  @property
+  def may_hold_ends(self) -> bool:
+    """Whether the end of a turn may have to wait, as far as is known."""
+    return self._store.is_doubtful
+
   # --- Opening a turn -------------------------------------------------------
 
   async def open(
@@ -467,7 +474,8 @@
       if self.is_held:
         wait.note('the store is unreachable')
       try:
-        async with asyncio.timeout(deadline - time.monotonic()):
+        left = max(deadline - time.monotonic(), MIN_WRITE_SECONDS)
+        async with asyncio.timeout(left):
           await self._turn_store.write(message.turn)
       except TimeoutError:
         raise errors.WoadrunError(
--- a/tests/test_durable_turns.py
+++ b/tests/test_durable_turns.py
@@ -97,6 +97,22 @@
     assert fleet.get_body('again') == b'<a>a-0\na-1\n<again>'
 
 
+# Guards against a whole reply that is broken off as it ends at its deadline.
+async def test_a_turn_that_ends_at_its_deadline_is_stored():
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1')
+    await fleet.turn('n1', 'a')
+    client = fleet.by_name['n1'].serving._turn_client
+    close = client.close
+
+    async def close_late(message, *, home, deadline):
+      await close(message, home=home, deadline=time.monotonic() - 0.1)
+
+    client.close = close_late
+    assert (await fleet.turn('n1', 'b', parent='a'))[0] == 200
+    assert fleet.has_turn('b')
+
+
 # Guards against tokens that no row counts: a turn that runs without the store.
 @pytest.mark.parametrize('path', ['/chat/', '/draft/'])
 async def test_a_turn_runs_once_the_store_has_its_reservation(path):
