--- a/tests/test_catalogue.py
+++ b/tests/test_catalogue.py
@@ -210,7 +210,11 @@
     await nodes.wait_until(lambda: late.catalogue.directory.find('models'))
     request = nodes.make_request('a', path='/look/')
     assert (await fleet.ask('n2', request))[0] == 200
+    held = asyncio.ensure_future(fleet.turn('n2', 'b'))
+    await asyncio.sleep(0.2)
+    assert not held.done()
     fleet.shared.is_out = False
+    assert (await held)[0] == 200
     # From now on the changes of the store are applied.
     await fleet.shared.change(removes=[rows.Key('servers', '', 'e2')])
     await nodes.wait_until(lambda: 'e2' not in late.catalogue.directory.by_id)
