Tests: after an outage a program has just the rest of its budget

The checks that replaced had stated what a domain may spend without the store. Beside nothing during it, they state now what is left after it: nothing of a spent budget, and all of one that nobody has touched.

--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -127,6 +127,11 @@
       ran_after, refusal = await spend_all(fleet, name, f'b{name}', budget=56)
       assert refusal.ran is errors.RunStatus.NOT_RUN
       assert (ran_after, refusal.status) == (0, 503)
+    fleet.shared.is_out = False
+    await nodes.wait_until(lambda: all(i.store.is_reachable for i in items))
+    # Nothing is left of the budget after it.
+    ran_after, refusal = await spend_all(fleet, 'n1', 'c', budget=56)
+    assert (ran_after, refusal.status) == (0, 402)
 
 
 async def test_a_partitioned_domain_begins_no_program():
@@ -140,6 +145,12 @@
     )
     ran, refusal = await spend_all(fleet, 's1', 'a', budget=120)
     assert (ran, refusal.status) == (0, 503)
+    fleet.shared.is_out = False
+    await nodes.wait_until(lambda: south.store.is_reachable)
+    # The whole budget is there after it.
+    ran, refusal = await spend_all(fleet, 's1', 'b', budget=120)
+    assert refusal.status == 402
+    assert 120 - 2 * MAX_TURN_TOKENS < ran * TURN_TOKENS <= 120
 
 
 async def test_a_remote_copy_reports_spending_without_history():
