Memory: the error of a body does not keep the body's bytes

Cause: the traceback of an error keeps the frame of bodies.read, with all parts of the body, for as long as the error is handled. Since changes of the store are repeated, an error lives through a probe and relays, while the account counts the bytes as let go.

Change: the parts are dropped as the read ends, however it ends.

--- a/src/woadrun/connection/bodies.py
+++ b/src/woadrun/connection/bodies.py
@@ -32,17 +32,22 @@
   size = 0
   if holder is not None:
     holder.on_evict = response.close
-  async for part in response.content.iter_any():
-    parts.append(part)
-    size += len(part)
-    if size > limit:
-      response.close()
-      raise aiohttp.ClientPayloadError(f'The body exceeds {limit} bytes.')
+  try:
+    async for part in response.content.iter_any():
+      parts.append(part)
+      size += len(part)
+      if size > limit:
+        response.close()
+        raise aiohttp.ClientPayloadError(f'The body exceeds {limit} bytes.')
+      if holder is not None:
+        _count(response, holder, len(part))
     if holder is not None:
-      _count(response, holder, len(part))
-  if holder is not None:
-    holder.on_evict = None
-  return b''.join(parts)
+      holder.on_evict = None
+    return b''.join(parts)
+  finally:
+    # The traceback of an error keeps this frame for as long as the error is
+    # handled, while the account counts the bytes as let go.
+    parts.clear()
 
 
 def _count(
--- a/tests/test_memory_account.py
+++ b/tests/test_memory_account.py
@@ -1,12 +1,16 @@
 """The account of the bytes that a process holds for others."""
 
 import asyncio
+import gc
+import weakref
 
+import aiohttp
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
 import pytest
 
+from woadrun.connection import bodies
 from woadrun.connection import memory_account
 
 MB = 1024 * 1024
@@ -94,6 +98,51 @@
   assert evicted == []
 
 
+class Part(bytearray):
+  """A part of a body that can be referred to weakly."""
+
+
+class EndlessResponse:
+  """A response whose body has no end."""
+
+  def __init__(self):
+    self.content = self
+    self._refs = []
+
+  def count_parts(self):
+    """Returns how many of the parts are in memory."""
+    return sum(ref() is not None for ref in self._refs)
+
+  def iter_any(self):
+    return self
+
+  def __aiter__(self):
+    return self
+
+  async def __anext__(self):
+    part = Part(MB)
+    self._refs.append(weakref.ref(part))
+    return part
+
+  def close(self):
+    pass
+
+
+# Guards against bytes that the account counts as let go, while an error whose
+# call is repeated keeps them in memory.
+async def test_the_error_of_a_body_does_not_keep_its_bytes():
+  account = memory_account.Account(most=4 * MB)
+  response = EndlessResponse()
+  with pytest.raises(aiohttp.ClientPayloadError) as caught:
+    with account.hold(memory_account.Kind.PLATFORM, 'page') as holder:
+      await bodies.read(response, limit=16 * MB, holder=holder)
+  gc.collect()
+  assert caught.value.__traceback__ is not None
+  assert account.total == 0
+  # The part that did not fit is in the frame itself.
+  assert response.count_parts() <= 1
+
+
 @pytest.mark.parametrize('memory_mb', [88, 128, 552])
 def test_the_bound_is_in_proportion_to_the_limit(memory_mb):
   most = memory_account.get_most(memory_mb)
