Turns: the last chunk is kept back also as the store is lost just then

What callers saw: a turn whose reply ended in the first moments of an outage had its last chunk sent, as the store was not in doubt yet.

Cause: a chunk was kept back only while the store was in doubt.

Change: a chunk with which the end of the reply has arrived is kept back as well, until the store has the turn.

Evidence: the new test fails before (the last chunk came at once).

--- a/src/woadrun/platform/read_ahead.py
+++ b/src/woadrun/platform/read_ahead.py
@@ -42,6 +42,10 @@
     # Whether the task waits for room.
     self._is_paused = False
 
+  def is_at_end(self) -> bool:
+    """Returns whether all bytes have arrived and been yielded."""
+    return not self._chunks and self._response.content.at_eof()
+
   async def read(self) -> AsyncGenerator[bytes]:
     """Yields the answer; raises `ResponseLost` if it breaks off."""
     content = self._response.content
--- a/src/woadrun/platform/upstream.py
+++ b/src/woadrun/platform/upstream.py
@@ -86,6 +86,7 @@
         ends_with_connection=response_ends.ends_with_connection(response),
         abort=response.close,
         is_reusable=lambda: _is_reusable(response),
+        is_at_end=reader.is_at_end,
       )
       if is_refusal:
         await _drain(response)
--- a/src/woadrun/request/exchange.py
+++ b/src/woadrun/request/exchange.py
@@ -134,7 +134,8 @@
   the connection ends the body.  `event_reader` reads the body if it is a stream
   of events.  `abort` aborts the response: `chunks` then raises `ResponseLost`.
   `is_reusable` returns, after the request has ended, whether its connection can
-  be reused.
+  be reused.  `is_at_end` returns whether the newest chunk is known to be the
+  last one; False says nothing.
   """
 
   status: int
@@ -147,6 +148,7 @@
   event_reader: events.EventReader | None = None
   abort: Callable[[], None] = lambda: None
   is_reusable: Callable[[], bool] = lambda: False
+  is_at_end: Callable[[], bool] = lambda: False
 
 
 class RequestNotSent(Exception):
--- a/src/woadrun/request/serving.py
+++ b/src/woadrun/request/serving.py
@@ -388,9 +388,12 @@
     async for chunk in reply.chunks:
       if held_chunk:
         yield held_chunk
-      # While the end may have to wait, the last chunk is kept back for the
-      # caller, who leaves a stream that is silent for long.
-      may_wait = is_kept and self._turn_client.may_hold_ends
+      # The last chunk is kept back until the store has the turn: its caller
+      # leaves a stream that is silent for long.  While the store is in doubt,
+      # any chunk may be the last.
+      may_wait = is_kept and (
+        reply.is_at_end() or self._turn_client.may_hold_ends
+      )
       held_chunk = chunk if may_wait else b''
       if not may_wait:
         yield chunk
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -123,6 +123,8 @@
     self.sent = []
     self.events = 2
     self.faults = []
+    # Returns whether the newest chunk is known to be the last one.
+    self.is_at_end = lambda: False
 
   @contextlib.asynccontextmanager
   async def send(self, sending):
@@ -141,6 +143,7 @@
       has_run=True,
       is_genuine=True,
       chunks=self._stream(sending.request.id),
+      is_at_end=self.is_at_end,
     )
 
   async def probe(self, instance, *, health_path):
--- a/tests/test_durable_turns.py
+++ b/tests/test_durable_turns.py
@@ -210,6 +210,34 @@
     assert len(received) == 2 and gap > 1.5
 
 
+# Guards against callers that leave as their last chunk came just before the
+# store was lost, long before their deadline.
+async def test_a_chunk_known_to_be_the_last_is_kept_back():
+  async with nodes.Nodes(config=with_gap(nodes.CONFIG, 100)) as fleet:
+    await fleet.start('n1', 'n2')
+    await fleet.turn('n1', 'a')
+    ends, received = [], []
+
+    async def stream(id):
+      yield b'data: 1\n\n'
+      ends.append(hide_store(fleet, how='out'))
+      yield b'data: 2\n\n'
+
+    fleet.engines._stream = stream
+    fleet.engines.is_at_end = lambda: bool(ends)
+    request = nodes.make_request(
+      'c', path='/chat/', turn=make_turn('a'), seconds=8.0
+    )
+    async with fleet.by_name['n1'].serving.handle_request(request) as answer:
+      async for chunk in answer.chunks:
+        received.append((time.monotonic(), chunk))
+        if len(received) == 2:
+          ends[0]()
+    gap = received[1][0] - received[0][0]
+    assert len(received) == 2 and gap > 1.5
+    assert fleet.has_turn('c')
+
+
 def make_turn(parent):
   return exchange.TurnInfo(
     program='p', parent=parent, max_output=10, budget=1000, prompt_tokens=9
