Readiness: callers of a domain that is cut off go on in another one

Change: while a daemon hears neither the store nor any other domain, it answers readiness checks with no and closes connections after their answers. From the third such check, turns that it holds are refused as not run with Retry-After 0, and ends that it holds break off, without their last chunk; connections that are newer are held as before. All daemons that lose only the store stay ready.

--- a/src/woadrun/connection/callers_server.py
+++ b/src/woadrun/connection/callers_server.py
@@ -18,6 +18,7 @@
 from collections.abc import Sequence
 import fcntl
 import logging
+import math
 import termios
 import time
 from typing import Any
@@ -165,6 +166,8 @@
   is_exempt = False
   # Why the process closes the connection, empty if its caller does.
   close_reason = ''
+  # When it was opened, on the monotonic clock.
+  opened_at = math.inf
 
   def __init__(self, manager: web.Server, **options: Any) -> None:
     super().__init__(manager, **options)
@@ -235,6 +238,7 @@
   def connection_made(self, transport: asyncio.BaseTransport) -> None:
     """Starts to serve a connection, or rejects it."""
     super().connection_made(transport)
+    self.opened_at = time.monotonic()
     real_transport: Any = transport
     self._socket_transport = real_transport
     bounded_reads.bound(real_transport, FIRST_READ_BYTES)
@@ -788,6 +792,15 @@
   return isinstance(protocol, Connection) and protocol.has_next
 
 
+def get_opened_at(http: web.BaseRequest) -> float:
+  """Returns when a request's connection was opened, infinite if not known.
+
+  It is a time of the monotonic clock.
+  """
+  protocol: Any = http.protocol
+  return protocol.opened_at if isinstance(protocol, Connection) else math.inf
+
+
 def get_close_reason(http: web.BaseRequest) -> str:
   """Returns why this process closed a request's connection, empty if not."""
   protocol: Any = http.protocol
--- a/src/woadrun/platform/ingress.py
+++ b/src/woadrun/platform/ingress.py
@@ -40,8 +40,9 @@
   """Passes callers' requests to `service` and writes the responses.
 
   `is_ready` returns whether the load balancer should send new connections.
-  During the planned stop `stop`, each connection is closed after the last
-  request that has begun on it.  `account` counts the bodies of requests.
+  During the planned stop `stop`, and while `is_cut_off` returns that others
+  serve callers better, each connection is closed after the last request that
+  has begun on it.  `account` counts the bodies of requests.
   `read_limits` returns the operator's limits on requests, and `on_close` is
   called with the reason of each connection that is closed for others.
   """
@@ -56,6 +57,7 @@
     account: memory_account.Account,
     read_limits: Callable[[], routes.Limits] = routes.Limits,
     on_close: Callable[[caller_bounds.Reason], None] = lambda reason: None,
+    is_cut_off: Callable[[], bool] = lambda: False,
   ) -> None:
     self.read_limits = read_limits
     self.account = account
@@ -63,6 +65,7 @@
     self._service = service
     self._read_metrics = read_metrics
     self._is_ready = is_ready
+    self._is_cut_off = is_cut_off
     self._stop = stop
 
   async def handle_ready(self, _: web.BaseRequest) -> web.StreamResponse:
@@ -116,6 +119,7 @@
         headers=http.headers,
         body=body,
         received_at=received_at,
+        connected_at=callers_server.get_opened_at(http),
       )
     except errors.WoadrunError as error:
       log.info('Request %s: %s: %s', id, error.code.value, error.message)
@@ -133,7 +137,8 @@
     return response
 
   def _closes_after(self, http: web.BaseRequest) -> bool:
-    return self._stop.has_begun and not callers_server.has_next(http)
+    ends = self._stop.has_begun or self._is_cut_off()
+    return ends and not callers_server.has_next(http)
 
   def _make_response(
     self, http: web.BaseRequest, answer: exchange.Answer
--- a/src/woadrun/platform/program.py
+++ b/src/woadrun/platform/program.py
@@ -85,7 +85,8 @@
   entry = ingress.Ingress(
     service=service.serving,
     read_metrics=service.counters.encode,
-    is_ready=service.is_ready,
+    is_ready=service.answer_readiness_check,
+    is_cut_off=service.is_cut_off,
     stop=service.planned_stop,
     account=binding.held.account,
     on_close=service.counters.record_close,
--- a/src/woadrun/platform/wire.py
+++ b/src/woadrun/platform/wire.py
@@ -90,10 +90,12 @@
   headers: multidict.CIMultiDictProxy[str],
   body: bytes,
   received_at: float | None = None,
+  connected_at: float = math.inf,
 ) -> exchange.Request:
   """Returns a caller's request; `received_at` is when its head arrived.
 
-  That is a time of the monotonic clock, by default now.
+  That is a time of the monotonic clock, by default now.  `connected_at` is when
+  its connection was opened.
   Raises a `WoadrunError` with code `bad_request` and the header's name as
   `place` if the request id is missing or a header is malformed.
   """
@@ -115,6 +117,7 @@
     key_digest=_get_key_digest(headers),
     body=body,
     deadline=deadline,
+    connected_at=connected_at,
     turn=_decode_turn(headers),
     program=headers.get('Program-Id', ''),
     session_id=headers.get('Session-Id', ''),
--- a/src/woadrun/process/fleet.py
+++ b/src/woadrun/process/fleet.py
@@ -243,6 +243,12 @@
     is_alone = not any(self.is_alive(name) for name in others)
     return self.me.domain in domains and is_alone
 
+  @property
+  def is_cut_off(self) -> bool:
+    """Whether nothing is heard of any other domain, though some are known."""
+    others = self.domains - {self.me.domain}
+    return bool(others) and all(map(self.is_domain_silent, others))
+
   def find_silent_domains(self) -> list[str]:
     """Returns the other domains of which nothing is heard, sorted."""
     others = sorted(self.domains - {self.me.domain})
--- a/src/woadrun/process/node.py
+++ b/src/woadrun/process/node.py
@@ -46,6 +46,7 @@
 from woadrun.process import crash_reports
 from woadrun.process import crash_rows
 from woadrun.process import datagram_calls
+from woadrun.process import diversion
 from woadrun.process import event_log
 from woadrun.process import feed_sync
 from woadrun.process import fleet
@@ -178,6 +179,7 @@
     self._started_at = time.time()
     self.counters = counters.Counters()
     self.planned_stop = planned_stop.PlannedStop(grace=config.grace)
+    self.diversion = diversion.Diversion(is_cut_off=self.is_cut_off)
     self.links = peers.Peers(
       session=session,
       key='',
@@ -322,6 +324,7 @@
         get_outage=self._get_outage,
       ),
       stop=self.planned_stop,
+      diversion=self.diversion,
       domain=config.domain,
       counters=self.counters,
       account=binding.held.account,
@@ -402,6 +405,18 @@
       and not self.crashed
     )
 
+  def answer_readiness_check(self) -> bool:
+    """Returns the answer to a check of the load balancer.
+
+    A daemon that is cut off from the store and from all other domains is not
+    ready for new callers, which can be served elsewhere.
+    """
+    return self.is_ready() and self.diversion.answer_check()
+
+  def is_cut_off(self) -> bool:
+    """Returns whether neither the store nor another domain is reachable."""
+    return self.fleet.is_cut_off and not self.store.is_reachable
+
   def _get_outage(self) -> float:
     return max(
       self.store.outage_seconds, self.fleet.get_domain_silence_seconds()
@@ -455,6 +470,7 @@
       'requests_quarantined': self.crash_guard.records.count_quarantined(),
       'rows_swept': self.sweeper.removed_rows,
       'turns_missing': self.turns.missing_turns,
+      'turns_diverted': self.diversion.diverted,
       **self.waits.read_gauges(),
     }
 
--- a/src/woadrun/request/exchange.py
+++ b/src/woadrun/request/exchange.py
@@ -8,6 +8,7 @@
 import contextlib
 import dataclasses
 import enum
+import math
 import time
 from typing import Protocol
 
@@ -45,10 +46,12 @@
 
   `target` is the path and query, byte for byte.  `headers` are those to
   forward.  `deadline` is when the caller stops waiting, on the monotonic clock,
-  or None if the caller sets no deadline.  `program` is the program that the
-  request belongs to, if any, and `session_id` the sequence of turns within the
-  program.  `key_digest` is empty without a key.  `access_headers` may contain
-  the key: they are forwarded only if requests need no key.
+  or None if the caller sets no deadline.  `connected_at` is when its connection
+  was opened, on the same clock, and infinite if not known.  `program` is the
+  program that the request belongs to, if any, and `session_id` the sequence of
+  turns within the program.  `key_digest` is empty without a key.
+  `access_headers` may contain the key: they are forwarded only if requests need
+  no key.
   """
 
   id: str
@@ -58,6 +61,7 @@
   headers: Headers
   body: bytes
   deadline: float | None = None
+  connected_at: float = math.inf
   turn: TurnInfo | None = None
   program: str = ''
   session_id: str = ''
--- a/src/woadrun/request/serving.py
+++ b/src/woadrun/request/serving.py
@@ -29,6 +29,7 @@
 from woadrun.decisions import usual_duration
 from woadrun.process import catalogue
 from woadrun.process import counters
+from woadrun.process import diversion
 from woadrun.process import planned_stop
 from woadrun.request import attempts
 from woadrun.request import authorization
@@ -78,6 +79,7 @@
     request_sender: attempts.RequestSender,
     turn_client: turn_client.TurnClient,
     stop: planned_stop.PlannedStop,
+    diversion: diversion.Diversion,
     domain: str,
     counters: counters.Counters,
     account: memory_account.Account,
@@ -86,6 +88,7 @@
     self._account = account
     self._get_outage = get_outage
     self._stop = stop
+    self._diversion = diversion
     self._counters = counters
     self._catalogue = catalogue
     self._access = access
@@ -265,6 +268,7 @@
           route,
           turn,
           deadline,
+          connected_at=request.connected_at,
           work_seconds=work_seconds,
           admission=admission,
         )
@@ -342,12 +346,14 @@
     turn: exchange.TurnInfo,
     deadline: float,
     *,
+    connected_at: float,
     work_seconds: float,
     admission: turn_messages.AdmissionRequest | None,
   ) -> turn_messages.OpenedTurn:
     """Opens a turn; raises `owner_unavailable` if it cannot be run in time.
 
-    `work_seconds` is the usual duration of such turns.
+    `connected_at` is when its caller connected, and `work_seconds` the usual
+    duration of such turns.
     """
     began = time.monotonic()
     was_held = self._turn_client.is_held
@@ -358,10 +364,19 @@
     )
     patience = route.patience - SILENCE_MARGIN_SECONDS
     try:
-      async with asyncio.timeout(min(seconds, patience)):
+      async with (
+        asyncio.timeout(min(seconds, patience)),
+        self._diversion.bound(connected_at),
+      ):
         opened = await self._turn_client.open(
           id, turn, keeps_history=route.keeps_history, admission=admission
         )
+    except diversion.Diverted:
+      raise errors.WoadrunError(
+        errors.Code.OWNER_UNAVAILABLE,
+        'The daemon is cut off; others admit the turn over a new connection.',
+        retry_after=0.0,
+      ) from None
     except TimeoutError:
       has_time = patience < seconds
       raise errors.WoadrunError(
@@ -407,7 +422,10 @@
     try:
       if held_chunk:
         patience = running.route.patience - SILENCE_MARGIN_SECONDS
-        await asyncio.wait((closing,), timeout=patience)
+        done, _ = await asyncio.wait((closing,), timeout=patience)
+        for ended in done:
+          # A turn that is not whole needs no last chunk.
+          ended.result()
         yield held_chunk
       await closing
     finally:
@@ -417,7 +435,10 @@
     """Closes a turn; returns once it is durable, or raises `not_committed`."""
     message = self._make_close_message(running, is_complete=True)
     try:
-      async with self._stop.bound():
+      async with (
+        self._stop.bound(),
+        self._diversion.bound(running.request.connected_at),
+      ):
         await self._turn_client.close(
           message,
           home=running.opened.home or self._domain,
@@ -429,6 +450,12 @@
         'The daemon stops before the store has the turn.',
         ran=errors.RunStatus.RAN,
       ) from error
+    except diversion.Diverted as error:
+      raise errors.WoadrunError(
+        errors.Code.NOT_COMMITTED,
+        'The daemon is cut off; others run the turn again.',
+        ran=errors.RunStatus.RAN,
+      ) from error
     running.is_closed = True
     if message.turn is not None:
       self._turn_client.record_history(running.opened, message.turn)
