Turns: a turn's id names three parts of the store

What callers saw: while a share s of the store's parts is down, turns both of whose parts are among them (s squared: 15% at 0.39) wait until their deadline at their end.

Evidence: the new cases of tests/test_durable_turns.py, two parts lost, fail before.

--- a/src/woadrun/process/turn_store.py
+++ b/src/woadrun/process/turn_store.py
@@ -1,8 +1,8 @@
 """Finished turns in the store, and a cache of them in memory.
 
 A turn is found by its request id alone, by any daemon and for any program.  Its
-id names two parts of the table.  The second one is used only where the first
-one does not take the turn, since the store may be down in part.  A turn larger
+id names three parts of the table.  The next one is used only where those before
+do not take the turn, since the store may be down in part.  A turn larger
 than a row is stored as several rows of one part.  If they exceed the limits of
 a transaction, the first row is written last: with it the turn is complete.
 """
@@ -32,6 +32,8 @@
 TABLE = 'turns'
 # Parts of a table, which spread the writes; their names have two digits.
 PART_COUNT = 256
+# Parts in which a turn may lie.
+PARTS_PER_TURN = 3
 # Digits of the number of a piece.
 MAX_PIECE_DIGITS = 9
 # Interval of checks whether a write to the usual part of a turn is overdue.
@@ -61,12 +63,16 @@
   return hashlib.blake2b(name.encode(), digest_size=1).hexdigest()
 
 
-def get_parts(request: str) -> tuple[str, str]:
+def get_parts(request: str) -> list[str]:
   """Returns the parts in which a turn may lie, the usual one first."""
-  usual = get_part(request)
+  usual = int(get_part(request), 16)
   digest = hashlib.blake2b(request.encode(), digest_size=2).digest()
-  distance = 1 + int.from_bytes(digest, 'big') % (PART_COUNT - 1)
-  return usual, f'{(int(usual, 16) + distance) % PART_COUNT:02x}'
+  # An odd distance and an even number of parts: the parts differ.
+  distance = int.from_bytes(digest, 'big') | 1
+  return [
+    f'{(usual + number * distance) % PART_COUNT:02x}'
+    for number in range(PARTS_PER_TURN)
+  ]
 
 
 def is_expired(piece: bytes, *, now: float) -> bool:
@@ -132,27 +138,28 @@
   async def _write_to_one_part(self, turn: turn_messages.Turn) -> None:
     """Returns once one of the turn's parts has it; the usual one is first."""
     began = time.monotonic()
-    usual, other = get_parts(turn.request)
-    writes = {asyncio.ensure_future(self._write_pieces(turn, usual))}
+    part, *others = get_parts(turn.request)
+    writes = {asyncio.ensure_future(self._write_pieces(turn, part))}
     try:
       while True:
         done, writes = await asyncio.wait(
           writes,
-          timeout=OVERDUE_CHECK_SECONDS if other else None,
+          timeout=OVERDUE_CHECK_SECONDS if others else None,
           return_when=asyncio.FIRST_COMPLETED,
         )
         for write in done:
           write.result()
           return
-        if other and self._is_overdue(time.monotonic() - began):
+        if others and self._is_overdue(time.monotonic() - began):
           log.info(
             'Turn %s: part %s of the store does not take it, part %s is asked.',
             turn.request,
-            usual,
-            other,
+            part,
+            others[0],
           )
-          writes.add(asyncio.ensure_future(self._write_pieces(turn, other)))
-          other = ''
+          part, *others = others
+          began = time.monotonic()
+          writes.add(asyncio.ensure_future(self._write_pieces(turn, part)))
     finally:
       for write in writes:
         write.cancel()
--- a/tests/test_durable_turns.py
+++ b/tests/test_durable_turns.py
@@ -333,14 +333,15 @@
 
 # Guards against turns that wait for a part of the store that is down alone, and
 # against a store that counts as lost with it.
+@pytest.mark.parametrize('count', [1, turn_store.PARTS_PER_TURN - 1])
 @pytest.mark.parametrize('how', ['refuses', 'silent'])
-async def test_a_store_that_is_down_in_part_takes_turns_elsewhere(how):
+async def test_a_store_that_is_down_in_part_takes_turns_elsewhere(how, count):
   async with nodes.Nodes() as fleet:
     await fleet.start('n1', 'n2')
     await fleet.turn('n1', 'a')
-    lost = turn_store.get_part('b')
-    assert lost != nodes.get_part('p')
-    lose_parts(fleet, [lost], how=how)
+    lost = turn_store.get_parts('b')[:count]
+    assert nodes.get_part('p') not in lost
+    lose_parts(fleet, lost, how=how)
     for number in range(4):
       assert (await fleet.turn('n1', f'other{number}'))[0] == 200
     # Otherwise it would end as incomplete at its deadline.
@@ -359,9 +360,10 @@
 
 def test_the_parts_of_a_turn_differ():
   for number in range(2_000):
-    usual, other = turn_store.get_parts(f't{number}')
-    assert usual == turn_store.get_part(f't{number}')
-    assert usual != other and len(other) == 2
+    parts = turn_store.get_parts(f't{number}')
+    assert parts[0] == turn_store.get_part(f't{number}')
+    assert len(set(parts)) == turn_store.PARTS_PER_TURN
+    assert all(len(part) == 2 for part in parts)
 
 
 # --- One rule over random sequences of faults ---------------------------------
