Readiness: a daemon that starts while cut off is not ready for callers

What callers would see: a daemon that starts in a domain that is cut off takes no other domain for silent for two seconds, calls itself ready and is sent all callers of its zone, while the others of the domain are out.

Change: it goes by its peers' reports of domains of which they hear nothing. Evidence: the new test of tests/test_diversion.py fails before.

--- a/src/woadrun/process/fleet.py
+++ b/src/woadrun/process/fleet.py
@@ -245,9 +245,16 @@
 
   @property
   def is_cut_off(self) -> bool:
-    """Whether nothing is heard of any other domain, though some are known."""
-    others = self.domains - {self.me.domain}
-    return bool(others) and all(map(self.is_domain_silent, others))
+    """Whether nothing is heard of any other domain, though some are known.
+
+    A daemon that starts while its domain is cut off knows the others only from
+    reports of its peers that they are silent.
+    """
+    reported = self._get_view().reported_silent
+    others = (self.domains | reported) - {self.me.domain}
+    return bool(others) and all(
+      domain in reported or self.is_domain_silent(domain) for domain in others
+    )
 
   def find_silent_domains(self) -> list[str]:
     """Returns the other domains of which nothing is heard, sorted."""
--- a/tests/test_diversion.py
+++ b/tests/test_diversion.py
@@ -249,3 +249,18 @@
     assert [b'Connection: close' in head for head in heads] == [False, True]
     writer.close()
     fleet.heal('north')
+
+
+# Guards against callers that are all sent to a daemon that started in a domain
+# that is cut off, which has no silence of its own to go by yet.
+async def test_a_daemon_that_starts_while_cut_off_is_not_ready_for_callers():
+  async with start_and_cut_off() as (fleet, daemon):
+    await nodes.wait_until(daemon.is_cut_off)
+    address = daemon.config.peers_address
+    await fleet.stop('n1')
+    started = await fleet.start_alone('n1', address=address)
+    await nodes.wait_until(
+      lambda: started.is_ready() and started.fleet.last_heartbeat_by_name
+    )
+    assert not started.fleet.find_silent_domains()
+    assert not started.answer_readiness_check()
