Store: a package of its own; relays and row messages leave store_access

Those of the row store move to process/store (load has its package already); relays.py has the calls that are made for peers, row_messages.py their rows. Moves only, no change of behaviour.

--- a/bench/faults/outside.py
+++ b/bench/faults/outside.py
@@ -16,8 +16,8 @@
 from faults import network
 from woadrun import errors
 from woadrun.connection import rows
-from woadrun.process import program_rows
-from woadrun.process import turn_store
+from woadrun.process.store import program_rows
+from woadrun.process.store import turn_store
 from woadrun.request import exchange
 from woadrun.standins import rows as standin
 from woadrun.version import instances
--- a/bench/fleet_soak/outside.py
+++ b/bench/fleet_soak/outside.py
@@ -21,7 +21,7 @@
 from fleet_soak import sockets
 from woadrun.connection import rows
 from woadrun.platform import standin
-from woadrun.process import turn_store
+from woadrun.process.store import turn_store
 from woadrun.standins import rows as memory
 
 # Path prefixes of the routes.
--- a/src/woadrun/process/catalogue.py
+++ b/src/woadrun/process/catalogue.py
@@ -25,9 +25,9 @@
 from woadrun.connection import rows
 from woadrun.decisions import usual_duration
 from woadrun.process import feed
-from woadrun.process import store_clock
 from woadrun.process import table_age
 from woadrun.process import ticks
+from woadrun.process.store import store_clock
 from woadrun.version import instances
 from woadrun.version import routes
 
--- a/src/woadrun/process/copy_receiver.py
+++ b/src/woadrun/process/copy_receiver.py
@@ -7,8 +7,8 @@
 
 from woadrun.connection import turn_messages
 from woadrun.process import program_copies
-from woadrun.process import program_rows
-from woadrun.process import turn_store
+from woadrun.process.store import program_rows
+from woadrun.process.store import turn_store
 from woadrun.version import ledger
 
 log = logging.getLogger('woadrun.programs')
--- a/src/woadrun/process/crash_rows.py
+++ b/src/woadrun/process/crash_rows.py
@@ -28,9 +28,9 @@
 from woadrun.connection import rows
 from woadrun.decisions import crash_limit
 from woadrun.process import feed
-from woadrun.process import store_access
 from woadrun.process.load import crash_records
 from woadrun.process.load import request_attempts
+from woadrun.process.store import store_access
 from woadrun.request import fingerprints
 
 log = logging.getLogger('woadrun.crashes')
--- a/src/woadrun/process/feed_sync.py
+++ b/src/woadrun/process/feed_sync.py
@@ -22,10 +22,10 @@
 from woadrun.process import feed
 from woadrun.process import fleet
 from woadrun.process import fleet_heartbeats
-from woadrun.process import store_access
-from woadrun.process import store_clock
 from woadrun.process import table_age
 from woadrun.process import ticks
+from woadrun.process.store import row_messages
+from woadrun.process.store import store_clock
 
 log = logging.getLogger('woadrun.feed')
 
@@ -169,7 +169,7 @@
     )
     is_changed = item.apply_changes(
       feed.Changes(
-        rows=tuple(store_access.decode_row(row) for row in reply.rows),
+        rows=tuple(row_messages.decode_row(row) for row in reply.rows),
         version=reply.version,
         is_list=reply.is_list,
         regained=reply.regained if self._shares_outage(source) else None,
@@ -212,7 +212,7 @@
       return turn_messages.FeedCopy()
     age = self._age_by_table.get(ask.table)
     return turn_messages.FeedCopy(
-      rows=store_access.encode_rows(changes.rows),
+      rows=row_messages.encode_rows(changes.rows),
       version=changes.version,
       is_list=changes.is_list,
       regained=changes.regained,
--- a/src/woadrun/process/histories.py
+++ b/src/woadrun/process/histories.py
@@ -7,7 +7,7 @@
 from woadrun import errors
 from woadrun.connection import turn_messages
 from woadrun.decisions import retry_after
-from woadrun.process import turn_store
+from woadrun.process.store import turn_store
 
 log = logging.getLogger('woadrun.turns')
 
--- a/src/woadrun/process/node.py
+++ b/src/woadrun/process/node.py
@@ -57,14 +57,15 @@
 from woadrun.process import rate_metrics
 from woadrun.process import rate_owner
 from woadrun.process import registration
-from woadrun.process import store_access
-from woadrun.process import store_clock
-from woadrun.process import sweeper
 from woadrun.process import ticks
-from woadrun.process import turn_store
 from woadrun.process.load import crash_records
 from woadrun.process.load import loads
 from woadrun.process.load import program_gate
+from woadrun.process.store import relays
+from woadrun.process.store import store_access
+from woadrun.process.store import store_clock
+from woadrun.process.store import sweeper
+from woadrun.process.store import turn_store
 from woadrun.request import attempts
 from woadrun.request import authorization
 from woadrun.request import crash_guard
@@ -191,7 +192,7 @@
     self.store = store_access.StoreAccess(
       direct=binding.store, messenger=self.links, store_time=self.store_time
     )
-    self.relay = store_access.StoreRelay(access=self.store)
+    self.relay = relays.StoreRelay(access=self.store)
     self.catalogue = catalogue.Catalogue(
       store=self.store,
       table_key=binding.table_key,
--- a/src/woadrun/process/program_copies.py
+++ b/src/woadrun/process/program_copies.py
@@ -26,7 +26,7 @@
 from woadrun.process import fleet
 from woadrun.process import fleet_heartbeats
 from woadrun.process import hubs
-from woadrun.process import program_rows
+from woadrun.process.store import program_rows
 from woadrun.version import ledger
 
 log = logging.getLogger('woadrun.programs')
--- a/src/woadrun/process/programs.py
+++ b/src/woadrun/process/programs.py
@@ -26,15 +26,15 @@
 from woadrun.process import copy_receiver
 from woadrun.process import datagrams
 from woadrun.process import fleet
-from woadrun.process import flusher
 from woadrun.process import histories
 from woadrun.process import program_copies
-from woadrun.process import program_rows
 from woadrun.process import reservations
-from woadrun.process import store_access
 from woadrun.process import ticks
-from woadrun.process import turn_store
 from woadrun.process.load import program_gate
+from woadrun.process.store import flusher
+from woadrun.process.store import program_rows
+from woadrun.process.store import store_access
+from woadrun.process.store import turn_store
 from woadrun.version import ledger
 
 log = logging.getLogger('woadrun.programs')
--- a/src/woadrun/process/reservations.py
+++ b/src/woadrun/process/reservations.py
@@ -22,8 +22,8 @@
 from woadrun.connection import turn_messages
 from woadrun.decisions import retry_after
 from woadrun.process import program_copies
-from woadrun.process import program_rows
-from woadrun.process import store_access
+from woadrun.process.store import program_rows
+from woadrun.process.store import store_access
 
 log = logging.getLogger('woadrun.programs')
 
--- a/src/woadrun/process/flusher.py
+++ b/src/woadrun/process/store/flusher.py
@@ -13,9 +13,9 @@
 import mode
 
 from woadrun.process import program_copies
-from woadrun.process import program_rows
-from woadrun.process import store_access
 from woadrun.process import ticks
+from woadrun.process.store import program_rows
+from woadrun.process.store import store_access
 
 log = logging.getLogger('woadrun.programs')
 
--- a/src/woadrun/process/program_rows.py
+++ b/src/woadrun/process/store/program_rows.py
@@ -22,8 +22,8 @@
 from woadrun import errors
 from woadrun.connection import rows
 from woadrun.decisions import retry_after
-from woadrun.process import store_access
-from woadrun.process import turn_store
+from woadrun.process.store import store_access
+from woadrun.process.store import turn_store
 from woadrun.version import ledger
 from woadrun.version import prefixes
 
--- a/src/woadrun/process/store_access.py
+++ b/src/woadrun/process/store/store_access.py
@@ -37,8 +37,9 @@
 from woadrun.decisions import retry_after
 from woadrun.process import fleet
 from woadrun.process import fleet_heartbeats
-from woadrun.process import store_clock
 from woadrun.process import ticks
+from woadrun.process.store import row_messages
+from woadrun.process.store import store_clock
 
 log = logging.getLogger('woadrun.store')
 
@@ -394,9 +395,13 @@
     it was.
     """
     message = turn_messages.StoreChange(
-      writes=tuple(_make_row(key, value=value) for key, value in writes),
-      removes=tuple(_make_row(key) for key in removes),
-      conditions=tuple(_make_row(key, version=v) for key, v in conditions),
+      writes=tuple(
+        row_messages.make_row(key, value=value) for key, value in writes
+      ),
+      removes=tuple(row_messages.make_row(key) for key in removes),
+      conditions=tuple(
+        row_messages.make_row(key, version=v) for key, v in conditions
+      ),
     )
 
     async def call() -> rows.Outcome:
@@ -407,7 +412,7 @@
 
     async def relay(peer: fleet_heartbeats.Member) -> rows.Outcome:
       page = await self._call_peer(peer, 'store/change', message)
-      found = tuple(decode_row(row) for row in page.rows)
+      found = tuple(row_messages.decode_row(row) for row in page.rows)
       return rows.Outcome(
         is_done=page.is_done,
         version=page.version,
@@ -441,7 +446,7 @@
 
     async def relay(peer: fleet_heartbeats.Member) -> rows.Page:
       page = await self._call_peer(peer, 'store/read', message)
-      return _decode_page(page)
+      return row_messages.decode_page(page)
 
     return await self._run(call, relay, is_bounded=is_bounded)
 
@@ -468,7 +473,7 @@
       )
       if page.is_history_gone:
         raise rows.HistoryGone(table)
-      return _decode_page(page)
+      return row_messages.decode_page(page)
 
     return await self._run(call, relay)
 
@@ -809,9 +814,6 @@
     )
 
 
-# --- Relay for peers that the store refuses ----------------------------------
-
-
 def _make_silence_error(ran: errors.RunStatus) -> errors.WoadrunError:
   return errors.WoadrunError(
     errors.Code.PLATFORM_UNAVAILABLE,
@@ -819,130 +821,3 @@
     ran=ran,
     retry_after=retry_after.OUTAGE_CHECK_SECONDS,
   )
-
-
-class StoreRelay:
-  """Relays calls of peers to the store, always directly.
-
-  A relayed call is not relayed again.  Each method raises `WoadrunError`
-  immediately while the store does not respond to this daemon, and if the call
-  to the store fails.
-  """
-
-  def __init__(self, *, access: StoreAccess) -> None:
-    self._access = access
-
-  def _check_available(self) -> None:
-    if not self._access.is_responsive:
-      raise errors.WoadrunError(
-        errors.Code.PLATFORM_UNAVAILABLE,
-        'The store does not respond to the relaying daemon either.',
-        retry_after=retry_after.OUTAGE_CHECK_SECONDS,
-      )
-
-  async def change(
-    self, message: turn_messages.StoreChange
-  ) -> turn_messages.StorePage:
-    """Returns the outcome of a change made for a peer.
-
-    The write counts as one of this daemon's own in `is_slow` and
-    `is_responsive`.
-    """
-    self._check_available()
-    with self._access.time_write(), self._access.time_call():
-      outcome = await self._access.direct.change(
-        writes=[(_get_key(row), row.value) for row in message.writes],
-        removes=[_get_key(row) for row in message.removes],
-        conditions=[(_get_key(row), row.version) for row in message.conditions],
-      )
-    return turn_messages.StorePage(
-      rows=encode_rows(outcome.rows),
-      version=outcome.version,
-      is_done=outcome.is_done,
-      clock=outcome.clock,
-    )
-
-  async def read(
-    self, message: turn_messages.StoreRead
-  ) -> turn_messages.StorePage:
-    """Returns a range of rows read for a peer."""
-    self._check_available()
-    with self._access.time_call():
-      page = await self._access.direct.read(
-        message.table, message.part, first=message.first, end=message.end
-      )
-    return _encode_page(page)
-
-  async def follow(
-    self, message: turn_messages.StoreFollow
-  ) -> turn_messages.StorePage:
-    """Returns changes read for a peer.
-
-    If the store no longer has the history, `is_history_gone` of the page is
-    set.
-    """
-    self._check_available()
-    try:
-      page = await self._access.direct.follow(
-        message.table, after=message.after, wait=message.wait
-      )
-    except rows.HistoryGone:
-      return turn_messages.StorePage(is_history_gone=True)
-    return _encode_page(page)
-
-
-def _make_row(
-  key: rows.Key, *, value: bytes = b'', version: int = 0
-) -> turn_messages.StoreRow:
-  return turn_messages.StoreRow(
-    table=key.table, part=key.part, name=key.name, value=value, version=version
-  )
-
-
-def _get_key(row: turn_messages.StoreRow) -> rows.Key:
-  return rows.Key(row.table, row.part, row.name)
-
-
-def decode_row(row: turn_messages.StoreRow) -> rows.Row:
-  """Returns the row decoded from a message of a peer."""
-  return rows.Row(
-    key=_get_key(row),
-    value=row.value,
-    version=row.version,
-    is_removed=row.is_removed,
-    is_packed=row.is_packed,
-  )
-
-
-def _decode_page(page: turn_messages.StorePage) -> rows.Page:
-  found = tuple(decode_row(row) for row in page.rows)
-  return rows.Page(
-    rows=found, version=page.version, is_cut=page.is_cut, clock=page.clock
-  )
-
-
-def encode_rows(
-  found: Sequence[rows.Row],
-) -> tuple[turn_messages.StoreRow, ...]:
-  """Returns rows encoded for a message to a peer."""
-  return tuple(
-    turn_messages.StoreRow(
-      table=row.key.table,
-      part=row.key.part,
-      name=row.key.name,
-      value=row.value,
-      version=row.version,
-      is_removed=row.is_removed,
-      is_packed=row.is_packed,
-    )
-    for row in found
-  )
-
-
-def _encode_page(page: rows.Page) -> turn_messages.StorePage:
-  return turn_messages.StorePage(
-    rows=encode_rows(page.rows),
-    version=page.version,
-    is_cut=page.is_cut,
-    clock=page.clock,
-  )
--- a/src/woadrun/process/sweeper.py
+++ b/src/woadrun/process/store/sweeper.py
@@ -19,9 +19,9 @@
 from woadrun.connection import rows
 from woadrun.process import feed
 from woadrun.process import fleet
-from woadrun.process import line_expiries
-from woadrun.process import program_rows
-from woadrun.process import turn_store
+from woadrun.process.store import line_expiries
+from woadrun.process.store import program_rows
+from woadrun.process.store import turn_store
 from woadrun.version import ledger
 
 log = logging.getLogger('woadrun.sweeper')
--- a/src/woadrun/process/turn_store.py
+++ b/src/woadrun/process/store/turn_store.py
@@ -25,7 +25,7 @@
 from woadrun.connection import rows
 from woadrun.connection import turn_messages
 from woadrun.process import feed
-from woadrun.process import line_expiries
+from woadrun.process.store import line_expiries
 
 log = logging.getLogger('woadrun.turns')
 
--- a/src/woadrun/process/table_age.py
+++ b/src/woadrun/process/table_age.py
@@ -13,7 +13,7 @@
 import math
 import time
 
-from woadrun.process import store_clock
+from woadrun.process.store import store_clock
 
 
 class TableAge:
--- a/src/woadrun/request/history_cache.py
+++ b/src/woadrun/request/history_cache.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from woadrun.connection import turn_messages
-from woadrun.process import turn_store
+from woadrun.process.store import turn_store
 
 # Maximum total size of the cached histories: those of a few dozen programs.
 MAX_BYTES = 1_000_000
--- a/src/woadrun/request/turn_client.py
+++ b/src/woadrun/request/turn_client.py
@@ -33,8 +33,8 @@
 from woadrun.process import fleet
 from woadrun.process import fleet_heartbeats
 from woadrun.process import programs
-from woadrun.process import store_access
-from woadrun.process import turn_store
+from woadrun.process.store import store_access
+from woadrun.process.store import turn_store
 from woadrun.request import exchange
 from woadrun.request import history_cache
 from woadrun.request import store_waits
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -17,9 +17,9 @@
 from woadrun.platform import discovery
 from woadrun.platform import operator
 from woadrun.process import node
-from woadrun.process import program_rows
-from woadrun.process import turn_store
 from woadrun.process.load import request_attempts
+from woadrun.process.store import program_rows
+from woadrun.process.store import turn_store
 from woadrun.request import exchange
 from woadrun.standins import rows as standin
 from woadrun.version import ledger
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -8,8 +8,8 @@
 import pytest
 
 from woadrun import errors
-from woadrun.process import flusher
-from woadrun.process import store_access
+from woadrun.process.store import flusher
+from woadrun.process.store import store_access
 from woadrun.request import exchange
 
 # Tokens of a turn: two events of three tokens each.
--- a/tests/test_durable_turns.py
+++ b/tests/test_durable_turns.py
@@ -13,9 +13,9 @@
 import pytest
 
 from woadrun import errors
-from woadrun.process import store_access
 from woadrun.process import ticks
-from woadrun.process import turn_store
+from woadrun.process.store import store_access
+from woadrun.process.store import turn_store
 from woadrun.request import exchange
 
 
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -18,7 +18,7 @@
 from woadrun.process import catalogue
 from woadrun.process import rate_owner
 from woadrun.process import reservations
-from woadrun.process import turn_store
+from woadrun.process.store import turn_store
 from woadrun.request import attempts
 from woadrun.request import events
 from woadrun.request import exchange
--- a/tests/test_feed_sync.py
+++ b/tests/test_feed_sync.py
@@ -16,7 +16,7 @@
 from woadrun.platform import operator
 from woadrun.process import feed
 from woadrun.process import feed_sync
-from woadrun.process import store_access
+from woadrun.process.store import row_messages
 from woadrun.standins import rows as standin
 
 NAMES = ('n1', 'n2', 'n3', 'n4', 'n5')
@@ -355,6 +355,6 @@
     for item in fleet.by_name.values():
       copy = await item.feeds.answer(turn_messages.FeedQuery(table='op'))
       assert len(msgspec.msgpack.encode(copy)) < len(written) / 5
-      (row,) = (store_access.decode_row(found) for found in copy.rows)
+      (row,) = (row_messages.decode_row(found) for found in copy.rows)
       assert packing.unpack(row).value == written
       assert item.catalogue.table.match('h', '/more-7/x').name == 'more-7'
--- a/tests/test_foreign_bytes.py
+++ b/tests/test_foreign_bytes.py
@@ -31,12 +31,12 @@
 from woadrun.process import datagram_calls
 from woadrun.process import datagrams
 from woadrun.process import fleet_heartbeats
-from woadrun.process import line_expiries
 from woadrun.process import peer_messages
 from woadrun.process import program_copies
 from woadrun.process import registration
-from woadrun.process import sweeper
-from woadrun.process import turn_store
+from woadrun.process.store import line_expiries
+from woadrun.process.store import sweeper
+from woadrun.process.store import turn_store
 from woadrun.request import gateway
 
 DEPTH = 20_000
--- a/tests/test_line_expiry.py
+++ b/tests/test_line_expiry.py
@@ -15,10 +15,10 @@
 from woadrun.connection import turn_messages
 from woadrun.decisions import line_expiry
 from woadrun.process import histories
-from woadrun.process import line_expiries
-from woadrun.process import program_rows
-from woadrun.process import sweeper
-from woadrun.process import turn_store
+from woadrun.process.store import line_expiries
+from woadrun.process.store import program_rows
+from woadrun.process.store import sweeper
+from woadrun.process.store import turn_store
 from woadrun.request import history_cache
 from woadrun.standins import rows as memory
 
--- a/tests/test_revocation.py
+++ b/tests/test_revocation.py
@@ -21,8 +21,8 @@
 from woadrun import errors
 from woadrun.connection import rows
 from woadrun.platform import operator
-from woadrun.process import store_clock
 from woadrun.process import table_age
+from woadrun.process.store import store_clock
 
 BOUND = 5.0
 KEY = 'key'
--- a/tests/test_store_access.py
+++ b/tests/test_store_access.py
@@ -10,7 +10,7 @@
 from woadrun.connection import http
 from woadrun.connection import rows
 from woadrun.connection import turn_messages
-from woadrun.process import store_access
+from woadrun.process.store import store_access
 
 
 async def hang(*_, **options):
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -13,7 +13,7 @@
 from woadrun.connection import rows
 from woadrun.connection import turn_messages
 from woadrun.process import planned_stop
-from woadrun.process import turn_store
+from woadrun.process.store import turn_store
 from woadrun.request import exchange
 from woadrun.request import history_cache
 
--- a/tests/test_two_owners.py
+++ b/tests/test_two_owners.py
@@ -8,7 +8,7 @@
 from woadrun import errors
 from woadrun.connection import turn_messages
 from woadrun.process import datagrams
-from woadrun.process import program_rows
+from woadrun.process.store import program_rows
 
 
 def make_open(request, *, most=10, budget=1000):
