--- a/bench/fleet_soak/__main__.py
+++ b/bench/fleet_soak/__main__.py
@@ -84,7 +84,7 @@
   observer = watch.Watch(fleet=fleet, environment=environment)
   watching = asyncio.ensure_future(observer.run())
   try:
-    await _start_all(fleet, environment)
+    await start_all(fleet, environment)
     found = await _run_faults(
       caller_pool, injector, guarantees, seconds, stops_early=stops_early
     )
@@ -143,23 +143,24 @@
   async with aiohttp.ClientSession() as session:
     while failing and time.monotonic() < until:
       found = [
-        (turn, await caller_pool.continue_turn(session, turn))
+        (turn, await caller_pool.continue_turn(turn, session=session))
         for turn in failing
       ]
       failing = [turn for turn, attempt in found if attempt.status != 200]
     # The checker reports those that run.
     await asyncio.gather(
       *(
-        caller_pool.continue_turn(session, turn)
+        caller_pool.continue_turn(turn, session=session)
         for turn in guarantees.find_unkept_turns(CHECKED_TURNS)
       )
     )
   return [f'{turn.request} can no longer be continued' for turn in failing]
 
 
-async def _start_all(
+async def start_all(
   fleet: list[daemons.Daemon], environment: outside.Outside
 ) -> None:
+  """Starts daemons and waits until all of them are ready."""
   limit = asyncio.Semaphore(MAX_STARTING)
 
   async def start(daemon: daemons.Daemon) -> None:
--- a/bench/fleet_soak/callers.py
+++ b/bench/fleet_soak/callers.py
@@ -114,10 +114,14 @@
     self._client.close()
 
   async def continue_turn(
-    self, session: aiohttp.ClientSession, attempt: Attempt
+    self, attempt: Attempt, *, session: aiohttp.ClientSession | None = None
   ) -> Attempt:
-    """Sends a turn that continues a complete one, and returns the attempt."""
-    await self._update_ready_daemons(session)
+    """Sends a turn that continues a complete one, and returns the attempt.
+
+    With a `session` all daemons are asked first whether they are ready.
+    """
+    if session is not None:
+      await self._update_ready_daemons(session)
     return await self._send(
       path=f'{outside.CHAT}x',
       program=f'after-{attempt.request}',
--- a/bench/fleet_soak/outside.py
+++ b/bench/fleet_soak/outside.py
@@ -372,17 +372,25 @@
 
   async def start(self) -> None:
     """Starts the store and three instances of each service."""
+    await self.start_store(self._hosts.get_host(1, 0))
+    await self.configure('tools')
+    for service in ('models', 'tools', 'other'):
+      for _ in range(3):
+        await self.add(service)
+
+  async def start_store(self, host: str) -> None:
+    """Starts the store; its address is `store_address` then."""
     application = standin.StoreServer(kept=self.memory_rows).make_application()
     self._runner = web.AppRunner(
       application, access_log=None, shutdown_timeout=0.1
     )
     await self._runner.setup()
-    await web.TCPSite(self._runner, self._hosts.get_host(1, 0), 0).start()
+    await web.TCPSite(self._runner, host, 0).start()
     self.store_address = self._runner.addresses[0][:2]
-    await self.configure('tools')
-    for service in ('models', 'tools', 'other'):
-      for _ in range(3):
-        await self.add(service)
+
+  async def stop_store(self) -> None:
+    """Stops the store."""
+    await self._runner.cleanup()
 
   async def stop(self) -> None:
     """Stops all instances and the store."""
@@ -391,7 +399,7 @@
     for instance in self.instances:
       if instance.ended_at is None or instance.is_silent:
         await instance.stop()
-    await self._runner.cleanup()
+    await self.stop_store()
 
   @property
   def runs(self) -> list[Run]:
@@ -483,7 +491,7 @@
       instance.is_leaving = True
       await self.add(instance.service)
       if end == REMOVED:
-        await self._change(removes=[key])
+        await self.change_rows(removes=[key])
       else:
         await self._write([(key, self._make_row(instance, is_draining=True))])
       await asyncio.sleep(self._rng.uniform(*DEPARTURE_SECONDS))
@@ -491,7 +499,7 @@
     if not instance.is_leaving:
       await self.add(instance.service, at=instance if end == IN_PLACE else None)
     await asyncio.sleep(self._rng.uniform(*STALE_ROW_SECONDS))
-    await self._change(removes=[key])
+    await self.change_rows(removes=[key])
 
   async def replace(self, service: str) -> None:
     """Drains a random instance of a service after it adds a new one."""
@@ -521,7 +529,7 @@
     return instance.get_row(domain, is_draining=is_draining)
 
   async def _write(self, writes: list[tuple[rows.Key, bytes]]) -> None:
-    await self._change(writes=writes)
+    await self.change_rows(writes=writes)
 
   def has_turn(self, request: str) -> bool:
     """Returns whether the store has a turn, even while it is out."""
@@ -530,7 +538,8 @@
       for part in turn_store.get_parts(request)
     )
 
-  async def _change(self, **options: Any) -> None:
+  async def change_rows(self, **options: Any) -> None:
+    """Changes rows of the store, whatever faults it has."""
     # The operator's writes succeed despite faults of the store.
     memory_rows = self.memory_rows
     was_out, memory_rows.is_out = memory_rows.is_out, False
--- a/src/woadrun/standins/rows.py
+++ b/src/woadrun/standins/rows.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import bisect
+import collections
 from collections.abc import Iterator
 from collections.abc import Sequence
 import dataclasses
@@ -35,8 +37,15 @@
     self.history_from = 0
     self.writes = 0
     self.reads = 0
-    self._history: list[rows.Row] = []
+    self._history_by_table: dict[str, list[rows.Row]] = collections.defaultdict(
+      list
+    )
+    # Names that a part has or had; tests remove rows from `row_by_key` only.
+    self._names_by_part: dict[tuple[str, str], set[str]] = (
+      collections.defaultdict(set)
+    )
     self._change_event = asyncio.Event()
+    self._notifications = 0
 
   async def change(
     self,
@@ -66,12 +75,11 @@
     for key, value in writes:
       row = rows.Row(key=key, value=value, version=self.version)
       self.row_by_key[key] = row
-      self._history.append(row)
+      self._names_by_part[key.table, key.part].add(key.name)
+      self._history_by_table[key.table].append(row)
     for key in removes:
       if self.row_by_key.pop(key, None) is not None:
-        self._history.append(
-          rows.Row(key=key, version=self.version, is_removed=True)
-        )
+        self._add_removal(key)
     self._change_event.set()
     self._change_event = asyncio.Event()
     if self.loses_answers:
@@ -89,13 +97,13 @@
     """
     self._raise_if_out()
     self.reads += 1
-    matching_rows = [
-      row
-      for key, row in sorted(self.row_by_key.items())
-      if (key.table, key.part) == (table, part)
-      and key.name >= first
-      and (not end or key.name < end)
-    ]
+    names = sorted(
+      name
+      for name in self._names_by_part.get((table, part), ())
+      if name >= first and (not end or name < end)
+    )
+    found = (self.row_by_key.get(rows.Key(table, part, name)) for name in names)
+    matching_rows = [row for row in found if row is not None]
     page_rows = list(_take_page(matching_rows))
     page = self._make_page(page_rows)
     return dataclasses.replace(page, is_cut=len(page_rows) < len(matching_rows))
@@ -109,15 +117,18 @@
     self._raise_if_out()
     if after < self.history_from:
       raise rows.HistoryGone(table)
-    matching_rows = self._find_changes(table, after)
-    if not matching_rows:
+    until = time.monotonic() + wait
+    notifications = self._notifications
+    while not (matching_rows := self._find_changes(table, after)):
+      if self._notifications != notifications:
+        break
       changed = self._change_event
       try:
-        await asyncio.wait_for(changed.wait(), wait)
+        async with asyncio.timeout(until - time.monotonic()):
+          await changed.wait()
       except TimeoutError:
-        return self._make_page([])
+        break
       self._raise_if_out()
-      matching_rows = self._find_changes(table, after)
     return self._make_page(matching_rows)
 
   def _make_page(self, matching_rows: Sequence[rows.Row]) -> rows.Page:
@@ -127,6 +138,7 @@
 
   def notify_followers(self) -> None:
     """Wakes all waiting `follow` calls, for example after a fault was set."""
+    self._notifications += 1
     self._change_event.set()
     self._change_event = asyncio.Event()
 
@@ -134,16 +146,18 @@
     """Removes a row even if `is_out` is set, without waking `follow` calls."""
     self.version += 1
     del self.row_by_key[key]
-    self._history.append(
+    self._add_removal(key)
+
+  def _add_removal(self, key: rows.Key) -> None:
+    self._names_by_part[key.table, key.part].discard(key.name)
+    self._history_by_table[key.table].append(
       rows.Row(key=key, version=self.version, is_removed=True)
     )
 
   def _find_changes(self, table: str, after: int) -> list[rows.Row]:
-    return [
-      row
-      for row in self._history
-      if row.key.table == table and row.version > after
-    ]
+    history = self._history_by_table[table]
+    begin = bisect.bisect_right(history, after, key=lambda row: row.version)
+    return history[begin:]
 
   def _get(self, key: rows.Key) -> rows.Row:
     return self.row_by_key.get(key) or rows.Row(key=key)
