Store: calls wait at the daemon while the store answers fewer than are made

Cause: nothing limited a daemon's calls of the store. All programs come back at once and need their histories; calls got no answer within 0.8 s, one such ended all others of its daemon, each change had up to three attempts in up to three parts, and reads whose caller had left were made again. The store was busy with calls that nobody waited for, an overload that lasts after its cause is gone.

Change: a limit on calls under way that follows their answers, an order of those that wait (what has begun first), no copies of a change while calls wait, reads of turns and programs that are shared and go on when their caller leaves, and a growing delay between tries to open a turn. Relayed calls wait as well. Three gauges show the queue.

--- a/src/woadrun/process/node.py
+++ b/src/woadrun/process/node.py
@@ -472,6 +472,9 @@
       'rows_swept': self.sweeper.removed_rows,
       'turns_missing': self.turns.missing_turns,
       'turns_diverted': self.diversion.diverted,
+      'store_calls_running': self.store.queue.running,
+      'store_calls_waiting': self.store.queue.waiting,
+      'store_calls_limit': self.store.queue.limit,
       **self.waits.read_gauges(),
     }
 
--- a/src/woadrun/process/programs.py
+++ b/src/woadrun/process/programs.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 import asyncio
+import copy
 import logging
 import time
 
@@ -70,6 +71,7 @@
     self._turns = turns
     self.cache = turn_store.TurnCache()
     self.entry_by_program: dict[str, program_rows.Entry] = {}
+    self._loading_by_program: dict[str, asyncio.Task[list[ledger.Ledger]]] = {}
     self._arrivals = arrivals.Arrivals()
     self._rows = program_rows.ProgramRows(
       store=store, turns=turns, cache=self.cache, domain=members.me.domain
@@ -103,6 +105,12 @@
     )
     await self.add_runtime_dependency(self.flusher)
 
+  async def on_stop(self) -> None:
+    """Ends the reads that nobody waits for."""
+    self.cache.cancel_reads()
+    for task in self._loading_by_program.values():
+      task.cancel()
+
   # --- The owner's role -------------------------------------------------------
 
   async def open_turn(
@@ -259,7 +267,7 @@
       return program_rows.Entry(
         program=ask.program, ledger=self._rows.make(), is_unverified=True
       )
-    view, *others = await self._fetch_ledgers(ask)
+    view, *others = await self._share_ledgers(ask.program)
     if not ask.begins and not view.version:
       raise errors.WoadrunError(
         errors.Code.NOT_OWNER, 'The program is not known to this daemon.'
@@ -270,9 +278,27 @@
       program=ask.program, ledger=view, needs_flush=view.is_dirty
     )
 
-  async def _fetch_ledgers(
-    self, ask: turn_messages.OpenTurn
-  ) -> list[ledger.Ledger]:
+  async def _share_ledgers(self, program: str) -> list[ledger.Ledger]:
+    """Returns the result of `_fetch_ledgers`, copied for each caller.
+
+    Callers that ask at the same time share one call, which goes on if they
+    leave.
+    """
+    loading = self._loading_by_program.get(program)
+    if loading is None:
+      loading = asyncio.ensure_future(self._fetch_ledgers(program))
+      self._loading_by_program[program] = loading
+      loading.add_done_callback(lambda task: self._note_fetched(program, task))
+    return copy.deepcopy(await asyncio.shield(loading))
+
+  def _note_fetched(
+    self, program: str, task: asyncio.Task[list[ledger.Ledger]]
+  ) -> None:
+    self._loading_by_program.pop(program, None)
+    if not task.cancelled() and task.exception() is not None:
+      log.debug('Program %s could not be read: %s', program, task.exception())
+
+  async def _fetch_ledgers(self, program: str) -> list[ledger.Ledger]:
     """Returns the ledgers of a program from the store and other members.
 
     The first one is that of the store, a new one if the program has no row.
@@ -280,7 +306,7 @@
     turns have ended that the row still has as reserved.
     """
     row, copies = await asyncio.gather(
-      self._rows.read(ask.program), self._copies.fetch(ask.program)
+      self._rows.read(program), self._copies.fetch(program)
     )
     return [row, *(program_copies.decode(copy) for copy in copies)]
 
--- a/src/woadrun/process/store/relays.py
+++ b/src/woadrun/process/store/relays.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+
 from woadrun import errors
 from woadrun.connection import rows
 from woadrun.connection import turn_messages
 from woadrun.decisions import retry_after
+from woadrun.process.store import call_queue
 from woadrun.process.store import row_messages
 from woadrun.process.store import store_access
 
@@ -29,6 +34,29 @@
         retry_after=retry_after.OUTAGE_CHECK_SECONDS,
       )
 
+  @contextlib.asynccontextmanager
+  async def _enter(self) -> AsyncIterator[None]:
+    """Returns a context for a call, which waits like those of this daemon.
+
+    Raises `WoadrunError` if it is not sent while the peer waits for it.
+    """
+    timeout_scope = asyncio.timeout(store_access.RELAY_TIMEOUT_SECONDS)
+    try:
+      async with (
+        timeout_scope,
+        self._access.queue.enter(call_queue.Urgency.COMMIT),
+      ):
+        timeout_scope.reschedule(None)
+        yield
+    except TimeoutError as error:
+      if not timeout_scope.expired():
+        raise
+      raise errors.WoadrunError(
+        errors.Code.PLATFORM_UNAVAILABLE,
+        'Too many calls of the store wait at the relaying daemon.',
+        retry_after=retry_after.OUTAGE_CHECK_SECONDS,
+      ) from error
+
   async def change(
     self, message: turn_messages.StoreChange
   ) -> turn_messages.StorePage:
@@ -38,16 +66,18 @@
     `is_responsive`.
     """
     self._check_available()
-    with self._access.time_write(), self._access.time_call():
-      outcome = await self._access.direct.change(
-        writes=[
-          (row_messages.get_key(row), row.value) for row in message.writes
-        ],
-        removes=[row_messages.get_key(row) for row in message.removes],
-        conditions=[
-          (row_messages.get_key(row), row.version) for row in message.conditions
-        ],
-      )
+    async with self._enter():
+      with self._access.time_write(), self._access.time_call():
+        outcome = await self._access.direct.change(
+          writes=[
+            (row_messages.get_key(row), row.value) for row in message.writes
+          ],
+          removes=[row_messages.get_key(row) for row in message.removes],
+          conditions=[
+            (row_messages.get_key(row), row.version)
+            for row in message.conditions
+          ],
+        )
     return turn_messages.StorePage(
       rows=row_messages.encode_rows(outcome.rows),
       version=outcome.version,
@@ -60,10 +90,11 @@
   ) -> turn_messages.StorePage:
     """Returns a range of rows read for a peer."""
     self._check_available()
-    with self._access.time_call():
-      page = await self._access.direct.read(
-        message.table, message.part, first=message.first, end=message.end
-      )
+    async with self._enter():
+      with self._access.time_call():
+        page = await self._access.direct.read(
+          message.table, message.part, first=message.first, end=message.end
+        )
     return row_messages.encode_page(page)
 
   async def follow(
--- a/src/woadrun/process/store/store_access.py
+++ b/src/woadrun/process/store/store_access.py
@@ -38,6 +38,7 @@
 from woadrun.process import fleet
 from woadrun.process import fleet_heartbeats
 from woadrun.process import ticks
+from woadrun.process.store import call_queue
 from woadrun.process.store import row_messages
 from woadrun.process.store import store_clock
 
@@ -126,7 +127,8 @@
   raise `WoadrunError` if neither the store nor a peer answers.  `bounded` is
   for operations that need not wait for the store: its calls also raise as soon
   as the store is found silent.  `durable` is for changes that have to reach the
-  store: they are repeated until it answers.
+  store: they are repeated until it answers.  `queue` limits and orders the
+  calls that are sent to the store itself.
 
   A store that neither answers nor refuses calls is silent.  A daemon suspects
   this when a call takes much longer than usual, and reports it in its
@@ -148,6 +150,7 @@
     self._links = messenger
     self._fleet: fleet.Fleet | None = None
     self.is_direct = False
+    self.queue = call_queue.CallQueue()
     # Timeouts of the running calls, in the order in which the calls began.
     self._running_timeouts: dict[asyncio.Timeout, None] = {}
     self._write_started_at: dict[object, float] = {}
@@ -386,6 +389,7 @@
     removes: Sequence[rows.Key] = (),
     conditions: Sequence[tuple[rows.Key, int]] = (),
     is_bounded: bool = False,
+    urgency: call_queue.Urgency = call_queue.Urgency.BACKGROUND,
   ) -> rows.Outcome:
     """Returns the outcome of an atomic change of one part of a table.
 
@@ -405,10 +409,11 @@
     )
 
     async def call() -> rows.Outcome:
-      with self.time_write(), self.time_call():
-        return await self.direct.change(
-          writes=writes, removes=removes, conditions=conditions
-        )
+      async with self.queue.enter(urgency):
+        with self.time_write(), self.time_call():
+          return await self.direct.change(
+            writes=writes, removes=removes, conditions=conditions
+          )
 
     async def relay(peer: fleet_heartbeats.Member) -> rows.Outcome:
       page = await self._call_peer(peer, 'store/change', message)
@@ -430,6 +435,7 @@
     first: str = '',
     end: str = '',
     is_bounded: bool = False,
+    urgency: call_queue.Urgency = call_queue.Urgency.BACKGROUND,
   ) -> rows.Page:
     """Returns the rows of a part with names from `first` to `end`.
 
@@ -441,8 +447,9 @@
     )
 
     async def call() -> rows.Page:
-      with self.time_call():
-        return await self.direct.read(table, part, first=first, end=end)
+      async with self.queue.enter(urgency):
+        with self.time_call():
+          return await self.direct.read(table, part, first=first, end=end)
 
     async def relay(peer: fleet_heartbeats.Member) -> rows.Page:
       page = await self._call_peer(peer, 'store/read', message)
@@ -584,7 +591,9 @@
     try:
       while True:
         is_reachable = self.is_reachable
-        if is_reachable and len(attempts) < MAX_ATTEMPTS:
+        # Another attempt would wait behind the calls that wait already.
+        most = 1 if self.queue.waiting else MAX_ATTEMPTS
+        if is_reachable and len(attempts) < most:
           attempts.add(asyncio.ensure_future(call()))
         if not attempts:
           await asyncio.sleep(RETURN_CHECK_SECONDS)
@@ -762,7 +771,11 @@
     """Returns the outcome of an atomic change of one part of a table."""
     return await self._store.run_bounded(
       self._store.change(
-        writes=writes, removes=removes, conditions=conditions, is_bounded=True
+        writes=writes,
+        removes=removes,
+        conditions=conditions,
+        is_bounded=True,
+        urgency=call_queue.Urgency.COMMIT,
       )
     )
 
@@ -771,7 +784,14 @@
   ) -> rows.Page:
     """Returns the rows of a part with names from `first` to `end`."""
     return await self._store.run_bounded(
-      self._store.read(table, part, first=first, end=end, is_bounded=True)
+      self._store.read(
+        table,
+        part,
+        first=first,
+        end=end,
+        is_bounded=True,
+        urgency=call_queue.Urgency.LOAD,
+      )
     )
 
   async def follow(self, table: str, *, after: int, wait: float) -> rows.Page:
@@ -795,9 +815,12 @@
   def is_overdue(self, seconds: float) -> bool:
     """Returns whether a change that has run for some seconds is overdue.
 
-    It is not while the whole store is unreachable.
+    It is not while the whole store is unreachable, nor while calls wait here: a
+    copy of the change would wait as well.
     """
-    return self._store.is_reachable and seconds >= self._store.patience
+    if self._store.queue.waiting or seconds < self._store.patience:
+      return False
+    return self._store.is_reachable
 
   async def change(
     self,
@@ -809,7 +832,10 @@
     """Returns the outcome of an atomic change of one part of a table."""
     return await self._store.run_until_answered(
       lambda: self._store.change(
-        writes=writes, removes=removes, conditions=conditions
+        writes=writes,
+        removes=removes,
+        conditions=conditions,
+        urgency=call_queue.Urgency.COMMIT,
       )
     )
 
--- a/src/woadrun/process/store/turn_store.py
+++ b/src/woadrun/process/store/turn_store.py
@@ -256,6 +256,45 @@
   def __init__(self) -> None:
     self._cached_by_request: dict[str, _CachedTurn] = {}
     self._bytes = 0
+    self._loading_by_request: dict[
+      str, asyncio.Task[turn_messages.Turn | None]
+    ] = {}
+
+  async def load(
+    self, request: str, *, store: TurnStore
+  ) -> turn_messages.Turn | None:
+    """Reads a turn from the store and adds it; returns None if it is missing.
+
+    A read that has begun goes on if its caller leaves, and serves all who ask
+    meanwhile: while the store is slow, tries that each read anew what the one
+    before had read for nothing would never get a whole history.
+    """
+    loading = self._loading_by_request.get(request)
+    if loading is None:
+      loading = asyncio.ensure_future(self._read(request, store))
+      self._loading_by_request[request] = loading
+      loading.add_done_callback(lambda task: self._note_loaded(request, task))
+    return await asyncio.shield(loading)
+
+  async def _read(
+    self, request: str, store: TurnStore
+  ) -> turn_messages.Turn | None:
+    turn = await store.read(request)
+    if turn is not None:
+      self.put(turn)
+    return turn
+
+  def _note_loaded(
+    self, request: str, task: asyncio.Task[turn_messages.Turn | None]
+  ) -> None:
+    self._loading_by_request.pop(request, None)
+    if not task.cancelled() and task.exception() is not None:
+      log.debug('Turn %s could not be read: %s', request, task.exception())
+
+  def cancel_reads(self) -> None:
+    """Ends the reads that are under way."""
+    for task in self._loading_by_request.values():
+      task.cancel()
 
   def __len__(self) -> int:
     return len(self._cached_by_request)
@@ -315,10 +354,7 @@
     if known is not None:
       return known
     async with semaphore:
-      turn = await store.read(request)
-    if turn is not None:
-      cache.put(turn)
-    return turn
+      return await cache.load(request, store=store)
 
   return list(await asyncio.gather(*(find(name) for name in names)))
 
--- a/src/woadrun/request/turn_client.py
+++ b/src/woadrun/request/turn_client.py
@@ -59,8 +59,10 @@
 # waits for the row store, the network round trip and the owner's standby.
 POST_TIMEOUT_SECONDS = 3.0
 # Delay after which a turn that the store kept from being admitted is opened
-# again.
+# again, and its largest value: it doubles each time, as a store that serves
+# nobody in time is not helped by more calls.
 REOPEN_DELAY_SECONDS = 0.05
+MAX_REOPEN_DELAY_SECONDS = 0.4
 # Time for the store to take a turn whose reply ends at its deadline.
 MIN_WRITE_SECONDS = 0.25
 # How long the end of a turn waits for the owner once the store has the turn.
@@ -184,6 +186,7 @@
     self, message: turn_messages.OpenTurn
   ) -> turn_messages.OpenedTurn:
     """Opens a turn while the row store is reachable, and waits for that."""
+    delay = REOPEN_DELAY_SECONDS
     with self._waits.measure(store_waits.Kind.START, message.request) as wait:
       while True:
         if self.is_held:
@@ -198,7 +201,8 @@
           if not is_outage:
             raise
           wait.note(error.message)
-        await asyncio.sleep(REOPEN_DELAY_SECONDS)
+        await asyncio.sleep(delay)
+        delay = min(MAX_REOPEN_DELAY_SECONDS, 2 * delay)
 
   async def _open(
     self, message: turn_messages.OpenTurn
