Connections: a status that no final response can have is no response

What callers saw (MIXED): a service's 000, 099, 101, 600 or 999 was recorded as the outcome of an action and passed on; a signed 600 or 999 of an instance went to the caller of the platform's interface. The store, other daemons, engines, the object store and the operator's client took them for responses as well.

Cause: the client library accepts any three digits as a status.

Change: the protocol that all connections share raises for a final status outside 200 to 599 and closes the connection. The operator's command line uses the same connector now. `run_status` asks for the range where a response counts as genuine or as a refusal, and an outcome that an earlier release recorded with such a status is told as unknown.

--- a/src/woadrun/cli/operator.py
+++ b/src/woadrun/cli/operator.py
@@ -13,6 +13,7 @@
 import cyclopts
 
 from woadrun.connection import client
+from woadrun.connection import response_ends
 
 T = TypeVar('T')
 
@@ -47,7 +48,8 @@
   """Runs an operation with a client of a daemon and returns its result."""
 
   async def run() -> T:
-    async with aiohttp.ClientSession() as session:
+    connector = response_ends.Connector()
+    async with aiohttp.ClientSession(connector=connector) as session:
       daemon_client = client.Client(
         session=session,
         addresses=[access.address],
--- a/src/woadrun/connection/response_ends.py
+++ b/src/woadrun/connection/response_ends.py
@@ -19,16 +19,21 @@
 from aiohttp import client_proto
 from aiohttp import client_reqrep
 from aiohttp import hdrs
+from aiohttp import http
+from aiohttp import streams
 from aiohttp import web
 import multidict
 
 from woadrun import decoding
 from woadrun.connection import response_ids
+from woadrun.decisions import run_status
 
 log = logging.getLogger('woadrun.connections')
 
 # Statuses of responses that have no body.
 _STATUSES_WITHOUT_BODY = frozenset((204, 304))
+# Statuses that announce a final response; 101 would change the protocol.
+_INFORMATIONAL_STATUSES = frozenset(range(100, 200)) - {101}
 # Values of SO_LINGER.  With a time of 0, closing the socket, also by the end of
 # the process, resets the connection.
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
@@ -66,6 +71,21 @@
 
   _is_closed_by_peer = False
 
+  async def read(self) -> tuple[http.RawResponseMessage, streams.StreamReader]:
+    """Returns the next response, informational ones included.
+
+    Raises `aiohttp.ClientPayloadError` for one whose status cannot be that of a
+    response: the request may have run, and what follows on the connection
+    belongs to nothing.
+    """
+    message, body = await super().read()
+    is_informational = message.code in _INFORMATIONAL_STATUSES
+    if run_status.is_final(message.code) or is_informational:
+      return message, body
+    log.info('A response has status %03d, which is none.', message.code)
+    self.close()
+    raise aiohttp.ClientPayloadError(f'{message.code:03d} is no final status')
+
   def eof_received(self) -> None:
     """Records that the server closed the connection in an orderly way."""
     self._is_closed_by_peer = True
--- a/src/woadrun/decisions/run_status.py
+++ b/src/woadrun/decisions/run_status.py
@@ -23,8 +23,10 @@
 # Status of an instance that got a request meant for another one.
 MISDIRECTED = 421
 MIN_REFUSAL_STATUS = 400
-# Lower ones announce a final response, or change the protocol.
+# Statuses of a final response, by RFC 9110: lower ones announce one or change
+# the protocol, and there are none beyond.
 MIN_FINAL_STATUS = 200
+MAX_FINAL_STATUS = 599
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -53,12 +55,17 @@
     return ', '.join(filter(None, words))
 
 
+def is_final(status: int) -> bool:
+  """Returns whether a final response may have a status."""
+  return MIN_FINAL_STATUS <= status <= MAX_FINAL_STATUS
+
+
 def is_genuine(statement: Statement) -> bool:
   """Returns whether a response is the final one of the request's instance."""
   return (
     statement.has_request_id
     and statement.is_signed
-    and statement.status >= MIN_FINAL_STATUS
+    and is_final(statement.status)
   )
 
 
@@ -68,7 +75,8 @@
   A response that contradicts itself, or that does not show that it belongs to
   the request, guarantees nothing.
   """
-  if not statement.has_request_id or statement.status < MIN_REFUSAL_STATUS:
+  is_failure = MIN_REFUSAL_STATUS <= statement.status <= MAX_FINAL_STATUS
+  if not statement.has_request_id or not is_failure:
     return False
   # The status alone may be that of the service, after it ran the request.
   is_misdirected = statement.status == MISDIRECTED
--- a/src/woadrun/request/execution.py
+++ b/src/woadrun/request/execution.py
@@ -7,6 +7,7 @@
 import time
 
 from woadrun import errors
+from woadrun.decisions import run_status
 from woadrun.request import calls
 from woadrun.request import model_call
 from woadrun.version import program
@@ -127,6 +128,13 @@
   data = request.answer.encode()
   if request.outcome != program.OK:
     raise errors.from_body(data)
+  if not run_status.is_final(request.status):
+    # Daemons of earlier releases took any status of a service for an outcome.
+    raise errors.WoadrunError(
+      errors.Code.OUTCOME_UNKNOWN,
+      f'The call ended with status {request.status}, which is none.',
+      ran=errors.RunStatus.UNKNOWN,
+    )
   return _render(call, data, request.status, is_stream=is_stream)
 
 
