--- a/bench/fleet_soak/power_loss.py
+++ b/bench/fleet_soak/power_loss.py
@@ -97,8 +97,7 @@
     """Starts the process and waits until it listens."""
     self._process = await asyncio.create_subprocess_exec(
       sys.executable,
-      '-m',
-      'fleet_soak.store_process',
+      str(pathlib.Path(__file__).with_name('store_process.py')),
       host,
       str(self._count),
       str(self._capacity),
--- a/bench/fleet_soak/store_process.py
+++ b/bench/fleet_soak/store_process.py
@@ -1,8 +1,8 @@
 """The row store as a process of its own, with faults for single daemons.
 
-Runs as `python -m fleet_soak.store_process HOST LINKS CAPACITY`.  The process
-has one port for each daemon, its link, and a port for the run that controls it.
-It prints all ports and ends with its standard input.
+Runs as `python store_process.py HOST LINKS CAPACITY`.  The process has one port
+for each daemon, its link, and a port for the run that controls it.  It prints
+all ports and ends with its standard input.
 """
 
 from __future__ import annotations
