Turns: a shared read says nothing about what was stored after it began

A turn that was stored while another request read it in vain was reported as missing to those who had joined that read, so that its caller got a 503 for one try. Found by reading the change that shares reads; those who joined and found nothing read once more. The same holds for the rows of programs.

tests/test_store_overload.py::test_a_turn_that_is_stored_while_another_reads_it_is_found fails on the commit before.

--- a/src/woadrun/process/programs.py
+++ b/src/woadrun/process/programs.py
@@ -285,6 +285,13 @@
     leave.
     """
     loading = self._loading_by_program.get(program)
+    if loading is not None:
+      ledgers = await asyncio.shield(loading)
+      if ledgers[0].version:
+        return copy.deepcopy(ledgers)
+      # The program may have begun after that read.  One that runs now began
+      # later.
+      loading = self._loading_by_program.get(program)
     if loading is None:
       loading = asyncio.ensure_future(self._fetch_ledgers(program))
       self._loading_by_program[program] = loading
--- a/src/woadrun/process/store/turn_store.py
+++ b/src/woadrun/process/store/turn_store.py
@@ -270,6 +270,13 @@
     before had read for nothing would never get a whole history.
     """
     loading = self._loading_by_request.get(request)
+    if loading is not None:
+      turn = await asyncio.shield(loading)
+      if turn is not None:
+        return turn
+      # The turn may have been stored after that read began.  One that runs now
+      # began later.
+      loading = self._loading_by_request.get(request)
     if loading is None:
       loading = asyncio.ensure_future(self._read(request, store))
       self._loading_by_request[request] = loading
--- a/tests/test_store_overload.py
+++ b/tests/test_store_overload.py
@@ -190,3 +190,32 @@
   found = await turn_store.load_turns(['a', 'b'], cache=cache, store=store)
   assert [turn.request for turn in found] == ['a', 'b']
   assert store.reads == 2
+
+
+async def test_a_turn_that_is_stored_while_another_reads_it_is_found():
+  """A read that began before the turn was whole says nothing about it later."""
+  cache = turn_store.TurnCache()
+  stored, begun, released = {}, [], asyncio.Event()
+
+  class Turns:
+    async def read(self, request):
+      found = stored.get(request)
+      begun.append(request)
+      await released.wait()
+      return found
+
+  async def load():
+    (found,) = await turn_store.load_turns(['a'], cache=cache, store=Turns())
+    return found
+
+  early = asyncio.ensure_future(load())
+  while not begun:
+    await asyncio.sleep(0)
+  stored['a'] = turn_messages.Turn(program='p', request='a')
+  late = [asyncio.ensure_future(load()) for _ in range(3)]
+  await asyncio.sleep(0.01)
+  released.set()
+  assert await early is None
+  assert [(await task).request for task in late] == ['a'] * 3
+  # The later ones share a read of their own.
+  assert begun == ['a', 'a']
