Schedules of faults: what was complete is continued in time after any loss

At the end of each schedule 20 complete turns, spread over the run, are continued by other programs. One of these has to run within 12 s of the last fault, however often it is refused before; else the schedule has a violation `late`. Until now a schedule checked that the store has what callers were told whole, not that programs go on from it.

tests/test_faults.py::test_a_complete_turn_that_is_not_continued_in_time_is_found shows that the check finds a store whose turns cannot be read after all daemons were killed.

--- a/bench/faults/callers.py
+++ b/bench/faults/callers.py
@@ -35,6 +35,10 @@
 ANY_DOMAIN_SHARE = 0.3
 # Statuses that guarantee that a request has not run.
 NOT_RUN_STATUSES = (401, 402, 404, 408, 410, 421, 429, 503)
+# Complete turns that are continued at the end, spread over the run, and the
+# delay between two tries.
+CONTINUED_TURNS = 20
+RETRY_DELAY_SECONDS = 0.3
 # Share of turns and single requests that are also sent with another key: a
 # revoked key, an invalid key, or a key of any team.
 OTHER_KEY_SHARE = 0.2
@@ -118,6 +122,7 @@
     self._programs = itertools.count()
     self._turns = itertools.count()
     self._running: set[asyncio.Task[None]] = set()
+    self._continued: list[Turn] = []
     self.is_stopping = False
     self.violations: list[str] = []
     self.count_by_status: dict[int, int] = {}
@@ -222,6 +227,7 @@
       is_own = self._get_team(turn) == program.team
       if turn.is_complete and is_own and program.path == fleet.CHAT:
         history, parent = history + turn.input + turn.output, turn.id
+        self._continued.append(turn)
       if self._is_unkept(turn.id) and is_own and program.path == fleet.CHAT:
         self._start_task(self._continue_unkept(turn))
       for _ in range(helpers if turn.is_complete else 0):
@@ -232,6 +238,41 @@
       pause = self._rng.uniform(*TURN_DELAY_SECONDS)
       await asyncio.sleep(pause if turn.is_complete else pause + 0.3)
 
+  async def check_continuations(self, *, until: float) -> None:
+    """Continues some complete turns, each until a turn after it runs.
+
+    That has to be by `until` on the monotonic clock.
+    """
+    step = max(1, len(self._continued) // CONTINUED_TURNS)
+    chosen = self._continued[::-step]
+    await asyncio.gather(*(self._check_continuation(t, until) for t in chosen))
+
+  async def _check_continuation(self, turn: Turn, until: float) -> None:
+    statuses = []
+    while time.monotonic() < until:
+      # Another program: that of the turn may have spent its budget.
+      next_turn = Turn(
+        id=f't{next(self._turns)}',
+        program=dataclasses.replace(
+          turn.program,
+          id=f'after-{turn.id}',
+          budget=turn.program.max_tokens * MAX_ATTEMPTS,
+          received_tokens=0,
+        ),
+        history=turn.history + turn.input + turn.output,
+        parent=turn.id,
+        key=self._teams.get_key(turn.program.team),
+      )
+      await self._send_turn(next_turn)
+      self._check(next_turn)
+      if self._served.instances.bodies_by_request.get(next_turn.id):
+        return
+      statuses.append(next_turn.status)
+      await asyncio.sleep(RETRY_DELAY_SECONDS)
+    self.violations.append(
+      f'late: no turn that continues from {turn.id} ran: {statuses}'
+    )
+
   def _is_truncated(self, id: str) -> bool:
     return id in self._served.instances.truncated_requests
 
--- a/bench/faults/schedule.py
+++ b/bench/faults/schedule.py
@@ -10,6 +10,7 @@
 import contextlib
 import dataclasses
 import random
+import time
 
 from faults import callers
 from faults import clock
@@ -23,6 +24,9 @@
 FAULT_WINDOW_SECONDS = 6.0
 # How long the callers go on after the last fault.
 RECOVERY_SECONDS = 2.0
+# Time from the last fault by which a turn has to run that continues from a
+# complete one.
+CONTINUED_SECONDS = 12.0
 MAX_FAULTS = 5
 # A run that lasts longer on its virtual clock counts as hung.
 RUN_TIMEOUT_SECONDS = 60.0
@@ -139,9 +143,11 @@
   await asyncio.gather(
     *(_inject_fault(served, fault) for fault in schedule.faults)
   )
+  healed_at = time.monotonic()
   await asyncio.sleep(RECOVERY_SECONDS)
   caller_pool.is_stopping = True
   await caller_task
+  await caller_pool.check_continuations(until=healed_at + CONTINUED_SECONDS)
   return Result(
     violations=(
       *caller_pool.violations,
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -15,6 +15,7 @@
 from faults import tenancy
 import pytest
 
+from woadrun import errors
 from woadrun.process import catalogue
 from woadrun.process import rate_owner
 from woadrun.process import reservations
@@ -95,6 +96,20 @@
   assert any(line.startswith('unstored:') for line in found.violations)
 
 
+def test_a_complete_turn_that_is_not_continued_in_time_is_found(monkeypatch):
+  item = make_schedule(make_fault('kill-all'))
+  assert schedule.run(item).violations == ()
+
+  async def read(self, request):
+    raise errors.WoadrunError(
+      errors.Code.PLATFORM_UNAVAILABLE, 'The store answers too late.'
+    )
+
+  monkeypatch.setattr(turn_store.TurnStore, 'read', read)
+  found = schedule.run(item).violations
+  assert any(line.startswith('late:') for line in found)
+
+
 def make_fatal_caller(
   *,
   began,
