--- a/bench/fleet_soak/__main__.py
+++ b/bench/fleet_soak/__main__.py
@@ -8,6 +8,8 @@
 
 import argparse
 import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
 import logging
 import pathlib
 import random
@@ -16,6 +18,7 @@
 import sys
 import tempfile
 import time
+from typing import Any
 
 import aiohttp
 
@@ -36,6 +39,8 @@
 READY_TIMEOUT_SECONDS = 30.0
 CONTINUE_TIMEOUT_SECONDS = 15.0
 CHECKED_TURNS = 20
+# Violations of a seed that are printed.
+MAX_PRINTED = 20
 # Daemons that start at the same time: more would take too long to be ready.
 MAX_STARTING = 4
 
@@ -180,52 +185,73 @@
           await asyncio.sleep(0.1)
 
 
-async def _run(
-  seed: int, options: argparse.Namespace, folder: pathlib.Path
-) -> list[str]:
-  # Stops the daemons too when the soak is terminated.
-  task = asyncio.current_task()
-  asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
-  return await soak(
-    seed=seed,
-    seconds=options.seconds,
-    count=options.daemons,
-    folder=folder,
-    callers_count=options.callers,
-    stops_early=not options.whole,
-  )
-
-
-def main() -> int:
-  """Returns 1 if a guarantee was violated, 0 otherwise."""
-  parser = argparse.ArgumentParser(description=__doc__)
+def add_common_options(parser: argparse.ArgumentParser) -> None:
+  """Adds the options that `run_seeds` reads."""
   parser.add_argument('--seed', type=int, default=1)
   parser.add_argument('--seeds', type=int, default=1, help='how many in a row')
-  parser.add_argument('--seconds', type=float, default=30.0)
-  parser.add_argument('--daemons', type=int, default=6)
-  parser.add_argument('--callers', type=int, help='twice the daemons if unset')
-  parser.add_argument(
-    '--whole', action='store_true', help='go on after the first violation'
-  )
   parser.add_argument('--folder', type=pathlib.Path, help='where logs go')
-  options = parser.parse_args()
+
+
+def run_seeds(
+  options: argparse.Namespace,
+  play: Callable[[int, pathlib.Path], Coroutine[Any, Any, list[str]]],
+  *,
+  prefix: str,
+) -> int:
+  """Plays seeds one after the other; returns 1 if one had violations, else 0.
+
+  `play` returns the violations of a seed, whose daemons log to a folder; it is
+  kept if there are any.
+  """
   # Instances log each disconnected caller, which the faults make common.
   logging.getLogger('aiohttp.server').setLevel(logging.CRITICAL)
+
+  async def run(seed: int, folder: pathlib.Path) -> list[str]:
+    # Stops the daemons too when the run is terminated.
+    task = asyncio.current_task()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    return await play(seed, folder)
+
   has_violations = False
   for seed in range(options.seed, options.seed + options.seeds):
     folder = pathlib.Path(
-      tempfile.mkdtemp(prefix=f'soak-{seed}-', dir=options.folder)
+      tempfile.mkdtemp(prefix=f'{prefix}-{seed}-', dir=options.folder)
     )
-    found = asyncio.run(_run(seed, options, folder))
-    for violation in found[:20]:
+    found = asyncio.run(run(seed, folder))
+    for violation in found[:MAX_PRINTED]:
       print(f'seed {seed}: BROKEN: {violation}')
     if found:
-      print(f'seed {seed}: logs in {folder}')
+      print(f'seed {seed}: logs in {folder}', flush=True)
       has_violations = True
     else:
       shutil.rmtree(folder)
   return 1 if has_violations else 0
 
 
+def main() -> int:
+  """Returns 1 if a guarantee was violated, 0 otherwise."""
+  parser = argparse.ArgumentParser(description=__doc__)
+  add_common_options(parser)
+  parser.add_argument('--seconds', type=float, default=30.0)
+  parser.add_argument('--daemons', type=int, default=6)
+  parser.add_argument('--callers', type=int, help='twice the daemons if unset')
+  parser.add_argument(
+    '--whole', action='store_true', help='go on after the first violation'
+  )
+  options = parser.parse_args()
+
+  async def play(seed: int, folder: pathlib.Path) -> list[str]:
+    return await soak(
+      seed=seed,
+      seconds=options.seconds,
+      count=options.daemons,
+      folder=folder,
+      callers_count=options.callers,
+      stops_early=not options.whole,
+    )
+
+  return run_seeds(options, play, prefix='soak')
+
+
 if __name__ == '__main__':
   sys.exit(main())
--- a/bench/fleet_soak/power_loss.py
+++ b/bench/fleet_soak/power_loss.py
@@ -17,13 +17,9 @@
 import dataclasses
 import enum
 import json
-import logging
 import pathlib
 import random
-import shutil
-import signal
 import sys
-import tempfile
 import time
 from typing import Any
 
@@ -369,50 +365,29 @@
   return list(find_violations(followed, stored))
 
 
-async def _run(
-  seed: int, options: argparse.Namespace, folder: pathlib.Path
-) -> list[str]:
-  # Stops the daemons too when the run is terminated.
-  task = asyncio.current_task()
-  asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
-  return await run(
-    seed=seed,
-    outage=options.outage,
-    count=options.daemons,
-    callers_count=options.callers,
-    capacity=options.capacity,
-    folder=folder,
-  )
-
-
 def main() -> int:
   """Returns 1 if a turn was lost or continued too late, 0 otherwise."""
   parser = argparse.ArgumentParser(description=__doc__)
-  parser.add_argument('--seed', type=int, default=1)
-  parser.add_argument('--seeds', type=int, default=1, help='how many in a row')
+  soak.add_common_options(parser)
   parser.add_argument('--outage', type=Outage, default=Outage.SILENT)
   parser.add_argument('--daemons', type=int, default=12)
   parser.add_argument('--callers', type=int, default=24)
   parser.add_argument(
     '--capacity', type=float, default=0.0, help='calls of the store in a second'
   )
-  parser.add_argument('--folder', type=pathlib.Path, help='where logs go')
   options = parser.parse_args()
-  logging.getLogger('aiohttp.server').setLevel(logging.CRITICAL)
-  has_violations = False
-  for seed in range(options.seed, options.seed + options.seeds):
-    folder = pathlib.Path(
-      tempfile.mkdtemp(prefix=f'power-{seed}-', dir=options.folder)
+
+  async def play(seed: int, folder: pathlib.Path) -> list[str]:
+    return await run(
+      seed=seed,
+      outage=options.outage,
+      count=options.daemons,
+      callers_count=options.callers,
+      capacity=options.capacity,
+      folder=folder,
     )
-    found = asyncio.run(_run(seed, options, folder))
-    for violation in found[:20]:
-      print(f'seed {seed}: BROKEN: {violation}')
-    if found:
-      print(f'seed {seed}: logs in {folder}', flush=True)
-      has_violations = True
-    else:
-      shutil.rmtree(folder)
-  return 1 if has_violations else 0
+
+  return soak.run_seeds(options, play, prefix='power')
 
 
 if __name__ == '__main__':
