Tests: the delay between openings grows only while the store is reached

What callers saw: after an outage of the store a start that waited for it went on up to 0.4 s later than before. Cause: the delay between two openings doubled with each failure, also while the store could not be reached, and was not reset.

--- a/tests/test_store_overload.py
+++ b/tests/test_store_overload.py
@@ -1,6 +1,7 @@
 """Calls of a store that answers fewer of them than are made."""
 
 import asyncio
+import itertools
 
 from faults import clock
 import pytest
@@ -12,6 +13,8 @@
 from woadrun.process.store import call_queue
 from woadrun.process.store import store_access
 from woadrun.process.store import turn_store
+from woadrun.request import store_waits
+from woadrun.request import turn_client
 
 URGENCY = call_queue.Urgency
 TIMEOUT_SECONDS = 0.8
@@ -219,3 +222,51 @@
   assert [(await task).request for task in late] == ['a'] * 3
   # The later ones share a read of their own.
   assert begun == ['a', 'a']
+
+
+# Guards against starts that go on late after an outage: the delay between two
+# openings grew while the store could not be reached.
+@pytest.mark.parametrize('is_held', [True, False])
+def test_the_delay_between_openings_grows_only_while_the_store_is_reached(
+  is_held,
+):
+  failures = 6
+
+  class Store:
+    is_reachable = not is_held
+
+    async def wait_until_reachable(self):
+      await asyncio.sleep(0)
+
+  async def scenario():
+    client = turn_client.TurnClient(
+      members=None,
+      local=None,
+      messenger=None,
+      store=Store(),
+      turns=None,
+      waits=store_waits.StoreWaits(),
+      get_outage=lambda: 0.0,
+    )
+    times = []
+
+    async def fail_first(message):
+      times.append(asyncio.get_running_loop().time())
+      if len(times) <= failures:
+        raise errors.WoadrunError(errors.Code.PLATFORM_UNAVAILABLE, 'no answer')
+
+    client._open = fail_first
+    await client._open_with_store(
+      turn_messages.OpenTurn(
+        program='p', request='r', parent='', most=1, budget=None
+      )
+    )
+    return [after - before for before, after in itertools.pairwise(times)]
+
+  delays = run(scenario)
+  least, most = (
+    turn_client.REOPEN_DELAY_SECONDS,
+    turn_client.MAX_REOPEN_DELAY_SECONDS,
+  )
+  assert delays[0] == pytest.approx(least)
+  assert delays[-1] == pytest.approx(least if is_held else most)
