--- a/tests/test_invalid_statuses.py
+++ b/tests/test_invalid_statuses.py
@@ -22,8 +22,10 @@
 from woadrun.connection import tcp_connections
 from woadrun.decisions import run_status
 from woadrun.platform import store
+from woadrun.platform import upstream
 from woadrun.request import exchange
 from woadrun.request import execution
+from woadrun.version import instances
 from woadrun.version import program
 
 STATUS_LINES = (
@@ -191,6 +193,26 @@
       )
 
 
+# Guards against an instance that counts as alive by an answer to a health check
+# that is none.
+@pytest.mark.parametrize('line', STATUS_LINES)
+async def test_a_health_check_is_not_answered_by_such_a_status(line):
+  server = Server(encode(line))
+  connector = tcp_connections.make_connector(limit=10, keepalive=5.0)
+  async with (
+    server.run() as address,
+    aiohttp.ClientSession(connector=connector) as session,
+  ):
+    probing = upstream.HttpUpstreams(
+      session=session, addresses=tcp_connections.Addresses()
+    )
+    instance = instances.Instance(
+      id='i', service='s', address=address, domain='north'
+    )
+    found = await probing.probe(instance, health_path='/health')
+  assert found is exchange.Liveness.REACHABLE
+
+
 # Guards against records of earlier releases, which had any status of a service.
 @pytest.mark.parametrize('status', INVALID)
 async def test_a_stored_outcome_with_such_a_status_is_unknown(status):
