Tests: a turn has three parts, and an unknown one costs three reads

With the constant, more parts, and so more reads for each unknown turn, would pass unnoticed. The number is stated again.

--- a/tests/test_durable_turns.py
+++ b/tests/test_durable_turns.py
@@ -362,7 +362,7 @@
   for number in range(2_000):
     parts = turn_store.get_parts(f't{number}')
     assert parts[0] == turn_store.get_part(f't{number}')
-    assert len(set(parts)) == turn_store.PARTS_PER_TURN
+    assert len(parts) == len(set(parts)) == 3
     assert all(len(part) == 2 for part in parts)
 
 
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -317,8 +317,7 @@
     with pytest.raises(errors.WoadrunError) as caught:
       await fleet.turn('n1', 'b', parent='none')
     assert caught.value.status == 503
-    parts = turn_store.PARTS_PER_TURN
-    assert fleet.find_calls('turns') == [('read', 'turns')] * parts
+    assert fleet.find_calls('turns') == [('read', 'turns')] * 3
 
 
 async def test_daemon_that_ran_the_parent_turn_is_sent_no_history():
