Faults: a schedule takes the same steps wherever its objects lie

Four things of a run did not come from its seed: a kill cancelled the tasks of a daemon in the order of a set, so of their addresses; a stream without end was closed by the garbage collector at any later moment; `time.perf_counter`, by which a long parse lets other tasks run, was the real one; ids were really random. Now: tasks in the order of their start, the stream closed by its reader, the virtual clock, ids drawn from the seed.

--- a/bench/faults/clock.py
+++ b/bench/faults/clock.py
@@ -49,12 +49,14 @@
 
 @contextlib.contextmanager
 def run_by(clock: Clock) -> Iterator[asyncio.AbstractEventLoop]:
-  """Yields an event loop while `time.monotonic` and `time.time` read `clock`.
+  """Yields an event loop while the clocks of module `time` read `clock`.
 
-  Tasks that are still pending at exit are cancelled.
+  These are `monotonic`, `perf_counter` and `time`.  Tasks that are still
+  pending at exit are cancelled.
   """
   monotonic, time_of_day = time.monotonic, time.time
-  time.monotonic = lambda: clock.now
+  perf_counter = time.perf_counter
+  time.monotonic = time.perf_counter = lambda: clock.now
   time.time = clock.get_time_of_day
   loop = asyncio.SelectorEventLoop(JumpingSelector(clock=clock))
   loop.set_exception_handler(lambda loop, context: None)
@@ -66,6 +68,7 @@
     asyncio.set_event_loop(None)
     loop.close()
     time.monotonic, time.time = monotonic, time_of_day
+    time.perf_counter = perf_counter
 
 
 def _cancel_tasks(loop: asyncio.AbstractEventLoop) -> None:
--- a/bench/faults/network.py
+++ b/bench/faults/network.py
@@ -39,13 +39,14 @@
   started_at: float = dataclasses.field(
     default_factory=lambda: time.monotonic()
   )
-  tasks: set[asyncio.Task[Any]] = dataclasses.field(default_factory=set)
+  # In the order of their start: the order of a set of tasks differs by run.
+  tasks: dict[asyncio.Task[Any], None] = dataclasses.field(default_factory=dict)
 
   def run(self, work: Coroutine[Any, Any, T]) -> asyncio.Task[T]:
     """Returns a task that is cancelled when the daemon is killed."""
     task = asyncio.ensure_future(work)
-    self.tasks.add(task)
-    task.add_done_callback(self.tasks.discard)
+    self.tasks[task] = None
+    task.add_done_callback(self.tasks.pop)
     return task
 
 
--- a/bench/faults/outside.py
+++ b/bench/faults/outside.py
@@ -421,8 +421,10 @@
     draw = random.Random(f'{self._salt} {id}').random()
     if may_be_endless and draw < ENDLESS_SHARE:
       self.truncated_requests.add(id)
-      async for part in self._stream_without_end(id):
-        yield part
+      # Closed here, not by the garbage collector at a moment of its own.
+      async with contextlib.aclosing(self._stream_without_end(id)) as parts:
+        async for part in parts:
+          yield part
     for chunk in chunks:
       await asyncio.sleep(self._rng.uniform(*EVENT_INTERVAL_SECONDS))
       if connection.is_set():
--- a/bench/faults/schedule.py
+++ b/bench/faults/schedule.py
@@ -10,7 +10,10 @@
 import contextlib
 import dataclasses
 import random
+import secrets
 import time
+from unittest import mock
+import uuid
 
 from faults import callers
 from faults import clock
@@ -111,10 +114,25 @@
   # The module draws the phase of periodic tasks on import, before the seed is
   # set.
   ticks._OFFSET_SECONDS = random.random()
-  with clock.run_by(clock.Clock()) as loop:
+  with _draw_ids(schedule.seed), clock.run_by(clock.Clock()) as loop:
     return loop.run_until_complete(_run_with_timeout(schedule))
 
 
+@contextlib.contextmanager
+def _draw_ids(seed: int) -> Iterator[None]:
+  """Draws the product's random ids from a seed; their order can matter."""
+  rng = random.Random(f'ids of {seed}')
+  with (
+    mock.patch.object(
+      secrets, 'token_hex', lambda size: rng.randbytes(size).hex()
+    ),
+    mock.patch.object(
+      uuid, 'uuid4', lambda: uuid.UUID(bytes=rng.randbytes(16), version=4)
+    ),
+  ):
+    yield
+
+
 async def _run_with_timeout(schedule: Schedule) -> Result:
   try:
     async with asyncio.timeout(RUN_TIMEOUT_SECONDS):
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -63,6 +63,36 @@
   assert results[0].count_by_status[200] > 20
 
 
+def test_a_schedule_takes_the_same_steps_wherever_its_objects_lie(monkeypatch):
+  steps, run = [], asyncio.events.Handle._run
+
+  def record(handle):
+    work = getattr(handle._callback, '__self__', None)
+    name = getattr(handle._callback, '__qualname__', type(work))
+    if isinstance(work, asyncio.Task):
+      name = getattr(work.get_coro(), '__qualname__', None)
+    steps.append((time.monotonic(), name))
+    run(handle)
+
+  cancel = clock._cancel_tasks
+
+  def cancel_unrecorded(loop):
+    # The result is there by now.
+    count = len(steps)
+    cancel(loop)
+    del steps[count:]
+
+  monkeypatch.setattr(clock, '_cancel_tasks', cancel_unrecorded)
+  monkeypatch.setattr(asyncio.events.Handle, '_run', record)
+  found, kept = [], []
+  for _ in range(2):
+    schedule.run(make_schedule(make_fault('kill-all')))
+    found.append(steps.copy())
+    steps.clear()
+    kept.extend(object() for _ in range(54_321))
+  assert found[0] == found[1]
+
+
 def test_shrink_keeps_only_the_faults_that_matter():
   cut, kill = make_fault('cut'), make_fault('kill')
   long = make_schedule(make_fault('delay'), cut, make_fault('forget'), kill)
