Attempts: a failed request does not keep its sockets until a collection

Cause: the state of a request held the error of its last attempt, or its refusal, whose traceback holds the frames of the request and so the state. Such a cycle lives until the garbage collector comes to the oldest objects. Evidence: with collections off, 60 attempts without a reply left 7,440 objects (60 sockets, 1,260 frames); 300 since, those of asyncio's closed transports.

Now the state keeps the text of the failure, all that was used of it, and gives a refusal away as it is raised.

The test failed before for a lost and an unsent request. The stand-in of the instances in tests/nodes.py made such a cycle itself.

--- a/src/woadrun/request/attempts.py
+++ b/src/woadrun/request/attempts.py
@@ -118,8 +118,8 @@
 
   `deadline` is on the monotonic clock.  `cached_by_instance` has the number of
   prompt tokens that each incarnation is expected to have cached.  `tried` lists
-  the incarnations that were chosen so far, `last_error` is the error of the
-  latest attempt without a reply, and `refusal` is the error that forbids
+  the incarnations that were chosen so far, `last_failure` tells of the latest
+  attempt without a reply, and `refusal` is the error that forbids
   further attempts.  `not_run` counts the attempts that certainly did not run,
   `not_sent` those of them that did not reach their instance.  `fingerprint`
   identifies the request across its tries.
@@ -135,7 +135,7 @@
   admission: crash_guard.Admission | None = None
   refusal: errors.WoadrunError | None = None
   tried: list[str] = dataclasses.field(default_factory=list)
-  last_error: Exception | None = None
+  last_failure: str = ''
   may_have_run: bool = False
   not_run: int = 0
   not_sent: int = 0
@@ -222,12 +222,12 @@
         try:
           attempt = await self._attempt_before_stop(state, sending)
         except exchange.RequestNotSent as error:
-          state.last_error = error
+          state.last_failure = str(error)
           state.not_run += 1
           state.not_sent += 1
           continue
         except exchange.ResponseLost as error:
-          state.last_error = error
+          state.last_failure = str(error)
           state.may_have_run = True
           await self._guard.wait_for_delivery(state.fingerprint)
           if route.kind is routes.Kind.IDEMPOTENT:
@@ -245,7 +245,7 @@
           state.not_run += 1
           continue
         state.may_have_run = True
-        state.last_error = exchange.ResponseLost(_describe_reply(reply))
+        state.last_failure = _describe_reply(reply)
         if route.kind is not routes.Kind.IDEMPOTENT:
           break
     raise self._make_error(state)
@@ -797,11 +797,13 @@
       return errors.WoadrunError(
         errors.Code.OUTCOME_UNKNOWN,
         'The request may have run, but no valid reply arrived: '
-        f'{state.last_error}',
+        f'{state.last_failure}',
         ran=errors.RunStatus.UNKNOWN,
       )
     if state.refusal is not None:
-      return state.refusal
+      # Its traceback will hold the state: no cycle of them outlives a request.
+      refusal, state.refusal = state.refusal, None
+      return refusal
     group = self._catalogue.directory.find(state.service)
     make_error = errors.WoadrunError if state.tried else NotAttempted
     return make_error(
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -134,7 +134,11 @@
       if fault is SILENCE:
         await asyncio.Event().wait()
       if isinstance(fault, Exception):
-        raise fault
+        try:
+          raise fault
+        finally:
+          # Its traceback holds this frame.
+          del fault
       yield fault
       return
     yield exchange.Reply(
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -4,6 +4,7 @@
 import contextlib
 import copy
 import dataclasses
+import gc
 import re
 import types
 
@@ -343,6 +344,34 @@
     assert load.get_mean_seconds('tools') == before
 
 
+# Guards against failed attempts that kept their sockets and 40 KB each until
+# the garbage collector came.
+@pytest.mark.parametrize(
+  'make_fault',
+  [
+    lambda: exchange.ResponseLost('reset'),
+    lambda: nodes.make_reply(is_genuine=False),
+    lambda: exchange.RequestNotSent('refused'),
+    lambda: nodes.make_reply(status=503, has_run=False),
+  ],
+  ids=['lost', 'not genuine', 'not sent', 'full'],
+)
+async def test_a_failed_request_is_let_go_without_a_collection(make_fault):
+  async with nodes.Nodes() as fleet:
+    await fleet.start('n1')
+    gc.collect()
+    gc.disable()
+    try:
+      with contextlib.suppress(errors.WoadrunError):
+        # The test itself must not hold an error, whose traceback holds frames.
+        await ask(fleet, '/act/', *(make_fault() for _ in range(9)))
+      fleet.engines.faults.clear()
+      kept = [o for o in gc.get_objects() if isinstance(o, attempts._SendState)]
+    finally:
+      gc.enable()
+    assert not kept
+
+
 # Guards against times that are learned where they have no effect, and against
 # an instance that seems slow because the caller reads slowly.
 @pytest.mark.parametrize(
