Callers' connections: a handled request counts as what it takes

Seen: 400 connections with requests that run for long cost a daemon 43 KB each (100 to 400 connections, told 512 MB, so that nothing was refused), 5.6 KB of it the connection; counted were 24 KB and 5 KB.

Now 38 KB are counted, so that fewer run at the same time where memory is short: some 160 instead of 250 at 64 MB, 1,300 instead of 2,000 at the default of 512.

The test is tests/test_untrusted_clients.py, which was red.

--- a/src/woadrun/connection/caller_bounds.py
+++ b/src/woadrun/connection/caller_bounds.py
@@ -41,7 +41,7 @@
 READ_SHARE = 1 / 8
 # Memory of a request that is handled, beside its head and its body: its tasks,
 # and the connection to its instance.
-CALL_BYTES = 24_576
+CALL_BYTES = 38_000
 # Payload of a read that is worth its work, and framing whose parsing costs as
 # much as a read.
 WORTHWHILE_BYTES = 512
