Callers' connections: requests sent ahead leave places to others

Cause: a place that a request gives back was taken at once by the next one that waits on its connection; a caller who returns after half a second found none.

Now a request with others behind it on its connection may take three quarters of the places, the rest is for callers who wait for their answers.

The new test failed before (no such bound).

--- a/src/woadrun/connection/caller_bounds.py
+++ b/src/woadrun/connection/caller_bounds.py
@@ -42,6 +42,9 @@
 # Memory of a request that is handled, beside its head and its body: its tasks,
 # and the connection to its instance.
 CALL_BYTES = 38_000
+# Part of what requests may take that those with others behind them on their
+# connection may: the rest is for callers who wait for their answers.
+AHEAD_SHARE = 3 / 4
 # Payload of a read that is worth its work, and framing whose parsing costs as
 # much as a read.
 WORTHWHILE_BYTES = 512
@@ -96,14 +99,21 @@
 
 @contextlib.contextmanager
 def hold_call(
-  account: memory_account.Account, name: str, message: Any
+  account: memory_account.Account, name: str, message: Any, *, has_next: bool
 ) -> Iterator[None]:
   """Returns a context in which a request with a parsed head is handled.
 
-  Raises `MemoryExceeded` if too many are handled already.
+  `has_next` tells whether its caller has sent another one behind it.  Raises
+  `MemoryExceeded` if too many are handled already.
   """
   size = CALL_BYTES + get_head_bytes(message)
-  with account.hold(memory_account.Kind.CALL, name) as holder:
+  kind = memory_account.Kind.CALL
+  most = account.get_most(kind) * AHEAD_SHARE
+  if has_next and account.total_by_kind[kind] + size > most:
+    raise memory_account.MemoryExceeded(
+      'The daemon handles too many requests that are sent ahead.'
+    )
+  with account.hold(kind, name) as holder:
     holder.add(size)
     yield
 
--- a/src/woadrun/platform/ingress.py
+++ b/src/woadrun/platform/ingress.py
@@ -83,7 +83,12 @@
     with contextlib.ExitStack() as stack:
       try:
         stack.enter_context(
-          caller_bounds.hold_call(self.account, id, http._message)
+          caller_bounds.hold_call(
+            self.account,
+            id,
+            http._message,
+            has_next=callers_server.has_next(http),
+          )
         )
       except memory_account.MemoryExceeded:
         return self._make_error_response(
--- a/src/woadrun/request/request_memory.py
+++ b/src/woadrun/request/request_memory.py
@@ -36,7 +36,12 @@
       if not is_peer:
         try:
           stack.enter_context(
-            caller_bounds.hold_call(account, request.path, request._message)
+            caller_bounds.hold_call(
+              account,
+              request.path,
+              request._message,
+              has_next=callers_server.has_next(request),
+            )
           )
         except memory_account.MemoryExceeded as error:
           raise request_bodies.make_rejection() from error
--- a/tests/test_stalled_callers.py
+++ b/tests/test_stalled_callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import types
 
 from aiohttp import web
 import nodes
@@ -189,3 +190,24 @@
     assert not any(c.is_lingering and c._parser for c in left)
     for writer in callers:
       writer.transport.abort()
+
+
+# Guards against callers that wait for their answers and are refused for a
+# minute, while those who send ahead take each place that is given back.
+async def test_requests_sent_ahead_leave_places_to_others():
+  account = memory_account.Account(most=20 * caller_bounds.CALL_BYTES)
+  message = types.SimpleNamespace(raw_headers=())
+
+  def count(has_next):
+    with contextlib.ExitStack() as stack:
+      try:
+        for number in range(100):
+          stack.enter_context(
+            caller_bounds.hold_call(
+              account, f'{number}', message, has_next=has_next
+            )
+          )
+      except memory_account.MemoryExceeded:
+        return number
+
+  assert 0 < count(has_next=True) < count(has_next=False)
