Memory: what may be held for others leaves room for the process itself

Cause: the account held what it may, 3/16 of the limit or 13.5 MB, and the daemon itself takes 57.4 MB on x86-64 before it serves anybody: together more than its limit, whatever callers do.

Now the account may also have at most three quarters of what the process leaves of its limit as it starts, but a sixteenth of the limit in any case. Nothing changes from about 61 MB (platform's interface) and 77 MB (own interface) on.

The new test failed before (no such parameter).

--- a/src/woadrun/connection/memory_account.py
+++ b/src/woadrun/connection/memory_account.py
@@ -14,11 +14,17 @@
 import contextlib
 import enum
 import logging
+import os
+import pathlib
 
 log = logging.getLogger('woadrun.memory')
 
 # Part of the memory limit of the process that may be held for others.
 MEMORY_SHARE = 3 / 16
+# Part of what the process itself leaves of its limit that may be held, and of
+# the limit that may be held in any case.
+ROOM_SHARE = 3 / 4
+MIN_SHARE = 1 / 16
 # Memory limit in megabytes of a process that is told none.
 DEFAULT_MEMORY_MB = 512.0
 # Holders up to this size are not told to let go: it would free nothing.
@@ -64,9 +70,24 @@
   """Raised if a holder may not grow: no other holds more."""
 
 
-def get_most(memory_mb: float | None) -> int:
-  """Returns the bound in bytes for a memory limit in megabytes, if any."""
-  return int((memory_mb or DEFAULT_MEMORY_MB) * 1024 * 1024 * MEMORY_SHARE)
+def get_most(memory_mb: float | None, *, resident: int = 0) -> int:
+  """Returns the bound in bytes for a memory limit in megabytes, if any.
+
+  `resident` is what the process itself takes, in bytes.
+  """
+  limit = (memory_mb or DEFAULT_MEMORY_MB) * 1024 * 1024
+  most = min(limit * MEMORY_SHARE, (limit - resident) * ROOM_SHARE)
+  return int(max(limit * MIN_SHARE, most))
+
+
+def read_resident_bytes() -> int:
+  """Returns the memory of this process, 0 where the system does not tell."""
+  try:
+    fields = pathlib.Path('/proc/self/statm').read_text().split()
+    return int(fields[1]) * os.sysconf('SC_PAGE_SIZE')
+  except (OSError, ValueError, IndexError) as error:
+    log.info('The memory of the process is not known: %s', error)
+    return 0
 
 
 class Holder:
--- a/src/woadrun/platform/program.py
+++ b/src/woadrun/platform/program.py
@@ -228,7 +228,9 @@
   """Returns the daemon's interfaces to this platform."""
   addresses = tcp_connections.Addresses(connector=session.connector)
   account = memory_account.Account(
-    most=memory_account.get_most(config.memory_mb)
+    most=memory_account.get_most(
+      config.memory_mb, resident=memory_account.read_resident_bytes()
+    )
   )
   held = held_bytes.HeldBytes(
     most=held_bytes.get_max_held_bytes(config.memory_mb), account=account
--- a/src/woadrun/process/daemon.py
+++ b/src/woadrun/process/daemon.py
@@ -111,7 +111,9 @@
       read_bufsize=response_ids.READ_BYTES,
     )
     self.memory = memory_account.Account(
-      most=memory_account.get_most(config.limits.memory_mb)
+      most=memory_account.get_most(
+        config.limits.memory_mb, resident=memory_account.read_resident_bytes()
+      )
     )
     self.links = peers.Peers(
       session=self.session, key=config.security.peer_key, account=self.memory
--- a/tests/test_memory_account.py
+++ b/tests/test_memory_account.py
@@ -149,6 +149,14 @@
   assert most / MB == memory_mb * memory_account.MEMORY_SHARE
 
 
+def test_the_bound_leaves_room_for_what_the_process_itself_takes():
+  most = memory_account.get_most(72, resident=58 * MB)
+  assert 58 * MB + most * memory_account.RISE_BY_KIND['call'] <= 72 * MB
+  # Something can be held in any case.
+  assert memory_account.get_most(72, resident=80 * MB) > 0
+  assert memory_account.read_resident_bytes() > MB
+
+
 class AccountMachine(stateful.RuleBasedStateMachine):
   """The bounds hold, and nobody that holds less than others is evicted."""
 
