Tests: a status that is none, through a daemon of the own interface and the soak

Now services and engines of a real daemon answer 000 and 600: an action's outcome is unknown, a model call fails with upstream_failed. Both cases fail where a status of 0 or more counts as final (0 reached the client as `HTTP/1.1 0`).

--- a/bench/fleet_soak/checker.py
+++ b/bench/fleet_soak/checker.py
@@ -68,6 +68,7 @@
       self._check_refusals,
       self._check_full,
       self._check_histories,
+      self._check_statuses,
       self._check_answers,
       self._check_stated_ends,
       self._check_stored,
@@ -157,6 +158,11 @@
       parent = turn.parent
     return history
 
+  def _check_statuses(self) -> Iterator[str]:
+    for attempt in self._caller_pool.attempts:
+      if attempt.status and not 200 <= attempt.status <= 599:
+        yield f'{attempt.request} got {attempt.status}, which is no status'
+
   def _check_answers(self) -> Iterator[str]:
     body_by_request = {
       request: response.body
--- a/bench/fleet_soak/contradictions.py
+++ b/bench/fleet_soak/contradictions.py
@@ -21,6 +21,8 @@
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 # Those that guarantee it for a turn.
 TURN_NOT_RUN_STATUSES = (*NOT_RUN_STATUSES, 402, 404, 410)
+# Statuses that no final response can have (RFC 9110, section 15).
+INVALID_STATUSES = (0, 99, 600, 999)
 ID, SIGNATURE = 'Request-Id', 'Server-Signature'
 NOT_RUN, INSTANCE = 'Not-Executed', 'Instance-Id'
 
@@ -37,6 +39,8 @@
   SUCCESS_STATEMENT = 'a success, signed, and a header'
   UNSIGNED_SUCCESS = 'a success, not signed'
   UNSIGNED_SUCCESS_STATEMENT = 'a success, not signed, and a header'
+  NO_STATUS = 'a status that is none, signed'
+  NO_STATUS_STATEMENT = 'a status that is none and a header'
 
 
 SUCCESSES = frozenset(
@@ -46,6 +50,7 @@
     Kind.UNSIGNED_SUCCESS_STATEMENT,
   )
 )
+WITHOUT_STATUS = frozenset((Kind.NO_STATUS, Kind.NO_STATUS_STATEMENT))
 _HEADERS_BY_KIND = {
   Kind.SIGNED: (ID, SIGNATURE),
   Kind.UNSIGNED: (ID,),
@@ -56,6 +61,8 @@
   Kind.SUCCESS_STATEMENT: (ID, SIGNATURE, NOT_RUN),
   Kind.UNSIGNED_SUCCESS: (ID,),
   Kind.UNSIGNED_SUCCESS_STATEMENT: (ID, NOT_RUN),
+  Kind.NO_STATUS: (ID, SIGNATURE),
+  Kind.NO_STATUS_STATEMENT: (ID, NOT_RUN),
 }
 
 
@@ -95,6 +102,8 @@
     status = 421
   elif kind in SUCCESSES:
     status = 200
+  elif kind in WITHOUT_STATUS:
+    status = rng.choice(INVALID_STATUSES)
   value_by_name = {
     ID: request,
     SIGNATURE: signature,
--- a/bench/fleet_soak/responses.py
+++ b/bench/fleet_soak/responses.py
@@ -75,7 +75,7 @@
 
   def make_head(self, *, headers: dict[str, str], status: int = 200) -> bytes:
     """Returns the status line and the headers."""
-    lines = [f'{self.version} {status} Status']
+    lines = [f'{self.version} {status:03} Status']
     lines.extend(f'{name}: {value}' for name, value in headers.items())
     if self.is_stream:
       lines.append('Content-Type: text/event-stream')
--- a/tests/test_fleet_soak.py
+++ b/tests/test_fleet_soak.py
@@ -117,6 +117,7 @@
     ([make_attempt('a', **GOOD)], [make_run('a')] * 2, 'ran 2 times'),
     ([make_attempt('a', status=503)], [make_run('a')], 'refused'),
     ([], [make_run('a')], 'nobody sent'),
+    ([make_attempt('a', status=600)], [make_run('a')], 'is no status'),
     ([make_attempt('a', status=503, error=FULL)], [], 'with 0 turns in'),
     (
       [make_attempt('b', parent='a', status=503, error=FULL)]
@@ -659,6 +660,8 @@
       assert seen == {200}
     elif kind is contradictions.Kind.OWN_INSTANCE:
       assert seen == {421}
+    elif kind in contradictions.WITHOUT_STATUS:
+      assert seen == {0, 99, 600, 999}
     else:
       assert seen == statuses
 
@@ -670,7 +673,9 @@
   _, found = draw_contradictions(is_turn=is_turn)
   for item in found:
     names = set(item.headers)
-    is_valid = item.headers.get('Not-Executed') == '1' and item.status >= 400
+    is_valid = (
+      item.headers.get('Not-Executed') == '1' and 400 <= item.status < 600
+    )
     is_own = 'Request-Id' in names and 'Server-Signature' not in names
     assert not (is_valid and is_own)
     assert item.headers.get('Instance-Id', 'i') == 'i'
--- a/tests/test_invalid_statuses.py
+++ b/tests/test_invalid_statuses.py
@@ -7,6 +7,7 @@
 import contextlib
 
 import aiohttp
+import fleet as fleets
 import pytest
 import real_site
 import test_call_attempts as attempts
@@ -281,3 +282,29 @@
     async with asyncio.timeout(real_site.READY_SECONDS):
       while (await site.send(daemon, 'look', '0')).status != 200:
         await asyncio.sleep(0.2)
+
+
+# Guards the whole path of the own interface: client, daemon, service or engine.
+@pytest.mark.parametrize('line', ['HTTP/1.1 000 X', 'HTTP/1.1 600 X'])
+async def test_a_client_gets_a_true_error_for_such_a_status(tmp_path, line):
+  async with fleets.make_fleet(tmp_path, 'n') as fleet:
+    server = Server(encode(line, body=truncated.make_event('wrong')))
+    async with server.run() as address:
+      node = fleet.nodes[0]
+      settings = node.config.read_text()
+      for stand_in in (*fleet.outside.services, *fleet.outside.engines):
+        settings = settings.replace(stand_in.url, f'http://{address}')
+      node.config.write_text(settings)
+      await fleet.restart()
+      caller = fleet.make_client(patience=5.0)
+      started = await caller.start('riders', 50_000)
+      acted = await fleets.get_refusal(
+        caller.act(started['id'], 'service-0/charge', {})
+      )
+      said = await fleets.get_refusal(
+        caller.say(started['id'], 'x', model=fleets.MODEL)
+      )
+    assert acted.code is errors.Code.OUTCOME_UNKNOWN
+    assert acted.ran is errors.RunStatus.UNKNOWN
+    assert said.code is errors.Code.UPSTREAM_FAILED
+    assert server.requests >= 2
