--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,8 +6,8 @@
 cd "$(dirname "$0")/.."
 folder=$(mktemp -d)
 trap 'rm -rf "$folder"' EXIT
-PYTHONPYCACHEPREFIX=$folder python3 -m compileall -q review/standins-2 \
-  review/4 review/5 review/6 review/7 review/8 2>/dev/null ||
-  PYTHONPYCACHEPREFIX=$folder python3 -m compileall -q review/standins-2
+for path in review/standins-2 review/[4-8]; do
+  PYTHONPYCACHEPREFIX=$folder python3 -m compileall -q "$path"
+done
 PYTHONPATH=target/deps:review/standins-2 PYTHONPYCACHEPREFIX=$folder \
   python3 -c 'import crowd, deployment'
