--- a/review/standins-2/crowd.py
+++ b/review/standins-2/crowd.py
@@ -89,16 +89,23 @@
       await asyncio.sleep(0.2)
 
 
-def make_turn_headers(*, program: str) -> dict[str, str]:
-  """Returns the headers of the first turn of a program."""
+def make_turn_headers(
+  *, program: str, document: int = 0
+) -> dict[str, str]:
+  """Returns the headers of the first turn of a program.
+
+  Its prompt begins with a part of 512 tokens, or with the same `document` of as
+  many tokens as that of all other programs.
+  """
+  first = f'd0c:{document}' if document else f'{deployment.make_id()}:512'
   return {
     'Program-Id': program,
     'Session-Id': deployment.make_id(),
     'Finish-Ms': '4000',
     'Token-Budget': '1000',
-    'Token-Usage': '1165,64',
+    'Token-Usage': f'{(document or 512) + 653},64',
     'Model': 'm',
-    'Prompt-Prefix': f'{deployment.make_id()}:512,{deployment.make_id()}:653',
+    'Prompt-Prefix': f'{first},{deployment.make_id()}:653',
   }
 
 
@@ -117,7 +124,8 @@
   await site.start(ROUTES, llm=3, app=3)
   for engine in site.engines:
     engine.is_quiet = True
-    engine.work = 0.002
+    # An event of 8 tokens, a step of 3.37 ms each, as on the site.
+    engine.work = 0.027
   platform = Platform(site)
   ordinary = [Ordinary(site, daemon.host) for daemon in site.daemons]
   statuses: dict[str, int] = {}
--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -77,6 +77,10 @@
     self.record = record
     self.address = ''
     self.state = 'ready'
+    # Tokens of prompts that fit into its memory, and that it reads in a second;
+    # the parts that it keeps.
+    self.kv_tokens, self.prefill_tokens_per_s = 111_896, 61_200.0
+    self._kept_parts: set[str] = set()
     # Each request that ran, as (time, head fields, request line, body).
     self.runs: list[tuple[float, dict[str, str], str, bytes]] = []
     self.behave: Callable[..., Awaitable[bool | None]] | None = None
@@ -165,6 +169,13 @@
       )
       await writer.drain()
       return True
+    if not await self._read_prompt(head):
+      writer.write(
+        f'HTTP/1.1 503 Full\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\n'
+        'Content-Length: 0\r\n\r\n'.encode()
+      )
+      await writer.drain()
+      return True
     self.note_run(line, head, body)
     signed = f'Request-Id: {id}\r\nServer-Signature: {self.id}.{id[:16]}\r\n'
     if 'token-usage' not in head:
@@ -189,6 +200,24 @@
     await writer.drain()
     return True
 
+  async def _read_prompt(self, head: dict[str, str]) -> bool:
+    """Reads what it does not keep; returns False for a prompt that is too large.
+
+    A part is kept from then on: the scripts send few that are large.
+    """
+    prompt = int(head.get('token-usage', '0,0').partition(',')[0])
+    if prompt > self.kv_tokens:
+      return False
+    parts = [
+      part.partition(':')
+      for part in head.get('prompt-prefix', '').split(',')
+      if part
+    ]
+    new = sum(int(n) for id, _, n in parts if id not in self._kept_parts)
+    await asyncio.sleep(new / self.prefill_tokens_per_s)
+    self._kept_parts.update(id for id, _, n in parts if int(n) > 10_000)
+    return True
+
   def note_run(self, line: str, head: dict[str, str], body: bytes) -> None:
     """Notes that the engine has begun to work on a request."""
     self.runs.append((time.monotonic(), head, line, body))
