Review: a script that cannot run exits with 2

Cause: without the build, or by an error of its own, a script ended with 1, which says that the rule was broken.

--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -686,7 +686,8 @@
     try:
       async with asyncio.timeout(seconds):
         return await case(site)
-    except (CannotRun, TimeoutError, OSError) as error:
+    except Exception as error:
+      # Whatever stops a script shows nothing of the rule.
       site.record.note(f'the case could not run: {error!r}')
       return UNABLE
     finally:
